--- /dev/null
+++ b/src/command/check.rs
@@ -0,0 +1,28 @@
+//! `check`: judges a history.
+
+use std::io::BufReader;
+use std::path::Path;
+
+use crate::cli;
+use crate::error::Error;
+use crate::history::{judge, read};
+use crate::options::needed;
+
+/// Prints the verdicts; a breach is an error.
+pub fn run(flags: &cli::Check) -> Result<(), Error> {
+    let file: String = needed("file", flags.file.as_ref())?;
+    let path = Path::new(&file);
+    let opened = std::fs::File::open(path).map_err(|fault| Error::file(path, &fault))?;
+    let mut lines = read(&file, BufReader::new(opened))?;
+    lines.sort_by_key(|line| line.at);
+    let report = judge(&lines);
+    if flags.json {
+        println!("{}", serde_json::to_string_pretty(&report).expect("verdicts are plain data"));
+    } else {
+        print!("{report}");
+    }
+    match report.broken() {
+        0 => Ok(()),
+        count => Err(Error::Broken(count)),
+    }
+}
--- /dev/null
+++ b/src/command/mod.rs
@@ -0,0 +1,93 @@
+//! The commands: each takes its flags and runs to its end.
+
+mod ask;
+mod check;
+mod confirm;
+mod demo;
+mod experiment;
+mod plan;
+mod serve;
+mod standin;
+
+use gumdrop::Options;
+
+use crate::cli::{Cli, Command, example};
+use crate::error::Error;
+use crate::{chart, options};
+
+/// Runs the command that the arguments name.
+///
+/// # Errors
+/// What went wrong, as a sentence that says what to do.
+pub fn run(arguments: &[String]) -> Result<(), Error> {
+    let cli = Cli::parse_args_default(arguments)
+        .map_err(|fault| Error::Contradiction(format!("{fault}; see `kitepulley --help`.")))?;
+    if cli.version {
+        println!("kitepulley {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let Some(command) = &cli.command else {
+        println!("{}", help(&cli));
+        return Ok(());
+    };
+    if cli.help || command.help_requested() {
+        println!("{}", help(&cli));
+        return Ok(());
+    }
+    log();
+    match command {
+        Command::Serve(flags) => serve::run(flags),
+        Command::Standin(flags) => standin::run(flags),
+        Command::Demo(flags) => demo::run(flags),
+        Command::Plan(flags) => plan::run(flags),
+        Command::Confirm(flags) => confirm::run(flags),
+        Command::Status(flags) => ask::status(flags),
+        Command::Explain(flags) => ask::explain(flags),
+        Command::Burn(flags) => ask::burn(flags),
+        Command::Bill(flags) => ask::bill(flags),
+        Command::Check(flags) => check::run(flags),
+        Command::Experiment(flags) => experiment::run(flags),
+        Command::Chart(flags) => draw(flags.name.as_ref()),
+    }
+}
+
+fn help(cli: &Cli) -> String {
+    let usage = cli.self_usage();
+    match cli.command_name() {
+        Some(name) => format!(
+            "Usage: kitepulley {name} [OPTIONS]\n\n{}\n\nEach flag `--some-name` may be set by \
+             KITEPULLEY_SOME_NAME.\n\nExample:\n  {}",
+            cli.command.as_ref().map_or(usage, Options::self_usage),
+            example(name)
+        ),
+        None => format!(
+            "Usage: kitepulley COMMAND [OPTIONS]\n\n{usage}\n\nCommands:\n{}\n\nExample:\n  \
+             kitepulley demo\n  kitepulley plan --help",
+            cli.self_command_list().unwrap_or_default()
+        ),
+    }
+}
+
+/// Lines go to standard error; `KITEPULLEY_LOG` sets how much is told.
+fn log() {
+    let level = std::env::var("KITEPULLEY_LOG").ok().and_then(|text| text.parse().ok());
+    let level = level.unwrap_or(simplelog::LevelFilter::Info);
+    let config = simplelog::ConfigBuilder::new().add_filter_allow_str("kitepulley").build();
+    let _ = simplelog::WriteLogger::init(level, config, std::io::stderr());
+}
+
+fn draw(name: Option<&String>) -> Result<(), Error> {
+    let name: String = options::needed("chart", name)?;
+    let Some((_, text)) = chart::FILES.iter().find(|(known, _)| *known == name) else {
+        let known: Vec<&str> = chart::FILES.iter().map(|(known, _)| *known).collect();
+        return Err(Error::flag("chart", name, format!("name one of {}.", known.join(", "))));
+    };
+    let chart = chart::load(text).map_err(Error::Contradiction)?;
+    print!("{}", chart::mermaid(&chart));
+    Ok(())
+}
+
+/// Runs a future on a system of its own.
+pub(crate) fn block<T>(future: impl Future<Output = T>) -> T {
+    actix_web::rt::System::new().block_on(future)
+}
--- /dev/null
+++ b/src/command/standin.rs
@@ -0,0 +1,69 @@
+//! `standin`: one stand-in until it is interrupted.
+
+use std::collections::BTreeMap;
+
+use super::block;
+use crate::error::Error;
+use crate::history::Sink;
+use crate::options::{address, needed, or};
+use crate::standin::engine::{Behaviour, Engine, Traits};
+use crate::standin::platform::{Platform, RATES};
+use crate::standin::rating::Rater;
+use crate::standin::service::Service;
+use crate::unit::{Span, Target};
+use crate::{cli, options};
+
+/// Requests that may wait at an engine for each slot.
+const QUEUE_PER_SLOT: u32 = 4;
+
+/// Time that a service's call takes.
+const CALL: Span = Span::millis(5);
+
+/// Runs a stand-in.
+pub fn run(flags: &cli::Standin) -> Result<(), Error> {
+    let which = flags.which.as_deref().unwrap_or_default();
+    if !["platform", "engine", "service", "rating"].contains(&which) {
+        let accepted = "name platform, engine, service or rating.";
+        return Err(Error::flag("standin", which, accepted));
+    }
+    let at = address("listen", flags.listen.as_ref())?;
+    let lag: Span = or("lag", flags.lag.as_ref(), Span::millis(500))?;
+    let running = match which {
+        "platform" => Platform::new(RATES, Sink::default()).launch(at)?,
+        "rating" => Rater::new(lag.duration()).launch(at)?,
+        "service" => {
+            let name = needed("name", flags.name.as_ref())?;
+            Service::new(name, CALL.duration(), Sink::default()).launch(at)?
+        }
+        _ => Engine::new(traits(flags, lag)?, Sink::default()).launch(at)?,
+    };
+    eprintln!("The stand-in of the {which} listens at {}.", running.address);
+    block(async {
+        let _ = actix_web::rt::signal::ctrl_c().await;
+    });
+    Ok(())
+}
+
+fn traits(flags: &cli::Standin, lag: Span) -> Result<Traits, Error> {
+    let mut versions = BTreeMap::new();
+    for part in options::list::<String>("versions", flags.versions.as_ref())? {
+        let fault = || Error::flag("--versions", &part, "write MODEL@VERSION=QUALITY,...");
+        let (target, quality) = part.split_once('=').ok_or_else(fault)?;
+        let target: Target = target.parse().map_err(|_| fault())?;
+        let quality: f64 = quality.parse().map_err(|_| fault())?;
+        versions.insert(target, Behaviour { quality, errors: 0.0 });
+    }
+    let slots = or("slots", flags.slots.as_ref(), 16)?;
+    let token_time: Span = or("token-time", flags.token_time.as_ref(), Span::millis(5))?;
+    Ok(Traits {
+        name: needed("name", flags.name.as_ref())?,
+        slots,
+        queue: slots * QUEUE_PER_SLOT,
+        first_us: token_time.0,
+        token_us: token_time.0,
+        lag_ms: lag.as_millis() as u64,
+        checks_orders: true,
+        loaded: versions.keys().cloned().collect(),
+        versions,
+    })
+}
--- /dev/null
+++ b/src/config/plan.rs
@@ -0,0 +1,435 @@
+//! Plans: what would change, in words, and the pure function that applies them.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Declarations, Intent, Piece, Record, Rollout, Root, Snapshot, digest, pieces};
+use crate::chart;
+use crate::error::Error;
+use crate::unit::{DataCentre, Date, Model, Parts, Revision, Target, Version};
+
+/// One change, exact enough to be applied by any writer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Change {
+    /// Put a piece of the declarations.
+    Put(Piece),
+    /// Remove the piece of that name.
+    Remove(String),
+    /// Begin a roll-out.
+    RollOut {
+        /// The version to roll out.
+        to: Target,
+        /// The version in service.
+        from: Version,
+    },
+    /// Withdraw a version.
+    Withdraw {
+        /// The version.
+        target: Target,
+        /// Why.
+        reason: String,
+    },
+    /// An event of the chart `rollout` for the model's roll-out under way.
+    Step {
+        /// The model.
+        model: Model,
+        /// The event.
+        event: String,
+        /// The share after it.
+        share: Parts,
+        /// Why.
+        reason: String,
+    },
+    /// Give a data centre no new work.
+    Drain(DataCentre),
+    /// Give a drained data centre work again.
+    Fill(DataCentre),
+}
+
+/// A plan that an operator reads and confirms.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Plan {
+    /// Digest of what it changes and of the revision it stands on.
+    pub id: String,
+    /// The revision it stands on.
+    pub base: Revision,
+    /// The changes.
+    pub changes: Vec<Change>,
+    /// Each change, whom and what traffic it touches, and what it costs, in words.
+    pub words: Vec<String>,
+    /// What cannot be undone.
+    pub irreversible: Vec<String>,
+}
+
+impl Plan {
+    /// A plan of these changes on `base`.
+    pub fn new(
+        base: Revision,
+        changes: Vec<Change>,
+        words: Vec<String>,
+        irreversible: Vec<String>,
+    ) -> Plan {
+        let body = serde_json::to_vec(&(base, &changes)).expect("changes are plain data");
+        let id = digest(&body)[..16].to_owned();
+        Plan { id, base, changes, words, irreversible }
+    }
+}
+
+/// What a plan is made from.
+pub enum Wish {
+    /// A whole set of declarations.
+    Declared(Declarations),
+    /// A short intent.
+    Short(Intent),
+}
+
+/// Compares a wish with what is in force.
+///
+/// # Errors
+/// A whole sentence, if the wish cannot be met from this revision.
+pub fn make(now: &Snapshot, wish: &Wish) -> Result<Plan, Error> {
+    let mut draft = Draft::default();
+    match wish {
+        Wish::Declared(declared) => draft.declare(now, declared),
+        Wish::Short(intent) => draft.intend(now, intent)?,
+    }
+    Ok(Plan::new(now.revision(), draft.changes, draft.words, draft.irreversible))
+}
+
+#[derive(Default)]
+struct Draft {
+    changes: Vec<Change>,
+    words: Vec<String>,
+    irreversible: Vec<String>,
+}
+
+impl Draft {
+    fn declare(&mut self, now: &Snapshot, declared: &Declarations) {
+        let wanted = pieces(declared);
+        for piece in &wanted {
+            if now.root.pieces.get(&piece.name) == Some(&piece.digest) {
+                continue;
+            }
+            let verb = if now.root.pieces.contains_key(&piece.name) { "change" } else { "add" };
+            let touched = describe(now, declared, &piece.name);
+            self.words.push(format!("{verb} {}: {touched}", piece.name));
+            self.changes.push(Change::Put(piece.clone()));
+        }
+        for name in now.root.pieces.keys() {
+            if !wanted.iter().any(|piece| piece.name == *name) {
+                self.words.push(format!("remove {name}: its callers are refused from then on"));
+                self.changes.push(Change::Remove(name.clone()));
+            }
+        }
+    }
+
+    fn intend(&mut self, now: &Snapshot, intent: &Intent) -> Result<(), Error> {
+        match intent {
+            Intent::RollOut(to) => self.roll_out(now, to),
+            Intent::Withdraw(target) => self.withdraw(now, target),
+            Intent::Stop(model) => self.stop(now, model.as_ref()),
+            Intent::Drain(name) => {
+                let count = |n: &DataCentre| {
+                    let servers = now.declared.servers.iter();
+                    servers.filter(|server| server.data_centre == *n).count()
+                };
+                if count(name) == 0 {
+                    let what = format!("No backend server is declared in data centre `{name}`.");
+                    return Err(Error::Plan(what));
+                }
+                let all = now.declared.servers.len();
+                self.words.push(format!(
+                    "drain {name}: {} of {all} backend servers get no new work; streams finish",
+                    count(name)
+                ));
+                self.changes.push(Change::Drain(name.clone()));
+                Ok(())
+            }
+            Intent::Fill(name) => {
+                self.words.push(format!("fill {name}: its backend servers get work again"));
+                self.changes.push(Change::Fill(name.clone()));
+                Ok(())
+            }
+        }
+    }
+
+    fn roll_out(&mut self, now: &Snapshot, to: &Target) -> Result<(), Error> {
+        let refuse = |what: String| Err(Error::Plan(what));
+        let Some(version) = now.version(to) else {
+            return refuse(format!("`{to}` is not declared; declare it and confirm that first."));
+        };
+        if now.root.withdrawn.contains(to) {
+            return refuse(format!("`{to}` was withdrawn; roll out a version of another name."));
+        }
+        if now.rollout(&to.model).is_some() {
+            return refuse(format!("A roll-out of `{}` is under way; stop it first.", to.model));
+        }
+        let from = now.serving(&to.model).expect("a declared model serves a version");
+        if from == to.version {
+            return refuse(format!("`{to}` serves already."));
+        }
+        let users = now.declared.workspaces.iter().filter(|w| w.versions.contains(to)).count();
+        let servers = now.servers_of(to).count();
+        if servers == 0 {
+            return refuse(format!("No backend server runs `{to}`; declare one first."));
+        }
+        let old = now.version(&Target { model: to.model.clone(), version: from.clone() });
+        let price = old.map_or(version.cost, |old| old.cost);
+        self.words.push(format!(
+            "roll out {to} in place of {from}: {users} workspaces, {servers} backend servers; \
+             a thousand tokens cost {} in place of {price}",
+            version.cost
+        ));
+        self.words.push(
+            "steps: load it, then grow its share as ratings, errors and latency rule out harm; \
+             hold when ratings stop; withdraw on proof of harm"
+                .to_owned(),
+        );
+        self.changes.push(Change::RollOut { to: to.clone(), from });
+        Ok(())
+    }
+
+    fn withdraw(&mut self, now: &Snapshot, target: &Target) -> Result<(), Error> {
+        if now.version(target).is_none() {
+            return Err(Error::Plan(format!("`{target}` is not declared.")));
+        }
+        if now.root.withdrawn.contains(target) {
+            return Err(Error::Plan(format!("`{target}` is withdrawn already.")));
+        }
+        let users: Vec<String> = now
+            .declared
+            .workspaces
+            .iter()
+            .filter(|w| w.versions.contains(target))
+            .map(|w| w.name.to_string())
+            .collect();
+        self.words.push(format!(
+            "withdraw {target}: no new work on it; sessions on it end with a refusal; \
+             workspaces touched: {}",
+            users.join(", ")
+        ));
+        let reason = "an operator withdrew it".to_owned();
+        self.changes.push(Change::Withdraw { target: target.clone(), reason });
+        self.irreversible.push(format!("{target} never serves again under that name"));
+        Ok(())
+    }
+
+    fn stop(&mut self, now: &Snapshot, model: Option<&Model>) -> Result<(), Error> {
+        let rollouts = now.root.rollouts.iter();
+        let chosen: Vec<_> =
+            rollouts.filter(|r| model.is_none_or(|model| r.to.model == *model)).collect();
+        if chosen.is_empty() {
+            return Err(Error::Plan("No such roll-out is under way.".to_owned()));
+        }
+        for rollout in chosen {
+            self.words.push(format!(
+                "stop the roll-out of {} at {}: new work goes to {}; its sessions keep it",
+                rollout.to, rollout.share, rollout.from
+            ));
+            self.changes.push(Change::Step {
+                model: rollout.to.model.clone(),
+                event: "stop".to_owned(),
+                share: Parts(0),
+                reason: "an operator stopped it".to_owned(),
+            });
+        }
+        Ok(())
+    }
+}
+
+fn describe(now: &Snapshot, declared: &Declarations, name: &str) -> String {
+    match name.strip_prefix("workspace/") {
+        Some(workspace) => {
+            let is = |w: &&super::WorkspaceEntry| w.name.as_str() == workspace;
+            let new = declared.workspaces.iter().find(is);
+            let old = now.declared.workspaces.iter().find(is);
+            let list = |w: Option<&super::WorkspaceEntry>| match w {
+                Some(w) => w.versions.iter().map(ToString::to_string).collect::<Vec<_>>().join(" "),
+                None => "nothing".to_owned(),
+            };
+            let limit = new.map(|w| w.limit).unwrap_or_default();
+            format!("may use {} (before: {}), up to {limit}", list(new), list(old))
+        }
+        None => match name {
+            "models" => {
+                format!("{} models (before: {})", declared.models.len(), now.declared.models.len())
+            }
+            "servers" => format!(
+                "{} backend servers (before: {})",
+                declared.servers.len(),
+                now.declared.servers.len()
+            ),
+            _ => format!(
+                "{} services (before: {})",
+                declared.services.len(),
+                now.declared.services.len()
+            ),
+        },
+    }
+}
+
+/// The root after a plan; the caller writes its pieces first, then this by conditional update.
+///
+/// # Errors
+/// A whole sentence, if a change no longer fits.
+pub fn apply(root: &Root, plan: &Plan, who: &str, nonce: u64, date: Date) -> Result<Root, Error> {
+    let mut next = root.clone();
+    for change in &plan.changes {
+        change_root(&mut next, change, date)?;
+    }
+    next.revision = Revision(root.revision.0 + 1);
+    next.nonce = nonce;
+    next.note(Record {
+        revision: next.revision,
+        who: who.to_owned(),
+        plan: plan.id.clone(),
+        date,
+        what: plan.words.clone(),
+    });
+    Ok(next)
+}
+
+fn change_root(root: &mut Root, change: &Change, date: Date) -> Result<(), Error> {
+    match change {
+        Change::Put(piece) => {
+            if piece.name == "models" {
+                keep_risen(root, piece);
+            }
+            root.pieces.insert(piece.name.clone(), piece.digest.clone());
+        }
+        Change::Remove(name) => {
+            root.pieces.remove(name);
+        }
+        Change::RollOut { to, from } => root.rollouts.push(Rollout {
+            to: to.clone(),
+            from: from.clone(),
+            state: chart::named("rollout").start.clone(),
+            share: Parts(0),
+            begun: date,
+            since: date,
+            reason: "an operator began it".to_owned(),
+        }),
+        Change::Withdraw { target, .. } => withdraw(root, target),
+        Change::Step { model, event, share, reason } => {
+            step(root, model, event, *share, reason, date)?;
+        }
+        Change::Drain(name) => {
+            root.drained.insert(name.clone());
+        }
+        Change::Fill(name) => {
+            root.drained.remove(name);
+        }
+    }
+    Ok(())
+}
+
+/// A declared `serving` that names what a roll-out brought about makes the override needless.
+fn keep_risen(root: &mut Root, piece: &Piece) {
+    let models: Vec<super::ModelEntry> = serde_json::from_str(&piece.body).unwrap_or_default();
+    let declared: BTreeMap<_, _> = models.into_iter().map(|m| (m.name, m.serving)).collect();
+    root.serving.retain(|model, version| declared.get(model).is_some_and(|d| d != version));
+}
+
+fn withdraw(root: &mut Root, target: &Target) {
+    root.withdrawn.insert(target.clone());
+    root.rollouts.retain(|rollout| rollout.to != *target);
+    let fallen = root.serving.get(&target.model) == Some(&target.version);
+    let previous = root.previous.get(&target.model).cloned();
+    if fallen {
+        root.serving.remove(&target.model);
+    }
+    if let Some(previous) = previous.filter(|previous| *previous != target.version) {
+        root.serving.insert(target.model.clone(), previous);
+    }
+}
+
+fn step(
+    root: &mut Root,
+    model: &Model,
+    event: &str,
+    share: Parts,
+    reason: &str,
+    date: Date,
+) -> Result<(), Error> {
+    let chart = chart::named("rollout");
+    let rollout = root.rollouts.iter_mut().find(|rollout| rollout.to.model == *model);
+    let rollout = rollout.ok_or_else(|| Error::Plan(format!("No roll-out of `{model}` runs.")))?;
+    let next =
+        chart.next(&rollout.state, event).map_err(|misfit| Error::Plan(misfit.to_string()))?;
+    rollout.state = next.to_owned();
+    rollout.share = share;
+    rollout.since = date;
+    rollout.reason = reason.to_owned();
+    let done = rollout.clone();
+    match next {
+        "full" => {
+            root.serving.insert(model.clone(), done.to.version.clone());
+            root.previous.insert(model.clone(), done.from.clone());
+            root.rollouts.retain(|rollout| rollout.to.model != *model);
+        }
+        "withdrawn" => withdraw(root, &done.to),
+        "stopped" => root.rollouts.retain(|rollout| rollout.to.model != *model),
+        _ => {}
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::snapshot::sample;
+    use super::*;
+    use quickcheck::quickcheck;
+
+    fn confirmed(now: &Snapshot, wish: &Wish) -> Root {
+        let plan = make(now, wish).unwrap();
+        apply(&now.root, &plan, "op", 7, Date(1)).unwrap()
+    }
+
+    #[test]
+    fn an_unchanged_wish_changes_nothing() {
+        let now = sample();
+        let plan = make(&now, &Wish::Declared(now.declared.clone())).unwrap();
+        assert!(plan.changes.is_empty());
+    }
+
+    #[test]
+    fn a_rollout_that_completes_serves_and_falls_back_when_withdrawn() {
+        let mut now = sample();
+        let to: Target = "roastmind@v4".parse().unwrap();
+        now.root = confirmed(&now, &Wish::Short(Intent::RollOut(to.clone())));
+        let mut root = now.root.clone();
+        for event in ["loaded", "grow", "complete"] {
+            step(&mut root, &to.model, event, Parts::ALL, "", Date(2)).unwrap();
+        }
+        assert_eq!(root.serving[&to.model], to.version);
+        withdraw(&mut root, &to);
+        assert_eq!(root.serving[&to.model].as_str(), "v3");
+        now.root = root;
+        assert!(make(&now, &Wish::Short(Intent::RollOut(to))).is_err());
+    }
+
+    quickcheck! {
+        fn plan_then_confirm_equals_the_declarations(limits: Vec<u16>, drop_service: bool) -> bool {
+            let now = sample();
+            let mut wanted = now.declared.clone();
+            let template = wanted.workspaces[0].clone();
+            wanted.workspaces.clear();
+            for (i, limit) in limits.iter().take(20).enumerate() {
+                let mut workspace = template.clone();
+                workspace.name = format!("w{i}").parse().unwrap();
+                workspace.limit = crate::unit::Rate(f64::from(*limit));
+                if drop_service {
+                    workspace.services.clear();
+                }
+                wanted.workspaces.push(workspace);
+            }
+            let root = confirmed(&now, &Wish::Declared(wanted.clone()));
+            let bodies = pieces(&wanted).into_iter().map(|p| (p.digest.clone(), p.into())).collect();
+            let made = Snapshot::resolve(root, bodies).unwrap();
+            wanted.workspaces.sort_by(|a, b| a.name.cmp(&b.name));
+            made.declared == wanted && made.revision() == Revision(2)
+        }
+    }
+}
--- /dev/null
+++ b/src/config/snapshot.rs
@@ -0,0 +1,224 @@
+//! One revision as it is in force, with what the hot path looks up.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use super::{
+    Cascade, Declarations, ModelEntry, Piece, Rollout, Root, ServerEntry, ServiceEntry,
+    VersionEntry, WorkspaceEntry,
+};
+use crate::unit::{Model, Revision, Target, Version, Workspace};
+
+/// Whether a workspace may use a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Allowed {
+    /// It may.
+    Yes,
+    /// The version exists but the workspace may not use it.
+    No,
+    /// The version was withdrawn.
+    Withdrawn,
+    /// No such version is declared.
+    Unknown,
+}
+
+/// A revision of the configuration, resolved.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// The root it was made from.
+    pub root: Root,
+    /// The pieces, by digest, to hand to others.
+    pub pieces: BTreeMap<String, Arc<Piece>>,
+    /// The declarations.
+    pub declared: Declarations,
+    by_key: HashMap<String, usize>,
+    servers: HashMap<Target, Vec<usize>>,
+}
+
+impl Snapshot {
+    /// Resolves a root and all of its pieces.
+    ///
+    /// # Errors
+    /// The digest of a piece that is missing, or what is wrong with one.
+    pub fn resolve(root: Root, pieces: BTreeMap<String, Arc<Piece>>) -> Result<Snapshot, String> {
+        let mut declared = Declarations::default();
+        let mut kept = BTreeMap::new();
+        for (name, digest) in &root.pieces {
+            let piece = pieces.get(digest).ok_or_else(|| format!("piece {digest} is missing"))?;
+            let fault = |e: serde_json::Error| format!("piece `{name}` does not read: {e}");
+            match name.as_str() {
+                "models" => declared.models = serde_json::from_str(&piece.body).map_err(fault)?,
+                "servers" => declared.servers = serde_json::from_str(&piece.body).map_err(fault)?,
+                "services" => {
+                    declared.services = serde_json::from_str(&piece.body).map_err(fault)?;
+                }
+                _ => {
+                    let workspace = serde_json::from_str(&piece.body).map_err(fault)?;
+                    declared.workspaces.push(workspace);
+                }
+            }
+            kept.insert(digest.clone(), piece.clone());
+        }
+        Ok(Snapshot::index(root, kept, declared))
+    }
+
+    fn index(root: Root, pieces: BTreeMap<String, Arc<Piece>>, declared: Declarations) -> Snapshot {
+        let keys = declared.workspaces.iter().enumerate();
+        let by_key = keys.map(|(i, w)| (w.key_digest.to_ascii_lowercase(), i)).collect();
+        let mut servers: HashMap<Target, Vec<usize>> = HashMap::new();
+        for (i, server) in declared.servers.iter().enumerate() {
+            for target in &server.versions {
+                servers.entry(target.clone()).or_default().push(i);
+            }
+        }
+        Snapshot { root, pieces, declared, by_key, servers }
+    }
+
+    /// The revision.
+    pub fn revision(&self) -> Revision {
+        self.root.revision
+    }
+
+    /// The workspace whose key has that digest.
+    pub fn by_key(&self, digest: &str) -> Option<&WorkspaceEntry> {
+        self.by_key.get(digest).map(|i| &self.declared.workspaces[*i])
+    }
+
+    /// The workspace of that name.
+    pub fn workspace(&self, name: &Workspace) -> Option<&WorkspaceEntry> {
+        self.declared.workspaces.iter().find(|entry| entry.name == *name)
+    }
+
+    /// The model of that name.
+    pub fn model(&self, name: &Model) -> Option<&ModelEntry> {
+        self.declared.models.iter().find(|entry| entry.name == *name)
+    }
+
+    /// The version of that name.
+    pub fn version(&self, target: &Target) -> Option<&VersionEntry> {
+        let model = self.model(&target.model)?;
+        model.versions.iter().find(|version| version.name == target.version)
+    }
+
+    /// The service of that name.
+    pub fn service(&self, name: &str) -> Option<&ServiceEntry> {
+        self.declared.services.iter().find(|entry| entry.name.as_str() == name)
+    }
+
+    /// The servers that run a version, in data centres that are not drained.
+    pub fn servers_of(&self, target: &Target) -> impl Iterator<Item = &ServerEntry> {
+        let indices = self.servers.get(target).map(Vec::as_slice).unwrap_or_default();
+        let servers = indices.iter().map(|i| &self.declared.servers[*i]);
+        servers.filter(|server| !self.root.drained.contains(&server.data_centre))
+    }
+
+    /// The replicas of a service, in data centres that are not drained.
+    pub fn replicas_of<'a>(
+        &'a self,
+        service: &'a crate::unit::Service,
+    ) -> impl Iterator<Item = &'a ServerEntry> {
+        let servers = self.declared.servers.iter();
+        servers.filter(move |server| {
+            server.service.as_ref() == Some(service)
+                && !self.root.drained.contains(&server.data_centre)
+        })
+    }
+
+    /// Whether `workspace` may use `target` under this revision.
+    pub fn allowed(&self, workspace: &WorkspaceEntry, target: &Target) -> Allowed {
+        if self.root.withdrawn.contains(target) {
+            return Allowed::Withdrawn;
+        }
+        if self.version(target).is_none() {
+            return Allowed::Unknown;
+        }
+        if workspace.versions.contains(target) { Allowed::Yes } else { Allowed::No }
+    }
+
+    /// The version of `model` that serves outside of roll-outs.
+    pub fn serving(&self, model: &Model) -> Option<Version> {
+        let risen = self.root.serving.get(model).cloned();
+        risen.or_else(|| self.model(model).map(|entry| entry.serving.clone()))
+    }
+
+    /// The roll-out of `model` under way.
+    pub fn rollout(&self, model: &Model) -> Option<&Rollout> {
+        self.root.rollout_of(model)
+    }
+
+    /// The version of `model` for new work of `workspace`; `point` is the request's own random
+    /// point in 0 to 1, which the roll-out's share is held against.
+    pub fn choose(&self, workspace: &WorkspaceEntry, model: &Model, point: f64) -> Option<Target> {
+        let target = |version: Version| Target { model: model.clone(), version };
+        if let Some(rollout) = self.rollout(model) {
+            let growing = rollout.state == "growing" || rollout.state == "held";
+            let usable = self.allowed(workspace, &rollout.to) == Allowed::Yes;
+            if growing && usable && point < rollout.share.fraction() {
+                return Some(rollout.to.clone());
+            }
+        }
+        let serving = self.serving(model).map(target);
+        if let Some(serving) = serving
+            && self.allowed(workspace, &serving) == Allowed::Yes
+        {
+            return Some(serving);
+        }
+        let rolling = self.rollout(model).map(|rollout| &rollout.to);
+        let of_model = workspace.versions.iter().filter(|t| t.model == *model);
+        let mut usable = of_model.filter(|t| Some(*t) != rolling);
+        usable.rfind(|t| self.allowed(workspace, t) == Allowed::Yes).cloned()
+    }
+
+    /// The cascade of that name in `workspace`.
+    pub fn cascade<'a>(&self, workspace: &'a WorkspaceEntry, name: &str) -> Option<&'a Cascade> {
+        workspace.cascades.iter().find(|cascade| cascade.name.as_str() == name)
+    }
+}
+
+/// A small configuration for tests: one workspace, two models, two versions of one.
+#[cfg(test)]
+pub(crate) fn sample() -> Snapshot {
+    let declared: Declarations = toml::from_str(include_str!("../../examples/tiny.toml")).unwrap();
+    let pieces = super::pieces(&declared);
+    let digests = pieces.iter().map(|p| (p.name.clone(), p.digest.clone())).collect();
+    let root = Root { revision: Revision(1), pieces: digests, ..Root::default() };
+    let bodies = pieces.into_iter().map(|p| (p.digest.clone(), Arc::new(p))).collect();
+    Snapshot::resolve(root, bodies).unwrap()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::unit::Parts;
+
+    #[test]
+    fn a_withdrawn_version_is_never_chosen() {
+        let mut snapshot = sample();
+        let workspace = snapshot.declared.workspaces[0].clone();
+        let model: Model = "roastmind".parse().unwrap();
+        let target: Target = "roastmind@v3".parse().unwrap();
+        assert_eq!(snapshot.choose(&workspace, &model, 0.5), Some(target.clone()));
+        snapshot.root.withdrawn.insert(target.clone());
+        let other = snapshot.choose(&workspace, &model, 0.5);
+        assert_ne!(other, Some(target));
+        assert!(other.is_some());
+    }
+
+    #[test]
+    fn the_share_of_a_rollout_decides_by_the_requests_point() {
+        let mut snapshot = sample();
+        let workspace = snapshot.declared.workspaces[0].clone();
+        let to: Target = "roastmind@v4".parse().unwrap();
+        snapshot.root.rollouts.push(Rollout {
+            to: to.clone(),
+            from: "v3".parse().unwrap(),
+            state: "growing".into(),
+            share: Parts::of(0.1),
+            begun: Default::default(),
+            since: Default::default(),
+            reason: String::new(),
+        });
+        assert_eq!(snapshot.choose(&workspace, &to.model, 0.05), Some(to.clone()));
+        assert_ne!(snapshot.choose(&workspace, &to.model, 0.5), Some(to));
+    }
+}
--- /dev/null
+++ b/src/decide/limit.rs
@@ -0,0 +1,126 @@
+//! Rates of workspaces as shares of one limit, and concurrency that adapts to a pool.
+
+use crate::unit::{Moment, Rate, Span};
+
+/// Seconds of its rate that a workspace may spend at once.
+const BURST_SECS: f64 = 1.0;
+
+/// A VM's part of a limit never falls below this fraction of an even part, so that a workspace
+/// whose callers move to it is not refused while the news spreads.
+const LEAST: f64 = 0.2;
+
+/// A workspace's part of its limit on one VM.
+#[derive(Clone, Copy, Debug)]
+pub struct Bucket {
+    level: f64,
+    at: Moment,
+}
+
+impl Bucket {
+    /// A full bucket.
+    pub fn new(rate: Rate, now: Moment) -> Bucket {
+        Bucket { level: (rate.0 * BURST_SECS).max(1.0), at: now }
+    }
+
+    /// Takes a request, or says how long to wait.
+    pub fn take(&mut self, rate: Rate, now: Moment) -> Result<(), Span> {
+        let gained = now.since(self.at).as_secs() * rate.0;
+        self.level = (self.level + gained).min((rate.0 * BURST_SECS).max(1.0));
+        self.at = now;
+        if self.level >= 1.0 {
+            self.level -= 1.0;
+            return Ok(());
+        }
+        let wait = (1.0 - self.level) / rate.0.max(1e-3);
+        Err(Span((wait * 1e6) as u64))
+    }
+}
+
+/// This VM's part of a limit, from the demand it met and that of all VMs.
+pub fn part(limit: Rate, own: f64, all: f64, vms: usize) -> Rate {
+    let even = 1.0 / vms.max(1) as f64;
+    let share = if all > 0.0 { own / all } else { even };
+    let floor = LEAST * even;
+    // The floors of the others must fit too.
+    Rate(limit.0 * (floor + share * (1.0 - LEAST)))
+}
+
+/// Additive rise of an adaptive limit for each answer in time, in parts of the limit.
+const RISE: f64 = 1.0;
+
+/// Multiplicative fall after an answer that came late or was refused for want of room.
+const FALL: f64 = 0.9;
+
+/// Falls are at least this far apart, so that one burst is one sign.
+const PAUSE: Span = Span::millis(200);
+
+/// Concurrency of one VM towards one pool, which adapts to late answers and refusals.
+#[derive(Clone, Copy, Debug)]
+pub struct Concurrency {
+    limit: f64,
+    most: f64,
+    fell: Moment,
+}
+
+impl Concurrency {
+    /// Begins at `limit` and never exceeds `most`.
+    pub fn new(limit: f64, most: f64) -> Concurrency {
+        Concurrency { limit: limit.clamp(1.0, most), most, fell: Moment(0) }
+    }
+
+    /// The present limit.
+    pub fn limit(&self) -> f64 {
+        self.limit
+    }
+
+    /// Whether one more fits.
+    pub fn admits(&self, running: f64) -> bool {
+        running + 1.0 <= self.limit
+    }
+
+    /// An answer came in time while the limit was nearly used.
+    pub fn good(&mut self, running: f64) {
+        if running * 2.0 >= self.limit {
+            self.limit = (self.limit + RISE / self.limit).min(self.most);
+        }
+    }
+
+    /// An answer came late, or a back end had no room.
+    pub fn bad(&mut self, now: Moment) {
+        if now.since(self.fell) >= PAUSE {
+            self.limit = (self.limit * FALL).max(1.0);
+            self.fell = now;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn parts_of_all_vms_sum_to_the_limit() {
+        let demands = [10.0, 0.0, 30.0];
+        let sum: f64 = demands.iter().map(|own| part(Rate(100.0), *own, 40.0, 3).0).sum();
+        assert!((sum - 100.0).abs() < 1e-9, "{sum}");
+    }
+
+    #[test]
+    fn a_bucket_says_when_to_come_back() {
+        let mut bucket = Bucket::new(Rate(1.0), Moment(0));
+        assert!(bucket.take(Rate(1.0), Moment(0)).is_ok());
+        assert_eq!(bucket.take(Rate(1.0), Moment(500_000)), Err(Span(500_000)));
+    }
+
+    #[test]
+    fn concurrency_falls_once_for_a_burst_and_rises_again() {
+        let mut pool = Concurrency::new(100.0, 200.0);
+        pool.bad(Moment(1_000_000));
+        pool.bad(Moment(1_000_001));
+        assert_eq!(pool.limit(), 90.0);
+        for _ in 0..2000 {
+            pool.good(200.0);
+        }
+        assert!(pool.limit() > 100.0);
+    }
+}
--- /dev/null
+++ b/src/decide/replica.rs
@@ -0,0 +1,183 @@
+//! Which replica takes a request, from late reports and what this VM sent itself.
+
+use crate::unit::{Moment, Span};
+
+/// A report loses half of its weight in this time: other VMs have acted on it since.
+const HALF_LIFE: Span = Span::millis(400);
+
+/// A replica that keeps a prompt's prefix is worth this share of a slot-load more.
+const AFFINITY: f64 = 0.35;
+
+/// Replicas that a prefix may be spread over before it counts as anywhere.
+const HOMES: usize = 2;
+
+/// Replicas drawn beside a prefix's homes.
+const DRAWN: usize = 2;
+
+/// A failing replica is left alone for this long.
+const BACK_OFF: Span = Span::millis(1500);
+
+/// What one VM knows of one replica.
+#[derive(Clone, Copy, Debug)]
+pub struct Replica {
+    /// Stable number, for the rendezvous of prefixes.
+    pub id: u64,
+    /// Requests that it runs at once.
+    pub slots: f64,
+    /// Requests running and waiting by its last report.
+    pub reported: f64,
+    /// When the report was made.
+    pub reported_at: Moment,
+    /// This VM's own requests there now.
+    pub own: f64,
+    /// This VM's own requests there when the report was made.
+    pub own_then: f64,
+    /// Whether it may get new work.
+    pub open: bool,
+    /// When a request last failed there without having run.
+    pub failed_at: Option<Moment>,
+    /// One-way latency to it.
+    pub distance: Span,
+}
+
+impl Replica {
+    /// Whether new work may go there now.
+    pub fn usable(&self, now: Moment) -> bool {
+        self.open && self.failed_at.is_none_or(|at| now.since(at) >= BACK_OFF)
+    }
+
+    /// Expected load in shares of its slots; `mean` is that of all.
+    fn load(&self, mean: f64, now: Moment) -> f64 {
+        let age = now.since(self.reported_at).as_secs() / HALF_LIFE.as_secs();
+        let trust = 0.5f64.powf(age);
+        let since = (self.own - self.own_then).max(0.0);
+        let believed = trust * self.reported / self.slots + (1.0 - trust) * mean;
+        believed.max(self.own / self.slots) + since / self.slots
+    }
+}
+
+/// A cheap mixing of two numbers.
+fn mix(a: u64, b: u64) -> u64 {
+    let mut x = a ^ b.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// The homes of a prefix: the highest of a rendezvous among usable replicas.
+fn homes(replicas: &[Replica], prefix: u64, now: Moment) -> [Option<usize>; HOMES] {
+    let mut best = [(0, None); HOMES];
+    for (i, replica) in replicas.iter().enumerate() {
+        if !replica.usable(now) {
+            continue;
+        }
+        let mut entry = (mix(prefix, replica.id), Some(i));
+        for place in &mut best {
+            if entry.0 > place.0 || place.1.is_none() {
+                std::mem::swap(place, &mut entry);
+            }
+        }
+    }
+    best.map(|place| place.1)
+}
+
+/// The replica for a request; `prefix` is a digest of its prompt's beginning, if it has one, and
+/// `point` a random number of its own.
+pub fn choose(replicas: &[Replica], prefix: Option<u64>, point: u64, now: Moment) -> Option<usize> {
+    let mean = mean(replicas);
+    let mut best: Option<(f64, usize)> = None;
+    let mut weigh = |i: usize, bonus: f64| {
+        let replica = &replicas[i];
+        let far = replica.distance.as_secs() * 10.0;
+        // A tie is broken by chance, or every VM would break it alike.
+        let chance = (mix(point, i as u64) >> 40) as f64 / (1u64 << 24) as f64 * 1e-3;
+        let score = replica.load(mean, now) + far + chance - bonus;
+        if best.is_none_or(|(least, _)| score < least) {
+            best = Some((score, i));
+        }
+    };
+    if let Some(prefix) = prefix {
+        for (rank, home) in homes(replicas, prefix, now).into_iter().enumerate() {
+            if let Some(home) = home {
+                weigh(home, AFFINITY / (rank + 1) as f64);
+            }
+        }
+    }
+    let mut drawn = 0;
+    let mut state = point;
+    // Unusable replicas may be drawn; the bound on tries keeps the cost even.
+    for _ in 0..DRAWN * 8 {
+        state = mix(state, 1);
+        let i = (state % replicas.len().max(1) as u64) as usize;
+        if replicas.get(i).is_some_and(|replica| replica.usable(now)) {
+            weigh(i, 0.0);
+            drawn += 1;
+        }
+        if drawn == DRAWN {
+            break;
+        }
+    }
+    best.map(|(_, i)| i).or_else(|| replicas.iter().position(|replica| replica.usable(now)))
+}
+
+fn mean(replicas: &[Replica]) -> f64 {
+    let (load, slots) = replicas
+        .iter()
+        .filter(|replica| replica.open)
+        .fold((0.0, 0.0), |(load, slots), r| (load + r.reported, slots + r.slots));
+    if slots > 0.0 { load / slots } else { 0.0 }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    pub fn idle(id: u64) -> Replica {
+        Replica {
+            id,
+            slots: 16.0,
+            reported: 0.0,
+            reported_at: Moment(1_000_000),
+            own: 0.0,
+            own_then: 0.0,
+            open: true,
+            failed_at: None,
+            distance: Span(0),
+        }
+    }
+
+    #[test]
+    fn a_closed_or_failing_replica_is_never_chosen() {
+        let now = Moment(1_000_000);
+        let mut replicas: Vec<Replica> = (0..10).map(idle).collect();
+        for replica in &mut replicas[..9] {
+            replica.open = false;
+        }
+        for point in 0..200 {
+            assert_eq!(choose(&replicas, Some(point), point, now), Some(9));
+        }
+        replicas[9].failed_at = Some(now);
+        assert_eq!(choose(&replicas, None, 1, now), None);
+        assert_eq!(choose(&[], Some(1), 1, now), None);
+    }
+
+    #[test]
+    fn a_prefix_stays_home_until_home_is_busy() {
+        let now = Moment(1_000_000);
+        let mut replicas: Vec<Replica> = (0..50).map(idle).collect();
+        let home = choose(&replicas, Some(42), 1, now).unwrap();
+        let again = (0..100).filter(|p| choose(&replicas, Some(42), *p, now) == Some(home)).count();
+        assert!(again >= 95, "{again}");
+        replicas[home].reported = 30.0;
+        assert_ne!(choose(&replicas, Some(42), 1, now), Some(home));
+    }
+
+    #[test]
+    fn busy_replicas_are_passed_over() {
+        let now = Moment(1_000_000);
+        let mut replicas: Vec<Replica> = (0..2).map(idle).collect();
+        replicas[0].reported = 16.0;
+        let busy = (0..100).filter(|p| choose(&replicas, None, *p, now) == Some(0)).count();
+        assert!(busy <= 30, "{busy}");
+    }
+}
--- /dev/null
+++ b/src/demo/caller.rs
@@ -0,0 +1,129 @@
+//! Callers: they draw work from a common list and send it through a balancer.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, RwLock};
+use std::time::Duration;
+
+use super::client::{Answer, Ask, Client};
+use super::work::Work;
+use crate::history::{Ran, Sink};
+use crate::unit::Vm;
+
+/// Callers at once.
+const CALLERS: usize = 32;
+
+/// Tries of a request that was refused as "not run" or whose VM did not answer.
+const TRIES: usize = 6;
+
+/// Wait before another try.
+const AGAIN: Duration = Duration::from_millis(250);
+
+/// The platform's balancer: the VMs that it believes to be ready.
+#[derive(Clone, Default)]
+pub struct Balancer {
+    vms: Arc<RwLock<Vec<(Vm, SocketAddr)>>>,
+    turn: Arc<AtomicUsize>,
+}
+
+impl Balancer {
+    /// Sets the VMs.
+    pub fn set(&self, vms: Vec<(Vm, SocketAddr)>) {
+        *self.vms.write().expect("no panic while held") = vms;
+    }
+
+    fn next(&self) -> Option<(Vm, SocketAddr)> {
+        let vms = self.vms.read().expect("no panic while held");
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        vms.get(turn % vms.len().max(1)).cloned()
+    }
+}
+
+/// Work that is done, and how it went.
+#[derive(Default)]
+pub struct Progress {
+    /// Pieces of work taken.
+    pub taken: AtomicUsize,
+    /// Requests answered whole.
+    pub whole: AtomicUsize,
+    /// Requests refused.
+    pub refused: AtomicUsize,
+    /// Requests whose answer broke off or never came.
+    pub broken: AtomicUsize,
+}
+
+/// Sends all work and returns when it is done.
+pub fn run(work: &Arc<Vec<Work>>, balancer: &Balancer, history: &Sink, progress: &Arc<Progress>) {
+    actix_web::rt::System::new().block_on(async {
+        let callers = (0..CALLERS).map(|i| {
+            let workspace = if i.is_multiple_of(2) { "roasters" } else { "nestwise" };
+            let caller = Caller {
+                client: Client::new(workspace, history.clone()),
+                balancer: balancer.clone(),
+                progress: progress.clone(),
+            };
+            caller.loops(work.clone())
+        });
+        futures_util::future::join_all(callers).await;
+    });
+}
+
+struct Caller {
+    client: Client,
+    balancer: Balancer,
+    progress: Arc<Progress>,
+}
+
+impl Caller {
+    async fn loops(self, work: Arc<Vec<Work>>) {
+        loop {
+            let at = self.progress.taken.fetch_add(1, Ordering::Relaxed);
+            let Some(work) = work.get(at) else { return };
+            match work {
+                Work::Single(ask) => {
+                    self.ask(ask).await;
+                }
+                Work::Twice(ask) => {
+                    futures_util::future::join(self.ask(ask), self.ask(ask)).await;
+                }
+                Work::Talk(turns) => self.talk(turns).await,
+            }
+        }
+    }
+
+    async fn talk(&self, turns: &[Ask]) {
+        let mut session = "new".to_owned();
+        for turn in turns {
+            let ask = Ask { session: Some(session.clone()), ..turn.clone() };
+            let answer = self.ask(&ask).await;
+            match answer.session {
+                Some(token) => session = token,
+                None => return,
+            }
+        }
+    }
+
+    /// Asks until there is an answer, or a refusal that asking again would not change.
+    async fn ask(&self, ask: &Ask) -> Answer {
+        let mut answer = Answer::default();
+        for _ in 0..TRIES {
+            let Some((vm, address)) = self.balancer.next() else {
+                break;
+            };
+            answer = self.client.send(address, &vm, ask).await;
+            let counter = match (answer.whole, answer.ran) {
+                (true, _) => &self.progress.whole,
+                (false, Some(_)) if answer.status >= 300 => &self.progress.refused,
+                _ => &self.progress.broken,
+            };
+            counter.fetch_add(1, Ordering::Relaxed);
+            let again = answer.unopened || answer.ran == Some(Ran::No) && answer.status >= 429;
+            let running = ask.key.is_some() && answer.status == 409;
+            if !again && !running {
+                break;
+            }
+            tokio::time::sleep(AGAIN).await;
+        }
+        answer
+    }
+}
--- /dev/null
+++ b/src/demo/work.rs
@@ -0,0 +1,89 @@
+//! The work of both users, drawn from a seed.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+
+use super::client::Ask;
+
+/// Turns of a conversation.
+const TURNS: usize = 4;
+
+/// One piece of work.
+#[derive(Clone, Debug)]
+pub enum Work {
+    /// A single request.
+    Single(Ask),
+    /// A call that may not be repeated, sent twice with one key.
+    Twice(Ask),
+    /// The turns of a conversation.
+    Talk(Vec<Ask>),
+}
+
+impl Work {
+    /// Requests that it sends at least.
+    pub fn requests(&self) -> usize {
+        match self {
+            Work::Single(_) => 1,
+            Work::Twice(_) => 2,
+            Work::Talk(turns) => turns.len(),
+        }
+    }
+}
+
+fn chat(model: &str, text: &str, stream: bool, max_tokens: u32, kind: &'static str) -> Ask {
+    Ask {
+        path: "/v1/chat/completions".to_owned(),
+        body: Some(json!({
+            "model": model,
+            "messages": [{"role": "user", "content": text}],
+            "stream": stream,
+            "max_tokens": max_tokens,
+        })),
+        kind: Some(kind),
+        ..Ask::default()
+    }
+}
+
+fn confirm(number: u64) -> Ask {
+    Ask {
+        path: "/v1/services/tellimus-api/enrolments".to_owned(),
+        body: Some(json!({"seat": number})),
+        key: Some(format!("seat-{number}")),
+        ..Ask::default()
+    }
+}
+
+fn talk(rng: &mut SmallRng) -> Vec<Ask> {
+    let number = rng.random::<u64>() >> 1;
+    let turn = |i: usize| {
+        let text = format!("conversation {number}, turn {i}");
+        let ask = chat("roastmind", &text, i.is_multiple_of(2), 16, "talk");
+        Ask { talk: Some(number), ..ask }
+    };
+    (0..TURNS).map(turn).collect()
+}
+
+/// Work of about so many requests.
+pub fn draw(seed: u64, requests: usize) -> Vec<Work> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut all = Vec::new();
+    let mut sent = 0;
+    while sent < requests {
+        let number = rng.random::<u64>() >> 1;
+        let work = match rng.random_range(0..100) {
+            0..35 => Work::Single(chat("auto", &format!("tag order {number}"), false, 8, "tag")),
+            35..50 => Work::Single(chat("roastmind", &format!("plan {number}"), true, 40, "draft")),
+            50..65 => Work::Single(Ask {
+                path: format!("/v1/services/tellimus-api/seats?centre={number}"),
+                ..Ask::default()
+            }),
+            65..80 => Work::Single(confirm(number)),
+            80..90 => Work::Twice(confirm(number)),
+            _ => Work::Talk(talk(&mut rng)),
+        };
+        sent += work.requests();
+        all.push(work);
+    }
+    all
+}
--- /dev/null
+++ b/src/demo/world.rs
@@ -0,0 +1,341 @@
+//! The stand-ins and the configuration of the demo.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::Node;
+use crate::config::{
+    self, Cascade, Declarations, Intent, ModelEntry, Objective, ServerEntry, ServerKind,
+    ServiceEntry, VersionEntry, Wish, WorkspaceEntry, digest,
+};
+use crate::decide::rollout::Policy;
+use crate::error::Error;
+use crate::history::Sink;
+use crate::operator::{Confirmed, confirm, snapshot};
+use crate::platform::Store;
+use crate::standin::engine::{Behaviour, Engine, Traits};
+use crate::standin::platform::{Listed, Platform, RATES};
+use crate::standin::rating::Rater;
+use crate::standin::service::Service;
+use crate::standin::{self};
+use crate::unit::{Cost, Rate, Revision, Size, Span, Target, Vm, Workspace};
+use crate::vm::{Clock, Settings};
+
+/// Where the demo's processes listen.
+const LOOPBACK: &str = "127.0.0.1:0";
+
+/// The demo's data centres.
+const DATA_CENTRES: [&str; 2] = ["ulemiste", "kadriorg"];
+
+/// How much there is of everything.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// Entry VMs at the start.
+    pub vms: usize,
+    /// Model engines.
+    pub engines: usize,
+    /// Time of a token, in microseconds.
+    pub token_us: u64,
+    /// Share of good answers of the version that is rolled out.
+    pub candidate_quality: f64,
+    /// Lag of ratings.
+    pub rating_lag: Span,
+}
+
+impl Default for Shape {
+    fn default() -> Shape {
+        Shape {
+            vms: 3,
+            engines: 12,
+            token_us: 1500,
+            candidate_quality: 0.55,
+            rating_lag: Span::millis(400),
+        }
+    }
+}
+
+/// Everything outside the VMs, and the VMs.
+pub struct World {
+    /// The platform.
+    pub platform: Platform,
+    /// The rating service.
+    pub rater: Rater,
+    /// The engines.
+    pub engines: Vec<Engine>,
+    /// The service's replicas.
+    pub services: Vec<Service>,
+    /// The VMs that run, by name.
+    pub nodes: BTreeMap<Vm, Node>,
+    /// Events.
+    pub history: Sink,
+    /// Where the platform listens.
+    pub platform_at: SocketAddr,
+    rating_at: SocketAddr,
+    born: usize,
+    running: Vec<standin::Running>,
+}
+
+/// The bearer key of a workspace of the demo.
+pub fn key(workspace: &str) -> String {
+    format!("{workspace}-secret-key")
+}
+
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a name of the demo")
+}
+
+/// Plans a wish and confirms it, as an operator would.
+///
+/// # Errors
+/// If the plan cannot be made or the platform does not answer.
+pub fn apply(platform: SocketAddr, wish: &Wish, who: &str) -> Result<Revision, Error> {
+    crate::command::block(async move {
+        let store = Store::new(platform);
+        let plan = config::make(&snapshot(&store).await?, wish)?;
+        let date = Clock::default().date();
+        let (Confirmed::Now(revision) | Confirmed::Before(revision)) =
+            confirm(&store, &plan, who, date).await?;
+        Ok(revision)
+    })
+}
+
+/// Applies an intent in words.
+///
+/// # Errors
+/// As `apply`.
+pub fn intend(platform: SocketAddr, words: &str, who: &str) -> Result<Revision, Error> {
+    let intent: Intent = words.parse().map_err(|e: crate::unit::Fault| Error::Plan(e.0))?;
+    apply(platform, &Wish::Short(intent), who)
+}
+
+/// Settings of a VM of the demo.
+pub fn settings(vm: &str, data_centre: &str, platform: SocketAddr) -> Settings {
+    let loopback: SocketAddr = name(LOOPBACK);
+    Settings {
+        vm: name(vm),
+        data_centre: name(data_centre),
+        listen: loopback,
+        peer: loopback,
+        platform,
+        rating: None,
+        seeds: Vec::new(),
+        workers: 1,
+        stop_within: Span::secs(20),
+        body_limit: Size(1_000_000),
+        rated_share: 0.5,
+        rollout: Policy { doubling: Span::secs(2), ..Policy::default() },
+        fleet_key: name("the-demo's-fleet-key"),
+        session_keys: name("k1:the-demo's-session-key"),
+        operator_key: None,
+    }
+}
+
+impl World {
+    /// Starts the stand-ins, confirms the declarations and starts the VMs.
+    ///
+    /// # Errors
+    /// If something cannot be started.
+    pub fn start(shape: &Shape) -> Result<World, Error> {
+        let history = Sink::keeping();
+        let loopback: SocketAddr = name(LOOPBACK);
+        let platform = Platform::new(RATES, history.clone());
+        let platform_running = platform.launch(loopback)?;
+        let rater = Rater::new(shape.rating_lag.duration());
+        let rating_running = rater.launch(loopback)?;
+        let mut world = World {
+            platform_at: platform_running.address,
+            rating_at: rating_running.address,
+            platform,
+            rater,
+            engines: Vec::new(),
+            services: Vec::new(),
+            nodes: BTreeMap::new(),
+            history,
+            born: 0,
+            running: vec![platform_running, rating_running],
+        };
+        let declared = world.back_ends(shape)?;
+        apply(world.platform_at, &Wish::Declared(declared), "demo")?;
+        for _ in 0..shape.vms {
+            world.add_vm()?;
+        }
+        world.ready(shape.vms)?;
+        Ok(world)
+    }
+
+    fn back_ends(&mut self, shape: &Shape) -> Result<Declarations, Error> {
+        let loopback: SocketAddr = name(LOOPBACK);
+        let mut declared = declarations();
+        for i in 0..shape.engines {
+            let traits = traits(i, shape);
+            let engine = Engine::new(traits.clone(), self.history.clone());
+            let running = engine.launch(loopback)?;
+            declared.servers.push(ServerEntry {
+                name: traits.name,
+                address: running.address,
+                data_centre: name(DATA_CENTRES[i % DATA_CENTRES.len()]),
+                kind: ServerKind::Engine,
+                versions: traits.versions.keys().cloned().collect(),
+                service: None,
+                slots: traits.slots,
+                checks_orders: true,
+            });
+            self.engines.push(engine);
+            self.running.push(running);
+        }
+        for (i, data_centre) in DATA_CENTRES.iter().enumerate() {
+            let server = format!("tellimus-{i}");
+            let service =
+                Service::new(name(&server), Duration::from_millis(3), self.history.clone());
+            let running = service.launch(loopback)?;
+            declared.servers.push(ServerEntry {
+                name: name(&server),
+                address: running.address,
+                data_centre: name(data_centre),
+                kind: ServerKind::Service,
+                versions: Vec::new(),
+                service: Some(name("tellimus-api")),
+                slots: 64,
+                checks_orders: false,
+            });
+            self.services.push(service);
+            self.running.push(running);
+        }
+        Ok(declared)
+    }
+
+    /// Starts one more VM.
+    ///
+    /// # Errors
+    /// If it cannot be started.
+    pub fn add_vm(&mut self) -> Result<Vm, Error> {
+        self.born += 1;
+        let vm = format!("vm{}", self.born);
+        let data_centre = DATA_CENTRES[self.born % DATA_CENTRES.len()];
+        let settings = Settings {
+            rating: Some(self.rating_at),
+            seeds: self.nodes.values().map(|node| node.peer).collect(),
+            ..settings(&vm, data_centre, self.platform_at)
+        };
+        let node = Node::start(settings, self.history.clone())?;
+        let vm = node.vm.settings.vm.clone();
+        self.nodes.insert(vm.clone(), node);
+        self.list();
+        Ok(vm)
+    }
+
+    /// Tells the platform's list which VMs there are.
+    pub fn list(&self) {
+        let listed = |node: &Node| Listed {
+            vm: node.vm.settings.vm.clone(),
+            data_centre: node.vm.settings.data_centre.clone(),
+            leaving: false,
+        };
+        self.platform.list(self.nodes.values().map(listed).collect());
+    }
+
+    /// Waits until so many VMs may start work.
+    ///
+    /// # Errors
+    /// If they do not within ten seconds.
+    pub fn ready(&self, vms: usize) -> Result<(), Error> {
+        for _ in 0..1000 {
+            let may = |node: &&Node| node.vm.may_start(node.vm.clock.now());
+            if self.nodes.values().filter(may).count() >= vms {
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        Err(Error::Unreachable("The VMs did not become ready within 10 s.".to_owned()))
+    }
+
+    /// Waits until a revision is in force everywhere; whether it came to that.
+    pub fn accepted(&self, revision: Revision, within: Span) -> bool {
+        let began = std::time::Instant::now();
+        while began.elapsed() < within.duration() {
+            let knows = |node: &Node| node.vm.metrics.accepted() >= revision;
+            if self.nodes.values().any(knows) {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        false
+    }
+
+    /// Stops the stand-ins.
+    pub fn end(&self) {
+        self.running.iter().for_each(standin::Running::kill);
+    }
+}
+
+fn traits(i: usize, shape: &Shape) -> Traits {
+    let good = |quality| Behaviour { quality, errors: 0.0 };
+    let mut versions = BTreeMap::new();
+    // A third of the engines run the cheap model, the others both versions of the strong one.
+    if i.is_multiple_of(3) {
+        versions.insert(name::<Target>("roasttag@v1"), good(0.75));
+    } else {
+        versions.insert(name("roastmind@v3"), good(0.95));
+        versions.insert(name("roastmind@v4"), good(shape.candidate_quality));
+    }
+    let loaded =
+        versions.keys().filter(|target| target.version.as_str() != "v4").cloned().collect();
+    Traits {
+        name: name(&format!("engine-{i}")),
+        slots: 16,
+        queue: 64,
+        first_us: shape.token_us * 2,
+        token_us: shape.token_us,
+        lag_ms: 300,
+        checks_orders: true,
+        versions,
+        loaded,
+    }
+}
+
+fn version(text: &str, cost: u64, quality: f64) -> VersionEntry {
+    VersionEntry { name: name(text), cost: Cost(cost), quality, context: 32_000 }
+}
+
+fn declarations() -> Declarations {
+    let workspace = |workspace: &str| WorkspaceEntry {
+        name: name::<Workspace>(workspace),
+        key_digest: digest(key(workspace).as_bytes()),
+        versions: ["roasttag@v1", "roastmind@v3", "roastmind@v4"].map(name).to_vec(),
+        services: vec![name("tellimus-api")],
+        cascades: vec![Cascade {
+            name: name("auto"),
+            target: 0.9,
+            rungs: vec![name("roasttag"), name("roastmind")],
+        }],
+        limit: Rate(5000.0),
+        objectives: vec![Objective { kind: None, good: 0.95, first_token_ms: 1400 }],
+    };
+    // A workspace that may not use the version that is rolled out: it must never meet it.
+    let mut careful = workspace("nestwise");
+    careful.versions.retain(|target| target.version.as_str() != "v4");
+    Declarations {
+        models: vec![
+            ModelEntry {
+                name: name("roasttag"),
+                serving: name("v1"),
+                versions: vec![version("v1", 100, 0.75)],
+            },
+            ModelEntry {
+                name: name("roastmind"),
+                serving: name("v3"),
+                versions: vec![version("v3", 1500, 0.95), version("v4", 1200, 0.95)],
+            },
+        ],
+        servers: Vec::new(),
+        services: vec![ServiceEntry {
+            name: name("tellimus-api"),
+            once: vec!["/enrolments".to_owned(), "/orders".to_owned()],
+        }],
+        workspaces: vec![workspace("roasters"), careful],
+    }
+}
--- /dev/null
+++ b/src/engine/client.rs
@@ -0,0 +1,163 @@
+//! Client of engines and services, one for each thread.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use awc::error::{ConnectError, SendRequestError};
+use awc::http::StatusCode;
+use awc::{Client, Connector};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+
+use super::wire::{Cancel, Frame, Generate, LOAD, Load, NotRun, Order, Reason};
+use crate::decide::retry::Failure;
+
+/// A load report that takes longer is a failure.
+const LOAD_WITHIN: Duration = Duration::from_millis(800);
+
+/// An order may take long: weights are loaded.
+const ORDER_WITHIN: Duration = Duration::from_secs(60);
+
+/// A connection that does not open within this never will.
+const OPEN_WITHIN: Duration = Duration::from_millis(500);
+
+/// An engine says within this whether it takes a request; a change of configuration may wait
+/// for that word.
+const TAKEN_WITHIN: Duration = Duration::from_secs(3);
+
+/// Longest line of an answer's stream.
+const LONGEST_LINE: usize = 1 << 20;
+
+/// A client for one thread.
+#[derive(Clone)]
+pub struct Engines {
+    client: Client,
+}
+
+/// Why an attempt gave no stream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fault {
+    /// What it means for a retry.
+    pub failure: Failure,
+    /// The engine's own reason, if it gave one.
+    pub reason: Option<Reason>,
+    /// In words, for the decision record.
+    pub words: String,
+}
+
+type Body =
+    std::pin::Pin<Box<dyn futures_util::Stream<Item = Result<Bytes, awc::error::PayloadError>>>>;
+
+/// The frames of one attempt.
+pub struct Frames {
+    body: Body,
+    buffer: BytesMut,
+    /// Requests running and waiting when the engine answered.
+    pub load: Option<(u32, u32)>,
+}
+
+impl Engines {
+    /// A client.
+    pub fn new() -> Engines {
+        let connector = Connector::new().timeout(OPEN_WITHIN).limit(0);
+        Engines { client: Client::builder().connector(connector).disable_timeout().finish() }
+    }
+
+    /// The client itself, for services.
+    pub fn http(&self) -> &Client {
+        &self.client
+    }
+
+    /// Starts work on an engine.
+    ///
+    /// # Errors
+    /// Why there is no stream, and whether the work may have run.
+    pub async fn generate(&self, to: SocketAddr, work: &Generate) -> Result<Frames, Fault> {
+        let request = self.client.post(format!("http://{to}/v1/generate"));
+        let sent = tokio::time::timeout(TAKEN_WITHIN, request.send_json(work)).await;
+        let silent = |_| Fault {
+            failure: Failure::Broken,
+            reason: None,
+            words: format!("it did not say within {TAKEN_WITHIN:?} whether it took the work"),
+        };
+        let mut answer = sent.map_err(silent)?.map_err(|fault| classify(&fault))?;
+        match answer.status() {
+            StatusCode::OK => {
+                let load = answer.headers().get(LOAD).and_then(|value| value.to_str().ok());
+                let load = load.and_then(|text| {
+                    let (running, waiting) = text.split_once('/')?;
+                    Some((running.parse().ok()?, waiting.parse().ok()?))
+                });
+                Ok(Frames { body: Box::pin(answer), buffer: BytesMut::new(), load })
+            }
+            StatusCode::CONFLICT => {
+                let told = answer.json::<NotRun>().await.ok().map(|not_run| not_run.reason);
+                let failure = if told.is_some() { Failure::NotRun } else { Failure::Broken };
+                Err(Fault { failure, reason: told, words: format!("it did not run: {told:?}") })
+            }
+            other => Err(Fault {
+                failure: Failure::Broken,
+                reason: None,
+                words: format!("it answered {other}"),
+            }),
+        }
+    }
+
+    /// Gives up work on an engine; one that does not hear it finds the connection closed.
+    pub async fn cancel(&self, to: SocketAddr, cancel: &Cancel) {
+        let request = self.client.post(format!("http://{to}/v1/cancel")).timeout(LOAD_WITHIN);
+        let _ = request.send_json(cancel).await;
+    }
+
+    /// An engine's load report.
+    pub async fn load(&self, to: SocketAddr) -> Option<Load> {
+        let request = self.client.get(format!("http://{to}/v1/load")).timeout(LOAD_WITHIN);
+        request.send().await.ok()?.json().await.ok()
+    }
+
+    /// Sends an order; whether it was obeyed.
+    pub async fn order(&self, to: SocketAddr, order: &Order) -> bool {
+        let request = self.client.post(format!("http://{to}/v1/orders")).timeout(ORDER_WITHIN);
+        request.send_json(order).await.is_ok_and(|answer| answer.status().is_success())
+    }
+}
+
+impl Default for Engines {
+    fn default() -> Engines {
+        Engines::new()
+    }
+}
+
+/// What a failed exchange proves: only a connection that never opened sent nothing.
+pub fn classify(fault: &SendRequestError) -> Fault {
+    let never_opened = match fault {
+        SendRequestError::Connect(inner) => !matches!(inner, ConnectError::Disconnected),
+        SendRequestError::Url(_) | SendRequestError::TunnelNotSupported => true,
+        _ => false,
+    };
+    let failure = if never_opened { Failure::NotSent } else { Failure::Broken };
+    Fault { failure, reason: None, words: fault.to_string() }
+}
+
+impl Frames {
+    /// The next frame; nothing at the stream's end.
+    ///
+    /// # Errors
+    /// If the stream broke or held something else.
+    pub async fn next(&mut self) -> Option<Result<Frame, String>> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+                let line = self.buffer.split_to(end + 1);
+                let frame = serde_json::from_slice(&line[..end]);
+                return Some(frame.map_err(|fault| format!("a frame does not read: {fault}")));
+            }
+            if self.buffer.len() > LONGEST_LINE {
+                return Some(Err("a frame is too long".to_owned()));
+            }
+            match self.body.next().await? {
+                Ok(bytes) => self.buffer.extend_from_slice(&bytes),
+                Err(fault) => return Some(Err(format!("the stream broke: {fault}"))),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/engine/mod.rs
@@ -0,0 +1,4 @@
+//! What model engines meet: the messages, and the client that sends them.
+
+pub mod client;
+pub mod wire;
--- /dev/null
+++ b/src/entry/models.rs
@@ -0,0 +1,391 @@
+//! Model requests: the interface that clients of model engines already speak.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+
+use actix_web::web::{Bytes, Data, Payload};
+use actix_web::{HttpRequest, HttpResponse};
+use futures_util::StreamExt;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+
+use super::drive::{self, InFlight, Job, Out, Route};
+use super::refusal::{Kind as Refused, Refusal};
+use super::session::{self, Session};
+use super::{header, stream::guarded};
+use crate::config::{Allowed, Snapshot, WorkspaceEntry, digest};
+use crate::engine::client::Engines;
+use crate::evidence::{Key, Tally};
+use crate::unit::{Kind, Model, RequestId, Span, Target};
+use crate::vm::{Errand, Vm};
+
+/// Tokens made ahead of a slow caller.
+const AHEAD: usize = 32;
+
+/// Longest answer if the caller sets none.
+const MAX_TOKENS: u32 = 256;
+
+/// The longest answer that may be asked for.
+const MOST_TOKENS: u32 = 32_000;
+
+/// How long a caller waits if it does not say.
+const PATIENCE: Span = Span::secs(60);
+
+/// Characters of a prompt that make its prefix.
+const PREFIX: usize = 256;
+
+#[derive(Deserialize)]
+struct Chat {
+    model: String,
+    messages: Vec<Message>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    metadata: Option<Value>,
+}
+
+#[derive(Deserialize)]
+struct Message {
+    role: String,
+    content: Value,
+}
+
+/// A request before it is admitted.
+pub struct Caller {
+    /// The configuration it is held against.
+    pub snapshot: Arc<Snapshot>,
+    /// Its workspace.
+    pub workspace: WorkspaceEntry,
+    /// Its kind of work.
+    pub kind: Kind,
+    /// How long it waits.
+    pub patience: Span,
+    /// Higher goes first.
+    pub priority: u8,
+}
+
+/// Whether this VM may take new work at all, and whose the request is.
+pub fn admit(vm: &Data<Vm>, request: &HttpRequest) -> Result<Caller, Refusal> {
+    let now = vm.clock.now();
+    if vm.is_stopping() {
+        return Err(Refusal::new(Refused::Stopping));
+    }
+    if !vm.may_start(now) {
+        return Err(Refusal::new(Refused::CutOff));
+    }
+    let snapshot = vm.config();
+    let text = |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok());
+    let key = text("authorization").and_then(|value| value.strip_prefix("Bearer "));
+    let workspace = key.and_then(|key| snapshot.by_key(&digest(key.as_bytes())));
+    let workspace = workspace.ok_or_else(|| Refusal::new(Refused::Unauthorised))?.clone();
+    if !vm.bill_room.load(std::sync::atomic::Ordering::Relaxed) {
+        return Err(Refusal::new(Refused::NoLedger));
+    }
+    let demand = Key::Demand { workspace: workspace.name.clone() };
+    vm.learn(demand, Tally { ended: 1, ..Tally::default() });
+    vm.take_rate(&workspace.name, workspace.limit, now)
+        .map_err(|wait| Refusal::after(Refused::Limited, wait))?;
+    let kind = text(header::KIND).and_then(|kind| kind.parse().ok());
+    let kind = kind.unwrap_or_else(|| "any".parse().expect("a plain name"));
+    let patience = text(header::DEADLINE).and_then(|ms| ms.parse().ok()).map(Span::millis);
+    let priority = text(header::PRIORITY).and_then(|n| n.parse().ok()).unwrap_or(5);
+    Ok(Caller { snapshot, workspace, kind, patience: patience.unwrap_or(PATIENCE), priority })
+}
+
+/// Reads a body up to the limit.
+pub async fn body(vm: &Data<Vm>, mut payload: Payload) -> Result<Bytes, Refusal> {
+    let limit = vm.settings.body_limit.0 as usize;
+    let mut whole = Vec::new();
+    while let Some(part) = payload.next().await {
+        let part = part.map_err(|fault| Refusal::because(Refused::Malformed, fault.to_string()))?;
+        if whole.len() + part.len() > limit {
+            return Err(Refusal::new(Refused::TooLarge));
+        }
+        whole.extend_from_slice(&part);
+    }
+    Ok(whole.into())
+}
+
+/// `POST /v1/chat/completions`.
+pub async fn chat(
+    vm: Data<Vm>,
+    engines: Data<Engines>,
+    request: HttpRequest,
+    payload: Payload,
+) -> HttpResponse {
+    let id = vm.next_request();
+    let in_flight = InFlight::new(&vm);
+    let prepared = async {
+        let bytes = body(&vm, payload).await?;
+        let caller = admit(&vm, &request)?;
+        prepare(&vm, &request, caller, &bytes, id.clone()).await
+    };
+    let (job, stream, born) = match prepared.await {
+        Ok(prepared) => prepared,
+        Err(refusal) => {
+            vm.metrics.refusals.with_label_values(&[refusal.kind.row().name]).inc();
+            return refusal.answer(vm.settings.vm.as_str(), Some(&id));
+        }
+    };
+    let revision = job.snapshot.revision();
+    let (sender, mut receiver) = mpsc::channel(AHEAD);
+    actix_web::rt::spawn(drive::run(vm.clone(), engines.get_ref().clone(), job, sender));
+    let target = match receiver.recv().await {
+        Some(Out::Head(target)) => target,
+        Some(Out::Refused(refusal)) => {
+            return refusal.answer(vm.settings.vm.as_str(), Some(&id));
+        }
+        _ => return Refusal::new(Refused::Broken).answer(vm.settings.vm.as_str(), Some(&id)),
+    };
+    let mut answer = HttpResponse::Ok();
+    answer
+        .insert_header((header::REQUEST, id.as_str()))
+        .insert_header((header::VM, vm.settings.vm.as_str()))
+        .insert_header((header::VERSION, target.to_string()))
+        .insert_header((header::REVISION, revision.to_string()));
+    if let Some(session) = born {
+        let session = Session { target: target.clone(), ..session };
+        let token = session::seal(&session, &vm.settings.session_keys);
+        answer.insert_header((header::SESSION, token));
+    }
+    if stream {
+        let (to, from) = mpsc::channel(AHEAD);
+        actix_web::rt::spawn(write_events(receiver, to, id, target));
+        return answer.content_type("text/event-stream").streaming(guarded(from, in_flight));
+    }
+    match gather(&mut receiver).await {
+        Ok((text, tokens)) => answer.json(json!({
+            "id": id,
+            "object": "chat.completion",
+            "model": target,
+            "choices": [{
+                "index": 0,
+                "message": {"role": "assistant", "content": text},
+                "finish_reason": "stop",
+            }],
+            "usage": {"completion_tokens": tokens},
+        })),
+        Err(refusal) => refusal.answer(vm.settings.vm.as_str(), Some(&id)),
+    }
+}
+
+async fn gather(from: &mut mpsc::Receiver<Out>) -> Result<(String, u32), Refusal> {
+    let mut text = String::new();
+    loop {
+        match from.recv().await {
+            Some(Out::Token(token)) => text.push_str(&token),
+            Some(Out::End(tokens)) => return Ok((text, tokens)),
+            Some(Out::Refused(refusal)) => return Err(refusal),
+            Some(Out::Head(_)) => {}
+            None => return Err(Refusal::new(Refused::Broken)),
+        }
+    }
+}
+
+/// Writes server-sent events; a broken answer is told in-band and has no `[DONE]`.
+async fn write_events(
+    mut from: mpsc::Receiver<Out>,
+    to: mpsc::Sender<Result<Bytes, std::io::Error>>,
+    id: RequestId,
+    target: Target,
+) {
+    let head = format!(
+        "data: {{\"id\":\"{id}\",\"object\":\"chat.completion.chunk\",\"model\":\"{target}\",\
+         \"choices\":[{{\"index\":0,\"delta\":"
+    );
+    let mut last = false;
+    while !last {
+        let next = from.recv().await;
+        last = matches!(next, Some(Out::End(_) | Out::Refused(_)));
+        let text = match next {
+            Some(Out::Token(token)) => {
+                let content = serde_json::to_string(&token).expect("text is plain data");
+                format!("{head}{{\"content\":{content}}},\"finish_reason\":null}}]}}\n\n")
+            }
+            Some(Out::End(tokens)) => format!(
+                "{head}{{}},\"finish_reason\":\"stop\"}}],\
+                 \"usage\":{{\"completion_tokens\":{tokens}}}}}\n\ndata: [DONE]\n\n"
+            ),
+            Some(Out::Refused(refusal)) => {
+                format!("data: {}\n\n", json!({"error": refusal.body()}))
+            }
+            Some(Out::Head(_)) => continue,
+            None => return,
+        };
+        if to.send(Ok(text.into())).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn prepare(
+    vm: &Data<Vm>,
+    request: &HttpRequest,
+    caller: Caller,
+    bytes: &[u8],
+    id: RequestId,
+) -> Result<(Job, bool, Option<Session>), Refusal> {
+    let malformed = |what: String| Refusal::because(Refused::Malformed, what);
+    let text = std::str::from_utf8(bytes).map_err(|fault| malformed(fault.to_string()))?;
+    let chat: Chat = serde_json::from_str(text).map_err(|fault| malformed(fault.to_string()))?;
+    if chat.messages.is_empty() {
+        return Err(malformed("`messages` is empty".to_owned()));
+    }
+    let prompt = prompt(&chat.messages);
+    let now = vm.clock.now();
+    let point = point(&id);
+    let in_header = request.headers().get(header::SESSION).and_then(|value| value.to_str().ok());
+    let in_body = chat.metadata.as_ref().and_then(|m| m["session"].as_str());
+    let mut snapshot = caller.snapshot;
+    let mut workspace = caller.workspace;
+    let (route, in_session, born) = match in_header.or(in_body) {
+        Some("new") => {
+            let route = route(&snapshot, &workspace, &chat.model, point)?;
+            let target = match &route {
+                Route::Fixed(t) | Route::Model(t) | Route::Cascade(_, t) => t.clone(),
+            };
+            let session = Session {
+                id: rand::random(),
+                workspace: workspace.name.clone(),
+                target,
+                revision: snapshot.revision(),
+                born: vm.clock.date(),
+            };
+            (route, false, Some(session))
+        }
+        Some(token) => {
+            let session = session::open(token, &vm.settings.session_keys, vm.clock.date());
+            let session = session.ok_or_else(|| Refusal::new(Refused::BadSession))?;
+            if session.workspace != workspace.name {
+                return Err(Refusal::new(Refused::BadSession));
+            }
+            if session.revision > snapshot.revision() {
+                snapshot = catch_up(vm, &session).await?;
+                let known = snapshot.workspace(&session.workspace).cloned();
+                workspace = known.ok_or_else(|| Refusal::new(Refused::Unauthorised))?;
+            }
+            match snapshot.allowed(&workspace, &session.target) {
+                Allowed::Yes => {}
+                Allowed::Withdrawn => return Err(Refusal::new(Refused::SessionEnded)),
+                Allowed::No | Allowed::Unknown => return Err(Refusal::new(Refused::NotAllowed)),
+            }
+            (Route::Fixed(session.target.clone()), true, Some(session))
+        }
+        None => (route(&snapshot, &workspace, &chat.model, point)?, false, None),
+    };
+    let job = Job {
+        request: id,
+        prefix: prefix(&workspace, &prompt),
+        workspace,
+        snapshot,
+        route,
+        in_session,
+        prompt,
+        max_tokens: chat.max_tokens.unwrap_or(MAX_TOKENS).clamp(1, MOST_TOKENS),
+        kind: caller.kind,
+        priority: caller.priority,
+        arrived: now,
+        deadline: now + caller.patience,
+    };
+    Ok((job, chat.stream, born))
+}
+
+async fn catch_up(vm: &Data<Vm>, session: &Session) -> Result<Arc<Snapshot>, Refusal> {
+    let (sender, done) = tokio::sync::oneshot::channel();
+    vm.errand(Errand::CatchUp(session.revision, sender));
+    let _ = done.await;
+    let snapshot = vm.config();
+    if snapshot.revision() < session.revision {
+        return Err(Refusal::new(Refused::Behind));
+    }
+    Ok(snapshot)
+}
+
+/// What may answer a request for `name`: a cascade, a model, or a model at a version.
+fn route(
+    snapshot: &Snapshot,
+    workspace: &WorkspaceEntry,
+    name: &str,
+    point: f64,
+) -> Result<Route, Refusal> {
+    if let Some(cascade) = snapshot.cascade(workspace, name) {
+        let choose = |model| snapshot.choose(workspace, model, point);
+        let rungs: Vec<Target> = cascade.rungs.iter().filter_map(choose).collect();
+        return match rungs.as_slice() {
+            [] => Err(Refusal::new(Refused::NotAllowed)),
+            [only] => Ok(Route::Model(only.clone())),
+            [cheap, .., strong] => Ok(Route::Cascade(cheap.clone(), strong.clone())),
+        };
+    }
+    if let Ok(target) = name.parse::<Target>() {
+        return match snapshot.allowed(workspace, &target) {
+            Allowed::Yes => Ok(Route::Fixed(target)),
+            Allowed::No => Err(Refusal::new(Refused::NotAllowed)),
+            Allowed::Withdrawn => Err(Refusal::new(Refused::Withdrawn)),
+            Allowed::Unknown => Err(Refusal::new(Refused::UnknownModel)),
+        };
+    }
+    let model: Model = name.parse().map_err(|_| Refusal::new(Refused::UnknownModel))?;
+    if snapshot.model(&model).is_none() {
+        return Err(Refusal::new(Refused::UnknownModel));
+    }
+    let chosen = snapshot.choose(workspace, &model, point);
+    chosen.map(Route::Model).ok_or_else(|| Refusal::new(Refused::NotAllowed))
+}
+
+fn prompt(messages: &[Message]) -> String {
+    let mut prompt = String::new();
+    for message in messages {
+        prompt.push_str(&message.role);
+        prompt.push_str(": ");
+        match &message.content {
+            Value::String(text) => prompt.push_str(text),
+            Value::Array(parts) => {
+                let texts = parts.iter().filter_map(|part| part["text"].as_str());
+                texts.for_each(|text| prompt.push_str(text));
+            }
+            _ => {}
+        }
+        prompt.push('\n');
+    }
+    prompt
+}
+
+/// A random point from 0 to 1 that follows from the request's id.
+fn point(id: &RequestId) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
+}
+
+fn prefix(workspace: &WorkspaceEntry, prompt: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    workspace.name.hash(&mut hasher);
+    let end = prompt.char_indices().nth(PREFIX).map_or(prompt.len(), |(at, _)| at);
+    prompt[..end].hash(&mut hasher);
+    hasher.finish()
+}
+
+/// `GET /v1/models`.
+pub async fn list(vm: Data<Vm>, request: HttpRequest) -> HttpResponse {
+    let caller = match admit(&vm, &request) {
+        Ok(caller) => caller,
+        Err(refusal) => return refusal.answer(vm.settings.vm.as_str(), None),
+    };
+    let mut names: Vec<String> =
+        caller.workspace.cascades.iter().map(|cascade| cascade.name.to_string()).collect();
+    for target in &caller.workspace.versions {
+        if caller.snapshot.allowed(&caller.workspace, target) == Allowed::Yes {
+            if !names.contains(&target.model.to_string()) {
+                names.push(target.model.to_string());
+            }
+            names.push(target.to_string());
+        }
+    }
+    let data: Vec<Value> =
+        names.iter().map(|name| json!({"id": name, "object": "model"})).collect();
+    HttpResponse::Ok().json(json!({"object": "list", "data": data}))
+}
--- /dev/null
+++ b/src/entry/services.rs
@@ -0,0 +1,316 @@
+//! Calls of plain services; some may not be repeated.
+
+use std::time::Duration;
+
+use actix_web::http::{Method, StatusCode};
+use actix_web::web::{Bytes, Data, Payload};
+use actix_web::{HttpRequest, HttpResponse};
+use tokio::sync::oneshot;
+
+use super::drive::InFlight;
+use super::header;
+use super::models::{Caller, admit, body};
+use super::refusal::{Kind as Refused, Refusal};
+use crate::config::ServiceEntry;
+use crate::decide::retry::{self, Failure};
+use crate::engine::client::{Engines, classify};
+use crate::history::Event;
+use crate::ledger::{Entry, Part, Why};
+use crate::once::{Answer, Claim, Outcome, Settled, digest};
+use crate::unit::{Cost, Moment, RequestId, Service, Span};
+use crate::vm::{Errand, Group, Vm};
+
+/// Price of a call, in micro-euros.
+const PRICE: Cost = Cost(10);
+
+/// Largest answer of a service.
+const LARGEST: usize = 4_000_000;
+
+/// Largest answer that is kept with a key, so that a chain's links stay small.
+const KEPT: usize = 2_000;
+
+/// Longest key.
+const LONGEST_KEY: usize = 256;
+
+/// A retry needs at least this much of the deadline.
+const LEAST: Span = Span::millis(20);
+
+struct Call {
+    request: RequestId,
+    service: Service,
+    method: Method,
+    path: String,
+    body: Bytes,
+    headers: Vec<(&'static str, String)>,
+    key: Option<String>,
+    repeatable: bool,
+    deadline: Moment,
+}
+
+struct Reply {
+    status: u16,
+    kind: String,
+    body: Bytes,
+}
+
+/// `/v1/services/NAME/...`.
+pub async fn call(
+    vm: Data<Vm>,
+    engines: Data<Engines>,
+    request: HttpRequest,
+    payload: Payload,
+) -> HttpResponse {
+    let id = vm.next_request();
+    let in_flight = InFlight::new(&vm);
+    let outcome = async {
+        let bytes = body(&vm, payload).await?;
+        let caller = admit(&vm, &request)?;
+        let call = prepare(&vm, &request, &caller, bytes, id.clone())?;
+        if call.repeatable {
+            run(&vm, &engines, &caller, &call).await
+        } else {
+            run_once(&vm, &engines, &caller, &call).await
+        }
+    };
+    let answer = match outcome.await {
+        Ok(reply) => {
+            let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
+            HttpResponse::build(status)
+                .insert_header((header::REQUEST, id.as_str()))
+                .insert_header((header::VM, vm.settings.vm.as_str()))
+                .insert_header((header::REVISION, vm.config().revision().to_string()))
+                .content_type(reply.kind)
+                .body(reply.body)
+        }
+        Err(refusal) => {
+            vm.metrics.refusals.with_label_values(&[refusal.kind.row().name]).inc();
+            refusal.answer(vm.settings.vm.as_str(), Some(&id))
+        }
+    };
+    drop(in_flight);
+    answer
+}
+
+fn prepare(
+    vm: &Data<Vm>,
+    request: &HttpRequest,
+    caller: &Caller,
+    body: Bytes,
+    id: RequestId,
+) -> Result<Call, Refusal> {
+    let name = request.match_info().get("name").unwrap_or_default();
+    let entry = caller.snapshot.service(name);
+    let entry = entry.ok_or_else(|| Refusal::new(Refused::UnknownModel))?;
+    if !caller.workspace.services.contains(&entry.name) {
+        return Err(Refusal::new(Refused::NotAllowed));
+    }
+    let text = |name: &str| {
+        let value = request.headers().get(name).and_then(|value| value.to_str().ok());
+        value.map(str::to_owned)
+    };
+    let path = format!("/{}", request.match_info().get("path").unwrap_or_default());
+    let key = text(header::KEY).filter(|key| key.len() <= LONGEST_KEY);
+    let repeatable = repeatable(entry, &path, request.method()) && key.is_none();
+    if !repeatable && key.is_none() {
+        return Err(Refusal::new(Refused::KeyMissing));
+    }
+    let mut headers = vec![
+        (header::REQUEST, id.to_string()),
+        (header::WORKSPACE, caller.workspace.name.to_string()),
+    ];
+    for name in ["content-type", "accept", header::TRACE, header::KEY] {
+        headers.extend(text(name).map(|value| (name, value)));
+    }
+    let query = request.query_string();
+    let path = if query.is_empty() { path } else { format!("{path}?{query}") };
+    Ok(Call {
+        request: id,
+        service: entry.name.clone(),
+        method: request.method().clone(),
+        path,
+        body,
+        headers,
+        key,
+        repeatable,
+        deadline: vm.clock.now() + caller.patience,
+    })
+}
+
+fn repeatable(entry: &ServiceEntry, path: &str, method: &Method) -> bool {
+    let once = entry.once.iter().any(|prefix| path.starts_with(prefix.as_str()));
+    !(once && *method != Method::GET && *method != Method::HEAD)
+}
+
+/// Claims the key, runs the call at most once, and records how it ended.
+async fn run_once(
+    vm: &Data<Vm>,
+    engines: &Engines,
+    caller: &Caller,
+    call: &Call,
+) -> Result<Reply, Refusal> {
+    let key = call.key.as_deref().unwrap_or_default();
+    let claim = Claim {
+        key: digest(&[
+            caller.workspace.name.as_str().as_bytes(),
+            call.service.as_str().as_bytes(),
+            key.as_bytes(),
+        ]),
+        body: digest(&[call.method.as_str().as_bytes(), call.path.as_bytes(), &call.body]),
+        request: call.request.clone(),
+        workspace: caller.workspace.name.clone(),
+        holder: vm.origin(),
+        date: vm.clock.date(),
+    };
+    let settle = |outcome| {
+        let settled = Settled { key: claim.key, request: call.request.clone(), outcome };
+        vm.errand(Errand::Settle(settled));
+    };
+    let (sender, answered) = oneshot::channel();
+    vm.errand(Errand::Claim(claim.clone(), sender));
+    match answered.await.unwrap_or(Answer::Away) {
+        Answer::Granted => {}
+        Answer::Running(holder) => return Err(running(vm, &holder)),
+        Answer::Ended(outcome) => return replay(outcome),
+        Answer::OtherBody => return Err(Refusal::new(Refused::KeyReused)),
+        Answer::Away => {
+            // The claim may yet stand in the store; it must not hold the key for good.
+            settle(Outcome::NotRun);
+            return Err(Refusal::new(Refused::StoreAway));
+        }
+    }
+    let outcome = run(vm, engines, caller, call).await;
+    match &outcome {
+        Ok(reply) => settle(Outcome::Ran {
+            status: reply.status,
+            kind: reply.kind.clone(),
+            body: (reply.body.len() <= KEPT).then(|| reply.body.to_vec()),
+        }),
+        Err(refusal) if refusal.kind.row().ran == crate::history::Ran::No => {
+            settle(Outcome::NotRun);
+        }
+        Err(_) => settle(Outcome::InDoubt),
+    }
+    outcome
+}
+
+/// A call with this key holds it; whether it can still end depends on its VM.
+fn running(vm: &Data<Vm>, holder: &crate::evidence::Origin) -> Refusal {
+    let gossip = vm.gossip.lock().expect("no panic while held");
+    let lives = gossip
+        .member(&holder.vm)
+        .is_some_and(|member| member.incarnation == holder.incarnation && member.state.present());
+    Refusal::new(if lives { Refused::KeyRunning } else { Refused::InDoubt })
+}
+
+fn replay(outcome: Outcome) -> Result<Reply, Refusal> {
+    match outcome {
+        Outcome::Ran { status, kind, body: Some(body) } => {
+            Ok(Reply { status, kind, body: body.into() })
+        }
+        Outcome::Ran { status, .. } => {
+            let words =
+                format!("it ran and was answered {status}; the answer was too large to keep");
+            Err(Refusal::because(Refused::InDoubt, words))
+        }
+        Outcome::NotRun => Err(Refusal::new(Refused::StoreAway)),
+        Outcome::InDoubt => Err(Refusal::new(Refused::InDoubt)),
+    }
+}
+
+/// Runs a call, elsewhere again where that is safe, and bills it.
+async fn run(
+    vm: &Data<Vm>,
+    engines: &Engines,
+    caller: &Caller,
+    call: &Call,
+) -> Result<Reply, Refusal> {
+    vm.earn_retry();
+    let group = Group::Service(call.service.clone());
+    let mut tries = 0;
+    loop {
+        let now = vm.clock.now();
+        let (snapshot, dispatch) = vm.dispatch();
+        if !vm.may_start(now) {
+            return Err(Refusal::new(Refused::CutOff));
+        }
+        let allowed = snapshot.workspace(&caller.workspace.name);
+        if !allowed.is_some_and(|workspace| workspace.services.contains(&call.service)) {
+            return Err(Refusal::new(Refused::NotAllowed));
+        }
+        let picked =
+            vm.fleet.lock().expect("no panic while held").pick(&group, None, rand::random(), now);
+        let Some(picked) = picked else {
+            return Err(Refusal::new(Refused::NoServer));
+        };
+        tries += 1;
+        vm.history.note(|| Event::Started {
+            vm: vm.settings.vm.clone(),
+            request: call.request.clone(),
+            revision: snapshot.revision(),
+            target: None,
+            server: picked.server.clone(),
+        });
+        // A service answers only when it is done, so the dispatch ends with the decision.
+        drop(dispatch);
+        let sent = send(engines, picked.address, call, now).await;
+        let now = vm.clock.now();
+        {
+            let mut fleet = vm.fleet.lock().expect("no panic while held");
+            fleet.ended(&picked.server);
+            if sent.is_err() {
+                fleet.failed(&picked.server, now);
+            }
+        }
+        let failure = match sent {
+            Ok(reply) => {
+                bill(vm, caller, call).await?;
+                return Ok(reply);
+            }
+            Err(failure) => failure,
+        };
+        let may = retry::allowed(failure, call.repeatable, tries, now, call.deadline, LEAST);
+        if !may || !vm.spend_retry() {
+            let kind = if failure == Failure::Broken { Refused::Broken } else { Refused::NoServer };
+            return Err(Refusal::new(kind));
+        }
+    }
+}
+
+async fn send(
+    engines: &Engines,
+    to: std::net::SocketAddr,
+    call: &Call,
+    now: Moment,
+) -> Result<Reply, Failure> {
+    let url = format!("http://{to}{}", call.path);
+    let mut request = engines.http().request(call.method.clone(), url);
+    for (name, value) in &call.headers {
+        request = request.insert_header((*name, value.as_str()));
+    }
+    let within = Duration::from_micros(call.deadline.since(now).0);
+    let exchange = async {
+        let sent = request.send_body(call.body.clone()).await;
+        let mut answer = sent.map_err(|fault| classify(&fault).failure)?;
+        let kind = answer.headers().get("content-type").and_then(|value| value.to_str().ok());
+        let kind = kind.unwrap_or("application/octet-stream").to_owned();
+        let body = answer.body().limit(LARGEST).await.map_err(|_| Failure::Broken)?;
+        Ok(Reply { status: answer.status().as_u16(), kind, body })
+    };
+    tokio::time::timeout(within, exchange).await.unwrap_or(Err(Failure::Broken))
+}
+
+async fn bill(vm: &Data<Vm>, caller: &Caller, call: &Call) -> Result<(), Refusal> {
+    let entry = Entry {
+        number: 0,
+        request: call.request.clone(),
+        workspace: caller.workspace.name.clone(),
+        date: vm.clock.date(),
+        parts: vec![Part { why: Why::Call, target: None, tokens: 0, cost: PRICE }],
+    };
+    let (sender, safe) = oneshot::channel();
+    vm.errand(Errand::Bill(entry, sender));
+    if safe.await.unwrap_or(false) {
+        return Ok(());
+    }
+    Err(Refusal::new(Refused::Unbilled))
+}
--- /dev/null
+++ b/src/evidence/table.rs
@@ -0,0 +1,291 @@
+//! The table of counters and its merge.
+//!
+//! A row belongs to one incarnation of one VM, which alone adds to it; everyone else takes the
+//! greater of what it has and what it is told. So order, repetition and loss of messages do not
+//! matter.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::unit::{Incarnation, Kind, Target, Vm, Workspace};
+
+/// One life of a VM, which alone adds to its row.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Origin {
+    /// The VM.
+    pub vm: Vm,
+    /// Its life.
+    pub incarnation: Incarnation,
+}
+
+/// What a counter is about.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Key {
+    /// A version during the trial that began at that date: a roll-out or a watch window.
+    Trial {
+        /// The version.
+        target: Target,
+        /// When the trial began, in microseconds since 1970.
+        since: u64,
+    },
+    /// Ratings of cheap answers of a cascade, by confidence.
+    Cheap {
+        /// The workspace.
+        workspace: Workspace,
+        /// The kind of work.
+        kind: Kind,
+        /// The confidence's bin.
+        bin: u8,
+    },
+    /// Ratings of strong answers of a cascade, by the cheap answer's confidence before.
+    Strong {
+        /// The workspace.
+        workspace: Workspace,
+        /// The kind of work.
+        kind: Kind,
+        /// The confidence's bin; one past the last if it began with the strong rung.
+        bin: u8,
+    },
+    /// Requests offered by a workspace's callers.
+    Demand {
+        /// The workspace.
+        workspace: Workspace,
+    },
+}
+
+/// Counts about one key; each only grows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    /// Requests that ended.
+    pub ended: u64,
+    /// Those that failed.
+    pub failed: u64,
+    /// Those whose first token came late.
+    pub slow: u64,
+    /// Ratings.
+    pub rated: u64,
+    /// Ratings that did not pass.
+    pub poor: u64,
+}
+
+impl Tally {
+    /// The greater of each count.
+    pub fn join(self, other: Tally) -> Tally {
+        Tally {
+            ended: self.ended.max(other.ended),
+            failed: self.failed.max(other.failed),
+            slow: self.slow.max(other.slow),
+            rated: self.rated.max(other.rated),
+            poor: self.poor.max(other.poor),
+        }
+    }
+
+    fn plus(self, other: Tally) -> Tally {
+        Tally {
+            ended: self.ended + other.ended,
+            failed: self.failed + other.failed,
+            slow: self.slow + other.slow,
+            rated: self.rated + other.rated,
+            poor: self.poor + other.poor,
+        }
+    }
+}
+
+/// One counter as it travels.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Cell {
+    /// What it is about.
+    pub key: Key,
+    /// The counts.
+    pub tally: Tally,
+}
+
+/// Counters of one origin as they travel.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// Whose.
+    pub origin: Origin,
+    /// Those that changed.
+    pub cells: Vec<Cell>,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    tally: Tally,
+    changed: u64,
+    from: Option<Vm>,
+}
+
+/// All counters that a VM knows.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    rows: BTreeMap<Origin, BTreeMap<Key, Held>>,
+    counter: u64,
+}
+
+impl Table {
+    /// Adds to the VM's own row.
+    pub fn add(&mut self, own: &Origin, key: Key, more: Tally) {
+        self.counter += 1;
+        let changed = self.counter;
+        let row = match self.rows.get_mut(own) {
+            Some(row) => row,
+            None => self.rows.entry(own.clone()).or_default(),
+        };
+        let held = row.entry(key).or_insert(Held { tally: Tally::default(), changed, from: None });
+        held.tally = held.tally.plus(more);
+        held.changed = changed;
+    }
+
+    /// Takes rows that a peer sent.
+    pub fn merge(&mut self, from: &Vm, rows: Vec<Row>) {
+        for row in rows {
+            let held_row = self.rows.entry(row.origin).or_default();
+            for cell in row.cells {
+                let before = held_row.get(&cell.key).map(|held| held.tally);
+                let joined = before.unwrap_or_default().join(cell.tally);
+                if before == Some(joined) {
+                    continue;
+                }
+                self.counter += 1;
+                let held = Held { tally: joined, changed: self.counter, from: Some(from.clone()) };
+                held_row.insert(cell.key, held);
+            }
+        }
+    }
+
+    /// The present place in the sequence of changes.
+    pub fn counter(&self) -> u64 {
+        self.counter
+    }
+
+    /// What changed after `since` and did not come from `to`, at most `most` cells, and the place
+    /// up to which that is all.
+    pub fn delta(&self, to: &Vm, since: u64, most: usize) -> (Vec<Row>, u64) {
+        if self.counter == since {
+            return (Vec::new(), since);
+        }
+        let mut changed: Vec<(u64, &Origin, &Key, &Held)> = Vec::new();
+        for (origin, row) in &self.rows {
+            let newer = row.iter().filter(|(_, held)| held.changed > since);
+            changed.extend(newer.map(|(key, held)| (held.changed, origin, key, held)));
+        }
+        changed.sort_by_key(|entry| entry.0);
+        let upto = match changed.get(most) {
+            Some(next) => next.0 - 1,
+            None => self.counter,
+        };
+        changed.truncate(most);
+        let mut rows: BTreeMap<&Origin, Vec<Cell>> = BTreeMap::new();
+        for (_, origin, key, held) in changed {
+            if held.from.as_ref() != Some(to) {
+                let cell = Cell { key: key.clone(), tally: held.tally };
+                rows.entry(origin).or_default().push(cell);
+            }
+        }
+        let rows = rows.into_iter().map(|(origin, cells)| Row { origin: origin.clone(), cells });
+        (rows.collect(), upto)
+    }
+
+    /// The sum over all origins for one key.
+    pub fn sum(&self, key: &Key) -> Tally {
+        let held = self.rows.values().filter_map(|row| row.get(key));
+        held.fold(Tally::default(), |sum, held| sum.plus(held.tally))
+    }
+
+    /// The VM's own count for one key.
+    pub fn own(&self, own: &Origin, key: &Key) -> Tally {
+        let held = self.rows.get(own).and_then(|row| row.get(key));
+        held.map(|held| held.tally).unwrap_or_default()
+    }
+
+    /// Sums over all origins, for the keys that `wanted` picks.
+    pub fn sums(&self, wanted: impl Fn(&Key) -> bool) -> BTreeMap<Key, Tally> {
+        let mut sums: BTreeMap<Key, Tally> = BTreeMap::new();
+        for row in self.rows.values() {
+            for (key, held) in row.iter().filter(|(key, _)| wanted(key)) {
+                let sum = sums.entry(key.clone()).or_default();
+                *sum = sum.plus(held.tally);
+            }
+        }
+        sums
+    }
+
+    /// Forgets counters that no decision needs any more.
+    pub fn forget(&mut self, needless: impl Fn(&Key) -> bool) {
+        for row in self.rows.values_mut() {
+            row.retain(|key, _| !needless(key));
+        }
+        self.rows.retain(|_, row| !row.is_empty());
+    }
+
+    /// Counters held.
+    pub fn len(&self) -> usize {
+        self.rows.values().map(BTreeMap::len).sum()
+    }
+
+    /// Whether nothing is held.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use quickcheck::quickcheck;
+
+    fn origin(n: u8) -> Origin {
+        Origin { vm: format!("vm{}", n % 3).parse().unwrap(), incarnation: Incarnation(1) }
+    }
+
+    fn key(n: u8) -> Key {
+        let target = format!("m@v{}", n % 4).parse().unwrap();
+        Key::Trial { target, since: 0 }
+    }
+
+    fn rows(facts: &[(u8, u8, u8)]) -> Vec<Row> {
+        let row = |(vm, about, n): &(u8, u8, u8)| {
+            let tally = Tally { rated: u64::from(*n), poor: u64::from(n / 2), ..Tally::default() };
+            Row { origin: origin(*vm), cells: vec![Cell { key: key(*about), tally }] }
+        };
+        facts.iter().map(row).collect()
+    }
+
+    fn merged(parts: &[Vec<Row>]) -> BTreeMap<Key, Tally> {
+        let mut table = Table::default();
+        let from: Vm = "x".parse().unwrap();
+        for part in parts {
+            table.merge(&from, part.clone());
+        }
+        table.sums(|_| true)
+    }
+
+    quickcheck! {
+        fn merge_is_commutative_associative_idempotent(
+            a: Vec<(u8, u8, u8)>, b: Vec<(u8, u8, u8)>, c: Vec<(u8, u8, u8)>
+        ) -> bool {
+            let (a, b, c) = (rows(&a), rows(&b), rows(&c));
+            let whole = merged(&[a.clone(), b.clone(), c.clone()]);
+            let joined = [b.clone(), c.clone()].concat();
+            whole == merged(&[c.clone(), b.clone(), a.clone()])
+                && whole == merged(&[a.clone(), joined])
+                && whole == merged(&[a.clone(), b.clone(), a, c.clone(), b, c])
+        }
+
+        fn deltas_carry_everything_in_parts(facts: Vec<(u8, u8, u8)>, most: u8) -> bool {
+            let (a, b): (Vm, Vm) = ("a".parse().unwrap(), "b".parse().unwrap());
+            let mut from = Table::default();
+            from.merge(&a, rows(&facts));
+            let mut to = Table::default();
+            let mut since = 0;
+            while since < from.counter() {
+                let (rows, upto) = from.delta(&b, since, usize::from(most % 7) + 1);
+                to.merge(&a, rows);
+                since = upto;
+            }
+            to.sums(|_| true) == from.sums(|_| true)
+        }
+    }
+}
--- /dev/null
+++ b/src/history/check.rs
@@ -0,0 +1,429 @@
+//! The checker: judges the ten promises from a history alone.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::fmt;
+use std::io::BufRead;
+
+use serde::Serialize;
+
+use super::{Event, Line, Ran};
+use crate::error::Error;
+use crate::unit::{Date, RequestId, Revision, Server, Span, Target, Vm, Workspace};
+
+/// A leaving backend server gets no new work after this.
+const LEAVE_WITHIN: Span = Span::secs(3);
+
+/// A change is in force everywhere within this, when no fault was on.
+const ACCEPT_WITHIN: Span = Span::secs(15);
+
+/// Offending events named for each promise.
+const NAMED: usize = 5;
+
+/// How one promise fared.
+#[derive(Clone, Debug, Serialize)]
+pub struct Verdict {
+    /// The promise, in the brief's order.
+    pub promise: &'static str,
+    /// How often it was put to the test.
+    pub occasions: u64,
+    /// How often it broke.
+    pub breaches: u64,
+    /// The first offending events.
+    pub first: Vec<String>,
+}
+
+impl Verdict {
+    fn new(promise: &'static str) -> Verdict {
+        Verdict { promise, occasions: 0, breaches: 0, first: Vec::new() }
+    }
+
+    fn test(&mut self, holds: bool, offence: impl FnOnce() -> String) {
+        self.occasions += 1;
+        if !holds {
+            self.breaches += 1;
+            if self.first.len() < NAMED {
+                self.first.push(offence());
+            }
+        }
+    }
+
+    /// In words; a promise never put to the test is not called held.
+    pub fn outcome(&self) -> &'static str {
+        match (self.occasions, self.breaches) {
+            (0, _) => "not tested",
+            (_, 0) => "held",
+            _ => "BROKEN",
+        }
+    }
+}
+
+/// All ten verdicts.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// One for each promise.
+    pub verdicts: Vec<Verdict>,
+}
+
+impl Report {
+    /// Promises that broke.
+    pub fn broken(&self) -> usize {
+        self.verdicts.iter().filter(|verdict| verdict.breaches > 0).count()
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for verdict in &self.verdicts {
+            writeln!(
+                f,
+                "  {:<10} {:>8} times  {}",
+                verdict.outcome(),
+                verdict.occasions,
+                verdict.promise
+            )?;
+            for offence in &verdict.first {
+                writeln!(f, "             {offence}")?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Reads a history.
+///
+/// # Errors
+/// The file and line that is not an event.
+pub fn read(name: &str, from: impl BufRead) -> Result<Vec<Line>, Error> {
+    let mut lines = Vec::new();
+    for (number, text) in from.lines().enumerate() {
+        let text = text.map_err(|e| Error::Format(name.into(), number + 1, e.to_string()))?;
+        let line = serde_json::from_str(&text)
+            .map_err(|e| Error::Format(name.into(), number + 1, format!("not an event: {e}")))?;
+        lines.push(line);
+    }
+    Ok(lines)
+}
+
+struct Root {
+    at: Date,
+    allowed: BTreeMap<Workspace, Vec<Target>>,
+    withdrawn: BTreeSet<Target>,
+}
+
+struct Work<'a> {
+    at: Date,
+    server: &'a Server,
+    workspace: &'a Workspace,
+    target: Option<&'a Target>,
+    digest: &'a str,
+}
+
+#[derive(Default)]
+struct Facts<'a> {
+    roots: BTreeMap<Revision, Root>,
+    accepted: Vec<(Date, Revision)>,
+    work: HashMap<&'a RequestId, Vec<Work<'a>>>,
+    bills: HashMap<&'a RequestId, Vec<&'a Workspace>>,
+    leaving: HashMap<&'a Server, Date>,
+    stopping: HashSet<&'a Vm>,
+    killed: HashSet<&'a Vm>,
+    asks: HashMap<u64, (&'a Workspace, Option<u64>)>,
+    faults: Vec<(Date, bool)>,
+}
+
+fn gather(lines: &[Line]) -> Facts<'_> {
+    let mut facts = Facts::default();
+    for line in lines {
+        match &line.event {
+            Event::Confirmed { revision, allowed, withdrawn } => {
+                let withdrawn = withdrawn.iter().cloned().collect();
+                let root = Root { at: line.at, allowed: allowed.clone(), withdrawn };
+                facts.roots.entry(*revision).or_insert(root);
+            }
+            Event::Accepted { revision } => facts.accepted.push((line.at, *revision)),
+            Event::Ran { server, request, workspace, target, digest, .. } => {
+                let target = Some(target);
+                let work = Work { at: line.at, server, workspace, target, digest };
+                facts.work.entry(request).or_default().push(work);
+            }
+            Event::Served { server, request, workspace, digest, .. } => {
+                let work = Work { at: line.at, server, workspace, target: None, digest };
+                facts.work.entry(request).or_default().push(work);
+            }
+            Event::Billed { request, workspace, .. } => {
+                facts.bills.entry(request).or_default().push(workspace);
+            }
+            Event::Leaving { server } => {
+                facts.leaving.entry(server).or_insert(line.at);
+            }
+            Event::Stopping { vm } => {
+                facts.stopping.insert(vm);
+            }
+            Event::Killed { vm } => {
+                facts.killed.insert(vm);
+            }
+            Event::Asked { ask, workspace, talk, .. } => {
+                facts.asks.insert(*ask, (workspace, *talk));
+            }
+            Event::Fault { began, .. } => facts.faults.push((line.at, *began)),
+            Event::Adopted { .. } | Event::Answered { .. } | Event::Started { .. } => {}
+        }
+    }
+    facts.accepted.sort();
+    facts
+}
+
+impl Facts<'_> {
+    /// The highest revision accepted before `at`.
+    fn floor(&self, at: Date) -> Revision {
+        let before = self.accepted.iter().take_while(|(date, _)| *date < at);
+        before.map(|(_, revision)| *revision).max().unwrap_or_default()
+    }
+
+    fn works(&self) -> impl Iterator<Item = (&RequestId, &Work<'_>)> {
+        self.work.iter().flat_map(|(id, works)| works.iter().map(move |work| (*id, work)))
+    }
+
+    fn fault_between(&self, from: Date, to: Date) -> bool {
+        let mut on = 0;
+        for (at, began) in &self.faults {
+            if *at > to {
+                break;
+            }
+            if *at >= from && *began {
+                return true;
+            }
+            on += if *began { 1 } else { -1 };
+        }
+        on > 0
+    }
+}
+
+/// Judges the ten promises.
+pub fn judge(lines: &[Line]) -> Report {
+    let facts = gather(lines);
+    let verdicts = vec![
+        allowed(&facts),
+        withdrawn(&facts),
+        sessions(lines, &facts),
+        billed(lines, &facts),
+        whole(lines, &facts),
+        truthful(lines, &facts),
+        once(lines),
+        left(&facts),
+        stopped(lines, &facts),
+        in_force(lines, &facts),
+    ];
+    Report { verdicts }
+}
+
+fn allowed(facts: &Facts) -> Verdict {
+    let mut verdict =
+        Verdict::new("A request runs only on a model and version its workspace allows.");
+    for (id, work) in facts.works() {
+        let Some(target) = work.target else { continue };
+        let mut valid = facts.roots.range(facts.floor(work.at)..);
+        let holds = valid.any(|(_, root)| {
+            let list = root.allowed.get(work.workspace);
+            root.at <= work.at && list.is_some_and(|list| list.contains(target))
+        });
+        verdict.test(holds, || {
+            format!("request {id} of {} ran on {target} at {}", work.workspace, work.at.0)
+        });
+    }
+    verdict
+}
+
+fn withdrawn(facts: &Facts) -> Verdict {
+    let mut verdict = Verdict::new("A withdrawn version receives no new work.");
+    let ever: BTreeSet<&Target> = facts.roots.values().flat_map(|r| &r.withdrawn).collect();
+    if ever.is_empty() {
+        return verdict;
+    }
+    for (id, work) in facts.works() {
+        let Some(target) = work.target else { continue };
+        let floor = facts.floor(work.at);
+        let root = facts.roots.get(&floor);
+        if root.is_none_or(|root| root.withdrawn.is_empty()) {
+            continue;
+        }
+        let holds = root.is_none_or(|root| !root.withdrawn.contains(target));
+        verdict
+            .test(holds, || format!("request {id} ran on {target}, withdrawn by revision {floor}"));
+    }
+    verdict
+}
+
+fn sessions(lines: &[Line], facts: &Facts) -> Verdict {
+    let mut verdict = Verdict::new("A session keeps its version for its whole life.");
+    let mut kept: HashMap<u64, &Target> = HashMap::new();
+    for line in lines {
+        let Event::Answered { ask, target: Some(target), whole: true, .. } = &line.event else {
+            continue;
+        };
+        let Some((_, Some(talk))) = facts.asks.get(ask) else {
+            continue;
+        };
+        match kept.get(talk) {
+            None => {
+                kept.insert(*talk, target);
+            }
+            Some(first) => verdict.test(*first == target, || {
+                format!("session {talk} began on {first} and met {target} in ask {ask}")
+            }),
+        }
+    }
+    verdict
+}
+
+fn billed(lines: &[Line], facts: &Facts) -> Verdict {
+    let mut verdict = Verdict::new("Each request is billed exactly once.");
+    for line in lines {
+        let Event::Answered { ask, request: Some(id), whole: true, .. } = &line.event else {
+            continue;
+        };
+        if !facts.work.contains_key(id) {
+            continue;
+        }
+        let payers = facts.bills.get(id).map(Vec::as_slice).unwrap_or_default();
+        let owner = facts.asks.get(ask).map(|(workspace, _)| *workspace);
+        let holds = payers.len() == 1 && owner.is_none_or(|owner| payers[0] == owner);
+        verdict.test(holds, || format!("request {id} has {} bills", payers.len()));
+    }
+    for (id, payers) in &facts.bills {
+        let ran = facts.work.contains_key(id);
+        if payers.len() > 1 || !ran {
+            verdict
+                .test(false, || format!("request {id} has {} bills and ran: {ran}", payers.len()));
+        }
+    }
+    verdict
+}
+
+fn whole(lines: &[Line], facts: &Facts) -> Verdict {
+    let mut verdict = Verdict::new("A caller receives the whole answer to its own request.");
+    for line in lines {
+        let Event::Answered { ask, request: Some(id), whole: true, digest: Some(digest), .. } =
+            &line.event
+        else {
+            continue;
+        };
+        let Some(works) = facts.work.get(id) else {
+            continue;
+        };
+        let owner = facts.asks.get(ask).map(|(workspace, _)| *workspace);
+        let own = |work: &Work| owner.is_none_or(|owner| work.workspace == owner);
+        let holds = works.iter().any(|work| work.digest == digest && own(work));
+        verdict
+            .test(holds, || format!("ask {ask} got {digest}, which no run of request {id} made"));
+    }
+    verdict
+}
+
+fn truthful(lines: &[Line], facts: &Facts) -> Verdict {
+    let mut verdict = Verdict::new("A refusal that says \"not run\" is true.");
+    for line in lines {
+        let Event::Answered { ask, request, ran: Some(Ran::No), .. } = &line.event else {
+            continue;
+        };
+        let ran = request.as_ref().is_some_and(|id| facts.work.contains_key(id));
+        verdict.test(!ran, || format!("ask {ask} was told \"not run\" and {request:?} ran"));
+    }
+    verdict
+}
+
+fn once(lines: &[Line]) -> Verdict {
+    let mut verdict = Verdict::new("A request that may not be repeated runs at most once.");
+    let mut runs: BTreeMap<(&Workspace, &str), Vec<&RequestId>> = BTreeMap::new();
+    for line in lines {
+        match &line.event {
+            Event::Asked { workspace, key: Some(key), .. } => {
+                runs.entry((workspace, key)).or_default();
+            }
+            Event::Served { workspace, key: Some(key), request, .. } => {
+                runs.entry((workspace, key)).or_default().push(request);
+            }
+            _ => {}
+        }
+    }
+    for ((workspace, key), ids) in runs {
+        verdict
+            .test(ids.len() <= 1, || format!("key {key} of {workspace} ran {} times", ids.len()));
+    }
+    verdict
+}
+
+fn left(facts: &Facts) -> Verdict {
+    let mut verdict =
+        Verdict::new("A leaving backend server receives no new work after a few seconds.");
+    let mut late: HashMap<&Server, (u64, &RequestId)> = HashMap::new();
+    for (id, work) in facts.works() {
+        let Some(since) = facts.leaving.get(work.server) else {
+            continue;
+        };
+        if work.at.since(*since) > LEAVE_WITHIN {
+            late.entry(work.server).or_insert((0, id)).0 += 1;
+        }
+    }
+    for server in facts.leaving.keys() {
+        let offence = late.get(server);
+        verdict.test(offence.is_none(), || format!("{server} got {:?} after leaving", offence));
+    }
+    verdict
+}
+
+fn stopped(lines: &[Line], facts: &Facts) -> Verdict {
+    let mut verdict = Verdict::new("A planned stop cuts off no request in flight.");
+    for line in lines {
+        let Event::Answered { ask, vm: Some(vm), status, whole, request, .. } = &line.event else {
+            continue;
+        };
+        if !facts.stopping.contains(vm) || facts.killed.contains(vm) {
+            continue;
+        }
+        // A connection refused outright after the stop was never in flight.
+        let in_flight = request.is_some() || *status != 0;
+        if in_flight {
+            let cut = !*whole && *status < 300;
+            verdict
+                .test(!cut, || format!("ask {ask} was cut off on {vm}, which stopped as planned"));
+        }
+    }
+    verdict
+}
+
+fn in_force(lines: &[Line], facts: &Facts) -> Verdict {
+    let mut verdict = Verdict::new(
+        "An accepted configuration is in force everywhere within seconds and never reverts.",
+    );
+    let mut adopted: HashMap<(&Vm, u64), Revision> = HashMap::new();
+    for line in lines {
+        match &line.event {
+            Event::Adopted { vm, incarnation, revision } => {
+                let held = adopted.entry((vm, *incarnation)).or_default();
+                let before = *held;
+                verdict.test(*revision >= before, || {
+                    format!("{vm} fell from revision {before} to {revision}")
+                });
+                *held = before.max(*revision);
+            }
+            Event::Started { vm, request, revision, .. } => {
+                let floor = facts.floor(line.at);
+                verdict.test(*revision >= floor, || {
+                    format!("{vm} began {request} under {revision} after {floor} was accepted")
+                });
+            }
+            _ => {}
+        }
+    }
+    let end = lines.last().map(|line| line.at).unwrap_or_default();
+    for (revision, root) in &facts.roots {
+        let accepted = facts.accepted.iter().find(|(_, r)| r >= revision).map(|(at, _)| *at);
+        let took = accepted.unwrap_or(end).since(root.at);
+        if facts.fault_between(root.at, accepted.unwrap_or(end)) || took <= ACCEPT_WITHIN {
+            continue;
+        }
+        verdict.test(false, || format!("revision {revision} took {took} to be accepted"));
+    }
+    verdict
+}
--- /dev/null
+++ b/src/once/claim.rs
@@ -0,0 +1,106 @@
+//! Claims, their answers, and how a claimed call ended.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+
+use crate::evidence::Origin;
+use crate::unit::{Date, RequestId, Workspace};
+
+/// Shards of keys: few, so that many claims share a write.
+pub const SHARDS: u64 = 4;
+
+/// A digest of a key or of a body.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Digest(pub u64, pub u64);
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}{:016x}", self.0, self.1)
+    }
+}
+
+/// Digest of parts, each told apart from the next.
+pub fn digest(parts: &[&[u8]]) -> Digest {
+    use sha2::Digest as _;
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    let bytes = hasher.finalize();
+    let number = |at: usize| {
+        let eight: [u8; 8] = bytes[at..at + 8].try_into().expect("eight bytes");
+        u64::from_be_bytes(eight)
+    };
+    Digest(number(0), number(8))
+}
+
+/// The shard of a key.
+pub fn shard_of(key: Digest) -> u64 {
+    key.0 % SHARDS
+}
+
+/// A claim to run a call.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Claim {
+    /// Digest of workspace, service and the caller's key.
+    pub key: Digest,
+    /// Digest of method, path and body.
+    pub body: Digest,
+    /// The request that wants to run.
+    pub request: RequestId,
+    /// The workspace, for the reader of the store.
+    pub workspace: Workspace,
+    /// The VM that would run it.
+    pub holder: Origin,
+    /// When.
+    pub date: Date,
+}
+
+/// How a claimed call ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// It ran; what the back end answered.
+    Ran {
+        /// HTTP status.
+        status: u16,
+        /// The content's type.
+        kind: String,
+        /// The body, if it was small enough to keep.
+        body: Option<Vec<u8>>,
+    },
+    /// It surely did not run: the key is free again.
+    NotRun,
+    /// Nobody knows.
+    InDoubt,
+}
+
+/// An outcome, of a claim's holder.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Settled {
+    /// The key.
+    pub key: Digest,
+    /// The request that held it.
+    pub request: RequestId,
+    /// How it ended.
+    pub outcome: Outcome,
+}
+
+/// The answer to a claim.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    /// The request holds the key and may run.
+    Granted,
+    /// Another request holds it and has not ended.
+    Running(Origin),
+    /// It ended before.
+    Ended(Outcome),
+    /// The key was used with another body.
+    OtherBody,
+    /// No agreement could be had; the request does not hold the key.
+    Away,
+}
--- /dev/null
+++ b/src/once/mod.rs
@@ -0,0 +1,9 @@
+//! Calls that may not be repeated: claimed by key before the first byte leaves.
+
+mod claim;
+mod owner;
+mod shard;
+
+pub use claim::{Answer, Claim, Digest, Outcome, SHARDS, Settled, digest, shard_of};
+pub use owner::Owner;
+pub use shard::{Record, Shard};
--- /dev/null
+++ b/src/once/owner.rs
@@ -0,0 +1,235 @@
+//! The owner of shards: gathers claims and writes many of them in one link.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot};
+
+use super::{Answer, Claim, Record, SHARDS, Settled, Shard, shard_of};
+use crate::error::Error;
+use crate::platform::{Store, Written};
+use crate::unit::{Moment, Span};
+use crate::vm::Clock;
+
+/// Links a second of one shard once its burst is spent; four shards make 20 writes a second.
+const LINKS_PER_SECOND: f64 = 5.0;
+
+/// Links that a shard may write at once after a rest.
+const BURST: f64 = 4.0;
+
+/// Outcomes wait this long for a claim to share a link with.
+const SETTLE_WITHIN: Duration = Duration::from_millis(300);
+
+/// Claims and outcomes in one link, well within 1 MB.
+const LINK: usize = 200;
+
+/// Tries of one batch against a store that does not answer.
+const TRIES: usize = 3;
+
+/// What an owner is asked.
+enum Ask {
+    Claim(Claim, oneshot::Sender<Answer>),
+    Settle(Settled),
+}
+
+/// A handle to the tasks of a VM's shards.
+#[derive(Clone)]
+pub struct Owner {
+    shards: Vec<mpsc::UnboundedSender<Ask>>,
+}
+
+impl Owner {
+    /// Starts the tasks; they read their chain when first asked.
+    pub fn start(store: &Store, clock: Clock) -> Owner {
+        let start = |number| {
+            let (sender, receiver) = mpsc::unbounded_channel();
+            let task = Task {
+                number,
+                store: store.clone(),
+                clock,
+                shard: Shard::default(),
+                level: BURST,
+                at: clock.now(),
+            };
+            actix_web::rt::spawn(task.run(receiver));
+            sender
+        };
+        Owner { shards: (0..SHARDS).map(start).collect() }
+    }
+
+    /// Claims a key for a request.
+    pub async fn claim(&self, claim: Claim) -> Answer {
+        let (sender, receiver) = oneshot::channel();
+        let shard = &self.shards[shard_of(claim.key) as usize];
+        let _ = shard.send(Ask::Claim(claim, sender));
+        receiver.await.unwrap_or(Answer::Away)
+    }
+
+    /// Notes how a claimed call ended.
+    pub fn settle(&self, settled: Settled) {
+        let _ = self.shards[shard_of(settled.key) as usize].send(Ask::Settle(settled));
+    }
+}
+
+struct Task {
+    number: u64,
+    store: Store,
+    clock: Clock,
+    shard: Shard,
+    level: f64,
+    at: Moment,
+}
+
+impl Task {
+    async fn run(mut self, mut asks: mpsc::UnboundedReceiver<Ask>) {
+        let mut settled = Vec::new();
+        loop {
+            let first = if settled.is_empty() {
+                asks.recv().await
+            } else {
+                match tokio::time::timeout(SETTLE_WITHIN, asks.recv()).await {
+                    Ok(ask) => ask,
+                    Err(_) => {
+                        self.write(Vec::new(), &mut settled).await;
+                        continue;
+                    }
+                }
+            };
+            let Some(first) = first else { return };
+            let mut claims = Vec::new();
+            sort(first, &mut claims, &mut settled);
+            if !claims.is_empty() {
+                self.pace().await;
+            }
+            while claims.len() + settled.len() < LINK {
+                let Ok(ask) = asks.try_recv() else { break };
+                sort(ask, &mut claims, &mut settled);
+            }
+            if !claims.is_empty() || settled.len() >= LINK {
+                self.write(claims, &mut settled).await;
+            }
+        }
+    }
+
+    /// Waits until the shard may write again, so that the fleet keeps under its share of writes.
+    async fn pace(&mut self) {
+        let now = self.clock.now();
+        let gained = now.since(self.at).as_secs() * LINKS_PER_SECOND;
+        self.level = (self.level + gained).min(BURST) - 1.0;
+        self.at = now;
+        if self.level < 0.0 {
+            let wait = Span((-self.level / LINKS_PER_SECOND * 1e6) as u64);
+            tokio::time::sleep(wait.duration()).await;
+        }
+    }
+
+    async fn write(
+        &mut self,
+        claims: Vec<(Claim, oneshot::Sender<Answer>)>,
+        settled: &mut Vec<Settled>,
+    ) {
+        self.shard.forget(self.clock.date());
+        let mut open = self.answer_known(claims);
+        for _ in 0..TRIES {
+            if open.is_empty() && settled.is_empty() {
+                return;
+            }
+            match self.try_link(&open, settled).await {
+                Ok(true) => settled.clear(),
+                Ok(false) => {}
+                Err(_) => continue,
+            }
+            open = self.answer_known(open);
+        }
+        for (_, reply) in open {
+            let _ = reply.send(Answer::Away);
+        }
+        // Without claims to refuse, outcomes wait for the store to come back.
+        if !settled.is_empty() {
+            tokio::time::sleep(SETTLE_WITHIN).await;
+        }
+    }
+
+    /// Answers what the chain decides already and returns the rest, one claim for each key.
+    fn answer_known(
+        &self,
+        claims: Vec<(Claim, oneshot::Sender<Answer>)>,
+    ) -> Vec<(Claim, oneshot::Sender<Answer>)> {
+        let mut open: Vec<(Claim, oneshot::Sender<Answer>)> = Vec::new();
+        let mut first: HashMap<_, (super::Digest, crate::evidence::Origin)> = HashMap::new();
+        for (claim, reply) in claims {
+            if let Some(answer) = self.shard.answer(&claim) {
+                let _ = reply.send(answer);
+            } else if let Some((body, holder)) = first.get(&claim.key) {
+                let same = *body == claim.body;
+                let answer = if same { Answer::Running(holder.clone()) } else { Answer::OtherBody };
+                let _ = reply.send(answer);
+            } else {
+                first.insert(claim.key, (claim.body, claim.holder.clone()));
+                open.push((claim, reply));
+            }
+        }
+        open
+    }
+
+    /// Tries to create the next link; reads on if it was taken. Whether ours took effect.
+    async fn try_link(
+        &mut self,
+        open: &[(Claim, oneshot::Sender<Answer>)],
+        settled: &[Settled],
+    ) -> Result<bool, Error> {
+        // A shard that was never read has to be: its first free link is not known.
+        if self.shard.next() == 0 && self.read_on().await? > 0 {
+            return Ok(false);
+        }
+        let claims = open.iter().map(|(claim, _)| Record::Claim(claim.clone()));
+        let outcomes = settled.iter().cloned().map(Record::Settled);
+        let records: Vec<Record> = claims.chain(outcomes).collect();
+        let body = serde_json::to_vec(&records).expect("records are plain data");
+        let key = self.key(self.shard.next());
+        match self.store.create(&key, body.clone()).await {
+            Ok(Written::Done) => {
+                self.shard.link(records);
+                Ok(true)
+            }
+            Ok(Written::Conflict) => {
+                self.read_on().await?;
+                Ok(false)
+            }
+            // Lost answer: what stands there tells. Request ids make equal bodies ours.
+            Err(fault) => match self.store.get(&key).await? {
+                Some(object) if object.body == body => {
+                    self.shard.link(records);
+                    Ok(true)
+                }
+                Some(_) => {
+                    self.read_on().await?;
+                    Ok(false)
+                }
+                None => Err(fault),
+            },
+        }
+    }
+
+    fn key(&self, link: u64) -> String {
+        format!("once/{}/{link:012}", self.number)
+    }
+
+    async fn read_on(&mut self) -> Result<u64, Error> {
+        let mut read = 0;
+        while let Some(object) = self.store.get(&self.key(self.shard.next())).await? {
+            let records = serde_json::from_slice(&object.body)
+                .map_err(|fault| Error::Store(fault.to_string()))?;
+            self.shard.link(records);
+            read += 1;
+        }
+        Ok(read)
+    }
+}
+
+fn sort(ask: Ask, claims: &mut Vec<(Claim, oneshot::Sender<Answer>)>, settled: &mut Vec<Settled>) {
+    match ask {
+        Ask::Claim(claim, reply) => claims.push((claim, reply)),
+        Ask::Settle(outcome) => settled.push(outcome),
+    }
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,11 @@
+//! Small stand-ins for the systems outside: platform, model engine, plain service, rating service.
+
+pub mod engine;
+pub mod platform;
+pub mod rating;
+mod server;
+pub mod service;
+mod text;
+
+pub use server::{Running, launch};
+pub use text::{Draft, digest, draft};
--- /dev/null
+++ b/src/standin/server.rs
@@ -0,0 +1,69 @@
+//! Starts a stand-in's HTTP server on a thread of its own.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::mpsc;
+
+use actix_web::dev::ServerHandle;
+use actix_web::web::ServiceConfig;
+use actix_web::{App, HttpServer};
+
+use crate::error::Error;
+
+/// Seconds that open requests get when a stand-in stops.
+const GRACE_SECS: u64 = 1;
+
+/// Requests that may wait for their first answer; a load of a thousand streams must fit.
+const BACKLOG: u32 = 4096;
+
+/// Connections one stand-in takes.
+const CONNECTIONS: usize = 10_000;
+
+/// A stand-in that runs.
+#[derive(Clone, Debug)]
+pub struct Running {
+    /// Where it listens.
+    pub address: SocketAddr,
+    handle: ServerHandle,
+}
+
+impl Running {
+    /// Stops it at once; open connections break.
+    pub fn kill(&self) {
+        drop(self.handle.stop(false));
+    }
+}
+
+/// Binds `address` (port 0 for any free one) and serves until stopped.
+///
+/// # Errors
+/// If the address cannot be bound.
+pub fn launch<F>(address: SocketAddr, configure: F) -> Result<Running, Error>
+where
+    F: Fn(&mut ServiceConfig) + Send + Clone + 'static,
+{
+    let fault = |e: std::io::Error| Error::Bind(address.to_string(), e.to_string());
+    let listener = TcpListener::bind(address).map_err(fault)?;
+    let address = listener.local_addr().map_err(fault)?;
+    let (sender, receiver) = mpsc::channel();
+    std::thread::spawn(move || {
+        actix_web::rt::System::new().block_on(async move {
+            let app = move || App::new().configure(configure.clone());
+            let server = HttpServer::new(app)
+                .workers(1)
+                .backlog(BACKLOG)
+                .max_connections(CONNECTIONS)
+                .disable_signals()
+                .shutdown_timeout(GRACE_SECS)
+                .listen(listener);
+            if let Ok(server) = server {
+                let server = server.run();
+                let _ = sender.send(server.handle());
+                let _ = server.await;
+            }
+        });
+    });
+    let handle = receiver
+        .recv()
+        .map_err(|_| Error::Bind(address.to_string(), "the server did not start".into()))?;
+    Ok(Running { address, handle })
+}
--- /dev/null
+++ b/src/standin/service.rs
@@ -0,0 +1,83 @@
+//! Stand-in of a plain service: it counts what it ran, by key.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use actix_web::web::{Bytes, Data, ServiceConfig};
+use actix_web::{HttpRequest, HttpResponse, web};
+
+use super::{Running, digest, launch};
+use crate::entry::header;
+use crate::error::Error;
+use crate::history::{Event, Sink};
+use crate::unit::Server;
+
+/// The stand-in.
+#[derive(Clone)]
+pub struct Service {
+    name: Server,
+    delay: Duration,
+    ran: Arc<Mutex<BTreeMap<String, u64>>>,
+    history: Sink,
+}
+
+impl Service {
+    /// A service's replica of that name that takes `delay` for each call.
+    pub fn new(name: Server, delay: Duration, history: Sink) -> Service {
+        Service { name, delay, ran: Arc::default(), history }
+    }
+
+    /// Serves at `address`.
+    ///
+    /// # Errors
+    /// If the address cannot be bound.
+    pub fn launch(&self, address: SocketAddr) -> Result<Running, Error> {
+        let service = self.clone();
+        launch(address, move |app: &mut ServiceConfig| {
+            app.app_data(Data::new(service.clone()))
+                .route("/ran", web::get().to(ran))
+                .default_service(web::to(call));
+        })
+    }
+
+    /// How often each key ran.
+    pub fn ran(&self) -> BTreeMap<String, u64> {
+        self.ran.lock().expect("no panic while held").clone()
+    }
+}
+
+async fn ran(service: Data<Service>) -> HttpResponse {
+    HttpResponse::Ok().json(service.ran())
+}
+
+async fn call(service: Data<Service>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    let text = |name: &str| {
+        let value = request.headers().get(name).and_then(|value| value.to_str().ok());
+        value.map(str::to_owned)
+    };
+    let key = text(header::KEY);
+    let label = key.clone().unwrap_or_else(|| "-".to_owned());
+    *service.ran.lock().expect("no panic while held").entry(label).or_default() += 1;
+    let answer = format!(
+        "{} {} done for {}: {}",
+        request.method(),
+        request.uri(),
+        text(header::REQUEST).unwrap_or_default(),
+        String::from_utf8_lossy(&body)
+    );
+    let ids = text(header::REQUEST).and_then(|id| id.parse().ok());
+    let workspace = text(header::WORKSPACE).and_then(|name| name.parse().ok());
+    if let (Some(id), Some(workspace)) = (ids, workspace) {
+        service.history.note(|| Event::Served {
+            server: service.name.clone(),
+            request: id,
+            workspace,
+            key,
+            digest: digest(&answer),
+        });
+    }
+    tokio::time::sleep(service.delay).await;
+    HttpResponse::Ok().content_type("text/plain").body(answer)
+}
--- /dev/null
+++ b/src/unit/mod.rs
@@ -0,0 +1,12 @@
+//! Units and identifiers: every quantity and name has a type of its own.
+
+mod id;
+mod quantity;
+mod time;
+
+pub use id::{
+    DataCentre, Fault, Incarnation, Kind, Model, RequestId, Revision, Server, Service, Target,
+    Version, Vm, Workspace,
+};
+pub use quantity::{Cost, Parts, Rate, Size};
+pub use time::{Date, Moment, Span};
--- /dev/null
+++ b/src/vm/errand.rs
@@ -0,0 +1,30 @@
+//! What the threads that serve callers ask of the control thread.
+
+use tokio::sync::oneshot;
+
+use crate::ledger::Entry;
+use crate::once::{Answer, Claim, Settled};
+use crate::standin::rating::Sample;
+use crate::unit::{Revision, Server};
+
+/// An errand.
+pub enum Errand {
+    /// Make a bill safe; answered when it stands in other VMs or in the store.
+    Bill(Entry, oneshot::Sender<bool>),
+    /// Claim a key.
+    Claim(Claim, oneshot::Sender<Answer>),
+    /// Note how a claimed call ended.
+    Settle(Settled),
+    /// Have an answer rated.
+    Rate(Sample),
+    /// Catch up with a later revision that a token names.
+    CatchUp(Revision, oneshot::Sender<()>),
+    /// Give up work on an engine.
+    Cancel(std::net::SocketAddr, crate::engine::wire::Cancel),
+    /// Ask a server for its load at once.
+    Look(Server),
+    /// Ask all VMs for a request's decision record.
+    Explain(String, oneshot::Sender<Option<String>>),
+    /// Ask all VMs for their burn counts.
+    Burn(oneshot::Sender<Vec<String>>),
+}
--- /dev/null
+++ b/src/vm/mod.rs
@@ -0,0 +1,23 @@
+//! One entry VM: its shared state, and the tasks that keep it.
+
+mod bills;
+mod claims;
+mod clock;
+mod control;
+mod duty;
+mod errand;
+mod fleet;
+mod ratings;
+mod run;
+mod settings;
+mod spread;
+mod state;
+
+pub use clock::Clock;
+pub use errand::Errand;
+pub use fleet::{Fleet, Group, Picked};
+pub use ratings::{Subject, Waiting};
+pub use run::{Handle, start};
+pub use settings::{Secret, SessionKeys, Settings};
+pub use spread::{ROOT, fetch, piece_key};
+pub use state::Vm;
--- /dev/null
+++ b/src/watch/mod.rs
@@ -0,0 +1,9 @@
+//! Watching: decision records, the burn report, counters.
+
+mod burn;
+mod metrics;
+mod trace;
+
+pub use burn::{Burn, Slice, WINDOWS, show};
+pub use metrics::Metrics;
+pub use trace::{Trace, Traces};
