--- a/src/command/experiment.rs
+++ b/src/command/experiment.rs
@@ -2,9 +2,17 @@
 
 use crate::cli;
 use crate::error::Error;
+use crate::experiment::{Options, run as run_experiment};
 
-/// Runs an experiment.
+/// Runs an experiment and prints its rows.
 pub fn run(flags: &cli::Experiment) -> Result<(), Error> {
     let name = flags.name.as_deref().unwrap_or_default();
-    Err(Error::flag("experiment", name, "name one of those that `--help` lists."))
+    let options = Options::check(flags)?;
+    let table = run_experiment(name, &options)?;
+    if flags.json {
+        println!("{:#}", table.json());
+    } else {
+        print!("{table}");
+    }
+    Ok(())
 }
--- a/src/config/plan.rs
+++ b/src/config/plan.rs
@@ -39,6 +39,8 @@
         event: String,
         /// The share after it.
         share: Parts,
+        /// Whether sessions may begin on the version after it.
+        sessions: bool,
         /// Why.
         reason: String,
     },
@@ -232,6 +234,7 @@
                 model: rollout.to.model.clone(),
                 event: "stop".to_owned(),
                 share: Parts(0),
+                sessions: false,
                 reason: "an operator stopped it".to_owned(),
             });
         }
@@ -307,13 +310,15 @@
             from: from.clone(),
             state: chart::named("rollout").start.clone(),
             share: Parts(0),
+            sessions: false,
             begun: date,
             since: date,
             reason: "an operator began it".to_owned(),
         }),
         Change::Withdraw { target, .. } => withdraw(root, target),
-        Change::Step { model, event, share, reason } => {
-            step(root, model, event, *share, reason, date)?;
+        Change::Step { model, event, share, sessions, reason } => {
+            let after = (*share, *sessions);
+            step(root, model, event, after, reason, date)?;
         }
         Change::Drain(name) => {
             root.drained.insert(name.clone());
@@ -349,7 +354,7 @@
     root: &mut Root,
     model: &Model,
     event: &str,
-    share: Parts,
+    (share, sessions): (Parts, bool),
     reason: &str,
     date: Date,
 ) -> Result<(), Error> {
@@ -360,6 +365,7 @@
         chart.next(&rollout.state, event).map_err(|misfit| Error::Plan(misfit.to_string()))?;
     rollout.state = next.to_owned();
     rollout.share = share;
+    rollout.sessions = sessions;
     rollout.since = date;
     rollout.reason = reason.to_owned();
     let done = rollout.clone();
@@ -401,7 +407,7 @@
         now.root = confirmed(&now, &Wish::Short(Intent::RollOut(to.clone())));
         let mut root = now.root.clone();
         for event in ["loaded", "grow", "complete"] {
-            step(&mut root, &to.model, event, Parts::ALL, "", Date(2)).unwrap();
+            step(&mut root, &to.model, event, (Parts::ALL, true), "", Date(2)).unwrap();
         }
         assert_eq!(root.serving[&to.model], to.version);
         withdraw(&mut root, &to);
--- a/src/config/root.rs
+++ b/src/config/root.rs
@@ -33,6 +33,8 @@
     pub state: String,
     /// Share of the model's new work on `to`.
     pub share: Parts,
+    /// Whether new sessions may begin on `to`; they keep it, so they wait for more evidence.
+    pub sessions: bool,
     /// When it began; names its trial in the evidence.
     pub begun: Date,
     /// When it took its present state or share.
--- a/src/config/snapshot.rs
+++ b/src/config/snapshot.rs
@@ -147,13 +147,20 @@
     }
 
     /// The version of `model` for new work of `workspace`; `point` is the request's own random
-    /// point in 0 to 1, which the roll-out's share is held against.
-    pub fn choose(&self, workspace: &WorkspaceEntry, model: &Model, point: f64) -> Option<Target> {
+    /// point in 0 to 1, which the roll-out's share is held against; `begins` if it begins a session.
+    pub fn choose(
+        &self,
+        workspace: &WorkspaceEntry,
+        model: &Model,
+        point: f64,
+        begins: bool,
+    ) -> Option<Target> {
         let target = |version: Version| Target { model: model.clone(), version };
         if let Some(rollout) = self.rollout(model) {
             let growing = rollout.state == "growing" || rollout.state == "held";
             let usable = self.allowed(workspace, &rollout.to) == Allowed::Yes;
-            if growing && usable && point < rollout.share.fraction() {
+            let open = rollout.sessions || !begins;
+            if growing && usable && open && point < rollout.share.fraction() {
                 return Some(rollout.to.clone());
             }
         }
@@ -197,9 +204,9 @@
         let workspace = snapshot.declared.workspaces[0].clone();
         let model: Model = "roastmind".parse().unwrap();
         let target: Target = "roastmind@v3".parse().unwrap();
-        assert_eq!(snapshot.choose(&workspace, &model, 0.5), Some(target.clone()));
+        assert_eq!(snapshot.choose(&workspace, &model, 0.5, false), Some(target.clone()));
         snapshot.root.withdrawn.insert(target.clone());
-        let other = snapshot.choose(&workspace, &model, 0.5);
+        let other = snapshot.choose(&workspace, &model, 0.5, false);
         assert_ne!(other, Some(target));
         assert!(other.is_some());
     }
@@ -214,11 +221,13 @@
             from: "v3".parse().unwrap(),
             state: "growing".into(),
             share: Parts::of(0.1),
+            sessions: false,
             begun: Default::default(),
             since: Default::default(),
             reason: String::new(),
         });
-        assert_eq!(snapshot.choose(&workspace, &to.model, 0.05), Some(to.clone()));
-        assert_ne!(snapshot.choose(&workspace, &to.model, 0.5), Some(to));
+        assert_eq!(snapshot.choose(&workspace, &to.model, 0.05, false), Some(to.clone()));
+        assert_ne!(snapshot.choose(&workspace, &to.model, 0.5, false), Some(to.clone()));
+        assert_ne!(snapshot.choose(&workspace, &to.model, 0.05, true), Some(to));
     }
 }
--- a/src/decide/replica.rs
+++ b/src/decide/replica.rs
@@ -5,14 +5,24 @@
 /// A report loses half of its weight in this time: other VMs have acted on it since.
 const HALF_LIFE: Span = Span::millis(400);
 
-/// A replica that keeps a prompt's prefix is worth this share of a slot-load more.
-const AFFINITY: f64 = 0.35;
+/// What a kept prefix is worth, in the same unit as `cost`.
+const AFFINITY: f64 = 0.6;
+
+/// Load, in shares of the slots, from which a request may have to wait.
+const NEARLY_FULL: f64 = 0.94;
+
+/// Cost of load past that: waiting costs much, sharing a batch little.
+const WAITING: f64 = 6.0;
+const SHARING: f64 = 0.25;
 
 /// Replicas that a prefix may be spread over before it counts as anywhere.
-const HOMES: usize = 2;
+const HOMES: usize = 3;
+
+/// What the next home of a prefix is worth, compared with the one before.
+const RANKED: f64 = 0.7;
 
 /// Replicas drawn beside a prefix's homes.
-const DRAWN: usize = 2;
+const DRAWN: usize = 3;
 
 /// A failing replica is left alone for this long.
 const BACK_OFF: Span = Span::millis(1500);
@@ -56,6 +66,11 @@
     }
 }
 
+/// What a load costs its next request.
+fn cost(load: f64) -> f64 {
+    load * SHARING + (load - NEARLY_FULL).max(0.0) * WAITING
+}
+
 /// A cheap mixing of two numbers.
 fn mix(a: u64, b: u64) -> u64 {
     let mut x = a ^ b.wrapping_mul(0x9e37_79b9_7f4a_7c15);
@@ -91,7 +106,7 @@
         let far = replica.distance.as_secs() * 10.0;
         // A tie is broken by chance, or every VM would break it alike.
         let chance = (mix(point, i as u64) >> 40) as f64 / (1u64 << 24) as f64 * 1e-3;
-        let score = replica.load(mean, now) + far + chance - bonus;
+        let score = cost(replica.load(mean, now)) + far + chance - bonus;
         if best.is_none_or(|(least, _)| score < least) {
             best = Some((score, i));
         }
@@ -99,7 +114,7 @@
     if let Some(prefix) = prefix {
         for (rank, home) in homes(replicas, prefix, now).into_iter().enumerate() {
             if let Some(home) = home {
-                weigh(home, AFFINITY / (rank + 1) as f64);
+                weigh(home, AFFINITY * RANKED.powi(rank as i32));
             }
         }
     }
--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -1,6 +1,6 @@
 //! The next step of a roll-out: as fast as evidence rules out harm, and back at once on proof.
 
-use super::sequential::{Count, evidence};
+use super::sequential::{Count, Difference, evidence};
 use crate::unit::{Parts, Span};
 
 /// What bounds a roll-out.
@@ -10,14 +10,19 @@
     pub alpha: f64,
     /// Harm, in share of bad answers, that operators put up with.
     pub tolerance: f64,
-    /// Harm that must be ruled out before all traffic moves.
+    /// Harm that must be unlikely before all traffic moves.
     pub margin: f64,
-    /// Bad answers beyond the usual that may be under way before their ratings are back.
+    /// Chance of harm beyond the margin with which all traffic may move.
+    pub doubt: f64,
+    /// Bad answers beyond the usual, as expected, that may be under way before their ratings are
+    /// back.
     pub blind: f64,
     /// The share begun with, if the traffic is not known.
     pub first: Parts,
     /// Requests that may be exposed before the first ratings are back.
     pub scouts: f64,
+    /// Expected harm above which no session begins on the version.
+    pub sessions_below: f64,
     /// The share at most doubles in this time.
     pub doubling: Span,
     /// Ratings count as stopped after this many times their usual lag.
@@ -27,13 +32,15 @@
 impl Default for Policy {
     fn default() -> Policy {
         Policy {
-            alpha: 0.004,
-            tolerance: 0.01,
-            margin: 0.04,
-            blind: 12.0,
+            alpha: 0.01,
+            tolerance: 0.005,
+            margin: 0.02,
+            doubt: 0.1,
+            blind: 3.0,
             first: Parts(2_000),
-            scouts: 40.0,
-            doubling: Span::secs(150),
+            scouts: 25.0,
+            sessions_below: 0.012,
+            doubling: Span::secs(120),
             patience: 4.0,
         }
     }
@@ -57,6 +64,8 @@
     pub new: Arm,
     /// The version in service, over the same time.
     pub old: Arm,
+    /// Ratings of the version in service before the roll-out began.
+    pub before: Count,
     /// The present share.
     pub share: Parts,
     /// Whether the roll-out is held.
@@ -93,7 +102,7 @@
 }
 
 /// Evidence, as a chance, on which the share is stepped back.
-const DOUBT: f64 = 0.05;
+const DOUBT: f64 = 0.08;
 
 /// The largest share before all traffic: the two are compared best at halves.
 const HALF: Parts = Parts(500_000);
@@ -107,32 +116,46 @@
 /// How far the share is stepped back in doubt.
 const STEP_BACK: f64 = 0.25;
 
-/// Risk of the bound that growth rests on; a wrong one costs exposure, not a promise.
-const GROWTH_RISK: f64 = 0.2;
+/// Ratings from before the roll-out count as at most so many.
+const BEFORE: f64 = 800.0;
+
+/// Standard errors by which the usual share may have moved since; past it, only ratings of the
+/// same time count.
+const MOVED: f64 = 3.0;
+
+/// What the version in service does: over the same time, and before if that agrees.
+fn usual(view: &View) -> Count {
+    let (now, before) = (view.old.poor, view.before.at_most(BEFORE));
+    let difference = Difference::between(now, before, view.prior);
+    if difference.mean.abs() > MOVED * difference.error {
+        return now;
+    }
+    now.plus(before)
+}
 
 /// A sign of harm: what it is called, and its evidence.
 fn signs(policy: &Policy, view: &View) -> [(&'static str, f64); 3] {
-    let usual = |old: Count, prior: f64| {
+    let limit = |old: Count, prior: f64| {
         let rate = old.rate(prior);
         let spread = (rate * (1.0 - rate) / (old.all + 20.0)).sqrt();
         rate + spread + policy.tolerance
     };
     [
-        ("ratings", evidence(view.new.poor, usual(view.old.poor, view.prior))),
-        ("errors", evidence(view.new.errors, usual(view.old.errors, 0.01))),
-        ("late first tokens", evidence(view.new.slow, usual(view.old.slow, 0.05))),
+        ("ratings", evidence(view.new.poor, limit(usual(view), view.prior))),
+        ("errors", evidence(view.new.errors, limit(view.old.errors, 0.01))),
+        ("late first tokens", evidence(view.new.slow, limit(view.old.slow, 0.05))),
     ]
 }
 
-/// The most harm, in share of bad answers, that the evidence leaves possible.
-pub fn possible_harm(view: &View) -> f64 {
-    let (new, old) = (view.new.poor, view.old.poor);
-    if new.all < 1.0 {
-        return 1.0;
-    }
-    let difference = new.rate(view.prior) - old.rate(view.prior);
-    let radius = new.radius(GROWTH_RISK, view.prior).hypot(old.radius(GROWTH_RISK, view.prior));
-    (difference + radius).clamp(0.002, 1.0)
+/// How much worse the version may be, in share of poor answers.
+pub fn difference(view: &View) -> Difference {
+    Difference::between(view.new.poor, usual(view), view.prior)
+}
+
+/// Whether sessions may begin on the version: they keep it, so they wait for more evidence.
+pub fn takes_sessions(policy: &Policy, view: &View) -> bool {
+    view.new.poor.all >= FEWEST
+        && difference(view).expected_harm(policy.tolerance) <= policy.sessions_below
 }
 
 /// The share that a roll-out begins with: few enough requests before the first ratings are back.
@@ -178,9 +201,18 @@
         let begun = view.share >= first;
         return if begun { Move::Stay } else { Move::Grow(first, "first requests".to_owned()) };
     }
-    let harm = possible_harm(view);
-    if view.share >= HALF && harm <= policy.margin && view.at_share >= view.lag {
-        return Move::Complete(format!("harm above {:.1}% is ruled out", harm * 100.0));
+    let difference = difference(view);
+    let harm = difference.expected_harm(policy.tolerance);
+    let risk = difference.exceeds(policy.margin);
+    let words = || {
+        format!(
+            "harm of {:.2}% is expected; more than {:.0}% has a chance of {risk:.2}",
+            harm * 100.0,
+            policy.margin * 100.0
+        )
+    };
+    if view.share >= HALF && risk <= policy.doubt && view.at_share >= view.lag {
+        return Move::Complete(words());
     }
     let blind = view.lag.as_secs() * view.rate;
     let allowed = policy.blind / (blind * harm).max(1e-9);
@@ -189,19 +221,26 @@
     let next = Parts::of(allowed.min(paced)).min(HALF);
     if next.fraction() >= view.share.fraction() * WORTHWHILE || (next == HALF && view.share < HALF)
     {
-        return Move::Grow(next, format!("harm above {:.1}% is ruled out", harm * 100.0));
+        return Move::Grow(next, words());
     }
     Move::Stay
 }
 
-/// Which share of the answers of each version to have rated, out of `budget` ratings a second.
+/// Share of the ratings that the version rolled out gets while little is known of it.
+const SCOUTED: f64 = 0.7;
+
+/// Ratings after which both versions get as many: the difference is known best then.
+const KNOWN: f64 = 500.0;
+
+/// Which share of the answers of each version to have rated, out of `budget` ratings a second,
+/// when `rated` answers of the version rolled out were rated before.
 ///
 /// The version rolled out comes first: each of its ratings ends exposure sooner.
-pub fn sampling(share: Parts, rate: f64, budget: f64) -> (f64, f64) {
+pub fn sampling(share: Parts, rate: f64, budget: f64, rated: f64) -> (f64, f64) {
     let new_rate = rate * share.fraction();
     let old_rate = rate - new_rate;
-    let most = budget * 0.7;
-    let new = if new_rate > 0.0 { (most / new_rate).min(1.0) } else { 1.0 };
+    let part = if rated < KNOWN { SCOUTED } else { 0.5 };
+    let new = if new_rate > 0.0 { (budget * part / new_rate).min(1.0) } else { 1.0 };
     let left = budget - new * new_rate;
     let old = if old_rate > 0.0 { (left / old_rate).clamp(0.0, 1.0) } else { 0.0 };
     (new, old)
@@ -215,6 +254,7 @@
         View {
             new: Arm { poor: new, ..Arm::default() },
             old: Arm { poor: old, ..Arm::default() },
+            before: Count::default(),
             share: Parts::of(share),
             held: false,
             at_share: Span::secs(600),
@@ -237,7 +277,7 @@
         let policy = Policy::default();
         let bad = view(Count::of(100, 40), Count::of(500, 50), 0.1);
         assert!(matches!(decide(&policy, &bad), Move::Withdraw(_)));
-        let likely = view(Count::of(60, 18), Count::of(500, 50), 0.1);
+        let likely = view(Count::of(60, 15), Count::of(500, 50), 0.1);
         assert!(matches!(decide(&policy, &likely), Move::Shrink(..)));
     }
 
@@ -264,7 +304,7 @@
 
     #[test]
     fn ratings_go_to_the_new_version_first() {
-        let (new, old) = sampling(Parts::of(0.01), 50.0, 2.5);
+        let (new, old) = sampling(Parts::of(0.01), 50.0, 2.5, 0.0);
         assert_eq!(new, 1.0);
         assert!(old > 0.0 && old < 0.05);
     }
--- a/src/decide/sequential.rs
+++ b/src/decide/sequential.rs
@@ -2,11 +2,9 @@
 //!
 //! The counts are sufficient, so evidence merged from many VMs is tested as one.
 
-/// Alternatives that the test against harm is a mixture of: harm in share of bad events.
-const HARMS: [f64; 6] = [0.02, 0.04, 0.08, 0.16, 0.32, 0.64];
-
-/// Variance-scale of the normal mixture; the boundary is tightest near this many events.
-const MIXTURE: f64 = 200.0;
+/// Alternatives that the test against harm is a mixture of, in share of bad events, and their
+/// weights: harm that is worth finding fast weighs most.
+const HARMS: [(f64, f64); 5] = [(0.03, 0.15), (0.06, 0.25), (0.12, 0.3), (0.24, 0.2), (0.48, 0.1)];
 
 /// Weight of the prior that keeps rates of few events off 0 and 1.
 const PRIOR: f64 = 2.0;
@@ -34,17 +32,53 @@
         (self.bad + PRIOR * prior) / (self.all + PRIOR)
     }
 
-    /// Half the width of a confidence sequence of the share, at risk `alpha`.
-    pub fn radius(self, alpha: f64, prior: f64) -> f64 {
-        if self.all < 1.0 {
-            return 1.0;
-        }
-        let p = self.rate(prior.max(0.02));
-        let spread = p * (1.0 - p);
-        let n = self.all;
-        let log = (((n + MIXTURE) / MIXTURE).sqrt() / alpha).ln();
-        (2.0 * spread * log * (n + MIXTURE)).sqrt() / n
+    /// Both counts together.
+    pub fn plus(self, other: Count) -> Count {
+        Count { all: self.all + other.all, bad: self.bad + other.bad }
+    }
+
+    /// The same share, as if of at most `most` events.
+    pub fn at_most(self, most: f64) -> Count {
+        let kept = (most / self.all.max(1.0)).min(1.0);
+        Count { all: self.all * kept, bad: self.bad * kept }
+    }
+}
+
+/// How much larger a share of bad events may be than another: normal, as counts grow.
+#[derive(Clone, Copy, Debug)]
+pub struct Difference {
+    /// Its best estimate.
+    pub mean: f64,
+    /// Its standard error.
+    pub error: f64,
+}
+
+impl Difference {
+    /// The difference of `new` from `old`.
+    pub fn between(new: Count, old: Count, prior: f64) -> Difference {
+        let (a, b) = (new.rate(prior), old.rate(prior));
+        let spread = |p: f64, n: f64| p.max(0.01) * (1.0 - p.min(0.99)) / (n + PRIOR);
+        let error = (spread(a, new.all) + spread(b, old.all)).sqrt();
+        Difference { mean: a - b, error }
+    }
+
+    /// Chance that it exceeds `margin`.
+    pub fn exceeds(self, margin: f64) -> f64 {
+        below((self.mean - margin) / self.error)
     }
+
+    /// Its expectation beyond `tolerance`, counted as nothing where it is less.
+    pub fn expected_harm(self, tolerance: f64) -> f64 {
+        let mean = self.mean - tolerance;
+        let z = mean / self.error;
+        let density = (-0.5 * z * z).exp() / (2.0 * std::f64::consts::PI).sqrt();
+        mean * below(z) + self.error * density
+    }
+}
+
+/// Chance that a standard normal lies below `z`.
+fn below(z: f64) -> f64 {
+    0.5 * libm::erfc(-z / std::f64::consts::SQRT_2)
 }
 
 /// Logarithm of the evidence that the share of bad events lies above `usual`.
@@ -55,13 +89,14 @@
     let usual = usual.clamp(EDGE, 1.0 - EDGE);
     let good = count.all - count.bad;
     let mut terms = [0.0; HARMS.len()];
-    for (term, harm) in terms.iter_mut().zip(HARMS) {
+    for (term, (harm, weight)) in terms.iter_mut().zip(HARMS) {
         let worse = (usual + harm * (1.0 - usual)).min(1.0 - EDGE);
-        *term = count.bad * (worse / usual).ln() + good * ((1.0 - worse) / (1.0 - usual)).ln();
+        let ratio = count.bad * (worse / usual).ln() + good * ((1.0 - worse) / (1.0 - usual)).ln();
+        *term = ratio + weight.ln();
     }
     let top = terms.iter().copied().fold(f64::MIN, f64::max);
     let sum: f64 = terms.iter().map(|term| (term - top).exp()).sum();
-    top + sum.ln() - (HARMS.len() as f64).ln()
+    top + sum.ln()
 }
 
 #[cfg(test)]
@@ -92,9 +127,17 @@
     }
 
     #[test]
-    fn the_radius_shrinks_with_events() {
-        let small = Count { all: 100.0, bad: 10.0 }.radius(0.05, 0.1);
-        let large = Count { all: 10_000.0, bad: 1000.0 }.radius(0.05, 0.1);
-        assert!(large < small / 5.0);
+    fn expected_harm_falls_with_evidence_and_never_below_nothing() {
+        let harm = |n: f64| {
+            let count = Count { all: n, bad: n * 0.1 };
+            Difference::between(count, count, 0.1).expected_harm(0.0)
+        };
+        assert!(harm(10_000.0) < harm(100.0) / 5.0);
+        assert!(harm(1e6) > 0.0);
+        let worse = Count { all: 1000.0, bad: 300.0 };
+        let usual = Count { all: 1000.0, bad: 100.0 };
+        let found = Difference::between(worse, usual, 0.1);
+        assert!((found.expected_harm(0.0) - 0.2).abs() < 0.01);
+        assert!(found.exceeds(0.1) > 0.99);
     }
 }
--- a/src/engine/client.rs
+++ b/src/engine/client.rs
@@ -35,16 +35,23 @@
 }
 
 /// Why an attempt gave no stream.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct Fault {
     /// What it means for a retry.
     pub failure: Failure,
-    /// The engine's own reason, if it gave one.
-    pub reason: Option<Reason>,
+    /// The engine's own word that it did not run the work, if it gave it.
+    pub told: Option<NotRun>,
     /// In words, for the decision record.
     pub words: String,
 }
 
+impl Fault {
+    /// Whether the engine had no free slot.
+    pub fn is_full(&self) -> bool {
+        self.told.as_ref().is_some_and(|not_run| not_run.reason == Reason::Full)
+    }
+}
+
 type Body =
     std::pin::Pin<Box<dyn futures_util::Stream<Item = Result<Bytes, awc::error::PayloadError>>>>;
 
@@ -77,7 +84,7 @@
         let sent = tokio::time::timeout(TAKEN_WITHIN, request.send_json(work)).await;
         let silent = |_| Fault {
             failure: Failure::Broken,
-            reason: None,
+            told: None,
             words: format!("it did not say within {TAKEN_WITHIN:?} whether it took the work"),
         };
         let mut answer = sent.map_err(silent)?.map_err(|fault| classify(&fault))?;
@@ -91,13 +98,14 @@
                 Ok(Frames { body: Box::pin(answer), buffer: BytesMut::new(), load })
             }
             StatusCode::CONFLICT => {
-                let told = answer.json::<NotRun>().await.ok().map(|not_run| not_run.reason);
+                let told = answer.json::<NotRun>().await.ok();
                 let failure = if told.is_some() { Failure::NotRun } else { Failure::Broken };
-                Err(Fault { failure, reason: told, words: format!("it did not run: {told:?}") })
+                let reason = told.as_ref().map(|not_run| not_run.reason);
+                Err(Fault { failure, told, words: format!("it did not run: {reason:?}") })
             }
             other => Err(Fault {
                 failure: Failure::Broken,
-                reason: None,
+                told: None,
                 words: format!("it answered {other}"),
             }),
         }
@@ -136,7 +144,7 @@
         _ => false,
     };
     let failure = if never_opened { Failure::NotSent } else { Failure::Broken };
-    Fault { failure, reason: None, words: fault.to_string() }
+    Fault { failure, told: None, words: fault.to_string() }
 }
 
 impl Frames {
--- a/src/engine/wire.rs
+++ b/src/engine/wire.rs
@@ -26,6 +26,8 @@
     pub offset: u32,
     /// Higher goes first.
     pub priority: u8,
+    /// Whether it may wait for a slot; otherwise a full engine says at once that it did not run.
+    pub wait: bool,
 }
 
 /// One piece of an answer.
@@ -58,6 +60,9 @@
 pub struct NotRun {
     /// Why.
     pub reason: Reason,
+    /// Requests running and waiting, so that the sender knows better at once.
+    #[serde(default)]
+    pub load: (u32, u32),
 }
 
 /// Why an engine did not run a request.
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -4,7 +4,7 @@
 
 use crate::decide::retry::Failure;
 use crate::engine::client::{Engines, Fault, Frames};
-use crate::engine::wire::{Cancel, End, Generate, Reason};
+use crate::engine::wire::{Cancel, End, Generate, NotRun, Reason};
 use crate::history::Event;
 use crate::unit::{Moment, RequestId, Revision, Server, Span, Target};
 use crate::vm::{Errand, Group, Picked, Vm};
@@ -51,7 +51,7 @@
     };
     let Some(picked) = picked else {
         let words = format!("no server of {} can take it", work.target);
-        return Err((None, Fault { failure: Failure::NotRun, reason: None, words }));
+        return Err((None, Fault { failure: Failure::NotRun, told: None, words }));
     };
     vm.history.note(|| Event::Started {
         vm: vm.settings.vm.clone(),
@@ -84,8 +84,13 @@
 fn note_fault(vm: &Vm, picked: &Picked, fault: &Fault, now: Moment) {
     let mut fleet = vm.fleet.lock().expect("no panic while held");
     fleet.ended(&picked.server);
-    match fault.reason {
-        Some(Reason::Leaving) => fleet.leaving(&picked.server),
+    match &fault.told {
+        Some(NotRun { reason: Reason::Leaving, .. }) => fleet.leaving(&picked.server),
+        // Full is no failure: the load that it told keeps others away.
+        Some(NotRun { reason: Reason::Full, load }) => {
+            fleet.hint(&picked.server, load.0, load.1, now);
+            return;
+        }
         _ => fleet.failed(&picked.server, now),
     }
     drop(fleet);
--- a/src/entry/drive.rs
+++ b/src/entry/drive.rs
@@ -10,7 +10,7 @@
 use super::refusal::{Kind as Refused, Refusal};
 use crate::chart::{self, Machine};
 use crate::config::{Allowed, Snapshot, WorkspaceEntry};
-use crate::decide::cascade::{BINS, Rule, bin};
+use crate::decide::cascade::{self, Answer, BINS, Rule, bin};
 use crate::decide::retry::{self, Failure};
 use crate::engine::client::Engines;
 use crate::engine::wire::{End, Generate};
@@ -24,8 +24,8 @@
 /// A retry needs at least this much of the deadline.
 const LEAST: Span = Span::millis(20);
 
-/// Share of requests that try the cheap rung though the rule begins with the strong one.
-const EXPLORE: f64 = 0.02;
+/// Full engines that a request may meet before it waits at one.
+const BOUNCES: u32 = 3;
 
 /// What the drive tells the door.
 pub enum Out {
@@ -132,7 +132,7 @@
         headed: false,
         first_token: None,
     };
-    drive.vm.earn_retry();
+    drive.vm.earn();
     drive.whole().await;
     drive.trace();
     drop(in_flight);
@@ -182,8 +182,10 @@
             Route::Cascade(cheap, strong) => (cheap, strong),
         };
         let rule = self.rule();
-        let explore = rand::random::<f64>() < EXPLORE;
-        if rule.direct && !explore {
+        let point = rand::random::<f64>();
+        let strong_first = rule.begins_strong(point);
+        let explore = rand::random::<f64>() < rule.explore;
+        if strong_first && !explore {
             self.steps.push(format!("the cascade begins with {strong}: its rule says so"));
             return self.direct(&strong).await;
         }
@@ -198,8 +200,8 @@
         };
         let bin = bin(end.confidence);
         let expected = rule.cheap[bin];
-        self.rate_cheap(&cheap, bin, &kept);
-        if rule.keep[bin] && !rule.direct {
+        self.rate_cheap(&cheap, bin, &rule, &kept);
+        if rule.keeps(bin, point) && !strong_first {
             self.steps.push(format!(
                 "keeps the answer of {cheap}: confidence {:.2}, expected to pass {expected:.2}",
                 end.confidence
@@ -220,14 +222,14 @@
         self.take("climb");
         let mut kept = Vec::new();
         let end = self.sent(&strong, &mut kept).await?;
-        self.rate_strong(&strong, bin, &kept);
+        self.rate_strong(&strong, bin, &rule, &kept);
         Ok(end)
     }
 
     async fn direct(&mut self, strong: &Target) -> Result<End, Stop> {
         let mut kept = Vec::new();
         let end = self.sent(strong, &mut kept).await?;
-        self.rate_strong(strong, BINS, &kept);
+        self.rate_strong(strong, BINS, &self.rule(), &kept);
         Ok(end)
     }
 
@@ -250,7 +252,7 @@
                 let mut kept = Vec::new();
                 let end = self.stream(target, &mut kept, true).await?;
                 let keys = self.trial_key(target).into_iter().collect();
-                self.rate(target, self.job.request.clone(), keys, kept.concat());
+                self.rate(target, self.job.request.clone(), keys, 1.0, kept.concat());
                 Ok(end)
             }
         }
@@ -292,13 +294,14 @@
         first: &mut Option<Moment>,
     ) -> Result<End, Stop> {
         let mut tries = 0;
+        let mut bounces = 0;
         loop {
             let vm = self.vm.clone();
             // Held until the engine has taken the work or surely has not.
             let (snapshot, dispatch) = vm.dispatch();
             self.gate(target, snapshot)?;
             self.take("choose");
-            let work = self.work(target, kept.len() as u32);
+            let work = self.work(target, kept.len() as u32, bounces >= BOUNCES);
             self.attempts += 1;
             tries += 1;
             let mut steps = Vec::new();
@@ -323,6 +326,13 @@
                         }
                     }
                 }
+                Err((_, fault)) if fault.is_full() && bounces < BOUNCES => {
+                    // Nothing ran and little time was lost: it costs no retry.
+                    bounces += 1;
+                    tries -= 1;
+                    self.take("fail");
+                    continue;
+                }
                 Err((_, fault)) => (fault.failure, fault.words),
             };
             self.take("fail");
@@ -370,7 +380,7 @@
         }
     }
 
-    fn work(&self, target: &Target, offset: u32) -> Generate {
+    fn work(&self, target: &Target, offset: u32, wait: bool) -> Generate {
         Generate {
             request: self.job.request.clone(),
             attempt: self.attempts,
@@ -380,6 +390,7 @@
             max_tokens: self.job.max_tokens,
             offset,
             priority: self.job.priority,
+            wait,
         }
     }
 
@@ -470,7 +481,7 @@
         Some(Key::Trial { target: target.clone(), since })
     }
 
-    fn rate_cheap(&self, target: &Target, bin: usize, kept: &[String]) {
+    fn rate_cheap(&self, target: &Target, bin: usize, rule: &Rule, kept: &[String]) {
         let key = Key::Cheap {
             workspace: self.job.workspace.name.clone(),
             kind: self.job.kind.clone(),
@@ -479,28 +490,37 @@
         self.vm.learn(key.clone(), Tally { ended: 1, ..Tally::default() });
         let keys = self.trial_key(target).into_iter().chain([key]).collect();
         let id = format!("{}.cheap", self.job.request);
+        let worth = cascade::worth(rule, Answer::Cheap(bin));
         if let Ok(id) = id.parse() {
-            self.rate(target, id, keys, kept.concat());
+            self.rate(target, id, keys, worth, kept.concat());
         }
     }
 
-    fn rate_strong(&self, target: &Target, bin: usize, kept: &[String]) {
+    fn rate_strong(&self, target: &Target, bin: usize, rule: &Rule, kept: &[String]) {
         let key = Key::Strong {
             workspace: self.job.workspace.name.clone(),
             kind: self.job.kind.clone(),
             bin: bin as u8,
         };
+        self.vm.learn(key.clone(), Tally { ended: 1, ..Tally::default() });
         let keys = self.trial_key(target).into_iter().chain([key]).collect();
-        self.rate(target, self.job.request.clone(), keys, kept.concat());
+        let answer = if bin == BINS { Answer::Direct } else { Answer::Climbed };
+        let worth = cascade::worth(rule, answer);
+        self.rate(target, self.job.request.clone(), keys, worth, kept.concat());
     }
 
-    /// Has an answer rated, by chance.
-    fn rate(&self, target: &Target, id: RequestId, keys: Vec<Key>, answer: String) {
-        let (new, usual) = *self.vm.sampling.read().expect("no panic while held");
+    /// Has an answer rated: by a roll-out's sampling, or where a rating tells most.
+    fn rate(&self, target: &Target, id: RequestId, keys: Vec<Key>, worth: f64, answer: String) {
         let rolling = self.job.snapshot.rollout(&target.model);
-        let is_new = rolling.is_some_and(|rollout| rollout.to == *target);
-        let chance = if is_new { new } else { usual };
-        if rand::random::<f64>() >= chance {
+        let rated = match rolling {
+            Some(rollout) => {
+                let (new, usual) = *self.vm.sampling.read().expect("no panic while held");
+                let chance = if rollout.to == *target { new } else { usual };
+                rand::random::<f64>() < chance
+            }
+            None => self.vm.spend_rating(worth, rand::random()),
+        };
+        if !rated {
             return;
         }
         let subject = Subject { keys, date: self.vm.clock.date() };
--- a/src/entry/models.rs
+++ b/src/entry/models.rs
@@ -243,7 +243,7 @@
     let mut workspace = caller.workspace;
     let (route, in_session, born) = match in_header.or(in_body) {
         Some("new") => {
-            let route = route(&snapshot, &workspace, &chat.model, point)?;
+            let route = route(&snapshot, &workspace, &chat.model, point, true)?;
             let target = match &route {
                 Route::Fixed(t) | Route::Model(t) | Route::Cascade(_, t) => t.clone(),
             };
@@ -274,7 +274,7 @@
             }
             (Route::Fixed(session.target.clone()), true, Some(session))
         }
-        None => (route(&snapshot, &workspace, &chat.model, point)?, false, None),
+        None => (route(&snapshot, &workspace, &chat.model, point, false)?, false, None),
     };
     let job = Job {
         request: id,
@@ -310,9 +310,10 @@
     workspace: &WorkspaceEntry,
     name: &str,
     point: f64,
+    begins: bool,
 ) -> Result<Route, Refusal> {
     if let Some(cascade) = snapshot.cascade(workspace, name) {
-        let choose = |model| snapshot.choose(workspace, model, point);
+        let choose = |model| snapshot.choose(workspace, model, point, begins);
         let rungs: Vec<Target> = cascade.rungs.iter().filter_map(choose).collect();
         return match rungs.as_slice() {
             [] => Err(Refusal::new(Refused::NotAllowed)),
@@ -332,7 +333,7 @@
     if snapshot.model(&model).is_none() {
         return Err(Refusal::new(Refused::UnknownModel));
     }
-    let chosen = snapshot.choose(workspace, &model, point);
+    let chosen = snapshot.choose(workspace, &model, point, begins);
     chosen.map(Route::Model).ok_or_else(|| Refusal::new(Refused::NotAllowed))
 }
 
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -224,7 +224,7 @@
     caller: &Caller,
     call: &Call,
 ) -> Result<Reply, Refusal> {
-    vm.earn_retry();
+    vm.earn();
     let group = Group::Service(call.service.clone());
     let mut tries = 0;
     loop {
--- /dev/null
+++ b/src/experiment/cascade.rs
@@ -0,0 +1,403 @@
+//! Cascades: cost at the quality target, policies compared on the same requests.
+//!
+//! Each request has a kind and a confidence of its cheap answer; the chance that either answer
+//! passes is a function of the two, known to the bounds and hidden from the policies.
+
+use std::collections::VecDeque;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::options::Options;
+use super::table::{Row, Table, quantile};
+use crate::decide::cascade::{
+    Answer, BINS, Belief, Credit, FADE, Rule, Rungs, Watch, bin, solve, worth,
+};
+
+/// Costs of a cheap and a strong answer.
+const CHEAP: f64 = 1.0;
+const STRONG: f64 = 15.0;
+
+/// Mean times of a cheap and a strong answer, in milliseconds.
+const CHEAP_MS: f64 = 300.0;
+const STRONG_MS: f64 = 900.0;
+
+/// Share of answers that must pass.
+const TARGET: f64 = 0.9;
+
+/// Requests if no number is given, and requests a second.
+const REQUESTS: usize = 60_000;
+const RATE: f64 = 50.0;
+
+/// Share of the run that counts as learning.
+const WARM_UP: f64 = 0.15;
+
+/// Length of the windows in which quality is looked at, and their distance.
+const WINDOW: usize = 1000;
+const APART: usize = 100;
+
+/// Requests between two solutions of the rules.
+const SOLVE_EVERY: usize = 100;
+
+struct Request {
+    kind: usize,
+    segment: usize,
+    confidence: f64,
+    cheap: f64,
+    strong: f64,
+    cheap_passes: bool,
+    strong_passes: bool,
+    cheap_ms: f64,
+    strong_ms: f64,
+    explore: f64,
+    point: f64,
+    rated: f64,
+    which: f64,
+}
+
+/// The chance that a cheap answer of some kind passes, by confidence.
+struct Curve {
+    low: f64,
+    high: f64,
+    bend: f64,
+    crowd: f64,
+}
+
+impl Curve {
+    fn draw(rng: &mut SmallRng, mean: f64) -> Curve {
+        let mut curve = Curve {
+            low: rng.random_range(0.1..0.35),
+            high: rng.random_range(0.93..0.99),
+            bend: rng.random_range(0.7..1.6),
+            crowd: 1.0,
+        };
+        // Confidences crowd towards one end until the mean is met.
+        let (mut few, mut many) = (0.02f64, 50.0f64);
+        for _ in 0..60 {
+            curve.crowd = (few * many).sqrt();
+            let points =
+                (0..200).map(|i| curve.pass(((f64::from(i) + 0.5) / 200.0).powf(curve.crowd)));
+            let met = points.sum::<f64>() / 200.0;
+            if met > mean { few = curve.crowd } else { many = curve.crowd }
+        }
+        curve
+    }
+
+    fn pass(&self, confidence: f64) -> f64 {
+        self.low + (self.high - self.low) * confidence.powf(self.bend)
+    }
+}
+
+fn draw(options: &Options) -> Vec<Request> {
+    let mut rng = SmallRng::seed_from_u64(options.seed);
+    let requests = options.requests.unwrap_or(REQUESTS);
+    let segments = options.drift + 1;
+    let mut worlds = Vec::new();
+    for _ in 0..segments {
+        let mut curves = Vec::new();
+        for kind in 0..options.kinds {
+            let lean = if options.kinds > 1 {
+                0.3 * (kind as f64 / (options.kinds - 1) as f64 - 0.5)
+            } else {
+                0.0
+            };
+            let shaken = if segments > 1 { rng.random_range(-0.12..0.12) } else { 0.0 };
+            let mean = (options.cheap_pass + lean + shaken).clamp(0.15, 0.92);
+            curves.push(Curve::draw(&mut rng, mean));
+        }
+        worlds.push(curves);
+    }
+    let request = |i: usize| {
+        let segment = i * segments / requests;
+        let kind = rng.random_range(0..options.kinds);
+        let curve = &worlds[segment][kind];
+        let confidence = rng.random::<f64>().powf(curve.crowd);
+        let cheap = curve.pass(confidence);
+        let strong = 0.98 - 0.06 * (1.0 - confidence);
+        let exponential = |rng: &mut SmallRng| -(1.0 - rng.random::<f64>()).ln();
+        Request {
+            kind,
+            segment,
+            confidence,
+            cheap,
+            strong,
+            cheap_passes: rng.random::<f64>() < cheap,
+            strong_passes: rng.random::<f64>() < strong,
+            cheap_ms: CHEAP_MS * (0.5 + 0.5 * exponential(&mut rng)),
+            strong_ms: STRONG_MS * (0.5 + 0.5 * exponential(&mut rng)),
+            explore: rng.random(),
+            point: rng.random(),
+            rated: rng.random(),
+            which: rng.random(),
+        }
+    };
+    (0..requests).map(request).collect()
+}
+
+/// What a policy did with each request.
+struct Trail {
+    cost: Vec<f64>,
+    quality: Vec<f64>,
+    latency: Vec<f64>,
+}
+
+impl Trail {
+    fn new() -> Trail {
+        Trail { cost: Vec::new(), quality: Vec::new(), latency: Vec::new() }
+    }
+
+    fn cheap(&mut self, request: &Request) {
+        self.push(CHEAP, request.cheap, request.cheap_ms);
+    }
+
+    fn climb(&mut self, request: &Request) {
+        self.push(CHEAP + STRONG, request.strong, request.cheap_ms + request.strong_ms);
+    }
+
+    fn direct(&mut self, request: &Request) {
+        self.push(STRONG, request.strong, request.strong_ms);
+    }
+
+    fn push(&mut self, cost: f64, quality: f64, latency: f64) {
+        self.cost.push(cost);
+        self.quality.push(quality);
+        self.latency.push(latency);
+    }
+
+    fn row(mut self, name: &str, bound: &Trail, target: f64) -> Row {
+        let warm = (self.cost.len() as f64 * WARM_UP) as usize;
+        let mean = |values: &[f64]| values.iter().sum::<f64>() / values.len().max(1) as f64;
+        let worst = (warm..self.quality.len().saturating_sub(WINDOW))
+            .step_by(APART)
+            .map(|at| mean(&self.quality[at..at + WINDOW]))
+            .fold(1.0, f64::min);
+        Row::named("policy", name)
+            .number("cost", mean(&self.cost), 4)
+            .number("cost_ratio", mean(&self.cost) / mean(&bound.cost), 4)
+            .number("cost_ratio_after", mean(&self.cost[warm..]) / mean(&bound.cost[warm..]), 4)
+            .number("quality", mean(&self.quality), 4)
+            .number("target", target, 2)
+            .number("worst_window_quality", worst, 4)
+            .number("latency_p50_ms", quantile(&mut self.latency, 0.5), 0)
+            .number("latency_p99_ms", quantile(&mut self.latency, 0.99), 0)
+    }
+}
+
+/// The least cost with every true chance known: one price of quality for each stretch of time.
+fn informed(requests: &[Request]) -> Trail {
+    let mut trail = Trail::new();
+    for segment in requests.chunk_by(|a, b| a.segment == b.segment) {
+        let kinds = 1 + segment.iter().map(|request| request.kind).max().unwrap_or(0);
+        let quality = |price: f64| {
+            let mut part = Trail::new();
+            priced(segment, kinds, price, &mut part);
+            part.quality.iter().sum::<f64>() / part.quality.len() as f64
+        };
+        let (mut low, mut high) = (0.0, 1e5);
+        for _ in 0..60 {
+            let middle = (low + high) / 2.0;
+            if quality(middle) >= TARGET { high = middle } else { low = middle }
+        }
+        priced(segment, kinds, high, &mut trail);
+    }
+    trail
+}
+
+fn priced(segment: &[Request], kinds: usize, price: f64, trail: &mut Trail) {
+    let mut first = vec![0.0; kinds];
+    for request in segment {
+        let kept = -price * request.cheap;
+        let climbed = STRONG - price * request.strong;
+        let direct = STRONG - price * request.strong;
+        first[request.kind] += CHEAP + kept.min(climbed) - direct;
+    }
+    for request in segment {
+        if first[request.kind] > 0.0 {
+            trail.direct(request);
+        } else if -price * request.cheap <= STRONG - price * request.strong {
+            trail.cheap(request);
+        } else {
+            trail.climb(request);
+        }
+    }
+}
+
+/// The least cost with every outcome known beforehand.
+fn clairvoyant(requests: &[Request]) -> Trail {
+    let mut trail = Trail::new();
+    let passes = requests.iter().filter(|request| request.cheap_passes).count();
+    let mut lacking = (TARGET * requests.len() as f64) as usize - passes.min(requests.len());
+    for request in requests {
+        if !request.cheap_passes && request.strong_passes && lacking > 0 {
+            lacking -= 1;
+            trail.push(STRONG, 1.0, request.strong_ms);
+        } else {
+            let passed = f64::from(u8::from(request.cheap_passes));
+            trail.push(CHEAP, passed, request.cheap_ms);
+        }
+    }
+    trail
+}
+
+/// The cheapest threshold of confidence, the same for all kinds, that meets the target at last.
+fn fixed(requests: &[Request]) -> Trail {
+    let at = |threshold: f64| {
+        let mut trail = Trail::new();
+        for request in requests {
+            if request.confidence >= threshold {
+                trail.cheap(request)
+            } else {
+                trail.climb(request)
+            }
+        }
+        trail
+    };
+    let meets =
+        |trail: &Trail| trail.quality.iter().sum::<f64>() / trail.quality.len() as f64 >= TARGET;
+    let found = (0..=100).map(|i| at(f64::from(i) / 100.0)).find(meets);
+    found.unwrap_or_else(|| at(1.01))
+}
+
+struct Rated {
+    due: usize,
+    kind: usize,
+    bin: usize,
+    answer: Answer,
+    expected: f64,
+    pass: bool,
+}
+
+struct Ours {
+    beliefs: Vec<Belief>,
+    watches: Vec<Watch>,
+    rules: Vec<Rule>,
+    rungs: Rungs,
+    ratings: VecDeque<Rated>,
+    credit: Credit,
+    rated: usize,
+}
+
+impl Ours {
+    fn new(options: &Options) -> Ours {
+        Ours {
+            beliefs: vec![Belief::default(); options.kinds],
+            watches: vec![Watch::default(); options.kinds],
+            rules: vec![Rule::default(); options.kinds],
+            rungs: Rungs {
+                cheap_cost: CHEAP,
+                strong_cost: STRONG,
+                cheap_quality: options.cheap_pass,
+                strong_quality: 0.95,
+            },
+            ratings: VecDeque::new(),
+            credit: Credit::default(),
+            rated: 0,
+        }
+    }
+
+    fn run(&mut self, requests: &[Request], options: &Options) -> Trail {
+        let mut trail = Trail::new();
+        let lag = (options.rating_lag.as_secs() * RATE) as usize;
+        for (i, request) in requests.iter().enumerate() {
+            self.learn(i);
+            if i % SOLVE_EVERY == 0 {
+                self.rules = solve(&self.beliefs, &self.rungs, TARGET);
+            }
+            self.decide(i + lag, request, options.rated_share, &mut trail);
+        }
+        trail
+    }
+
+    fn decide(&mut self, due: usize, request: &Request, share: f64, trail: &mut Trail) {
+        self.credit.earn(share);
+        self.beliefs[request.kind].asked += 1.0;
+        let rule = self.rules[request.kind];
+        let strong = rule.begins_strong(request.point);
+        if strong && request.explore >= rule.explore {
+            trail.direct(request);
+            self.rate(due, request, Answer::Direct, BINS, request.rated);
+            return;
+        }
+        let bin = bin(request.confidence);
+        self.beliefs[request.kind].seen[bin] += 1.0;
+        self.rate(due, request, Answer::Cheap(bin), bin, request.rated);
+        if rule.keeps(bin, request.point) && !strong {
+            trail.cheap(request);
+            return;
+        }
+        trail.climb(request);
+        self.rate(due, request, Answer::Climbed, bin, request.which);
+    }
+
+    fn rate(&mut self, due: usize, request: &Request, answer: Answer, bin: usize, point: f64) {
+        let rule = &self.rules[request.kind];
+        if !self.credit.spend(worth(rule, answer), point) {
+            return;
+        }
+        let cheap = matches!(answer, Answer::Cheap(_));
+        let expected = if cheap { rule.cheap[bin] } else { self.rungs.strong_quality };
+        let pass = if cheap { request.cheap_passes } else { request.strong_passes };
+        self.ratings.push_back(Rated { due, kind: request.kind, bin, answer, expected, pass });
+        self.rated += 1;
+    }
+
+    fn learn(&mut self, now: usize) {
+        while self.ratings.front().is_some_and(|rated| rated.due <= now) {
+            let rated = self.ratings.pop_front().expect("there is one");
+            let belief = &mut self.beliefs[rated.kind];
+            belief.decay(FADE);
+            let cell = match rated.answer {
+                Answer::Cheap(bin) => &mut belief.cheap[bin],
+                Answer::Climbed => &mut belief.strong[rated.bin],
+                Answer::Direct => &mut belief.direct,
+            };
+            cell.add(rated.pass);
+            let watched = matches!(rated.answer, Answer::Cheap(_)) && rated.expected > 0.0;
+            if watched && self.watches[rated.kind].note(rated.expected, rated.pass) {
+                belief.doubt();
+            }
+        }
+    }
+}
+
+/// Runs all policies on the same requests.
+pub fn run(options: &Options) -> Table {
+    let requests = draw(options);
+    let bound = informed(&requests);
+    let mut table = Table::default();
+    let mut always_cheap = Trail::new();
+    let mut always_strong = Trail::new();
+    for request in &requests {
+        always_cheap.cheap(request);
+        always_strong.direct(request);
+    }
+    let mut policy = Ours::new(options);
+    let ours = policy.run(&requests, options);
+    let clairvoyant = clairvoyant(&requests);
+    let rows = [
+        ("always cheap", always_cheap),
+        ("always strong", always_strong),
+        ("best fixed threshold", fixed(&requests)),
+        ("ours", ours),
+        ("clairvoyant", clairvoyant),
+        ("informed bound", informed(&requests)),
+    ];
+    table.rows = rows.into_iter().map(|(name, trail)| trail.row(name, &bound, TARGET)).collect();
+    table.notes.push(format!(
+        "{} requests, {} kinds, cheap pass {}, {} sudden changes, rated share {}, rating lag {}.",
+        requests.len(),
+        options.kinds,
+        options.cheap_pass,
+        options.drift,
+        options.rated_share,
+        options.rating_lag
+    ));
+    let rated = policy.rated as f64 / requests.len() as f64;
+    table.notes.push(format!("Ours had {:.2}% of requests rated.", rated * 100.0));
+    table.notes.push(
+        "Quality is the mean true chance to pass of what was served; the threshold and the bounds \
+         are chosen in hindsight."
+            .to_owned(),
+    );
+    table
+}
--- /dev/null
+++ b/src/experiment/mod.rs
@@ -0,0 +1,30 @@
+//! Measured comparisons. The decisions are those of `decide`, called by the server too.
+
+mod cascade;
+mod options;
+mod overload;
+mod replica;
+mod rollout;
+mod table;
+
+pub use options::Options;
+pub use table::{Row, Table};
+
+use crate::error::Error;
+
+/// The experiments by name.
+pub const NAMES: &str = "cascade, rollout, replica, overload";
+
+/// Runs an experiment.
+///
+/// # Errors
+/// If there is none of that name, or it cannot be run.
+pub fn run(name: &str, options: &Options) -> Result<Table, Error> {
+    match name {
+        "cascade" => Ok(cascade::run(options)),
+        "rollout" => Ok(rollout::run(options)),
+        "replica" => Ok(replica::run(options)),
+        "overload" => Ok(overload::run(options)),
+        _ => Err(Error::flag("experiment", name, format!("name one of {NAMES}."))),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod entry;
 pub mod error;
 pub mod evidence;
+pub mod experiment;
 pub mod history;
 pub mod ledger;
 pub mod once;
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -165,7 +165,8 @@
         if !state.loaded.contains(&work.target) {
             return Err(Reason::NotLoaded);
         }
-        if state.waiting >= state.traits.queue {
+        let full = state.running + state.waiting >= state.traits.slots;
+        if state.waiting >= state.traits.queue || full && !work.wait {
             return Err(Reason::Full);
         }
         state.waiting += 1;
@@ -264,13 +265,14 @@
 
 async fn generate(engine: Data<Engine>, work: Json<Generate>) -> HttpResponse {
     let work = work.into_inner();
-    if let Err(reason) = engine.admit(&work) {
-        return HttpResponse::Conflict().json(NotRun { reason });
-    }
+    let admitted = engine.admit(&work);
     let (running, waiting) = {
         let state = engine.lock();
         (state.running, state.waiting)
     };
+    if let Err(reason) = admitted {
+        return HttpResponse::Conflict().json(NotRun { reason, load: (running, waiting) });
+    }
     let (sender, receiver) = mpsc::channel(AHEAD);
     actix_web::rt::spawn(engine.get_ref().clone().run(work, sender));
     HttpResponse::Ok()
--- a/src/vm/duty.rs
+++ b/src/vm/duty.rs
@@ -98,14 +98,18 @@
 async fn step(control: &Control, snapshot: &Snapshot, rollout: &Rollout, memory: &mut Memory) {
     if rollout.state == "loading" {
         if load_ahead(control, snapshot, rollout).await {
-            change(control, snapshot, rollout, "loaded", Parts(0), "all its servers have it").await;
+            let nothing = (Parts(0), false);
+            change(control, snapshot, rollout, "loaded", nothing, "all its servers have it").await;
         }
         return;
     }
     let view = view(control, snapshot, rollout, memory);
     let policy = &control.vm.settings.rollout;
-    let decided = rollout::decide(policy, &view);
-    let (event, share, reason) = match decided {
+    let (event, share, reason) = match rollout::decide(policy, &view) {
+        // Sessions may be let in, or kept out, without a change of share.
+        Move::Stay if rollout.sessions != rollout::takes_sessions(policy, &view) => {
+            ("grow", rollout.share, "sessions".to_owned())
+        }
         Move::Stay => return,
         Move::Grow(share, reason) => ("grow", share, reason),
         Move::Shrink(share, reason) => ("shrink", share, reason),
@@ -114,7 +118,11 @@
         Move::Complete(reason) => ("complete", Parts::ALL, reason),
         Move::Withdraw(reason) => ("withdraw", Parts(0), reason),
     };
-    change(control, snapshot, rollout, event, share, &reason).await;
+    if rollout.state == "held" && event == "grow" {
+        return;
+    }
+    let sessions = rollout::takes_sessions(policy, &view);
+    change(control, snapshot, rollout, event, (share, sessions), &reason).await;
 }
 
 async fn change(
@@ -122,7 +130,7 @@
     snapshot: &Snapshot,
     rollout: &Rollout,
     event: &str,
-    share: Parts,
+    (share, sessions): (Parts, bool),
     reason: &str,
 ) {
     let words = vec![format!("roll-out of {}: {event} to {share}: {reason}", rollout.to)];
@@ -130,6 +138,7 @@
         model: rollout.to.model.clone(),
         event: event.to_owned(),
         share,
+        sessions,
         reason: reason.to_owned(),
     };
     let plan = Plan::new(snapshot.revision(), vec![step], words.clone(), Vec::new());
@@ -138,14 +147,11 @@
     match confirm(&control.store, &plan, &who, date).await {
         Ok(Confirmed::Now(revision) | Confirmed::Before(revision)) => {
             log::info!("{who} revision {revision}: {}", words[0]);
-            let _ = spread::read_root(control).await;
         }
         // Another VM or an operator was first; the next look sees what they did.
-        Err(fault) => {
-            log::debug!("{fault}");
-            let _ = spread::read_root(control).await;
-        }
+        Err(fault) => log::debug!("{fault}"),
     }
+    let _ = spread::read_root(control).await;
 }
 
 /// Orders the next server to load the version, one at a time to spare the weight store.
@@ -206,6 +212,7 @@
     View {
         new: arm(new),
         old: arm(old),
+        before: before(control, &from, rollout.begun.0),
         share: rollout.share,
         held: rollout.state == "held",
         at_share: date.since(rollout.since),
@@ -217,6 +224,18 @@
     }
 }
 
+/// Ratings of a version in the windows before a roll-out began.
+fn before(control: &Control, from: &Target, begun: u64) -> Count {
+    let oldest = begun.saturating_sub(WINDOWS_KEPT * super::state::WINDOW);
+    let earlier = |key: &Key| match key {
+        Key::Trial { target, since } => target == from && (oldest..begun).contains(since),
+        _ => false,
+    };
+    let sums = control.gossip(|g| g.evidence.sums(earlier));
+    let ratings = sums.values().map(|tally| Count::of(tally.rated, tally.poor));
+    ratings.fold(Count::default(), Count::plus)
+}
+
 /// Watches versions long in service: the present window against the ones before.
 pub async fn watch_service(control: Control) {
     loop {
@@ -295,29 +314,39 @@
 /// Learns the rules of cascades, the parts of limits and the sampling of ratings.
 pub async fn learn(control: Control) {
     let mut demand: BTreeMap<Workspace, (u64, u64, f64, f64)> = BTreeMap::new();
+    let mut learnt: HashMap<Workspace, Learnt> = HashMap::new();
     loop {
         tokio::time::sleep(LEARN_EVERY).await;
         let snapshot = control.vm.config();
-        learn_rules(&control, &snapshot);
+        learn_rules(&control, &snapshot, &mut learnt);
         learn_parts(&control, &snapshot, &mut demand);
         learn_sampling(&control, &snapshot);
         forget(&control, &snapshot);
     }
 }
 
-fn learn_rules(control: &Control, snapshot: &Snapshot) {
+/// What was learnt of one workspace: the sums seen last, and what is believed since.
+#[derive(Default)]
+struct Learnt {
+    sums: BTreeMap<Key, Tally>,
+    beliefs: BTreeMap<Kind, Belief>,
+    watches: BTreeMap<Kind, cascade::Watch>,
+}
+
+fn learn_rules(control: &Control, snapshot: &Snapshot, learnt: &mut HashMap<Workspace, Learnt>) {
     for workspace in &snapshot.declared.workspaces {
+        if workspace.cascades.is_empty() {
+            continue;
+        }
+        let known = learnt.entry(workspace.name.clone()).or_default();
+        absorb(control, &workspace.name, known);
         for declared in &workspace.cascades {
-            let Some(rungs) = rungs(snapshot, &declared.rungs) else {
-                continue;
-            };
-            let beliefs = beliefs(control, &workspace.name);
-            let kinds: Vec<Kind> = beliefs.keys().cloned().collect();
-            let beliefs: Vec<Belief> = beliefs.into_values().collect();
+            let Some(rungs) = rungs(snapshot, &declared.rungs) else { continue };
+            let beliefs: Vec<Belief> = known.beliefs.values().cloned().collect();
             let rules = cascade::solve(&beliefs, &rungs, declared.target);
             let mut held = control.vm.rules.write().expect("no panic while held");
-            for (kind, rule) in kinds.into_iter().zip(rules) {
-                held.insert((workspace.name.clone(), kind), rule);
+            for (kind, rule) in known.beliefs.keys().zip(rules) {
+                held.insert((workspace.name.clone(), kind.clone()), rule);
             }
         }
     }
@@ -339,33 +368,50 @@
     })
 }
 
-fn beliefs(control: &Control, workspace: &Workspace) -> BTreeMap<Kind, Belief> {
+/// Adds what evidence has grown by to what is believed; older ratings fade.
+fn absorb(control: &Control, workspace: &Workspace, known: &mut Learnt) {
     let of_workspace = |key: &Key| match key {
         Key::Cheap { workspace: w, .. } | Key::Strong { workspace: w, .. } => w == workspace,
         _ => false,
     };
     let sums = control.gossip(|g| g.evidence.sums(of_workspace));
-    let mut beliefs: BTreeMap<Kind, Belief> = BTreeMap::new();
-    for (key, tally) in sums {
-        let (all, pass) = (tally.rated as f64, (tally.rated - tally.poor.min(tally.rated)) as f64);
-        match key {
-            Key::Cheap { kind, bin, .. } => {
-                let belief = beliefs.entry(kind).or_default();
-                let bin = usize::from(bin).min(cascade::BINS - 1);
-                belief.seen[bin] += tally.ended as f64;
-                belief.cheap[bin] = cascade::Cell { all, pass };
+    for (key, sum) in &sums {
+        let before = known.sums.get(key).copied().unwrap_or_default();
+        let ended = sum.ended.saturating_sub(before.ended) as f64;
+        let rated = sum.rated.saturating_sub(before.rated);
+        let poor = sum.poor.saturating_sub(before.poor);
+        let (Key::Cheap { kind, bin, .. } | Key::Strong { kind, bin, .. }) = key else { continue };
+        let bin = usize::from(*bin).min(cascade::BINS);
+        let belief = known.beliefs.entry(kind.clone()).or_default();
+        belief.decay(cascade::FADE.powf(rated as f64));
+        let cell = match key {
+            Key::Cheap { .. } => {
+                belief.asked += ended;
+                belief.seen[bin.min(cascade::BINS - 1)] += ended;
+                &mut belief.cheap[bin.min(cascade::BINS - 1)]
             }
-            Key::Strong { kind, bin, .. } => {
-                let belief = beliefs.entry(kind).or_default();
-                match belief.strong.get_mut(usize::from(bin)) {
-                    Some(cell) => *cell = cascade::Cell { all, pass },
-                    None => belief.direct = cascade::Cell { all, pass },
-                }
+            _ if bin < cascade::BINS => &mut belief.strong[bin],
+            _ => {
+                belief.asked += ended;
+                &mut belief.direct
             }
-            Key::Trial { .. } | Key::Demand { .. } => {}
+        };
+        for i in 0..rated {
+            cell.add(i >= poor);
+        }
+        if !matches!(key, Key::Cheap { .. }) || known.sums.is_empty() {
+            continue;
+        }
+        let rules = control.vm.rules.read().expect("no panic while held");
+        let rule = rules.get(&(workspace.clone(), kind.clone()));
+        let expected = rule.map_or(0.0, |rule| rule.cheap[bin.min(cascade::BINS - 1)]);
+        let watch = known.watches.entry(kind.clone()).or_default();
+        let alarms = (0..rated).filter(|i| expected > 0.0 && watch.note(expected, *i >= poor));
+        if alarms.count() > 0 {
+            belief.doubt();
         }
     }
-    beliefs
+    known.sums = sums;
 }
 
 fn learn_parts(
@@ -392,10 +438,14 @@
 }
 
 fn learn_sampling(control: &Control, snapshot: &Snapshot) {
-    let share = snapshot.root.rollouts.iter().map(|rollout| rollout.share).max();
     let usual = control.vm.settings.rated_share;
-    let sampling = match share {
-        Some(share) => rollout::sampling(share, 1.0, usual),
+    let rollout = snapshot.root.rollouts.iter().max_by_key(|rollout| rollout.share);
+    let sampling = match rollout {
+        Some(rollout) => {
+            let key = Key::Trial { target: rollout.to.clone(), since: rollout.begun.0 };
+            let rated = control.gossip(|g| g.evidence.sum(&key).rated);
+            rollout::sampling(rollout.share, 1.0, usual, rated as f64)
+        }
         None => (usual, usual),
     };
     *control.vm.sampling.write().expect("no panic while held") = sampling;
--- a/src/vm/state.rs
+++ b/src/vm/state.rs
@@ -9,7 +9,7 @@
 use super::ratings::Waiting;
 use super::{Clock, Errand, Fleet, Settings};
 use crate::config::Snapshot;
-use crate::decide::cascade::Rule;
+use crate::decide::cascade::{Credit, Rule};
 use crate::decide::limit::Bucket;
 use crate::decide::retry::Budget;
 use crate::evidence::{Key, Origin, Tally};
@@ -57,6 +57,7 @@
     dispatches: Mutex<BTreeMap<Revision, usize>>,
     buckets: Mutex<HashMap<Workspace, Bucket>>,
     retries: Mutex<Budget>,
+    ratings: Mutex<Credit>,
     permit_until: AtomicU64,
     numbers: AtomicU64,
     errands: mpsc::UnboundedSender<Errand>,
@@ -92,6 +93,7 @@
             dispatches: Mutex::default(),
             buckets: Mutex::default(),
             retries: Mutex::default(),
+            ratings: Mutex::default(),
             permit_until: AtomicU64::new(0),
             numbers: AtomicU64::new(0),
             errands,
@@ -175,9 +177,15 @@
         bucket.take(rate, now)
     }
 
-    /// Counts a first attempt for the budget of retries.
-    pub fn earn_retry(&self) {
+    /// Counts a first attempt for the budgets of retries and ratings.
+    pub fn earn(&self) {
         self.retries.lock().expect("no panic while held").earn();
+        self.ratings.lock().expect("no panic while held").earn(self.settings.rated_share);
+    }
+
+    /// Whether to have an answer rated; `worth` is how much its rating tells.
+    pub fn spend_rating(&self, worth: f64, point: f64) -> bool {
+        self.ratings.lock().expect("no panic while held").spend(worth, point)
     }
 
     /// Takes a retry of the budget.
