--- a/src/demo/node.rs
+++ b/src/demo/node.rs
@@ -9,6 +9,7 @@
 
 use crate::error::Error;
 use crate::history::Sink;
+use crate::peer::Links;
 use crate::vm::{self, Settings, Vm};
 
 /// What the thread is told.
@@ -27,6 +28,7 @@
     pub address: SocketAddr,
     /// Where other VMs reach it.
     pub peer: SocketAddr,
+    links: Links,
     orders: mpsc::UnboundedSender<Order>,
     ended: sync::Receiver<usize>,
 }
@@ -50,7 +52,8 @@
                     }
                 };
                 let peer = handle.links().address();
-                let _ = started.send(Ok((handle.vm.clone(), handle.address, peer)));
+                let links = handle.links().clone();
+                let _ = started.send(Ok((handle.vm.clone(), handle.address, peer, links)));
                 while let Some(order) = asked.recv().await {
                     match order {
                         Order::Stop => {
@@ -70,9 +73,14 @@
             });
         });
         let gone = |_| Error::Unreachable("A VM's thread ended at its start.".to_owned());
-        let (vm, address, peer) = wait.recv().map_err(gone)??;
+        let (vm, address, peer, links) = wait.recv().map_err(gone)??;
         let peer = peer.unwrap_or(address);
-        Ok(Node { vm, address, peer, orders, ended })
+        Ok(Node { vm, address, peer, links, orders, ended })
+    }
+
+    /// Bytes of messages that it sent to other VMs.
+    pub fn bytes_sent(&self) -> u64 {
+        self.links.sent()
     }
 
     /// Stops as planned and returns the requests that were cut off.
--- a/src/entry/drive.rs
+++ b/src/entry/drive.rs
@@ -10,6 +10,7 @@
 use super::refusal::{Kind as Refused, Refusal};
 use crate::chart::{self, Machine};
 use crate::config::{Allowed, Snapshot, WorkspaceEntry};
+use crate::decide::admit::Ended;
 use crate::decide::cascade::{self, Answer, BINS, Rule, bin};
 use crate::decide::retry::{self, Failure};
 use crate::engine::client::Engines;
@@ -267,8 +268,10 @@
     ) -> Result<End, Stop> {
         let began = self.vm.clock.now();
         let mut first = None;
+        self.let_in(target, began)?;
         let outcome = self.attempts(target, kept, send, &mut first).await;
         let late = self.late(began, first);
+        self.let_out(target, &outcome, late);
         let failed = matches!(&outcome, Err(Stop::Refused(_)));
         if let Some(key) = self.trial_key(target) {
             let more = Tally {
@@ -286,6 +289,38 @@
         outcome
     }
 
+    /// Asks the gate of the model's pool; a refusal there is early and true.
+    fn let_in(&mut self, target: &Target, now: Moment) -> Result<(), Stop> {
+        let workspace = &self.job.workspace;
+        let deadline = self.job.deadline;
+        let (in_time, fits) = self.vm.gate(&target.model, |gate| {
+            let in_time = gate.in_time(now, deadline);
+            (in_time, in_time && gate.offer(&workspace.name, workspace.limit.0, now))
+        });
+        let refuse = |kind, words| Err(Stop::Refused(Refusal::because(kind, words)));
+        match (in_time, fits) {
+            (_, true) => Ok(()),
+            (false, _) => refuse(Refused::Late, "it could not be expected to end in time"),
+            (true, false) => refuse(Refused::NoServer, "the pool of the model is full"),
+        }
+    }
+
+    fn let_out(&self, target: &Target, outcome: &Result<End, Stop>, late: bool) {
+        let how = match outcome {
+            Ok(_) if late => Ended::Bad,
+            Ok(_) => Ended::Good,
+            Err(Stop::Gone) => Ended::Unrelated,
+            Err(Stop::Refused(refusal)) => match refusal.kind {
+                Refused::NoServer => Ended::Full,
+                Refused::Broken | Refused::Late => Ended::Bad,
+                _ => Ended::Unrelated,
+            },
+        };
+        let now = self.vm.clock.now();
+        let workspace = &self.job.workspace.name;
+        self.vm.gate(&target.model, |gate| gate.ended(workspace, how, now));
+    }
+
     async fn attempts(
         &mut self,
         target: &Target,
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -5,6 +5,7 @@
 mod options;
 mod overload;
 mod path;
+mod probe;
 mod replica;
 mod rollout;
 mod slopes;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -7,5 +7,5 @@
 pub mod service;
 mod text;
 
-pub use server::{Running, launch};
+pub use server::{Running, launch, no_delay};
 pub use text::{Draft, digest, draft};
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -33,6 +33,13 @@
     }
 }
 
+/// Sends small writes at once: a frame that waits for an acknowledgement costs 40 ms.
+pub fn no_delay(connection: &dyn std::any::Any, _: &mut actix_web::dev::Extensions) {
+    if let Some(stream) = connection.downcast_ref::<actix_web::rt::net::TcpStream>() {
+        let _ = stream.set_nodelay(true);
+    }
+}
+
 /// Binds `address` (port 0 for any free one) and serves until stopped.
 ///
 /// # Errors
@@ -49,6 +56,7 @@
         actix_web::rt::System::new().block_on(async move {
             let app = move || App::new().configure(configure.clone());
             let server = HttpServer::new(app)
+                .on_connect(no_delay)
                 .workers(1)
                 .backlog(BACKLOG)
                 .max_connections(CONNECTIONS)
--- a/src/vm/run.rs
+++ b/src/vm/run.rs
@@ -105,6 +105,7 @@
         App::new().app_data(vm.clone()).app_data(engines).configure(|app| entry::routes(&vm, app))
     };
     let server = HttpServer::new(app)
+        .on_connect(crate::standin::no_delay)
         .workers(workers)
         .backlog(BACKLOG)
         .max_connections(CONNECTIONS)
--- a/src/vm/state.rs
+++ b/src/vm/state.rs
@@ -9,13 +9,14 @@
 use super::ratings::Waiting;
 use super::{Clock, Errand, Fleet, Settings};
 use crate::config::Snapshot;
+use crate::decide::admit::Gate;
 use crate::decide::cascade::{Credit, Rule};
 use crate::decide::limit::Bucket;
 use crate::decide::retry::Budget;
 use crate::evidence::{Key, Origin, Tally};
 use crate::history::Sink;
 use crate::peer::Gossip;
-use crate::unit::{Date, Incarnation, Kind, Moment, Rate, RequestId, Revision, Workspace};
+use crate::unit::{Date, Incarnation, Kind, Model, Moment, Rate, RequestId, Revision, Workspace};
 use crate::watch::{Burn, Metrics, Traces};
 
 /// An entry VM.
@@ -54,6 +55,7 @@
     pub sampling: RwLock<(f64, f64)>,
     /// Parts of workspaces' limits on this VM.
     pub parts: RwLock<HashMap<Workspace, Rate>>,
+    gates: Mutex<HashMap<Model, Gate>>,
     dispatches: Mutex<BTreeMap<Revision, usize>>,
     buckets: Mutex<HashMap<Workspace, Bucket>>,
     retries: Mutex<Budget>,
@@ -90,6 +92,7 @@
             rules: RwLock::default(),
             sampling: RwLock::new((1.0, 0.0)),
             parts: RwLock::default(),
+            gates: Mutex::default(),
             dispatches: Mutex::default(),
             buckets: Mutex::default(),
             retries: Mutex::default(),
@@ -177,6 +180,15 @@
         bucket.take(rate, now)
     }
 
+    /// Calls `act` on the gate towards the pool of a model.
+    pub fn gate<T>(&self, model: &Model, act: impl FnOnce(&mut Gate) -> T) -> T {
+        let mut gates = self.gates.lock().expect("no panic while held");
+        match gates.get_mut(model) {
+            Some(gate) => act(gate),
+            None => act(gates.entry(model.clone()).or_default()),
+        }
+    }
+
     /// Counts a first attempt for the budgets of retries and ratings.
     pub fn earn(&self) {
         self.retries.lock().expect("no panic while held").earn();
