--- a/src/decide/admit.rs
+++ b/src/decide/admit.rs
@@ -13,8 +13,7 @@
 /// Weight of the latest look.
 const LATEST: f64 = 0.3;
 
-/// Concurrency at the start and at most, of one VM towards one pool.
-const FIRST: f64 = 64.0;
+/// Concurrency at most, of one VM towards one pool.
 const MOST: f64 = 100_000.0;
 
 /// Shares matter while more than this part of the limit is used.
@@ -62,10 +61,11 @@
     demands: BTreeMap<Workspace, Demand>,
 }
 
-impl Default for Gate {
-    fn default() -> Gate {
+impl Gate {
+    /// A gate towards a pool of so many slots; it begins as if this VM were alone.
+    pub fn new(slots: f64) -> Gate {
         Gate {
-            concurrency: Concurrency::new(FIRST, MOST),
+            concurrency: Concurrency::new(slots, MOST),
             running: 0.0,
             ended: 0.0,
             rate: 0.0,
@@ -75,9 +75,7 @@
             demands: BTreeMap::new(),
         }
     }
-}
 
-impl Gate {
     /// Lets a request in, or not; the share of its workspace goes by `weight`.
     pub fn offer(&mut self, workspace: &Workspace, weight: f64, now: Moment) -> bool {
         self.look(now);
@@ -162,7 +160,7 @@
 
     #[test]
     fn an_idle_pool_lets_everyone_in() {
-        let mut gate = Gate::default();
+        let mut gate = Gate::new(64.0);
         for i in 0..1000u64 {
             let now = Moment(1_000_000 + i * 1000);
             assert!(gate.offer(&name(0), 1.0, now));
@@ -172,7 +170,7 @@
 
     #[test]
     fn a_full_pool_keeps_the_share_of_the_small() {
-        let mut gate = Gate::default();
+        let mut gate = Gate::new(64.0);
         let (mut small, mut small_in) = (0, 0);
         let mut running = std::collections::VecDeque::new();
         // A large workspace offers 20 for each one of the small; 64 fit, each for 100 ms.
--- a/src/entry/models.rs
+++ b/src/entry/models.rs
@@ -21,7 +21,7 @@
 use crate::vm::{Errand, Vm};
 
 /// Tokens made ahead of a slow caller.
-const AHEAD: usize = 32;
+const AHEAD: usize = 16;
 
 /// Longest answer if the caller sets none.
 const MAX_TOKENS: u32 = 256;
--- a/src/experiment/overload.rs
+++ b/src/experiment/overload.rs
@@ -301,7 +301,7 @@
     let mut run = Run {
         kind,
         replicas: (0..REPLICAS).map(|_| Replica::default()).collect(),
-        gates: vec![Gate::default(); VMS],
+        gates: vec![Gate::new((REPLICAS * SLOTS) as f64); VMS],
         running: vec![0.0; VMS],
         names: (0..LARGE + SMALL).map(name).collect(),
         queue: BinaryHeap::new(),
--- a/src/experiment/probe.rs
+++ b/src/experiment/probe.rs
@@ -27,6 +27,20 @@
     pages.unwrap_or_default() * PAGE
 }
 
+/// Bytes that the allocator has handed out on the main thread and not got back.
+#[cfg(all(target_os = "linux", target_env = "gnu"))]
+pub fn allocated_bytes() -> f64 {
+    // SAFETY: the call reads the allocator's own counters and takes no arguments.
+    let info = unsafe { libc::mallinfo2() };
+    (info.uordblks + info.hblkhd) as f64
+}
+
+/// Elsewhere, what the process holds stands in for it.
+#[cfg(not(all(target_os = "linux", target_env = "gnu")))]
+pub fn allocated_bytes() -> f64 {
+    resident_bytes()
+}
+
 /// The times of one streamed answer.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Timed {
--- a/src/vm/state.rs
+++ b/src/vm/state.rs
@@ -185,10 +185,18 @@
         let mut gates = self.gates.lock().expect("no panic while held");
         match gates.get_mut(model) {
             Some(gate) => act(gate),
-            None => act(gates.entry(model.clone()).or_default()),
+            None => act(gates.entry(model.clone()).or_insert(Gate::new(self.slots(model)))),
         }
     }
 
+    /// Slots of all servers that run some version of a model.
+    fn slots(&self, model: &Model) -> f64 {
+        let snapshot = self.config();
+        let servers = snapshot.declared.servers.iter();
+        let of_model = servers.filter(|s| s.versions.iter().any(|target| target.model == *model));
+        of_model.map(|server| f64::from(server.slots)).sum()
+    }
+
     /// Counts a first attempt for the budgets of retries and ratings.
     pub fn earn(&self) {
         self.retries.lock().expect("no panic while held").earn();
