--- a/src/vm/bills.rs
+++ b/src/vm/bills.rs
@@ -145,6 +145,7 @@
         }
         told = near.into_iter().map(|member| member.vm).collect();
         let book = control.book.borrow();
+        control.vm.metrics.peer_bytes.set(control.links.sent() as i64);
         control.vm.metrics.bills_held.set(book.held() as i64);
         control.vm.bill_room.store(book.has_room(), std::sync::atomic::Ordering::Relaxed);
     }
--- a/src/watch/metrics.rs
+++ b/src/watch/metrics.rs
@@ -32,6 +32,8 @@
     pub revision: IntGauge,
     /// Control messages to other VMs, by kind.
     pub messages: IntCounterVec,
+    /// Bytes of messages sent to other VMs, without the transport's own.
+    pub peer_bytes: IntGauge,
     /// Calls to the platform that failed.
     pub store_failures: IntCounter,
     /// Events that did not fit a state chart.
@@ -75,6 +77,7 @@
             bills_held: gauge("kitepulley_bills_held", "Bills not in the store yet."),
             revision: gauge("kitepulley_revision", "Revision in force."),
             messages: vec("kitepulley_messages_total", "Messages to VMs.", &["kind"]),
+            peer_bytes: gauge("kitepulley_peer_bytes", "Bytes of messages sent to VMs."),
             store_failures: counter("kitepulley_store_failures_total", "Failed platform calls."),
             misfits: counter("kitepulley_misfits_total", "Events that fit no chart."),
             stray_frames: counter("kitepulley_stray_frames_total", "Frames of other requests."),
--- /dev/null
+++ b/tests/bad_input.rs
@@ -0,0 +1,118 @@
+//! Bad input gets one clear sentence, the right exit code, and starts nothing.
+
+use std::net::TcpListener;
+use std::process::{Command, Output};
+
+const SECRETS: [(&str, &str); 2] = [
+    ("KITEPULLEY_FLEET_KEY", "a-fleet-key-of-tests"),
+    ("KITEPULLEY_SESSION_KEYS", "k1:a-session-key-of-tests"),
+];
+
+fn kitepulley(words: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_kitepulley"));
+    command.args(words).envs(SECRETS);
+    command.output().expect("the program starts")
+}
+
+fn serve(extra: &[&str]) -> Output {
+    let usual = ["serve", "--vm", "vm1", "--data-centre", "dc1", "--platform", "127.0.0.1:1"];
+    kitepulley(&[&usual, extra].concat())
+}
+
+fn says(output: &Output, code: i32, parts: &[&str]) {
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(code), "{text}");
+    for part in parts {
+        assert!(text.contains(part), "no `{part}` in: {text}");
+    }
+}
+
+#[test]
+fn an_unknown_flag_is_named() {
+    says(&kitepulley(&["demo", "--sed", "1"]), 2, &["--sed", "--help"]);
+}
+
+#[test]
+fn a_wrong_value_names_flag_value_and_what_is_accepted() {
+    let output = serve(&["--listen", "localhost", "--peer", "127.0.0.1:0"]);
+    says(&output, 2, &["--listen", "`localhost`"]);
+    says(&kitepulley(&["demo", "--vms", "99"]), 2, &["--vms", "`99`", "2 to 32"]);
+    says(&kitepulley(&["demo", "--faults", "gremlins"]), 2, &["`gremlins`", "store-down"]);
+}
+
+#[test]
+fn flags_that_contradict_are_told_before_anything_starts() {
+    let output = serve(&["--listen", "127.0.0.1:1", "--peer", "127.0.0.1:0"]);
+    says(&output, 2, &["--platform and --listen"]);
+}
+
+#[test]
+fn a_missing_secret_is_named_and_a_short_one_is_not_shown() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_kitepulley"));
+    command.args(["serve", "--vm", "vm1", "--data-centre", "dc1", "--platform", "127.0.0.1:1"]);
+    command.args(["--listen", "127.0.0.1:0", "--peer", "127.0.0.1:0"]);
+    let output = command.output().expect("the program starts");
+    says(&output, 2, &["KITEPULLEY_FLEET_KEY"]);
+    command.env("KITEPULLEY_FLEET_KEY", "tooshort");
+    let output = command.output().expect("the program starts");
+    says(&output, 2, &["KITEPULLEY_FLEET_KEY", "16 characters"]);
+    assert!(!String::from_utf8_lossy(&output.stderr).contains("tooshort"));
+}
+
+#[test]
+fn a_port_in_use_is_told() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let output = serve(&["--listen", &address, "--peer", "127.0.0.1:0"]);
+    says(&output, 1, &[&address, "cannot be bound"]);
+}
+
+#[test]
+fn a_platform_that_is_away_is_told() {
+    let output = kitepulley(&["plan", "withdraw", "m", "v1", "--platform", "127.0.0.1:1"]);
+    says(&output, 1, &["did not answer"]);
+}
+
+#[test]
+fn a_malformed_history_names_its_line() {
+    let file = std::env::temp_dir().join(format!("kitepulley-{}.jsonl", std::process::id()));
+    std::fs::write(&file, "{\"at\":1,\"event\":\"accepted\",\"revision\":1}\n{oops\n").unwrap();
+    let output = kitepulley(&["check", file.to_str().unwrap()]);
+    std::fs::remove_file(&file).unwrap();
+    says(&output, 2, &[":2:", "not an event"]);
+}
+
+#[test]
+fn all_faults_of_the_declarations_are_told_at_once_with_their_lines() {
+    let file = std::env::temp_dir().join(format!("kitepulley-{}.toml", std::process::id()));
+    let text = include_str!("../examples/tiny.toml")
+        .replace("\"roastmind@v3\", \"roastmind@v4\"]\nservices", "\"roastmind@v8\"]\nservices")
+        .replace("target = 0.9", "target = 0.99");
+    std::fs::write(&file, text).unwrap();
+    let output = kitepulley(&["plan", file.to_str().unwrap(), "--platform", "127.0.0.1:1"]);
+    std::fs::remove_file(&file).unwrap();
+    says(&output, 2, &["roastmind@v8", "under its target", ".toml:"]);
+}
+
+#[test]
+fn each_command_has_help_with_an_example() {
+    let commands = [
+        "serve",
+        "standin",
+        "demo",
+        "plan",
+        "confirm",
+        "status",
+        "explain",
+        "burn",
+        "bill",
+        "check",
+        "experiment",
+        "chart",
+    ];
+    for command in commands {
+        let output = kitepulley(&[command, "--help"]);
+        let text = String::from_utf8_lossy(&output.stdout);
+        assert!(text.contains("Example:\n  "), "{command}: {text}");
+    }
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,166 @@
+//! Builders that the integration tests share.
+
+use kitepulley::history::{Event, Line, Ran};
+use kitepulley::unit::{Date, Revision};
+
+/// A history that reads like a story.
+#[derive(Default)]
+pub struct Story {
+    lines: Vec<Line>,
+    now: u64,
+}
+
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a name of the story")
+}
+
+impl Story {
+    /// Adds an event a second after the last.
+    pub fn then(mut self, event: Event) -> Story {
+        self.now += 1_000_000;
+        self.lines.push(Line { at: Date(self.now), event });
+        self
+    }
+
+    /// Lets time pass.
+    pub fn after_seconds(mut self, seconds: u64) -> Story {
+        self.now += seconds * 1_000_000;
+        self
+    }
+
+    /// A revision takes effect and is in force everywhere.
+    pub fn revision(self, revision: u64, allowed: &[&str], withdrawn: &[&str]) -> Story {
+        let targets = |list: &[&str]| list.iter().map(|target| name(target)).collect();
+        let allowed = [(name("w"), targets(allowed))].into_iter().collect();
+        let withdrawn = targets(withdrawn);
+        let revision = Revision(revision);
+        self.then(Event::Confirmed { revision, allowed, withdrawn })
+            .then(Event::Adopted { vm: name("vm1"), incarnation: 1, revision })
+            .then(Event::Accepted { revision })
+    }
+
+    /// A whole request: asked, started, run, billed, answered.
+    pub fn request(self, ask: u64, target: &str, revision: u64, talk: Option<u64>) -> Story {
+        let id = format!("r{ask}");
+        self.asked(ask, None, talk)
+            .then(Event::Started {
+                vm: name("vm1"),
+                request: name(&id),
+                revision: Revision(revision),
+                target: Some(name(target)),
+                server: name("e1"),
+            })
+            .ran(ask, target, "e1")
+            .billed(ask)
+            .answered(ask, Some(target), "d", None)
+    }
+
+    /// A caller asks.
+    pub fn asked(self, ask: u64, key: Option<&str>, talk: Option<u64>) -> Story {
+        self.then(Event::Asked { ask, workspace: name("w"), key: key.map(str::to_owned), talk })
+    }
+
+    /// An engine runs it.
+    pub fn ran(self, ask: u64, target: &str, server: &str) -> Story {
+        self.then(Event::Ran {
+            server: name(server),
+            request: name(&format!("r{ask}")),
+            workspace: name("w"),
+            target: name(target),
+            offset: 0,
+            digest: "d".to_owned(),
+        })
+    }
+
+    /// A service runs it.
+    pub fn served(self, ask: u64, key: &str) -> Story {
+        self.then(Event::Served {
+            server: name("s1"),
+            request: name(&format!("r{ask}")),
+            workspace: name("w"),
+            key: Some(key.to_owned()),
+            digest: "d".to_owned(),
+        })
+    }
+
+    /// The store holds its bill.
+    pub fn billed(self, ask: u64) -> Story {
+        self.then(Event::Billed {
+            request: name(&format!("r{ask}")),
+            workspace: name("w"),
+            cost: 1,
+        })
+    }
+
+    /// The caller has its answer, or a refusal if `ran` is given.
+    pub fn answered(self, ask: u64, target: Option<&str>, digest: &str, ran: Option<Ran>) -> Story {
+        let whole = ran.is_none();
+        self.then(Event::Answered {
+            ask,
+            request: Some(name(&format!("r{ask}"))),
+            status: if whole { 200 } else { 503 },
+            ran,
+            whole,
+            digest: whole.then(|| digest.to_owned()),
+            target: target.map(name),
+            vm: Some(name("vm1")),
+        })
+    }
+
+    /// An answer that breaks off.
+    pub fn cut(self, ask: u64) -> Story {
+        self.then(Event::Answered {
+            ask,
+            request: Some(name(&format!("r{ask}"))),
+            status: 200,
+            ran: None,
+            whole: false,
+            digest: None,
+            target: None,
+            vm: Some(name("vm1")),
+        })
+    }
+
+    /// A backend server says that it is leaving.
+    pub fn leaving(self, server: &str) -> Story {
+        self.then(Event::Leaving { server: name(server) })
+    }
+
+    /// A VM begins a planned stop.
+    pub fn stopping(self) -> Story {
+        self.then(Event::Stopping { vm: name("vm1") })
+    }
+
+    /// A VM takes a revision.
+    pub fn adopted(self, revision: u64) -> Story {
+        let revision = Revision(revision);
+        self.then(Event::Adopted { vm: name("vm1"), incarnation: 1, revision })
+    }
+
+    /// The lines.
+    pub fn lines(self) -> Vec<Line> {
+        self.lines
+    }
+}
+
+/// A clean history in which every promise is put to the test.
+pub fn clean() -> Story {
+    Story::default()
+        .revision(1, &["m@v1", "m@v2"], &[])
+        .request(1, "m@v1", 1, Some(7))
+        .request(2, "m@v1", 1, Some(7))
+        .asked(3, Some("k"), None)
+        .served(3, "k")
+        .billed(3)
+        .answered(3, None, "d", None)
+        .revision(2, &["m@v1"], &["m@v2"])
+        .request(4, "m@v1", 2, None)
+        .asked(5, None, None)
+        .answered(5, None, "", Some(Ran::No))
+        .leaving("e9")
+        .stopping()
+        .request(6, "m@v1", 2, None)
+}
--- /dev/null
+++ b/tests/runs.rs
@@ -0,0 +1,42 @@
+//! Seeded runs on real sockets under faults, judged from their histories.
+
+use kitepulley::demo::{Fault, Outcome, Scenario, Shape, run};
+
+/// Requests of a run; enough that each fault meets work of every kind.
+const REQUESTS: usize = 2500;
+
+fn holds(seed: u64, vms: usize, faults: &[&[Fault]]) -> Outcome {
+    let scenario = Scenario {
+        requests: REQUESTS,
+        seed,
+        faults: faults.iter().map(|group| group.to_vec()).collect(),
+        shape: Shape { vms, ..Shape::default() },
+        tell: false,
+    };
+    let outcome = run(&scenario).expect("the run starts");
+    assert_eq!(outcome.report.broken(), 0, "{}\n{}", outcome.told.join("\n"), outcome.report);
+    outcome
+}
+
+#[test]
+fn promises_hold_when_the_store_fails_in_each_way_while_vms_are_replaced() {
+    let faults: [&[Fault]; 3] = [
+        &[Fault::StoreDown, Fault::Kill],
+        &[Fault::AnswerLost, Fault::Stop],
+        &[Fault::StoreSlow, Fault::WatchQuiet],
+    ];
+    let outcome = holds(11, 4, &faults);
+    let occasions = |i: usize| outcome.report.verdicts[i].occasions;
+    assert!(occasions(3) > 1000, "bills");
+    assert!(occasions(6) > 100, "keys");
+}
+
+#[test]
+fn promises_hold_when_engines_cut_repeat_and_mix_frames() {
+    holds(12, 3, &[&[Fault::Cut, Fault::Noise], &[Fault::Leave], &[Fault::RatingsStop]]);
+}
+
+#[test]
+fn promises_hold_when_links_are_cut_and_operators_race() {
+    holds(13, 9, &[&[Fault::LinkCut, Fault::Race], &[Fault::Kill, Fault::LinkCut]]);
+}
