--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -88,6 +88,6 @@
 }
 
 /// Runs a future on a system of its own.
-pub(crate) fn block<T>(future: impl Future<Output = T>) -> T {
+pub fn block<T>(future: impl Future<Output = T>) -> T {
     actix_web::rt::System::new().block_on(future)
 }
--- a/src/once/owner.rs
+++ b/src/once/owner.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::{mpsc, oneshot};
 
-use super::{Answer, Claim, Record, SHARDS, Settled, Shard, shard_of};
+use super::{Answer, Claim, Outcome, Record, SHARDS, Settled, Shard, shard_of};
 use crate::error::Error;
 use crate::platform::{Store, Written};
 use crate::unit::{Moment, Span};
@@ -129,7 +129,7 @@
         settled: &mut Vec<Settled>,
     ) {
         self.shard.forget(self.clock.date());
-        let mut open = self.answer_known(claims);
+        let mut open = self.answer_known(claims, settled);
         for _ in 0..TRIES {
             if open.is_empty() && settled.is_empty() {
                 return;
@@ -139,7 +139,7 @@
                 Ok(false) => {}
                 Err(_) => continue,
             }
-            open = self.answer_known(open);
+            open = self.answer_known(open, settled);
         }
         for (_, reply) in open {
             let _ = reply.send(Answer::Away);
@@ -154,12 +154,13 @@
     fn answer_known(
         &self,
         claims: Vec<(Claim, oneshot::Sender<Answer>)>,
+        settled: &[Settled],
     ) -> Vec<(Claim, oneshot::Sender<Answer>)> {
         let mut open: Vec<(Claim, oneshot::Sender<Answer>)> = Vec::new();
         let mut first: HashMap<_, (super::Digest, crate::evidence::Origin)> = HashMap::new();
         for (claim, reply) in claims {
             if let Some(answer) = self.shard.answer(&claim) {
-                let _ = reply.send(answer);
+                let _ = reply.send(ended(answer, &claim, settled));
             } else if let Some((body, holder)) = first.get(&claim.key) {
                 let same = *body == claim.body;
                 let answer = if same { Answer::Running(holder.clone()) } else { Answer::OtherBody };
@@ -227,6 +228,15 @@
     }
 }
 
+/// A call whose outcome waits for its link has ended, though the chain does not tell yet.
+fn ended(answer: Answer, claim: &Claim, settled: &[Settled]) -> Answer {
+    let outcome = settled.iter().find(|s| s.key == claim.key).map(|s| &s.outcome);
+    match (answer, outcome) {
+        (Answer::Running(_), Some(ran @ Outcome::Ran { .. })) => Answer::Ended(ran.clone()),
+        (answer, _) => answer,
+    }
+}
+
 fn sort(ask: Ask, claims: &mut Vec<(Claim, oneshot::Sender<Answer>)>, settled: &mut Vec<Settled>) {
     match ask {
         Ask::Claim(claim, reply) => claims.push((claim, reply)),
