--- /dev/null
+++ b/benches/decide.rs
@@ -0,0 +1,90 @@
+//! Time of each decision at 20, 100 and 600 replicas.
+
+use std::hint::black_box;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use kitepulley::decide::admit::{Ended, Gate};
+use kitepulley::decide::cascade::{BINS, Belief, Cell, Rungs, solve};
+use kitepulley::decide::replica::{Replica, choose};
+use kitepulley::decide::rollout::{Arm, Policy, View, decide};
+use kitepulley::decide::sequential::Count;
+use kitepulley::unit::{Moment, Parts, Span};
+
+fn replicas(count: u64) -> Vec<Replica> {
+    let replica = |id| Replica {
+        id,
+        slots: 16.0,
+        reported: (id % 12) as f64,
+        reported_at: Moment(1_000_000),
+        own: 0.0,
+        own_then: 0.0,
+        open: true,
+        failed_at: None,
+        distance: Span(0),
+    };
+    (0..count).map(replica).collect()
+}
+
+fn replica(bench: &mut Criterion) {
+    let mut group = bench.benchmark_group("replica");
+    for count in [20, 100, 600] {
+        let all = replicas(count);
+        let mut point = 0u64;
+        group.bench_function(BenchmarkId::from_parameter(count), |b| {
+            b.iter(|| {
+                point = point.wrapping_add(0x9e37_79b9_7f4a_7c15);
+                black_box(choose(&all, Some(point), point, Moment(1_200_000)))
+            });
+        });
+    }
+    group.finish();
+}
+
+fn rollout(bench: &mut Criterion) {
+    let arm = |all, bad| Arm { poor: Count::of(all, bad), ..Arm::default() };
+    let view = View {
+        new: arm(1000, 80),
+        old: arm(1000, 80),
+        before: Count::of(1500, 120),
+        share: Parts::of(0.05),
+        held: false,
+        at_share: Span::secs(100),
+        rate: 50.0,
+        lag: Span::secs(60),
+        silent: Span::secs(1),
+        prior: 0.08,
+    };
+    let policy = Policy::default();
+    bench.bench_function("rollout", |b| b.iter(|| black_box(decide(&policy, &view))));
+}
+
+fn cascade(bench: &mut Criterion) {
+    let mut belief = Belief { asked: 1000.0, ..Belief::default() };
+    for i in 0..BINS {
+        belief.seen[i] = 60.0;
+        belief.cheap[i] = Cell { all: 20.0, pass: i as f64 * 1.2 };
+    }
+    let rungs =
+        Rungs { cheap_cost: 1.0, strong_cost: 15.0, cheap_quality: 0.7, strong_quality: 0.95 };
+    let beliefs = vec![belief; 4];
+    bench.bench_function("cascade solve, 4 kinds", |b| {
+        b.iter(|| black_box(solve(&beliefs, &rungs, 0.9)));
+    });
+}
+
+fn gate(bench: &mut Criterion) {
+    let mut gate = Gate::new(64.0);
+    let workspace = "roasters".parse().expect("a name");
+    let mut now = 1_000_000;
+    bench.bench_function("gate", |b| {
+        b.iter(|| {
+            now += 100;
+            if gate.offer(&workspace, 1.0, Moment(now)) {
+                gate.ended(&workspace, Ended::Good, Moment(now));
+            }
+        });
+    });
+}
+
+criterion_group!(benches, replica, rollout, cascade, gate);
+criterion_main!(benches);
--- a/src/vm/duty.rs
+++ b/src/vm/duty.rs
@@ -16,7 +16,10 @@
 use crate::peer::ranked;
 use crate::unit::{Date, Kind, Model, Parts, Rate, Server, Span, Target, Workspace};
 
-/// Time between two looks at all servers.
+/// Servers that are looked at in one round at most.
+const LOOKS: usize = 32;
+
+/// Time between two rounds of looks at servers.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 
 /// Time between two looks at roll-outs.
@@ -44,15 +47,26 @@
     }
 }
 
-/// Asks all servers for their load, again and again.
-pub async fn look_at_all(control: Control) {
+/// Servers that a VM looks at in one round, of so many.
+///
+/// With few servers it is all of them. With many it is fewer and fewer: load is told with each
+/// answer and each refusal too, and looking must not grow with servers times VMs.
+fn looks(servers: usize) -> usize {
+    (LOOKS * LOOKS / servers.max(1)).clamp(1, LOOKS)
+}
+
+/// Asks servers for their load in turn, again and again.
+pub async fn look_in_turn(control: Control) {
+    let mut turn = 0;
     loop {
         let snapshot = control.vm.config();
         let engines = snapshot.declared.servers.iter();
         let engines = engines.filter(|s| s.kind == crate::config::ServerKind::Engine);
         let names: Vec<Server> = engines.map(|server| server.name.clone()).collect();
-        let looks = names.iter().map(|name| look(&control, name));
-        futures_util::future::join_all(looks).await;
+        let round = looks(names.len()).min(names.len());
+        let chosen = names.iter().cycle().skip(turn % names.len().max(1)).take(round);
+        futures_util::future::join_all(chosen.map(|name| look(&control, name))).await;
+        turn = turn.wrapping_add(round);
         tokio::time::sleep(LOOK_EVERY).await;
     }
 }
@@ -463,3 +477,14 @@
         });
     });
 }
+
+#[cfg(test)]
+mod tests {
+    use super::looks;
+
+    #[test]
+    fn looks_do_not_grow_with_the_servers() {
+        assert_eq!((looks(0), looks(14), looks(32)), (32, 32, 32));
+        assert_eq!((looks(64), looks(600)), (16, 1));
+    }
+}
--- a/src/vm/run.rs
+++ b/src/vm/run.rs
@@ -86,7 +86,7 @@
     actix_web::rt::spawn(bills::keep(control.clone()));
     actix_web::rt::spawn(bills::finish(control.clone()));
     actix_web::rt::spawn(spread::watch(control.clone()));
-    actix_web::rt::spawn(duty::look_at_all(control.clone()));
+    actix_web::rt::spawn(duty::look_in_turn(control.clone()));
     actix_web::rt::spawn(duty::step_rollouts(control.clone()));
     actix_web::rt::spawn(duty::watch_service(control.clone()));
     actix_web::rt::spawn(duty::learn(control.clone()));
