--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -12,6 +12,10 @@
 /// An engine that sends no frame for this long is given up.
 const SILENT: Span = Span::secs(3);
 
+/// Records tell of each candidate if there are so few, and else of a share of requests.
+const TOLD: usize = 32;
+const TOLD_SHARE: f64 = 0.01;
+
 /// An attempt that runs.
 pub struct Attempt<'a> {
     vm: &'a Vm,
@@ -43,11 +47,10 @@
     let group = Group::Version(work.target.clone());
     let picked = {
         let mut fleet = vm.fleet.lock().expect("no panic while held");
-        let picked = fleet.pick(&group, Some(prefix), rand::random(), now);
-        if picked.is_none() {
+        if fleet.size(&group) <= TOLD || rand::random::<f64>() < TOLD_SHARE {
             steps.extend(fleet.candidates(&group, now));
         }
-        picked
+        fleet.pick(&group, Some(prefix), rand::random(), now)
     };
     let Some(picked) = picked else {
         let words = format!("no server of {} can take it", work.target);
@@ -68,7 +71,10 @@
                 let mut fleet = vm.fleet.lock().expect("no panic while held");
                 fleet.hint(&picked.server, running, waiting, now);
             }
-            steps.push(format!("{} on {} began", work.target, picked.server));
+            steps.push(format!(
+                "{} began on {}, the cheapest of those drawn",
+                work.target, picked.server
+            ));
             let next = work.offset;
             Ok(Attempt { vm, work, picked, frames, next, ended: false })
         }
--- a/src/entry/drive.rs
+++ b/src/entry/drive.rs
@@ -61,6 +61,8 @@
     pub snapshot: Arc<Snapshot>,
     /// What may answer it.
     pub route: Route,
+    /// Why that may answer it, in words.
+    pub why: String,
     /// Whether it belongs to a session that was begun before.
     pub in_session: bool,
     /// The prompt.
@@ -121,13 +123,14 @@
 pub async fn run(vm: Data<Vm>, engines: Engines, job: Job, to: mpsc::Sender<Out>) {
     let in_flight = InFlight::new(&vm);
     let life = Machine::new(chart::named("request"));
+    let why = job.why.clone();
     let mut drive = Drive {
         vm,
         engines,
         job,
         to,
         life,
-        steps: Vec::new(),
+        steps: vec![why],
         parts: Vec::new(),
         attempts: 0,
         headed: false,
--- a/src/entry/models.rs
+++ b/src/entry/models.rs
@@ -279,6 +279,7 @@
     let job = Job {
         request: id,
         prefix: prefix(&workspace, &prompt),
+        why: why(&snapshot, &route, in_session, point),
         workspace,
         snapshot,
         route,
@@ -337,6 +338,25 @@
     chosen.map(Route::Model).ok_or_else(|| Refusal::new(Refused::NotAllowed))
 }
 
+/// Why a route was taken, in words.
+fn why(snapshot: &Snapshot, route: &Route, in_session: bool, point: f64) -> String {
+    let target = match route {
+        Route::Fixed(target) if in_session => return format!("its session keeps {target}"),
+        Route::Fixed(target) => return format!("the caller named {target}"),
+        Route::Cascade(cheap, strong) => return format!("a cascade from {cheap} to {strong}"),
+        Route::Model(target) => target,
+    };
+    match snapshot.rollout(&target.model) {
+        Some(rollout) => format!(
+            "{target}: the roll-out of {} has {}, and this request's point is {:.2}%",
+            rollout.to,
+            rollout.share,
+            point * 100.0
+        ),
+        None => format!("{target} serves"),
+    }
+}
+
 fn prompt(messages: &[Message]) -> String {
     let mut prompt = String::new();
     for message in messages {
--- a/src/vm/fleet.rs
+++ b/src/vm/fleet.rs
@@ -173,6 +173,11 @@
         self.servers.get(server).is_some_and(|known| known.load.loaded.contains(target))
     }
 
+    /// Servers of a group.
+    pub fn size(&self, group: &Group) -> usize {
+        self.groups.get(group).map_or(0, |(replicas, _)| replicas.len())
+    }
+
     /// Why a request could or could not go to each server of a group, in words.
     pub fn candidates(&self, group: &Group, now: Moment) -> Vec<String> {
         let Some((replicas, names)) = self.groups.get(group) else {
