Large files split: drive, duties, cascade, gossip

Change: a request's attempts and what it leaves behind, duties by kind, what a cascade expects and where ratings tell most, and which revision is in force stand in files of their own; one constructor of an idle replica in place of four.

--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -12,15 +12,9 @@
 
 fn replicas(count: u64) -> Vec<Replica> {
     let replica = |id| Replica {
-        id,
-        slots: 16.0,
         reported: (id % 12) as f64,
         reported_at: Moment(1_000_000),
-        own: 0.0,
-        own_then: 0.0,
-        open: true,
-        failed_at: None,
-        distance: Span(0),
+        ..Replica::idle(id, 16.0)
     };
     (0..count).map(replica).collect()
 }
--- /dev/null
+++ b/src/decide/cascade/expect.rs
@@ -0,0 +1,178 @@
+//! What is expected of each kind of work: ratings smoothed, with the errors that remain.
+
+use super::rating::explore;
+use super::{BINS, Belief, Cell, PRIOR, Rungs};
+
+/// What is expected of one kind, smoothed.
+#[derive(Clone, Debug)]
+pub(super) struct Expected {
+    pub(super) explore: f64,
+    pub(super) weight: f64,
+    pub(super) seen: [f64; BINS],
+    pub(super) cheap: [f64; BINS],
+    pub(super) cheap_error: [f64; BINS],
+    pub(super) strong: [f64; BINS],
+    pub(super) strong_error: [f64; BINS],
+    pub(super) direct: f64,
+    pub(super) direct_error: f64,
+}
+
+pub(super) fn expect(beliefs: &[Belief], rungs: &Rungs) -> Vec<Expected> {
+    let pooled = pool(beliefs, rungs);
+    let strong = all_strong(beliefs);
+    let total: f64 = beliefs.iter().map(|b| b.asked + 1.0).sum();
+    beliefs.iter().map(|belief| expect_kind(belief, &pooled, strong, rungs, total)).collect()
+}
+
+/// All ratings of strong answers.
+fn all_strong(beliefs: &[Belief]) -> Cell {
+    let cells = beliefs.iter().flat_map(|b| b.strong.iter().chain([&b.direct]));
+    cells.fold(Cell::default(), |sum, cell| Cell {
+        all: sum.all + cell.all,
+        pass: sum.pass + cell.pass,
+    })
+}
+
+/// A strong rung is much alike over kinds: others' ratings count as at most so many.
+const ALIKE: f64 = 80.0;
+
+/// The pass share of each bin over all kinds: the shape of a kind of which little is known.
+fn pool(beliefs: &[Belief], rungs: &Rungs) -> [f64; BINS] {
+    let mut pooled = [0.0; BINS];
+    let mut weights = [0.0; BINS];
+    for (i, share) in pooled.iter_mut().enumerate() {
+        let mut cell = Cell::default();
+        for belief in beliefs {
+            cell.all += belief.cheap[i].all;
+            cell.pass += belief.cheap[i].pass;
+        }
+        // Confidence is trusted a little before any rating has come.
+        let middle = (i as f64 + 0.5) / BINS as f64;
+        let prior = (rungs.cheap_quality * 0.5 + middle * 0.5).min(rungs.cheap_quality);
+        *share = cell.toward(prior);
+        weights[i] = cell.all + PRIOR;
+    }
+    monotone(&mut pooled, &weights);
+    smooth(&pooled)
+}
+
+/// Each bin with its neighbours: steps that a rising fit leaves are chance, not shape.
+fn smooth(values: &[f64; BINS]) -> [f64; BINS] {
+    let mut smoothed = *values;
+    for i in 1..BINS - 1 {
+        smoothed[i] = (values[i - 1] + 2.0 * values[i] + values[i + 1]) / 4.0;
+    }
+    smoothed
+}
+
+/// Ratings' worth of trust that a kind is at the level of all kinds.
+const LEVEL: f64 = 4.0;
+
+/// Newton steps towards a kind's level.
+const STEPS: usize = 6;
+
+/// The shape over all kinds, moved in log-odds to the level that a kind's own ratings show.
+fn at_level(pooled: &[f64; BINS], cells: &[Cell; BINS]) -> [f64; BINS] {
+    let odds = pooled.map(|p| {
+        let p = p.clamp(0.01, 0.99);
+        (p / (1.0 - p)).ln()
+    });
+    let mut shift = 0.0;
+    for _ in 0..STEPS {
+        let mut slope = -shift * LEVEL * 0.25;
+        let mut bend = LEVEL * 0.25;
+        for (odds, cell) in odds.iter().zip(cells) {
+            let p = 1.0 / (1.0 + (-(odds + shift)).exp());
+            slope += cell.pass - cell.all * p;
+            bend += cell.all * p * (1.0 - p);
+        }
+        shift += (slope / bend).clamp(-1.0, 1.0);
+    }
+    odds.map(|odds| 1.0 / (1.0 + (-(odds + shift)).exp()))
+}
+
+fn expect_kind(
+    belief: &Belief,
+    pooled: &[f64; BINS],
+    strong_ratings: Cell,
+    rungs: &Rungs,
+    total: f64,
+) -> Expected {
+    let shown: f64 = belief.seen.iter().sum();
+    let weight = (belief.asked + 1.0) / total;
+    let mut seen = [1.0 / BINS as f64; BINS];
+    let mut cheap = [0.0; BINS];
+    let mut weights = [0.0; BINS];
+    let level = at_level(pooled, &belief.cheap);
+    let own = all_strong(std::slice::from_ref(belief));
+    let prior = strong_ratings.toward(rungs.strong_quality);
+    let trust = strong_ratings.all.min(ALIKE) + PRIOR;
+    let overall = (own.pass + trust * prior) / (own.all + trust);
+    let overall_error = (overall * (1.0 - overall) / (own.all + trust)).sqrt();
+    let mut strong = [overall; BINS];
+    let mut strong_error = [0.0; BINS];
+    for i in 0..BINS {
+        if shown > 0.0 {
+            seen[i] = (belief.seen[i] + 0.05) / (shown + 0.05 * BINS as f64);
+        }
+        cheap[i] = belief.cheap[i].toward(level[i]);
+        weights[i] = belief.cheap[i].all + PRIOR;
+        strong[i] = belief.strong[i].toward(overall);
+        strong_error[i] = overall_error;
+    }
+    monotone(&mut cheap, &weights);
+    monotone(&mut strong, &belief.strong.map(|cell| cell.all + PRIOR));
+    let mut cheap_error = [0.0; BINS];
+    for i in 0..BINS {
+        let p = cheap[i].clamp(0.02, 0.98);
+        cheap_error[i] = (p * (1.0 - p) / weights[i]).sqrt();
+    }
+    let direct = overall;
+    let direct_error = overall_error;
+    Expected {
+        explore: explore(belief),
+        weight,
+        seen,
+        cheap,
+        cheap_error,
+        strong,
+        strong_error,
+        direct,
+        direct_error,
+    }
+}
+
+/// The nearest rising sequence: a more confident answer is not likelier to be poor.
+fn monotone(values: &mut [f64; BINS], weights: &[f64; BINS]) {
+    let mut blocks: [(f64, f64, usize); BINS] = [(0.0, 0.0, 0); BINS];
+    let mut count = 0;
+    for i in 0..BINS {
+        blocks[count] = (values[i], weights[i], 1);
+        count += 1;
+        while count > 1 && blocks[count - 2].0 > blocks[count - 1].0 {
+            let (a, b) = (blocks[count - 2], blocks[count - 1]);
+            let weight = a.1 + b.1;
+            blocks[count - 2] = ((a.0 * a.1 + b.0 * b.1) / weight, weight, a.2 + b.2);
+            count -= 1;
+        }
+    }
+    let mut at = 0;
+    for block in &blocks[..count] {
+        values[at..at + block.2].fill(block.0);
+        at += block.2;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn monotone_leaves_no_fall() {
+        let mut values = [0.5; BINS];
+        values[3] = 0.9;
+        values[9] = 0.1;
+        monotone(&mut values, &[1.0; BINS]);
+        assert!(values.windows(2).all(|pair| pair[0] <= pair[1] + 1e-12));
+    }
+}
--- a/src/decide/replica.rs
+++ b/src/decide/replica.rs
@@ -51,6 +51,21 @@
 }
 
 impl Replica {
+    /// An open replica of which nothing is reported yet.
+    pub fn idle(id: u64, slots: f64) -> Replica {
+        Replica {
+            id,
+            slots,
+            reported: 0.0,
+            reported_at: Moment(0),
+            own: 0.0,
+            own_then: 0.0,
+            open: true,
+            failed_at: None,
+            distance: Span(0),
+        }
+    }
+
     /// Whether new work may go there now.
     pub fn usable(&self, now: Moment) -> bool {
         self.open && self.failed_at.is_none_or(|at| now.since(at) >= BACK_OFF)
@@ -147,18 +162,8 @@
 mod tests {
     use super::*;
 
-    pub fn idle(id: u64) -> Replica {
-        Replica {
-            id,
-            slots: 16.0,
-            reported: 0.0,
-            reported_at: Moment(1_000_000),
-            own: 0.0,
-            own_then: 0.0,
-            open: true,
-            failed_at: None,
-            distance: Span(0),
-        }
+    fn idle(id: u64) -> Replica {
+        Replica { reported_at: Moment(1_000_000), ..Replica::idle(id, 16.0) }
     }
 
     #[test]
--- /dev/null
+++ b/src/entry/drive/account.rs
@@ -0,0 +1,131 @@
+//! What a request leaves behind: its bill, its evidence, its rating, its record.
+
+use tokio::sync::oneshot;
+
+use super::Drive;
+use crate::decide::cascade::{self, Answer, BINS, Rule};
+use crate::evidence::{Key, Tally};
+use crate::ledger::{Entry, Part, Why};
+use crate::standin::rating::Sample;
+use crate::unit::{Cost, Moment, RequestId, Span, Target};
+use crate::vm::{Errand, Subject};
+use crate::watch::Trace;
+
+impl Drive {
+    /// Whether the first token came after what the workspace's first objective allows.
+    pub(super) fn late(&self, began: Moment, first: Option<Moment>) -> bool {
+        let objective = self.job.workspace.objectives.first();
+        let allowed = objective.map_or(Span::secs(2), |o| Span::millis(o.first_token_ms));
+        first.is_some_and(|first| first.since(began) > allowed)
+    }
+
+    pub(super) fn burn(&self, target: &Target, bad: bool) {
+        let date = self.vm.clock.date();
+        let mut burn = self.vm.burn.lock().expect("no panic while held");
+        for (i, objective) in self.job.workspace.objectives.iter().enumerate() {
+            let fits = objective.kind.as_ref().is_none_or(|kind| *kind == self.job.kind);
+            if fits {
+                burn.count(&self.job.workspace.name, target, i, objective.good, bad, date);
+            }
+        }
+    }
+
+    pub(super) fn part(&mut self, target: &Target, tokens: u32, whole: bool) {
+        let price = self.job.snapshot.version(target).map_or(Cost(0), |version| version.cost);
+        self.parts.push(Part {
+            why: if whole { Why::Answer } else { Why::Broken },
+            target: Some(target.clone()),
+            tokens,
+            cost: price.of_tokens(u64::from(tokens)),
+        });
+    }
+
+    pub(super) fn trial_key(&self, target: &Target) -> Option<Key> {
+        let since = self.vm.trial(&target.model, self.vm.clock.date());
+        Some(Key::Trial { target: target.clone(), since })
+    }
+
+    pub(super) fn rate_cheap(&self, target: &Target, bin: usize, rule: &Rule, kept: &[String]) {
+        let key = Key::Cheap {
+            workspace: self.job.workspace.name.clone(),
+            kind: self.job.kind.clone(),
+            bin: bin as u8,
+        };
+        self.vm.learn(key.clone(), Tally { ended: 1, ..Tally::default() });
+        let keys = self.trial_key(target).into_iter().chain([key]).collect();
+        let id = format!("{}.cheap", self.job.request);
+        let worth = cascade::worth(rule, Answer::Cheap(bin));
+        if let Ok(id) = id.parse() {
+            self.rate(target, id, keys, worth, kept.concat());
+        }
+    }
+
+    pub(super) fn rate_strong(&self, target: &Target, bin: usize, rule: &Rule, kept: &[String]) {
+        let key = Key::Strong {
+            workspace: self.job.workspace.name.clone(),
+            kind: self.job.kind.clone(),
+            bin: bin as u8,
+        };
+        self.vm.learn(key.clone(), Tally { ended: 1, ..Tally::default() });
+        let keys = self.trial_key(target).into_iter().chain([key]).collect();
+        let answer = if bin == BINS { Answer::Direct } else { Answer::Climbed };
+        let worth = cascade::worth(rule, answer);
+        self.rate(target, self.job.request.clone(), keys, worth, kept.concat());
+    }
+
+    /// Has an answer rated: by a roll-out's sampling, or where a rating tells most.
+    pub(super) fn rate(
+        &self,
+        target: &Target,
+        id: RequestId,
+        keys: Vec<Key>,
+        worth: f64,
+        answer: String,
+    ) {
+        let rolling = self.job.snapshot.rollout(&target.model);
+        let rated = match rolling {
+            Some(rollout) => {
+                let (new, usual) = *self.vm.sampling.read().expect("no panic while held");
+                let chance = if rollout.to == *target { new } else { usual };
+                rand::random::<f64>() < chance
+            }
+            None => self.vm.spend_rating(worth, rand::random()),
+        };
+        if !rated {
+            return;
+        }
+        let subject = Subject { keys, date: self.vm.clock.date() };
+        self.vm.waiting.lock().expect("no panic while held").note(id.clone(), subject);
+        self.vm.errand(Errand::Rate(Sample {
+            vm: self.vm.settings.vm.clone(),
+            request: id,
+            answer,
+        }));
+    }
+
+    pub(super) async fn bill(&mut self) -> bool {
+        self.take("bill");
+        let entry = Entry {
+            number: 0,
+            request: self.job.request.clone(),
+            workspace: self.job.workspace.name.clone(),
+            date: self.vm.clock.date(),
+            parts: std::mem::take(&mut self.parts),
+        };
+        self.steps.push(format!("billed {} in {} part(s)", entry.cost(), entry.parts.len()));
+        let (sender, safe) = oneshot::channel();
+        self.vm.errand(Errand::Bill(entry, sender));
+        safe.await.unwrap_or(false)
+    }
+
+    pub(super) fn trace(&mut self) {
+        let trace = Trace {
+            request: self.job.request.clone(),
+            workspace: self.job.workspace.name.clone(),
+            revision: self.job.snapshot.revision(),
+            date: self.vm.clock.date(),
+            steps: std::mem::take(&mut self.steps),
+        };
+        self.vm.traces.lock().expect("no panic while held").keep(trace);
+    }
+}
--- a/src/experiment/replica.rs
+++ b/src/experiment/replica.rs
@@ -9,7 +9,7 @@
 use super::options::Options;
 use super::table::{Row, Table, quantile};
 use crate::decide::replica::{Replica, choose};
-use crate::unit::{Moment, Span};
+use crate::unit::Moment;
 
 /// Requests that a replica runs at once.
 const SLOTS: usize = 16;
@@ -142,17 +142,7 @@
 
 impl Run {
     fn new(kind: Kind, vms: usize, replicas: usize, lag: u64) -> Run {
-        let idle = |id: usize| Replica {
-            id: id as u64,
-            slots: SLOTS as f64,
-            reported: 0.0,
-            reported_at: Moment(0),
-            own: 0.0,
-            own_then: 0.0,
-            open: true,
-            failed_at: None,
-            distance: Span(0),
-        };
+        let idle = |id: usize| Replica::idle(id as u64, SLOTS as f64);
         let server = |_| Server { busy: BinaryHeap::new(), cache: VecDeque::new() };
         Run {
             kind,
--- a/src/experiment/slopes.rs
+++ b/src/experiment/slopes.rs
@@ -202,15 +202,9 @@
 
 fn replicas(count: usize) -> Vec<Replica> {
     let replica = |i: usize| Replica {
-        id: i as u64,
-        slots: 16.0,
         reported: (i % 12) as f64,
         reported_at: Moment(1_000_000),
-        own: 0.0,
-        own_then: 0.0,
-        open: true,
-        failed_at: None,
-        distance: Span(0),
+        ..Replica::idle(i as u64, 16.0)
     };
     (0..count).map(replica).collect()
 }
--- /dev/null
+++ b/src/vm/duty/learn.rs
@@ -0,0 +1,169 @@
+//! Learns the rules of cascades, the parts of limits and the sampling of ratings.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use super::WINDOWS_KEPT;
+use crate::config::{Snapshot, VersionEntry};
+use crate::decide::cascade::{self, Belief, Rungs};
+use crate::decide::{limit, rollout};
+use crate::evidence::{Key, Tally};
+use crate::unit::{Kind, Model, Rate, Target, Workspace};
+use crate::vm::control::Control;
+use crate::vm::state::WINDOW;
+
+/// Time between two solutions of cascades, limits' parts and sampling.
+const LEARN_EVERY: Duration = Duration::from_millis(500);
+
+/// Learns the rules of cascades, the parts of limits and the sampling of ratings.
+pub async fn learn(control: Control) {
+    let mut demand: BTreeMap<Workspace, (u64, u64, f64, f64)> = BTreeMap::new();
+    let mut learnt: HashMap<Workspace, Learnt> = HashMap::new();
+    loop {
+        tokio::time::sleep(LEARN_EVERY).await;
+        let snapshot = control.vm.config();
+        learn_rules(&control, &snapshot, &mut learnt);
+        learn_parts(&control, &snapshot, &mut demand);
+        learn_sampling(&control, &snapshot);
+        forget(&control, &snapshot);
+    }
+}
+
+/// What was learnt of one workspace: the sums seen last, and what is believed since.
+#[derive(Default)]
+struct Learnt {
+    sums: BTreeMap<Key, Tally>,
+    beliefs: BTreeMap<Kind, Belief>,
+    watches: BTreeMap<Kind, cascade::Watch>,
+}
+
+fn learn_rules(control: &Control, snapshot: &Snapshot, learnt: &mut HashMap<Workspace, Learnt>) {
+    for workspace in &snapshot.declared.workspaces {
+        if workspace.cascades.is_empty() {
+            continue;
+        }
+        let known = learnt.entry(workspace.name.clone()).or_default();
+        absorb(control, &workspace.name, known);
+        for declared in &workspace.cascades {
+            let Some(rungs) = rungs(snapshot, &declared.rungs) else { continue };
+            let beliefs: Vec<Belief> = known.beliefs.values().cloned().collect();
+            let rules = cascade::solve(&beliefs, &rungs, declared.target);
+            let mut held = control.vm.rules.write().expect("no panic while held");
+            for (kind, rule) in known.beliefs.keys().zip(rules) {
+                held.insert((workspace.name.clone(), kind.clone()), rule);
+            }
+        }
+    }
+}
+
+/// Price and quality of a cascade's first and last rung, for an answer of a thousand tokens.
+pub fn rungs(snapshot: &Snapshot, models: &[Model]) -> Option<Rungs> {
+    let entry = |model: &Model| -> Option<VersionEntry> {
+        let version = snapshot.serving(model)?;
+        snapshot.version(&Target { model: model.clone(), version }).cloned()
+    };
+    let cheap = entry(models.first()?)?;
+    let strong = entry(models.last()?)?;
+    Some(Rungs {
+        cheap_cost: cheap.cost.0 as f64,
+        strong_cost: strong.cost.0 as f64,
+        cheap_quality: cheap.quality,
+        strong_quality: strong.quality,
+    })
+}
+
+/// Adds what evidence has grown by to what is believed; older ratings fade.
+fn absorb(control: &Control, workspace: &Workspace, known: &mut Learnt) {
+    let of_workspace = |key: &Key| match key {
+        Key::Cheap { workspace: w, .. } | Key::Strong { workspace: w, .. } => w == workspace,
+        _ => false,
+    };
+    let sums = control.gossip(|g| g.evidence.sums(of_workspace));
+    for (key, sum) in &sums {
+        let before = known.sums.get(key).copied().unwrap_or_default();
+        let ended = sum.ended.saturating_sub(before.ended) as f64;
+        let rated = sum.rated.saturating_sub(before.rated);
+        let poor = sum.poor.saturating_sub(before.poor);
+        let (Key::Cheap { kind, bin, .. } | Key::Strong { kind, bin, .. }) = key else { continue };
+        let bin = usize::from(*bin).min(cascade::BINS);
+        let belief = known.beliefs.entry(kind.clone()).or_default();
+        belief.decay(cascade::FADE.powf(rated as f64));
+        let cell = match key {
+            Key::Cheap { .. } => {
+                belief.asked += ended;
+                belief.seen[bin.min(cascade::BINS - 1)] += ended;
+                &mut belief.cheap[bin.min(cascade::BINS - 1)]
+            }
+            _ if bin < cascade::BINS => &mut belief.strong[bin],
+            _ => {
+                belief.asked += ended;
+                &mut belief.direct
+            }
+        };
+        for i in 0..rated {
+            cell.add(i >= poor);
+        }
+        if !matches!(key, Key::Cheap { .. }) || known.sums.is_empty() {
+            continue;
+        }
+        let rules = control.vm.rules.read().expect("no panic while held");
+        let rule = rules.get(&(workspace.clone(), kind.clone()));
+        let expected = rule.map_or(0.0, |rule| rule.cheap[bin.min(cascade::BINS - 1)]);
+        let watch = known.watches.entry(kind.clone()).or_default();
+        let alarms = (0..rated).filter(|i| expected > 0.0 && watch.note(expected, *i >= poor));
+        if alarms.count() > 0 {
+            belief.doubt();
+        }
+    }
+    known.sums = sums;
+}
+
+fn learn_parts(
+    control: &Control,
+    snapshot: &Snapshot,
+    demand: &mut BTreeMap<Workspace, (u64, u64, f64, f64)>,
+) {
+    let origin = control.vm.origin();
+    let vms = control.others().len() + 1;
+    for workspace in &snapshot.declared.workspaces {
+        let key = Key::Demand { workspace: workspace.name.clone() };
+        let (own, all) =
+            control.gossip(|g| (g.evidence.own(&origin, &key).ended, g.evidence.sum(&key).ended));
+        let held = demand.entry(workspace.name.clone()).or_default();
+        // Recent demand counts; a VM that was busy an hour ago needs no part now.
+        held.2 = held.2 * 0.9 + own.saturating_sub(held.0) as f64;
+        held.3 = held.3 * 0.9 + all.saturating_sub(held.1) as f64;
+        held.0 = own;
+        held.1 = all;
+        let part: Rate = limit::part(workspace.limit, held.2, held.3, vms);
+        let mut parts = control.vm.parts.write().expect("no panic while held");
+        parts.insert(workspace.name.clone(), part);
+    }
+}
+
+fn learn_sampling(control: &Control, snapshot: &Snapshot) {
+    let usual = control.vm.settings.rated_share;
+    let rollout = snapshot.root.rollouts.iter().max_by_key(|rollout| rollout.share);
+    let sampling = match rollout {
+        Some(rollout) => {
+            let key = Key::Trial { target: rollout.to.clone(), since: rollout.begun.0 };
+            let rated = control.gossip(|g| g.evidence.sum(&key).rated);
+            rollout::sampling(rollout.share, 1.0, usual, rated as f64)
+        }
+        None => (usual, usual),
+    };
+    *control.vm.sampling.write().expect("no panic while held") = sampling;
+}
+
+/// Drops evidence of trials that no decision looks at any more.
+fn forget(control: &Control, snapshot: &Snapshot) {
+    let date = control.vm.clock.date();
+    let oldest = date.0.saturating_sub((WINDOWS_KEPT + 1) * WINDOW);
+    let running: Vec<u64> = snapshot.root.rollouts.iter().map(|r| r.begun.0).collect();
+    control.gossip(|g| {
+        g.evidence.forget(|key| match key {
+            Key::Trial { since, .. } => *since < oldest && !running.contains(since),
+            _ => false,
+        });
+    });
+}
