A real process stopped past its permit starts nothing on a version withdrawn meanwhile

Change: a test that stops a serve process, withdraws a version, waits until the others accept, and wakes it under a stream of requests.

--- /dev/null
+++ b/tests/pause.rs
@@ -0,0 +1,123 @@
+//! A real process that is stopped for longer than its permit, and wakes believing that it may work.
+
+#![cfg(unix)]
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use kitepulley::command::block;
+use kitepulley::demo::{Shape, World, intend, key};
+use serde_json::{Value, json};
+
+/// Longest wait for something that must come.
+const LONGEST: Duration = Duration::from_secs(40);
+
+/// A `serve` process, ended with its test.
+struct Process {
+    child: Child,
+    address: SocketAddr,
+    peer: SocketAddr,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    fn start(name: &str, platform: SocketAddr, seed: Option<SocketAddr>) -> Process {
+        let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let peer = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_kitepulley"));
+        command.args(["serve", "--vm", name, "--data-centre", "ulemiste", "--workers", "1"]);
+        command.args(["--listen", &address.to_string(), "--peer", &peer.to_string()]);
+        command.args(["--platform", &platform.to_string()]);
+        if let Some(seed) = seed {
+            command.args(["--seed", &seed.to_string()]);
+        }
+        command.env("KITEPULLEY_FLEET_KEY", "a-fleet-key-of-tests").env("KITEPULLEY_LOG", "off");
+        command.env("KITEPULLEY_SESSION_KEYS", "k1:a-session-key-of-tests");
+        let child = command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap();
+        Process { child, address, peer }
+    }
+
+    fn signal(&self, signal: i32) {
+        // SAFETY: the process is this test's own child and has not been waited for.
+        let sent = unsafe { libc::kill(self.child.id() as libc::pid_t, signal) };
+        assert_eq!(sent, 0);
+    }
+
+    fn get(&self, path: &str) -> Option<(u16, Value)> {
+        self.send(path, None)
+    }
+
+    fn send(&self, path: &str, body: Option<Value>) -> Option<(u16, Value)> {
+        block(async {
+            let http = awc::Client::builder().timeout(Duration::from_secs(5)).finish();
+            let url = format!("http://{}{path}", self.address);
+            let key = format!("Bearer {}", key("roasters"));
+            let sent = match body {
+                Some(body) => {
+                    http.post(url).insert_header(("authorization", key)).send_json(&body).await
+                }
+                None => http.get(url).insert_header(("authorization", key)).send().await,
+            };
+            let mut answer = sent.ok()?;
+            let bytes = answer.body().await.ok()?;
+            let value = serde_json::from_slice(&bytes).unwrap_or_default();
+            Some((answer.status().as_u16(), value))
+        })
+    }
+}
+
+fn until(what: &str, mut is: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !is() {
+        assert!(began.elapsed() < LONGEST, "{what} did not come");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+#[test]
+fn a_vm_that_slept_past_its_permit_starts_nothing_on_a_version_withdrawn_meanwhile() {
+    let world = World::start(&Shape { vms: 0, engines: 3, ..Shape::default() }).unwrap();
+    let first = Process::start("vm1", world.platform_at, None);
+    until("the first VM", || first.get("/readyz").is_some_and(|(status, _)| status == 200));
+    let others: Vec<Process> = ["vm2", "vm3"]
+        .iter()
+        .map(|name| Process::start(name, world.platform_at, Some(first.peer)))
+        .collect();
+    for other in &others {
+        until("another VM", || other.get("/readyz").is_some_and(|(status, _)| status == 200));
+    }
+    let ask = json!({"model": "roastmind@v3", "max_tokens": 4,
+        "messages": [{"role": "user", "content": "hi"}]});
+    let answered = first.send("/v1/chat/completions", Some(ask.clone()));
+    assert_eq!(answered.map(|(status, _)| status), Some(200));
+
+    first.signal(libc::SIGSTOP);
+    let revision = intend(world.platform_at, "withdraw roastmind v3", "test").unwrap();
+    let accepted = |process: &Process| {
+        let status = process.get("/operator/status").map(|(_, value)| value);
+        status.is_some_and(|value| value["accepted"].as_u64() >= Some(revision.0))
+    };
+    // Not while it could still be working: only when it is dead to the others and has lapsed.
+    assert!(!others.iter().any(accepted));
+    until("acceptance", || others.iter().any(accepted));
+
+    first.signal(libc::SIGCONT);
+    for _ in 0..40 {
+        if let Some((status, value)) = first.send("/v1/chat/completions", Some(ask.clone())) {
+            assert!(status != 200, "it worked on a withdrawn version");
+            assert_eq!(value["ran"], "no", "{value}");
+        }
+        std::thread::sleep(Duration::from_millis(25));
+    }
+    until("its return", || first.get("/readyz").is_some_and(|(status, _)| status == 200));
+    let refused = first.send("/v1/chat/completions", Some(ask)).expect("it answers");
+    assert_eq!((refused.0, refused.1["kind"].as_str()), (410, Some("withdrawn")));
+    world.end();
+}
