Keys set aside beforehand flow while the store is away

Cause: with the store away every confirmation was refused, though outages are long and a lost confirmation costs a family its place. Weighed: leases on a shard (safe only as long as clocks are, and shorter than outages); refusing everything; a claim made beforehand that names one life of one VM, which alone gives the key out. Change: the last. Calls through any VM ask the holder; a planned stop releases what was not used; a death leaves it in doubt.

--- a/src/demo/caller.rs
+++ b/src/demo/caller.rs
@@ -19,6 +19,9 @@
 /// Wait before another try.
 const AGAIN: Duration = Duration::from_millis(250);
 
+/// Time between setting a key aside and the call itself.
+const FILLS_IN: Duration = Duration::from_millis(400);
+
 /// The platform's balancer: the VMs that it believes to be ready.
 #[derive(Clone, Default)]
 pub struct Balancer {
@@ -86,6 +89,13 @@
                 Work::Twice(ask) => {
                     futures_util::future::join(self.ask(ask), self.ask(ask)).await;
                 }
+                Work::Reserved(ask) => {
+                    let path = "/v1/reservations/tellimus-api".to_owned();
+                    let reserve = Ask { path, ..ask.clone() };
+                    self.ask(&reserve).await;
+                    tokio::time::sleep(FILLS_IN).await;
+                    self.ask(ask).await;
+                }
                 Work::Talk(turns) => self.talk(turns).await,
             }
         }
--- a/src/demo/work.rs
+++ b/src/demo/work.rs
@@ -16,6 +16,8 @@
     Single(Ask),
     /// A call that may not be repeated, sent twice with one key.
     Twice(Ask),
+    /// A call whose key is set aside first, as when a parent opens the form.
+    Reserved(Ask),
     /// The turns of a conversation.
     Talk(Vec<Ask>),
 }
@@ -25,7 +27,7 @@
     pub fn requests(&self) -> usize {
         match self {
             Work::Single(_) => 1,
-            Work::Twice(_) => 2,
+            Work::Twice(_) | Work::Reserved(_) => 2,
             Work::Talk(turns) => turns.len(),
         }
     }
@@ -78,7 +80,8 @@
                 path: format!("/v1/services/tellimus-api/seats?centre={number}"),
                 ..Ask::default()
             }),
-            65..80 => Work::Single(confirm(number)),
+            65..73 => Work::Single(confirm(number)),
+            73..80 => Work::Reserved(confirm(number)),
             80..90 => Work::Twice(confirm(number)),
             _ => Work::Talk(talk(&mut rng)),
         };
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -26,6 +26,7 @@
         .route("/v1/chat/completions", web::post().to(models::chat))
         .route("/v1/models", web::get().to(models::list))
         .route("/v1/services/{name}/{path:.*}", web::to(services::call))
+        .route("/v1/reservations/{name}", web::post().to(services::reserve))
         .route("/healthz", web::get().to(operator::health))
         .route("/readyz", web::get().to(operator::ready))
         .route("/metrics", web::get().to(operator::metrics))
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -16,9 +16,9 @@
 use crate::engine::client::{Engines, classify};
 use crate::history::Event;
 use crate::ledger::{Entry, Part, Why};
-use crate::once::{Answer, Claim, Outcome, Settled, digest};
+use crate::once::{Answer, Claim, Outcome, Settled, Word, digest};
 use crate::unit::{Cost, Moment, RequestId, Service, Span};
-use crate::vm::{Errand, Group, Vm};
+use crate::vm::{Asked, Errand, Group, Vm};
 
 /// Price of a call, in micro-euros.
 const PRICE: Cost = Cost(10);
@@ -141,15 +141,10 @@
     !(once && *method != Method::GET && *method != Method::HEAD)
 }
 
-/// Claims the key, runs the call at most once, and records how it ended.
-async fn run_once(
-    vm: &Data<Vm>,
-    engines: &Engines,
-    caller: &Caller,
-    call: &Call,
-) -> Result<Reply, Refusal> {
+/// A claim of the call's key by its request.
+fn claim(vm: &Data<Vm>, caller: &Caller, call: &Call, reserved: bool) -> Claim {
     let key = call.key.as_deref().unwrap_or_default();
-    let claim = Claim {
+    Claim {
         key: digest(&[
             caller.workspace.name.as_str().as_bytes(),
             call.service.as_str().as_bytes(),
@@ -160,24 +155,64 @@
         workspace: caller.workspace.name.clone(),
         holder: vm.origin(),
         date: vm.clock.date(),
-    };
-    let settle = |outcome| {
-        let settled = Settled { key: claim.key, request: call.request.clone(), outcome };
-        vm.errand(Errand::Settle(settled));
-    };
+        reserved,
+    }
+}
+
+/// What a call finds out about its key.
+enum Held {
+    /// It holds the key, under that request.
+    Key(RequestId),
+    /// A call with that key ended before.
+    Outcome(Outcome),
+}
+
+/// Agrees on who runs a key's call, from the store or from the word of the key's holder.
+async fn hold(vm: &Data<Vm>, claim: &Claim) -> Result<Held, Refusal> {
     let (sender, answered) = oneshot::channel();
     vm.errand(Errand::Claim(claim.clone(), sender));
-    match answered.await.unwrap_or(Answer::Away) {
-        Answer::Granted => {}
+    let holder = match answered.await.unwrap_or(Answer::Away) {
+        Answer::Granted => return Ok(Held::Key(claim.request.clone())),
         Answer::Running(holder) => return Err(running(vm, &holder)),
-        Answer::Ended(outcome) => return replay(outcome),
+        Answer::Ended(outcome) => return Ok(Held::Outcome(outcome)),
         Answer::OtherBody => return Err(Refusal::new(Refused::KeyReused)),
-        Answer::Away => {
+        Answer::Reserved(holder) => Some(holder),
+        Answer::Away => None,
+    };
+    let asked = Asked { key: claim.key, user: claim.request.clone(), body: claim.body };
+    let (sender, answered) = oneshot::channel();
+    vm.errand(Errand::Use(asked, holder.clone().map(|holder| holder.vm), sender));
+    match (answered.await.ok().flatten(), holder) {
+        (Some(Word::Granted(reservation)), _) => Ok(Held::Key(reservation)),
+        (Some(Word::Taken), _) => Err(Refusal::new(Refused::KeyRunning)),
+        (Some(Word::OtherBody), _) => Err(Refusal::new(Refused::KeyReused)),
+        (None, Some(holder)) => Err(running(vm, &holder)),
+        (None, None) => {
             // The claim may yet stand in the store; it must not hold the key for good.
-            settle(Outcome::NotRun);
-            return Err(Refusal::new(Refused::StoreAway));
+            let Claim { key, request, body, .. } = claim.clone();
+            let outcome = Outcome::NotRun;
+            vm.errand(Errand::Settle(Settled { key, request, body, outcome }));
+            Err(Refusal::new(Refused::StoreAway))
         }
     }
+}
+
+/// Claims the key, runs the call at most once, and records how it ended.
+async fn run_once(
+    vm: &Data<Vm>,
+    engines: &Engines,
+    caller: &Caller,
+    call: &Call,
+) -> Result<Reply, Refusal> {
+    let claim = claim(vm, caller, call, false);
+    let request = match hold(vm, &claim).await? {
+        Held::Key(request) => request,
+        Held::Outcome(outcome) => return replay(outcome),
+    };
+    let settle = |outcome| {
+        let (key, body) = (claim.key, claim.body);
+        vm.errand(Errand::Settle(Settled { key, request: request.clone(), body, outcome }));
+    };
     let outcome = run(vm, engines, caller, call).await;
     match &outcome {
         Ok(reply) => settle(Outcome::Ran {
@@ -193,6 +228,47 @@
     outcome
 }
 
+/// `POST /v1/reservations/NAME`: sets the key of a call to come aside, while the store answers.
+pub async fn reserve(vm: Data<Vm>, request: HttpRequest, payload: Payload) -> HttpResponse {
+    let id = vm.next_request();
+    let outcome = async {
+        body(&vm, payload).await?;
+        let caller = admit(&vm, &request)?;
+        let call = prepare(&vm, &request, &caller, Bytes::new(), id.clone())?;
+        if call.key.is_none() {
+            return Err(Refusal::new(Refused::KeyMissing));
+        }
+        if !vm.reserved.lock().expect("no panic while held").has_room() {
+            return Err(Refusal::new(Refused::Limited));
+        }
+        let claim = claim(&vm, &caller, &call, true);
+        let (sender, answered) = oneshot::channel();
+        vm.errand(Errand::Claim(claim.clone(), sender));
+        match answered.await.unwrap_or(Answer::Away) {
+            Answer::Granted => {
+                let mut reserved = vm.reserved.lock().expect("no panic while held");
+                reserved.add(claim.key, claim.request);
+                Ok(())
+            }
+            Answer::Reserved(_) => Ok(()),
+            Answer::Running(holder) => Err(running(&vm, &holder)),
+            Answer::Ended(_) | Answer::OtherBody => Err(Refusal::new(Refused::KeyReused)),
+            Answer::Away => {
+                let Claim { key, request, body, .. } = claim;
+                let outcome = Outcome::NotRun;
+                vm.errand(Errand::Settle(Settled { key, request, body, outcome }));
+                Err(Refusal::new(Refused::StoreAway))
+            }
+        }
+    };
+    match outcome.await {
+        Ok(()) => HttpResponse::Created()
+            .insert_header((header::VM, vm.settings.vm.as_str()))
+            .json(serde_json::json!({"reserved": true})),
+        Err(refusal) => refusal.answer(vm.settings.vm.as_str(), Some(&id)),
+    }
+}
+
 /// A call with this key holds it; whether it can still end depends on its VM.
 fn running(vm: &Data<Vm>, holder: &crate::evidence::Origin) -> Refusal {
     let gossip = vm.gossip.lock().expect("no panic while held");
--- a/src/experiment/slopes.rs
+++ b/src/experiment/slopes.rs
@@ -154,6 +154,7 @@
         workspace: "nestwise".parse().expect("a name"),
         holder: origin(),
         date: Date(1_796_213_600_000_000),
+        reserved: false,
     }
 }
 
@@ -221,6 +222,7 @@
             let ended = |i| Settled {
                 key: claim(i).key,
                 request: claim(i).request,
+                body: claim(i).body,
                 outcome: Outcome::Ran { status: 200, kind: String::new(), body: None },
             };
             shard.link((0..n).map(|i| Record::Settled(ended(i))).collect());
--- a/src/once/claim.rs
+++ b/src/once/claim.rs
@@ -59,6 +59,8 @@
     pub holder: Origin,
     /// When.
     pub date: Date,
+    /// Whether it only sets the key aside, for a call to come through its holder's word.
+    pub reserved: bool,
 }
 
 /// How a claimed call ended.
@@ -86,6 +88,8 @@
     pub key: Digest,
     /// The request that held it.
     pub request: RequestId,
+    /// Digest of the call's body, which a key set aside did not know yet.
+    pub body: Digest,
     /// How it ended.
     pub outcome: Outcome,
 }
@@ -97,6 +101,8 @@
     Granted,
     /// Another request holds it and has not ended.
     Running(Origin),
+    /// It is set aside; its holder alone says who may run.
+    Reserved(Origin),
     /// It ended before.
     Ended(Outcome),
     /// The key was used with another body.
--- a/src/once/mod.rs
+++ b/src/once/mod.rs
@@ -2,8 +2,10 @@
 
 mod claim;
 mod owner;
+mod reserved;
 mod shard;
 
 pub use claim::{Answer, Claim, Digest, Outcome, SHARDS, Settled, digest, shard_of};
-pub use owner::Owner;
+pub use owner::{Owner, SETTLE_WITHIN};
+pub use reserved::{Reserved, Word};
 pub use shard::{Record, Shard};
--- a/src/once/owner.rs
+++ b/src/once/owner.rs
@@ -18,7 +18,7 @@
 const BURST: f64 = 4.0;
 
 /// Outcomes wait this long for a claim to share a link with.
-const SETTLE_WITHIN: Duration = Duration::from_millis(300);
+pub const SETTLE_WITHIN: Duration = Duration::from_millis(300);
 
 /// Claims and outcomes in one link, well within 1 MB.
 const LINK: usize = 200;
@@ -165,16 +165,17 @@
         settled: &[Settled],
     ) -> Vec<(Claim, oneshot::Sender<Answer>)> {
         let mut open: Vec<(Claim, oneshot::Sender<Answer>)> = Vec::new();
-        let mut first: HashMap<_, (super::Digest, crate::evidence::Origin)> = HashMap::new();
+        let mut first: HashMap<super::Digest, Claim> = HashMap::new();
         for (claim, reply) in claims {
             if let Some(answer) = self.shard.answer(&claim) {
                 let _ = reply.send(ended(answer, &claim, settled));
-            } else if let Some((body, holder)) = first.get(&claim.key) {
-                let same = *body == claim.body;
-                let answer = if same { Answer::Running(holder.clone()) } else { Answer::OtherBody };
+            } else if let Some(before) = first.get(&claim.key) {
+                let same = before.body == claim.body || before.reserved || claim.reserved;
+                let holder = before.holder.clone();
+                let answer = if same { Answer::Running(holder) } else { Answer::OtherBody };
                 let _ = reply.send(answer);
             } else {
-                first.insert(claim.key, (claim.body, claim.holder.clone()));
+                first.insert(claim.key, claim.clone());
                 open.push((claim, reply));
             }
         }
@@ -331,6 +332,7 @@
             workspace: "w".parse().unwrap(),
             holder: Origin { vm: "a".parse().unwrap(), incarnation: Incarnation(1) },
             date,
+            reserved: false,
         }
     }
 
--- /dev/null
+++ b/src/once/reserved.rs
@@ -0,0 +1,85 @@
+//! Keys set aside beforehand, so that calls flow while no new agreement can be had.
+//!
+//! The store holds the claim already, and names this life of this VM. So this VM alone says which
+//! call may use the key, once, from memory; if it dies, nobody may.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::Digest;
+use crate::unit::RequestId;
+
+/// Keys set aside on one VM at most; at 200 bytes each they take 2 MB.
+const MOST: usize = 10_000;
+
+/// What the holder of a key says to a call.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Word {
+    /// It may run, under the reservation's request.
+    Granted(RequestId),
+    /// Another call has it.
+    Taken,
+    /// Another call has it, with another body.
+    OtherBody,
+}
+
+#[derive(Clone, Debug)]
+struct Slot {
+    reservation: RequestId,
+    user: Option<(RequestId, Digest)>,
+}
+
+/// The keys set aside on this VM.
+#[derive(Clone, Debug, Default)]
+pub struct Reserved {
+    slots: HashMap<Digest, Slot>,
+}
+
+impl Reserved {
+    /// Whether one more key may be set aside.
+    pub fn has_room(&self) -> bool {
+        self.slots.len() < MOST
+    }
+
+    /// Sets a key aside whose claim the store holds.
+    pub fn add(&mut self, key: Digest, reservation: RequestId) {
+        self.slots.entry(key).or_insert(Slot { reservation, user: None });
+    }
+
+    /// Takes out the keys that no call has used, to be released before this VM leaves.
+    pub fn release(&mut self) -> Vec<(Digest, RequestId)> {
+        let unused = self.slots.extract_if(|_, slot| slot.user.is_none());
+        unused.map(|(key, slot)| (key, slot.reservation)).collect()
+    }
+
+    /// Says whether a call may use a key; nothing if the key is not set aside here.
+    pub fn ask(&mut self, key: Digest, user: &RequestId, body: Digest) -> Option<Word> {
+        let slot = self.slots.get_mut(&key)?;
+        let (first, first_body) = slot.user.get_or_insert_with(|| (user.clone(), body));
+        if first == user {
+            return Some(Word::Granted(slot.reservation.clone()));
+        }
+        Some(if *first_body == body { Word::Taken } else { Word::OtherBody })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::digest;
+    use super::*;
+
+    #[test]
+    fn a_key_set_aside_is_given_to_one_call_only() {
+        let mut reserved = Reserved::default();
+        let (key, body) = (digest(&[b"k"]), digest(&[b"b"]));
+        let (one, two): (RequestId, RequestId) = ("r1".parse().unwrap(), "r2".parse().unwrap());
+        assert_eq!(reserved.ask(key, &one, body), None);
+        reserved.add(key, "r0".parse().unwrap());
+        let granted = Some(Word::Granted("r0".parse().unwrap()));
+        assert_eq!(reserved.ask(key, &one, body), granted);
+        assert_eq!(reserved.ask(key, &one, body), granted);
+        assert_eq!(reserved.ask(key, &two, body), Some(Word::Taken));
+        assert_eq!(reserved.ask(key, &two, digest(&[b"c"])), Some(Word::OtherBody));
+    }
+}
--- a/src/once/shard.rs
+++ b/src/once/shard.rs
@@ -90,6 +90,7 @@
                 if held.claim.request != settled.request {
                     return;
                 }
+                held.claim.body = settled.body;
                 match settled.outcome {
                     Outcome::NotRun => {
                         self.held.remove(&settled.key);
@@ -109,6 +110,9 @@
         if held.claim.request == claim.request {
             return Some(Answer::Granted);
         }
+        if held.claim.reserved && held.outcome.is_none() {
+            return Some(Answer::Reserved(held.claim.holder.clone()));
+        }
         if held.claim.body != claim.body {
             return Some(Answer::OtherBody);
         }
@@ -172,6 +176,7 @@
             workspace: "w".parse().unwrap(),
             holder: Origin { vm: "a".parse().unwrap(), incarnation: Incarnation(1) },
             date: Date(0),
+            reserved: false,
         }
     }
 
@@ -182,7 +187,8 @@
         assert!(matches!(shard.answer(&claim(1, 2)), Some(Answer::Running(_))));
         let settle = |outcome| {
             let key = digest(&[&[1]]);
-            Record::Settled(Settled { key, request: "r1".parse().unwrap(), outcome })
+            let (request, body) = ("r1".parse().unwrap(), claim(1, 1).body);
+            Record::Settled(Settled { key, request, body, outcome })
         };
         shard.link(vec![settle(Outcome::NotRun)]);
         assert_eq!(shard.answer(&claim(1, 2)), None);
@@ -194,7 +200,8 @@
     fn a_call_that_ended_long_ago_still_holds_its_key_for_a_day() {
         let mut shard = Shard::default();
         let outcome = Outcome::Ran { status: 200, kind: String::new(), body: Some(vec![1]) };
-        let settled = Settled { key: claim(1, 1).key, request: claim(1, 1).request, outcome };
+        let Claim { key, request, body, .. } = claim(1, 1);
+        let settled = Settled { key, request, body, outcome };
         shard.link(vec![Record::Claim(claim(1, 1)), Record::Settled(settled)]);
         shard.forget(Date(WHOLE.0));
         let answer = shard.answer(&claim(1, 2));
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -6,8 +6,8 @@
 use crate::config::Piece;
 use crate::evidence::Row;
 use crate::ledger::Entry;
-use crate::once::{Answer, Claim, Settled};
-use crate::unit::{Incarnation, Revision, Span, Vm};
+use crate::once::{Answer, Claim, Digest, Settled, Word};
+use crate::unit::{Incarnation, RequestId, Revision, Span, Vm};
 
 /// What every frame says about the configuration.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -123,6 +123,15 @@
     Claim(Claim),
     /// Note how a claimed call ended.
     Settle(Settled),
+    /// Ask the holder of a key that is set aside.
+    Use {
+        /// The key.
+        key: Digest,
+        /// The request that would run.
+        user: RequestId,
+        /// Digest of its body.
+        body: Digest,
+    },
     /// The decision record of a request.
     Explain {
         /// The request's id.
@@ -139,6 +148,8 @@
     Done,
     /// The answer to a claim.
     Claim(Answer),
+    /// The word of a key's holder; nothing if it is not set aside there.
+    Use(Option<Word>),
     /// Text: an explanation, or JSON.
     Text(Option<String>),
 }
--- a/src/vm/claims.rs
+++ b/src/vm/claims.rs
@@ -1,9 +1,11 @@
 //! Finds the owner of a key's shard and asks it; any VM may own if the others do not answer.
 
+use super::Asked;
 use super::control::Control;
-use crate::once::{Answer, Claim, Settled, shard_of};
+use crate::once::{Answer, Claim, Digest, Outcome, Settled, Word, shard_of};
 use crate::peer::wire::{Call, Reply};
 use crate::peer::{Member, ranked};
+use crate::unit::Vm;
 
 /// Other VMs asked before this one takes the shard itself.
 const ASKED: usize = 2;
@@ -44,3 +46,35 @@
     }
     control.owner.settle(settled);
 }
+
+/// Releases the keys set aside here that no call has used: after this life nobody could.
+pub async fn release(control: &Control) {
+    let unused = control.vm.reserved.lock().expect("no panic while held").release();
+    if unused.is_empty() {
+        return;
+    }
+    for (key, request) in unused {
+        let (body, outcome) = (Digest::default(), Outcome::NotRun);
+        settle(control, Settled { key, request, body, outcome }).await;
+    }
+    // Outcomes wait this long for a claim to share their link with.
+    tokio::time::sleep(crate::once::SETTLE_WITHIN * 2).await;
+}
+
+/// Asks for a key that is set aside: this VM, its holder, or all others.
+pub async fn ask_holder(control: &Control, asked: Asked, holder: Option<Vm>) -> Option<Word> {
+    let Asked { key, user, body } = asked;
+    let own = control.vm.reserved.lock().expect("no panic while held").ask(key, &user, body);
+    if own.is_some() {
+        return own;
+    }
+    let mut others = control.others();
+    others.retain(|member| holder.as_ref().is_none_or(|holder| member.vm == *holder));
+    let call = Call::Use { key, user, body };
+    let asks = others.iter().map(|member| control.call(member.address, call.clone()));
+    let words = futures_util::future::join_all(asks).await;
+    words.into_iter().find_map(|reply| match reply {
+        Some(Reply::Use(word)) => word,
+        _ => None,
+    })
+}
--- a/src/vm/control.rs
+++ b/src/vm/control.rs
@@ -168,6 +168,10 @@
                 self.owner.settle(settled);
                 Reply::Done
             }
+            Call::Use { key, user, body } => {
+                let mut reserved = self.vm.reserved.lock().expect("no panic while held");
+                Reply::Use(reserved.ask(key, &user, body))
+            }
             Call::Explain { request } => {
                 let traces = self.vm.traces.lock().expect("no panic while held");
                 Reply::Text(traces.find(&request).map(|trace| trace.words()))
@@ -194,6 +198,11 @@
             Errand::Settle(settled) => {
                 actix_web::rt::spawn(async move { claims::settle(&control, settled).await });
             }
+            Errand::Use(asked, holder, reply) => {
+                actix_web::rt::spawn(async move {
+                    let _ = reply.send(claims::ask_holder(&control, asked, holder).await);
+                });
+            }
             Errand::Rate(sample) => ratings::give(control, sample),
             Errand::CatchUp(revision, reply) => {
                 actix_web::rt::spawn(async move {
@@ -272,6 +281,7 @@
 
     /// Hands over what others need and leaves.
     pub async fn leave(&self) {
+        claims::release(self).await;
         bills::flush_own(self).await;
         let now = self.vm.clock.now();
         let out = self.gossip(|g| g.leave(now));
--- a/src/vm/errand.rs
+++ b/src/vm/errand.rs
@@ -3,9 +3,20 @@
 use tokio::sync::oneshot;
 
 use crate::ledger::Entry;
-use crate::once::{Answer, Claim, Settled};
+use crate::once::{Answer, Claim, Digest, Settled, Word};
 use crate::standin::rating::Sample;
-use crate::unit::{Revision, Server};
+use crate::unit::{RequestId, Revision, Server, Vm};
+
+/// A call that wants to use a key.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    /// The key.
+    pub key: Digest,
+    /// The request that would run.
+    pub user: RequestId,
+    /// Digest of its body.
+    pub body: Digest,
+}
 
 /// An errand.
 pub enum Errand {
@@ -13,6 +24,8 @@
     Bill(Entry, oneshot::Sender<bool>),
     /// Claim a key.
     Claim(Claim, oneshot::Sender<Answer>),
+    /// Ask for a key that is set aside: its holder, or everyone if the holder is not known.
+    Use(Asked, Option<Vm>, oneshot::Sender<Option<Word>>),
     /// Note how a claimed call ended.
     Settle(Settled),
     /// Have an answer rated.
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -14,7 +14,7 @@
 mod state;
 
 pub use clock::Clock;
-pub use errand::Errand;
+pub use errand::{Asked, Errand};
 pub use fleet::{Fleet, Group, Picked};
 pub use ratings::{Subject, Waiting};
 pub use run::{Handle, start};
--- a/src/vm/state.rs
+++ b/src/vm/state.rs
@@ -15,6 +15,7 @@
 use crate::decide::retry::Budget;
 use crate::evidence::{Key, Origin, Tally};
 use crate::history::Sink;
+use crate::once::Reserved;
 use crate::peer::Gossip;
 use crate::unit::{Date, Incarnation, Kind, Model, Moment, Rate, RequestId, Revision, Workspace};
 use crate::watch::{Burn, Metrics, Traces};
@@ -55,6 +56,8 @@
     pub sampling: RwLock<(f64, f64)>,
     /// Parts of workspaces' limits on this VM.
     pub parts: RwLock<HashMap<Workspace, Rate>>,
+    /// Keys set aside on this VM.
+    pub reserved: Mutex<Reserved>,
     gates: Mutex<HashMap<Model, Gate>>,
     dispatches: Mutex<BTreeMap<Revision, usize>>,
     buckets: Mutex<HashMap<Workspace, Bucket>>,
@@ -92,6 +95,7 @@
             rules: RwLock::default(),
             sampling: RwLock::new((1.0, 0.0)),
             parts: RwLock::default(),
+            reserved: Mutex::default(),
             gates: Mutex::default(),
             dispatches: Mutex::default(),
             buckets: Mutex::default(),
--- a/tests/door.rs
+++ b/tests/door.rs
@@ -182,6 +182,54 @@
     world.end();
 }
 
+fn reserve(once: &str) -> Ask {
+    Ask::post("/v1/reservations/tellimus-api", Vec::new()).with("idempotency-key", once)
+}
+
+#[test]
+fn a_key_set_aside_beforehand_flows_once_through_any_vm_while_the_store_is_away() {
+    let (world, vms) = world(3);
+    assert_eq!(reserve("seat-6").to(vms[0]).status, 201);
+    world.platform.switch(Switches { down: true, ..Switches::default() });
+    assert_eq!(confirm(6, "seat-6").to(vms[1]).status, 200);
+    confirm(6, "seat-6").refused(vms[2], 409, "key_running", "unknown");
+    confirm(7, "seat-6").refused(vms[2], 422, "key_reused", "no");
+    reserve("seat-16").refused(vms[0], 503, "store_away", "no");
+    world.platform.switch(Switches::default());
+    let replayed = (0..40).any(|_| {
+        std::thread::sleep(Duration::from_millis(250));
+        confirm(6, "seat-6").to(vms[2]).status == 200
+    });
+    assert!(replayed, "the outcome is told once the store is back");
+    let ran: u64 = world.services.iter().filter_map(|s| s.ran().get("seat-6").copied()).sum();
+    assert_eq!(ran, 1);
+    world.end();
+}
+
+#[test]
+fn a_key_set_aside_on_a_vm_is_free_after_its_planned_stop_and_in_doubt_after_its_death() {
+    let (mut world, vms) = world(3);
+    let holder = world.nodes.keys().next().expect("a VM runs").clone();
+    assert_eq!(reserve("seat-1").to(vms[0]).status, 201);
+    world.nodes.remove(&holder).expect("it runs").stop();
+    let free = (0..40).any(|_| {
+        std::thread::sleep(Duration::from_millis(250));
+        confirm(1, "seat-1").to(vms[1]).status == 200
+    });
+    assert!(free);
+    let holder = world.nodes.keys().next().expect("a VM runs").clone();
+    assert_eq!(reserve("seat-2").to(vms[1]).status, 201);
+    world.nodes.remove(&holder).expect("it runs").kill();
+    let last = (0..60).map(|_| {
+        std::thread::sleep(Duration::from_millis(250));
+        confirm(2, "seat-2").to(vms[2]).body["kind"].clone()
+    });
+    assert!(last.into_iter().any(|kind| kind == "in_doubt"));
+    let ran: u64 = world.services.iter().filter_map(|s| s.ran().get("seat-2").copied()).sum();
+    assert_eq!(ran, 0);
+    world.end();
+}
+
 #[test]
 fn the_outcome_of_a_vm_that_died_is_in_doubt_and_never_run_again() {
     let (mut world, _) = world(3);
