An owner of keys reads on before it calls a call running

VMs that do not agree yet on who is present ask different owners for one key. The second owner had read the chain before the call ended, and told from memory that it still ran, for as long as nothing made it write a link of its own. Ruled out: a lost outcome (it stood in the chain), a slow first connection. Change: before a key is called taken but not ended, its chain is read on. Without the store, what is known must do. Conclusion: never unsafe, since only a created link grants; but a caller was told to come back for an outcome that was there.

--- a/src/once/owner.rs
+++ b/src/once/owner.rs
@@ -137,6 +137,7 @@
         settled: &mut Vec<Settled>,
     ) {
         self.shard.forget(self.clock.date());
+        self.refresh(&claims).await;
         let mut open = self.answer_known(claims, settled);
         for _ in 0..TRIES {
             if open.is_empty() && settled.is_empty() {
@@ -158,6 +159,21 @@
         }
     }
 
+    /// Reads on before a key is called taken but not ended: another VM may have owned the shard
+    /// meanwhile and have written how its call ended.
+    async fn refresh(&mut self, claims: &[(Claim, oneshot::Sender<Answer>)]) {
+        let open = |claim: &Claim| {
+            matches!(self.shard.answer(claim), Some(Answer::Running(_) | Answer::Reserved(_)))
+        };
+        if !claims.iter().any(|(claim, _)| open(claim)) {
+            return;
+        }
+        // Without the store, what is known here must do.
+        if self.read_on().await.is_ok_and(|read| read > 0) {
+            self.recent.clear();
+        }
+    }
+
     /// Answers what the chain decides already and returns the rest, one claim for each key.
     fn answer_known(
         &self,
@@ -336,6 +352,31 @@
         }
     }
 
+    #[test]
+    fn an_owner_that_was_passed_over_for_a_while_learns_what_has_ended() {
+        let platform = Platform::new(Rates { writes: 1e6, reads: 1e6 }, Sink::default());
+        let running = platform.launch("127.0.0.1:0".parse().unwrap()).unwrap();
+        crate::command::block(async {
+            let store = Store::new(running.address);
+            let (mut first, mut second) = (task(&store), task(&store));
+            let date = first.clock.date();
+            let held = claim(1, date);
+            let (sender, receiver) = oneshot::channel();
+            first.write(vec![(held.clone(), sender)], &mut Vec::new()).await;
+            assert_eq!(receiver.await.unwrap(), Answer::Granted);
+            second.read_on().await.unwrap();
+            let outcome = Outcome::Ran { status: 200, kind: String::new(), body: None };
+            let Claim { key, request, body, .. } = held.clone();
+            let settled = Settled { key, request, body, outcome: outcome.clone() };
+            first.write(Vec::new(), &mut vec![settled]).await;
+            let again = Claim { request: "another".parse().unwrap(), ..held };
+            let (sender, receiver) = oneshot::channel();
+            second.write(vec![(again, sender)], &mut Vec::new()).await;
+            assert_eq!(receiver.await.unwrap(), Answer::Ended(outcome));
+        });
+        running.kill();
+    }
+
     #[test]
     fn a_new_owner_reads_a_long_chain_in_few_calls_and_knows_every_key() {
         const LINKS: u64 = 600;
