--- a/src/vm/control.rs
+++ b/src/vm/control.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use actix::{Actor, AsyncContext, Context};
 use tokio::sync::{mpsc, oneshot};
 
 use super::{Errand, Vm, bills, claims, ratings};
@@ -53,16 +54,15 @@
         mut incoming: mpsc::UnboundedReceiver<Incoming>,
         mut errands: mpsc::UnboundedReceiver<Errand>,
     ) {
-        let mut tick = tokio::time::interval(TICK);
-        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+        let ticker = Ticker(self.clone()).start();
         loop {
             tokio::select! {
-                _ = tick.tick() => self.tick(),
                 Some(arrived) = incoming.recv() => self.arrived(arrived),
                 Some(errand) = errands.recv() => self.errand(errand),
-                else => return,
+                else => break,
             }
         }
+        drop(ticker);
     }
 
     fn tick(&self) {
@@ -292,6 +292,17 @@
     }
 }
 
+/// Drives the gossip at its pace.
+struct Ticker(Control);
+
+impl Actor for Ticker {
+    type Context = Context<Ticker>;
+
+    fn started(&mut self, context: &mut Context<Ticker>) {
+        context.run_interval(TICK, |ticker, _| ticker.0.tick());
+    }
+}
+
 fn kind(frame: &Frame) -> &'static str {
     match frame {
         Frame::Probe { .. } => "probe",
