--- a/src/entry/drive/account.rs
+++ b/src/entry/drive/account.rs
@@ -40,9 +40,9 @@
         });
     }
 
-    pub(super) fn trial_key(&self, target: &Target) -> Option<Key> {
+    pub(super) fn trial_key(&self, target: &Target) -> Key {
         let since = self.vm.trial(&target.model, self.vm.clock.date());
-        Some(Key::Trial { target: target.clone(), since })
+        Key::Trial { target: target.clone(), since }
     }
 
     pub(super) fn rate_cheap(&self, target: &Target, bin: usize, rule: &Rule, kept: &[String]) {
@@ -52,7 +52,7 @@
             bin: bin as u8,
         };
         self.vm.learn(key.clone(), Tally { ended: 1, ..Tally::default() });
-        let keys = self.trial_key(target).into_iter().chain([key]).collect();
+        let keys = vec![self.trial_key(target), key];
         let id = format!("{}.cheap", self.job.request);
         let worth = cascade::worth(rule, Answer::Cheap(bin));
         if let Ok(id) = id.parse() {
@@ -67,7 +67,7 @@
             bin: bin as u8,
         };
         self.vm.learn(key.clone(), Tally { ended: 1, ..Tally::default() });
-        let keys = self.trial_key(target).into_iter().chain([key]).collect();
+        let keys = vec![self.trial_key(target), key];
         let answer = if bin == BINS { Answer::Direct } else { Answer::Climbed };
         let worth = cascade::worth(rule, answer);
         self.rate(target, self.job.request.clone(), keys, worth, kept.concat());
--- a/src/entry/drive/attempts.rs
+++ b/src/entry/drive/attempts.rs
@@ -39,15 +39,13 @@
         let late = self.late(began, first);
         self.let_out(target, &outcome, late);
         let failed = matches!(&outcome, Err(Stop::Refused(_)));
-        if let Some(key) = self.trial_key(target) {
-            let more = Tally {
-                ended: 1,
-                failed: u64::from(failed),
-                slow: u64::from(late),
-                ..Tally::default()
-            };
-            self.vm.learn(key, more);
-        }
+        let more = Tally {
+            ended: 1,
+            failed: u64::from(failed),
+            slow: u64::from(late),
+            ..Tally::default()
+        };
+        self.vm.learn(self.trial_key(target), more);
         self.burn(target, failed || late);
         if !kept.is_empty() || outcome.is_ok() {
             self.part(target, kept.len() as u32, outcome.is_ok());
--- a/src/entry/drive/mod.rs
+++ b/src/entry/drive/mod.rs
@@ -246,7 +246,7 @@
             None => {
                 let mut kept = Vec::new();
                 let end = self.stream(target, &mut kept, true).await?;
-                let keys = self.trial_key(target).into_iter().collect();
+                let keys = vec![self.trial_key(target)];
                 self.rate(target, self.job.request.clone(), keys, 1.0, kept.concat());
                 Ok(end)
             }
--- a/src/experiment/overload.rs
+++ b/src/experiment/overload.rs
@@ -67,12 +67,11 @@
     born: u64,
     tries: u32,
     work: u64,
-    point: f64,
 }
 
 enum Event {
     Offer(Request),
-    End(usize, Request, bool),
+    End(usize, Request),
 }
 
 #[derive(Default)]
@@ -122,7 +121,7 @@
             }
             match self.events.remove(&number).expect("each event once") {
                 Event::Offer(request) => self.offer(now, request),
-                Event::End(at, request, ran) => self.end(now, at, request, ran),
+                Event::End(at, request) => self.end(now, at, request),
             }
         }
     }
@@ -179,7 +178,7 @@
             if replica.running < SLOTS {
                 replica.running += 1;
                 let end = now + request.work;
-                self.push(end, Event::End(at, request, true));
+                self.push(end, Event::End(at, request));
                 return;
             }
             if (replica.waiting.len() as f64) < room * SLOTS as f64 {
@@ -213,7 +212,7 @@
         }
     }
 
-    fn end(&mut self, now: u64, at: usize, request: Request, _ran: bool) {
+    fn end(&mut self, now: u64, at: usize, request: Request) {
         let lost = self.replicas[at].lost;
         if lost {
             self.failed(now, request);
@@ -246,7 +245,7 @@
             }
             self.replicas[at].running += 1;
             let end = now + request.work;
-            self.push(end, Event::End(at, request, true));
+            self.push(end, Event::End(at, request));
             return;
         }
     }
@@ -283,14 +282,8 @@
             if large { rng.random_range(0..LARGE) } else { LARGE + rng.random_range(0..SMALL) };
         let born = (at * 1e6) as u64 + 1_000_000;
         let work = (-(1.0 - rng.random::<f64>()).ln() * SERVICE * 0.5 + SERVICE * 0.5) * 1e6;
-        let request = Request {
-            workspace,
-            vm: rng.random_range(0..VMS),
-            born,
-            tries: 0,
-            work: work as u64,
-            point: rng.random(),
-        };
+        let request =
+            Request { workspace, vm: rng.random_range(0..VMS), born, tries: 0, work: work as u64 };
         all.push((born, request));
     }
     all
@@ -311,7 +304,6 @@
         rng: SmallRng::seed_from_u64(seed ^ 0x5eed),
     };
     for (at, request) in draw(seed, load) {
-        debug_assert!(request.point < 1.0);
         run.push(at, Event::Offer(request));
     }
     run.go();
--- a/src/experiment/replica.rs
+++ b/src/experiment/replica.rs
@@ -183,8 +183,7 @@
         }
     }
 
-    fn forget(&mut self, vm: usize, ends: &mut BinaryHeap<Reverse<(u64, usize, usize)>>, now: u64) {
-        let _ = vm;
+    fn forget(&mut self, ends: &mut BinaryHeap<Reverse<(u64, usize, usize)>>, now: u64) {
         while ends.peek().is_some_and(|Reverse((end, ..))| *end <= now) {
             let Reverse((_, vm, server)) = ends.pop().expect("there is one");
             self.views[vm][server].own -= 1.0;
@@ -282,7 +281,7 @@
     let warm = (requests.len() as f64 * WARM_UP) as usize;
     for (i, request) in requests.iter().enumerate() {
         let now = micros(request.at) + 1_000_000;
-        run.forget(request.vm, &mut ends, now);
+        run.forget(&mut ends, now);
         run.report(now);
         let (server, now) = run.place(request, now);
         let (first, end, hit) = run.servers[server].take(now, request.prefix, request.answer);
--- a/src/once/owner.rs
+++ b/src/once/owner.rs
@@ -49,15 +49,7 @@
     pub fn start(store: &Store, clock: Clock) -> Owner {
         let start = |number| {
             let (sender, receiver) = mpsc::unbounded_channel();
-            let task = Task {
-                number,
-                store: store.clone(),
-                clock,
-                shard: Shard::default(),
-                recent: Vec::new(),
-                level: BURST,
-                at: clock.now(),
-            };
+            let task = Task::new(number, store, clock);
             actix_web::rt::spawn(task.run(receiver));
             sender
         };
@@ -89,6 +81,18 @@
 }
 
 impl Task {
+    fn new(number: u64, store: &Store, clock: Clock) -> Task {
+        Task {
+            number,
+            store: store.clone(),
+            clock,
+            shard: Shard::default(),
+            recent: Vec::new(),
+            level: BURST,
+            at: clock.now(),
+        }
+    }
+
     async fn run(mut self, mut asks: mpsc::UnboundedReceiver<Ask>) {
         let mut settled = Vec::new();
         loop {
@@ -328,16 +332,7 @@
     use crate::unit::{Date, Incarnation};
 
     fn task(store: &Store) -> Task {
-        let clock = Clock::default();
-        Task {
-            number: 0,
-            store: store.clone(),
-            clock,
-            shard: Shard::default(),
-            recent: Vec::new(),
-            level: BURST,
-            at: clock.now(),
-        }
+        Task::new(0, store, Clock::default())
     }
 
     fn claim(i: u64, date: Date) -> Claim {
