A claim written after its request gave up holds nothing

Cause: found by reading: an owner that is paced for longer than a second writes a claim whose VM had asked another owner, was told that no agreement could be had, and had released the key before the claim stood. Safe, but a confirmation could not be made under that key. Change: a release that comes before its claim in the chain voids it; all readers see the same order. Before: the new test fails to free the key; after: it passes.

--- a/src/once/shard.rs
+++ b/src/once/shard.rs
@@ -4,12 +4,12 @@
 //! own the shard finds link n taken and reads on. So agreement rests on the store alone, and
 //! ownership only spares conflicts.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
 use super::{Answer, Claim, Digest, Outcome, Settled};
-use crate::unit::{Date, Span};
+use crate::unit::{Date, RequestId, Span};
 
 /// A key is remembered this long; callers repeat within it.
 const KEPT: Span = Span::secs(24 * 3600);
@@ -20,6 +20,9 @@
 /// Room for this many times what is held is given back.
 const ROOMY: usize = 8;
 
+/// Requests that gave up before their claim was written are remembered up to this number.
+const VOID: usize = 500;
+
 /// One record of the chain.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Record {
@@ -50,6 +53,7 @@
     next: u64,
     held: HashMap<Digest, Held>,
     old: HashMap<Digest, Old>,
+    void: VecDeque<RequestId>,
 }
 
 impl Shard {
@@ -80,16 +84,18 @@
         match record {
             // The first claim holds; a later one in the chain was never granted.
             Record::Claim(claim) if self.old.contains_key(&claim.key) => {}
+            // Its request gave up before a slow owner wrote the claim: nobody would ever end it.
+            Record::Claim(claim) if self.void.contains(&claim.request) => {}
             Record::Claim(claim) => {
                 self.held.entry(claim.key).or_insert(Held { claim, outcome: None });
             }
             Record::Settled(settled) => {
-                let Some(held) = self.held.get_mut(&settled.key) else {
+                let held = self.held.get_mut(&settled.key);
+                let own = held.filter(|held| held.claim.request == settled.request);
+                let Some(held) = own else {
+                    self.give_up(settled);
                     return;
                 };
-                if held.claim.request != settled.request {
-                    return;
-                }
                 held.claim.body = settled.body;
                 match settled.outcome {
                     Outcome::NotRun => {
@@ -101,6 +107,17 @@
         }
     }
 
+    /// Notes a request that gave up a key which it does not hold, or not yet.
+    fn give_up(&mut self, settled: Settled) {
+        if settled.outcome != Outcome::NotRun {
+            return;
+        }
+        if self.void.len() >= VOID {
+            self.void.pop_front();
+        }
+        self.void.push_back(settled.request);
+    }
+
     /// The answer to a claim from what was read; nothing if the key is free.
     pub fn answer(&self, claim: &Claim) -> Option<Answer> {
         if let Some(old) = self.old.get(&claim.key) {
@@ -215,6 +232,18 @@
         assert_eq!(shard.answer(&claim(1, 3)), None);
     }
 
+    #[test]
+    fn a_claim_written_after_its_request_gave_up_holds_nothing() {
+        let mut shard = Shard::default();
+        let Claim { key, request, body, .. } = claim(1, 1);
+        let settled = Settled { key, request, body, outcome: Outcome::NotRun };
+        shard.link(vec![Record::Settled(settled)]);
+        shard.link(vec![Record::Claim(claim(1, 1))]);
+        assert_eq!(shard.answer(&claim(1, 2)), None);
+        shard.link(vec![Record::Claim(claim(1, 2))]);
+        assert_eq!(shard.answer(&claim(1, 2)), Some(Answer::Granted));
+    }
+
     #[test]
     fn another_body_under_the_same_key_is_refused() {
         let mut shard = Shard::default();
