Silent watches are noticed, and knowledge of the store passes on with its age

Cause: two findings. And a watch that reports nothing though the root changed was trusted for ever, since its answer counted as knowledge. Change: an answer from a VM at the same revision makes the prober as of the store when that VM was, by the time its probe was sent. A watcher reads the root itself every 5 s.

--- a/src/peer/gossip/mod.rs
+++ b/src/peer/gossip/mod.rs
@@ -389,7 +389,7 @@
             }
             Frame::Ack { number, me, stand, news, seen } => {
                 self.told_of(from, seen);
-                self.acked(from, number, now);
+                self.acked(from, number, stand, now);
                 self.take(from, me.clone(), stand, news, now);
                 let mut out = Vec::new();
                 self.catch_up(&me, stand, now, &mut out);
@@ -450,13 +450,19 @@
         told.evidence = told.evidence.max(seen.evidence);
     }
 
-    fn acked(&mut self, from: &Vm, number: u64, now: Moment) {
+    fn acked(&mut self, from: &Vm, number: u64, stand: Stand, now: Moment) {
         let Some(probe) = self.probes.get_mut(from) else {
             return;
         };
         if probe.number > 0 && number >= probe.number {
             // The answer proves contact as of when the probe was sent, and no later.
             self.contact = self.contact.max(Some(probe.sent));
+            // A VM at the same revision that was as of the store then makes this one as of it too.
+            if stand.revision == self.snapshot.revision()
+                && let Some(age) = stand.age
+            {
+                self.fresh = self.fresh.max(Some(probe.sent - age));
+            }
             probe.number = 0;
             probe.missed = 0;
             self.change(from, "answer", now);
@@ -512,6 +518,24 @@
         assert!(!gossip.may_start(Moment(1_000_000) + PERMIT));
     }
 
+    #[test]
+    fn knowledge_of_the_store_passes_on_with_its_age() {
+        let (mut a, mut b) =
+            (Gossip::new(member("a"), Moment(0)), Gossip::new(member("b"), Moment(0)));
+        a.introduce([member("b")], Moment(0));
+        b.introduce([member("a")], Moment(0));
+        a.adopt(at(1));
+        b.adopt(at(1));
+        b.store_contact(Moment(5_000_000));
+        let asked = Moment(7_000_000);
+        let probes = a.tick(asked);
+        let frame = probes.into_iter().map(|(_, frame)| frame);
+        let probe = frame.into_iter().find(|frame| matches!(frame, Frame::Probe { .. })).unwrap();
+        let answers = b.receive(&member("a").vm, probe, asked);
+        a.receive(&member("b").vm, answers[0].1.clone(), Moment(7_000_100));
+        assert_eq!(a.age(asked), Some(Span::secs(2)));
+    }
+
     #[test]
     fn a_suspicion_is_refuted_by_its_subject() {
         let mut gossip = Gossip::new(member("a"), Moment(0));
--- a/src/vm/spread.rs
+++ b/src/vm/spread.rs
@@ -16,8 +16,12 @@
 /// How long a watch waits at the platform.
 const WATCH: Span = Span::secs(2);
 
-/// A VM whose knowledge of the store is older reads for itself.
-const STALE: Span = Span::secs(6);
+/// A VM whose knowledge of the store is older reads for itself; a change is in force within 15 s
+/// though all watchers hear nothing.
+const STALE: Span = Span::secs(12);
+
+/// A watcher reads the root itself this often: a watch that reports nothing proves nothing.
+const READ_EVERY: Span = Span::secs(5);
 
 /// Wait after a call that failed, and between looks at who watches.
 const PAUSE: Duration = Duration::from_millis(300);
@@ -37,6 +41,7 @@
 pub async fn watch(control: Control) {
     let mut version = 0;
     let mut listed = control.vm.clock.now();
+    let mut read = listed;
     loop {
         let now = control.vm.clock.now();
         let stale = control.gossip(|g| g.age(now)).is_none_or(|age| age >= STALE);
@@ -48,9 +53,15 @@
             listed = now;
             read_list(&control).await;
         }
-        let wait = if version == 0 { Span(0) } else { WATCH };
         let sent = control.vm.clock.now();
-        match control.store.watch(ROOT, version, wait).await {
+        let due = version == 0 || sent.since(read) >= READ_EVERY;
+        let answer = if due {
+            read = sent;
+            control.store.get(ROOT).await
+        } else {
+            control.store.watch(ROOT, version, WATCH).await
+        };
+        match answer {
             Ok(Some(object)) => {
                 if take(&control, &object.body).await.is_ok() {
                     version = object.version;
--- a/tests/door.rs
+++ b/tests/door.rs
@@ -258,6 +258,16 @@
     world.end();
 }
 
+#[test]
+fn a_change_is_in_force_though_every_watch_is_silent() {
+    let (world, _) = world(3);
+    world.platform.switch(Switches { quiet: true, ..Switches::default() });
+    let revision =
+        intend(world.platform_at, "withdraw roastmind v4", "test").expect("it is confirmed");
+    assert!(world.accepted(revision, Span::secs(14)));
+    world.end();
+}
+
 #[test]
 fn a_vm_that_starts_without_the_store_takes_the_configuration_from_the_others() {
     let (mut world, _) = world(2);
