A test for news that was told again and again

Change: a VM that probes and is never probed hears each row once. It fails when an answer ignores what the prober has merged (3 rows again), and passes now.

--- a/src/peer/gossip/mod.rs
+++ b/src/peer/gossip/mod.rs
@@ -536,6 +536,23 @@
         assert_eq!(a.age(asked), Some(Span::secs(2)));
     }
 
+    #[test]
+    fn news_that_was_merged_is_not_told_again_to_a_vm_that_is_never_probed() {
+        let mut told = Gossip::new(member("a"), Moment(0));
+        told.introduce([member("b"), member("c"), member("d")], Moment(0));
+        let mut asks = Gossip::new(member("b"), Moment(0));
+        let rows = |asks: &mut Gossip, told: &mut Gossip, now: u64| {
+            let (_, probe) = asks.probe(member("a"), Moment(now));
+            let answers = told.receive(&member("b").vm, probe, Moment(now));
+            let Frame::Ack { news, .. } = &answers[0].1 else { panic!("a probe is answered") };
+            let rows = news.members.len();
+            asks.receive(&member("a").vm, answers[0].1.clone(), Moment(now));
+            rows
+        };
+        assert!(rows(&mut asks, &mut told, 1) > 0);
+        assert_eq!(rows(&mut asks, &mut told, 2), 0);
+    }
+
     #[test]
     fn a_suspicion_is_refuted_by_its_subject() {
         let mut gossip = Gossip::new(member("a"), Moment(0));
