A woken VM's permit is renewed only once it obeys what its peers obey

Cause: the test of the stopped process failed once: a VM that had slept past its permit answered on a version withdrawn and accepted meanwhile. Its first probe after waking was answered by a VM that was ahead; that contact renewed the permit some milliseconds before the later revision was taken. And the permit was set before the hot path saw a new revision. Change: contact with a VM that is ahead renews nothing; the permit is set after the revision. A key set aside is given out for 12 hours, half of the chain's memory, so that it is never given out beside a later claim (found by reading). Before: the new test of the gossip fails; after: it passes.

--- a/src/entry/drive/account.rs
+++ b/src/entry/drive/account.rs
@@ -45,14 +45,19 @@
         Key::Trial { target: target.clone(), since }
     }
 
+    /// Counts an answer under a cascade's key; its rating will count there and in its trial.
+    fn counted(&self, target: &Target, key: Key) -> Vec<Key> {
+        self.vm.learn(key.clone(), Tally { ended: 1, ..Tally::default() });
+        vec![self.trial_key(target), key]
+    }
+
     pub(super) fn rate_cheap(&self, target: &Target, bin: usize, rule: &Rule, kept: &[String]) {
         let key = Key::Cheap {
             workspace: self.job.workspace.name.clone(),
             kind: self.job.kind.clone(),
             bin: bin as u8,
         };
-        self.vm.learn(key.clone(), Tally { ended: 1, ..Tally::default() });
-        let keys = vec![self.trial_key(target), key];
+        let keys = self.counted(target, key);
         let id = format!("{}.cheap", self.job.request);
         let worth = cascade::worth(rule, Answer::Cheap(bin));
         if let Ok(id) = id.parse() {
@@ -66,8 +71,7 @@
             kind: self.job.kind.clone(),
             bin: bin as u8,
         };
-        self.vm.learn(key.clone(), Tally { ended: 1, ..Tally::default() });
-        let keys = vec![self.trial_key(target), key];
+        let keys = self.counted(target, key);
         let answer = if bin == BINS { Answer::Direct } else { Answer::Climbed };
         let worth = cascade::worth(rule, answer);
         self.rate(target, self.job.request.clone(), keys, worth, kept.concat());
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -187,16 +187,19 @@
         (Some(Word::Taken), _) => Err(Refusal::new(Refused::KeyRunning)),
         (Some(Word::OtherBody), _) => Err(Refusal::new(Refused::KeyReused)),
         (None, Some(holder)) => Err(running(vm, &holder)),
-        (None, None) => {
-            // The claim may yet stand in the store; it must not hold the key for good.
-            let Claim { key, request, body, .. } = claim.clone();
-            let outcome = Outcome::NotRun;
-            vm.errand(Errand::Settle(Settled { key, request, body, outcome }));
-            Err(Refusal::new(Refused::StoreAway))
-        }
+        (None, None) => Err(give_up(vm, claim)),
     }
 }
 
+/// Releases a claim that was not agreed on: it may yet stand in the store, and must not hold the
+/// key for good.
+fn give_up(vm: &Data<Vm>, claim: &Claim) -> Refusal {
+    let Claim { key, request, body, .. } = claim.clone();
+    let outcome = Outcome::NotRun;
+    vm.errand(Errand::Settle(Settled { key, request, body, outcome }));
+    Refusal::new(Refused::StoreAway)
+}
+
 /// Claims the key, runs the call at most once, and records how it ended.
 async fn run_once(
     vm: &Data<Vm>,
@@ -238,7 +241,7 @@
         if call.key.is_none() {
             return Err(Refusal::new(Refused::KeyMissing));
         }
-        if !vm.reserved.lock().expect("no panic while held").has_room() {
+        if !vm.reserved.lock().expect("no panic while held").has_room(vm.clock.now()) {
             return Err(Refusal::new(Refused::Limited));
         }
         let claim = claim(&vm, &caller, &call, true);
@@ -247,18 +250,13 @@
         match answered.await.unwrap_or(Answer::Away) {
             Answer::Granted => {
                 let mut reserved = vm.reserved.lock().expect("no panic while held");
-                reserved.add(claim.key, claim.request);
+                reserved.add(claim.key, claim.request, vm.clock.now());
                 Ok(())
             }
             Answer::Reserved(_) => Ok(()),
             Answer::Running(holder) => Err(running(&vm, &holder)),
             Answer::Ended(_) | Answer::OtherBody => Err(Refusal::new(Refused::KeyReused)),
-            Answer::Away => {
-                let Claim { key, request, body, .. } = claim;
-                let outcome = Outcome::NotRun;
-                vm.errand(Errand::Settle(Settled { key, request, body, outcome }));
-                Err(Refusal::new(Refused::StoreAway))
-            }
+            Answer::Away => Err(give_up(&vm, &claim)),
         }
     };
     match outcome.await {
--- a/src/once/reserved.rs
+++ b/src/once/reserved.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Digest;
-use crate::unit::RequestId;
+use crate::unit::{Moment, RequestId, Span};
 
 /// Keys set aside on one VM at most; at 200 bytes each they take 2 MB.
 const MOST: usize = 10_000;
@@ -24,8 +24,13 @@
     OtherBody,
 }
 
+/// A key is given out for this long: half of the time that the chain remembers it, so that it is
+/// never given out beside a later claim.
+const GIVEN_FOR: Span = Span::secs(12 * 3600);
+
 #[derive(Clone, Debug)]
 struct Slot {
+    since: Moment,
     reservation: RequestId,
     user: Option<(RequestId, Digest)>,
 }
@@ -38,13 +43,14 @@
 
 impl Reserved {
     /// Whether one more key may be set aside.
-    pub fn has_room(&self) -> bool {
+    pub fn has_room(&mut self, now: Moment) -> bool {
+        self.slots.retain(|_, slot| now.since(slot.since) < GIVEN_FOR);
         self.slots.len() < MOST
     }
 
     /// Sets a key aside whose claim the store holds.
-    pub fn add(&mut self, key: Digest, reservation: RequestId) {
-        self.slots.entry(key).or_insert(Slot { reservation, user: None });
+    pub fn add(&mut self, key: Digest, reservation: RequestId, now: Moment) {
+        self.slots.entry(key).or_insert(Slot { since: now, reservation, user: None });
     }
 
     /// Takes out the keys that no call has used, to be released before this VM leaves.
@@ -54,8 +60,17 @@
     }
 
     /// Says whether a call may use a key; nothing if the key is not set aside here.
-    pub fn ask(&mut self, key: Digest, user: &RequestId, body: Digest) -> Option<Word> {
+    pub fn ask(
+        &mut self,
+        key: Digest,
+        user: &RequestId,
+        body: Digest,
+        now: Moment,
+    ) -> Option<Word> {
         let slot = self.slots.get_mut(&key)?;
+        if now.since(slot.since) >= GIVEN_FOR {
+            return None;
+        }
         let (first, first_body) = slot.user.get_or_insert_with(|| (user.clone(), body));
         if first == user {
             return Some(Word::Granted(slot.reservation.clone()));
@@ -74,12 +89,23 @@
         let mut reserved = Reserved::default();
         let (key, body) = (digest(&[b"k"]), digest(&[b"b"]));
         let (one, two): (RequestId, RequestId) = ("r1".parse().unwrap(), "r2".parse().unwrap());
-        assert_eq!(reserved.ask(key, &one, body), None);
-        reserved.add(key, "r0".parse().unwrap());
+        let now = Moment(1);
+        assert_eq!(reserved.ask(key, &one, body, now), None);
+        reserved.add(key, "r0".parse().unwrap(), now);
         let granted = Some(Word::Granted("r0".parse().unwrap()));
-        assert_eq!(reserved.ask(key, &one, body), granted);
-        assert_eq!(reserved.ask(key, &one, body), granted);
-        assert_eq!(reserved.ask(key, &two, body), Some(Word::Taken));
-        assert_eq!(reserved.ask(key, &two, digest(&[b"c"])), Some(Word::OtherBody));
+        assert_eq!(reserved.ask(key, &one, body, now), granted);
+        assert_eq!(reserved.ask(key, &one, body, now), granted);
+        assert_eq!(reserved.ask(key, &two, body, now), Some(Word::Taken));
+        assert_eq!(reserved.ask(key, &two, digest(&[b"c"]), now), Some(Word::OtherBody));
+    }
+
+    #[test]
+    fn a_key_is_not_given_out_near_the_end_of_the_chains_memory() {
+        let mut reserved = Reserved::default();
+        let (key, one) = (digest(&[b"k"]), "r1".parse().unwrap());
+        reserved.add(key, "r0".parse().unwrap(), Moment(1));
+        assert_eq!(reserved.ask(key, &one, key, Moment(1) + GIVEN_FOR), None);
+        assert!(reserved.has_room(Moment(1) + GIVEN_FOR));
+        assert!(reserved.slots.is_empty());
     }
 }
--- a/src/peer/gossip/mod.rs
+++ b/src/peer/gossip/mod.rs
@@ -456,7 +456,11 @@
         };
         if probe.number > 0 && number >= probe.number {
             // The answer proves contact as of when the probe was sent, and no later.
-            self.contact = self.contact.max(Some(probe.sent));
+            // Contact with a VM that is ahead renews nothing until its revision is obeyed here:
+            // that revision may have been accepted while this VM counted as lapsed.
+            if stand.revision <= self.snapshot.revision() {
+                self.contact = self.contact.max(Some(probe.sent));
+            }
             // A VM at the same revision that was as of the store then makes this one as of it too.
             if stand.revision == self.snapshot.revision()
                 && let Some(age) = stand.age
@@ -518,6 +522,28 @@
         assert!(!gossip.may_start(Moment(1_000_000) + PERMIT));
     }
 
+    #[test]
+    fn contact_with_a_vm_that_is_ahead_renews_no_permit() {
+        let (mut a, mut b) =
+            (Gossip::new(member("a"), Moment(0)), Gossip::new(member("b"), Moment(0)));
+        a.introduce([member("b")], Moment(0));
+        b.introduce([member("a")], Moment(0));
+        a.adopt(at(1));
+        a.noted = true;
+        a.store_contact(Moment(1));
+        b.adopt(at(2));
+        let woken = Moment(1) + PERMIT + Span::secs(1);
+        let (_, probe) = a.probe(member("b"), woken);
+        let answers = b.receive(&member("a").vm, probe, woken);
+        a.receive(&member("b").vm, answers[0].1.clone(), woken);
+        assert!(!a.may_start(woken));
+        a.adopt(at(2));
+        let (_, probe) = a.probe(member("b"), woken);
+        let answers = b.receive(&member("a").vm, probe, woken);
+        a.receive(&member("b").vm, answers[0].1.clone(), woken);
+        assert!(a.may_start(woken));
+    }
+
     #[test]
     fn knowledge_of_the_store_passes_on_with_its_age() {
         let (mut a, mut b) =
--- a/src/vm/bills.rs
+++ b/src/vm/bills.rs
@@ -4,9 +4,8 @@
 
 use super::control::Control;
 use crate::ledger::{self, Entry};
-use crate::peer::State;
 use crate::peer::wire::{Call, Reply};
-use crate::peer::{Member, ranked};
+use crate::peer::{Member, State};
 use crate::unit::{Span, Vm};
 
 /// Other VMs that hold a copy of each bill.
@@ -59,9 +58,7 @@
 fn holders(control: &Control) -> Vec<Member> {
     let others = control.others();
     let duty = format!("bills/{}", control.vm.settings.vm);
-    let order = ranked(&duty, others.iter().map(|member| &member.vm));
-    let find = |vm: &crate::unit::Vm| others.iter().find(|member| member.vm == *vm).cloned();
-    let mut members: Vec<Member> = order.into_iter().filter_map(find).collect();
+    let mut members = Control::in_order(&duty, &others);
     let home = control.vm.settings.data_centre.clone();
     // The sort is stable, so the rank decides within each half; suspects come last.
     members.sort_by_key(|m| (m.state != State::Alive, m.data_centre == home));
--- a/src/vm/claims.rs
+++ b/src/vm/claims.rs
@@ -3,8 +3,8 @@
 use super::Asked;
 use super::control::Control;
 use crate::once::{Answer, Claim, Digest, Outcome, Settled, Word, shard_of};
+use crate::peer::Member;
 use crate::peer::wire::{Call, Reply};
-use crate::peer::{Member, ranked};
 use crate::unit::Vm;
 
 /// Other VMs asked before this one takes the shard itself.
@@ -13,9 +13,7 @@
 /// Owners of a shard in order, this VM in its place.
 fn owners(control: &Control, shard: u64) -> Vec<Member> {
     let present: Vec<Member> = control.gossip(|g| g.present().cloned().collect());
-    let order = ranked(&format!("once/{shard}"), present.iter().map(|member| &member.vm));
-    let find = |vm: &crate::unit::Vm| present.iter().find(|member| member.vm == *vm).cloned();
-    order.into_iter().filter_map(find).collect()
+    Control::in_order(&format!("once/{shard}"), &present)
 }
 
 /// Claims a key.
@@ -64,7 +62,8 @@
 /// Asks for a key that is set aside: this VM, its holder, or all others.
 pub async fn ask_holder(control: &Control, asked: Asked, holder: Option<Vm>) -> Option<Word> {
     let Asked { key, user, body } = asked;
-    let own = control.vm.reserved.lock().expect("no panic while held").ask(key, &user, body);
+    let now = control.vm.clock.now();
+    let own = control.vm.reserved.lock().expect("no panic while held").ask(key, &user, body, now);
     if own.is_some() {
         return own;
     }
--- a/src/vm/control.rs
+++ b/src/vm/control.rs
@@ -9,16 +9,16 @@
 use actix::{Actor, AsyncContext, Context};
 use tokio::sync::{mpsc, oneshot};
 
-use super::{Errand, Vm, bills, claims, ratings};
+use super::{Errand, bills, claims, ratings};
 use crate::engine::client::Engines;
 use crate::evidence::Origin;
 use crate::history::Event;
 use crate::ledger::Book;
 use crate::once::Owner;
 use crate::peer::wire::{Call, Envelope, Frame, Reply, decode, encode};
-use crate::peer::{Incoming, Links, Member};
+use crate::peer::{Incoming, Links, Member, ranked};
 use crate::platform::{Ratings, Store};
-use crate::unit::Revision;
+use crate::unit::{Revision, Vm};
 
 /// Time between two ticks of the gossip.
 const TICK: Duration = Duration::from_millis(50);
@@ -30,7 +30,7 @@
 #[derive(Clone)]
 pub struct Control {
     /// The VM.
-    pub vm: Arc<Vm>,
+    pub vm: Arc<super::Vm>,
     /// Links to other VMs.
     pub links: Links,
     /// The platform.
@@ -82,7 +82,6 @@
         let now = self.vm.clock.now();
         let (snapshot, permit, accepted) =
             self.gossip(|g| (g.snapshot.clone(), g.permit_until(now), g.accepted()));
-        self.vm.set_permit(permit);
         if accepted > self.vm.metrics.accepted() {
             self.vm.metrics.accept(accepted);
             self.vm.history.note(|| Event::Accepted { revision: accepted });
@@ -90,6 +89,7 @@
         let obeyed = self.vm.obeyed();
         self.gossip(|g| g.obey(obeyed));
         if snapshot.revision() <= self.vm.config().revision() {
+            self.vm.set_permit(permit);
             return;
         }
         let revision = snapshot.revision();
@@ -99,6 +99,8 @@
             .expect("no panic while held")
             .sync(&snapshot, &self.vm.settings.data_centre);
         *self.vm.snapshot.write().expect("no panic while held") = snapshot;
+        // The permit comes last: renewed earlier, it would let work start under the old revision.
+        self.vm.set_permit(permit);
         self.vm.metrics.revision.set(revision.0 as i64);
         log::info!(
             "{} {} revision {revision} is in force here",
@@ -170,7 +172,7 @@
             }
             Call::Use { key, user, body } => {
                 let mut reserved = self.vm.reserved.lock().expect("no panic while held");
-                Reply::Use(reserved.ask(key, &user, body))
+                Reply::Use(reserved.ask(key, &user, body, self.vm.clock.now()))
             }
             Call::Explain { request } => {
                 let traces = self.vm.traces.lock().expect("no panic while held");
@@ -243,6 +245,13 @@
         replies.into_iter().filter_map(text).collect()
     }
 
+    /// Members in the order of their claim to a duty.
+    pub fn in_order(duty: &str, members: &[Member]) -> Vec<Member> {
+        let order = ranked(duty, members.iter().map(|member| &member.vm));
+        let find = |vm: &Vm| members.iter().find(|member| member.vm == *vm).cloned();
+        order.into_iter().filter_map(find).collect()
+    }
+
     /// The other VMs that may be working.
     pub fn others(&self) -> Vec<Member> {
         let me = &self.vm.settings.vm;
