--- a/src/vm/run.rs
+++ b/src/vm/run.rs
@@ -30,6 +30,10 @@
 /// Connections of one worker.
 const CONNECTIONS: usize = 20_000;
 
+/// A caller's request head must come within this; longer than pauses that a VM wakes from, since the
+/// library counts them as the caller's.
+const HEAD_WITHIN: Duration = Duration::from_secs(60);
+
 /// Time between two looks whether the last request has ended.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -106,6 +110,7 @@
     };
     let server = HttpServer::new(app)
         .on_connect(crate::standin::no_delay)
+        .client_request_timeout(HEAD_WITHIN)
         .workers(workers)
         .backlog(BACKLOG)
         .max_connections(CONNECTIONS)
