--- a/src/cli.rs
+++ b/src/cli.rs
@@ -24,6 +24,9 @@
     /// One entry VM's process.
     #[options(help = "run one entry VM")]
     Serve(Serve),
+    /// One entry VM on the users' platform.
+    #[options(help = "run one entry VM on a platform that gives it a settings file")]
+    Entry(Entry),
     /// A stand-in of an outside system.
     #[options(help = "run a stand-in: platform, engine, service or rating")]
     Standin(Standin),
@@ -103,6 +106,24 @@
     pub rollout_doubling: Option<String>,
 }
 
+/// Flags of `entry`.
+#[derive(Debug, Default, Options)]
+pub struct Entry {
+    /// Show this help.
+    #[options(help = "show this help")]
+    pub help: bool,
+    /// Counters' port.
+    #[options(no_short, meta = "PORT", help = "port of the counters on the VM's own address")]
+    pub metrics_port: Option<String>,
+    /// Confidence of a small model.
+    #[options(
+        no_short,
+        meta = "PERCENT",
+        help = "a small model's answer is kept from this confidence of its own on (default 60)"
+    )]
+    pub keep_confidence: Option<String>,
+}
+
 /// Flags of `standin`.
 #[derive(Debug, Options)]
 pub struct Standin {
@@ -322,6 +343,7 @@
              --data-centre ulemiste --listen 127.0.0.1:8001 --peer 127.0.0.1:9001 \
              --platform 127.0.0.1:7000"
         }
+        "entry" => "KITEPULLEY_CONFIG=node.json kitepulley entry --metrics-port 9464",
         "standin" => "kitepulley standin platform --listen 127.0.0.1:7000",
         "demo" => "kitepulley demo --seed 7 --faults store-down,kill --history run.jsonl",
         "plan" => "kitepulley plan withdraw roastmind v3 --platform 127.0.0.1:7000 --out plan.json",
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod confirm;
 mod demo;
+mod entry;
 mod experiment;
 mod plan;
 mod serve;
@@ -37,6 +38,7 @@
     log();
     match command {
         Command::Serve(flags) => serve::run(flags),
+        Command::Entry(flags) => entry::run(flags),
         Command::Standin(flags) => standin::run(flags),
         Command::Demo(flags) => demo::run(flags),
         Command::Plan(flags) => plan::run(flags),
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -6,6 +6,7 @@
 mod intent;
 mod plan;
 mod root;
+mod route;
 mod snapshot;
 
 pub use check::check;
@@ -17,4 +18,5 @@
 pub use intent::Intent;
 pub use plan::{Change, Plan, Wish, apply, make};
 pub use root::{Piece, Record, Rollout, Root, digest, pieces};
+pub use route::{Holder, Limits, Part, Pool, Repeat, Route, Table};
 pub use snapshot::{Allowed, Snapshot};
--- /dev/null
+++ b/src/decide/budget.rs
@@ -0,0 +1,64 @@
+//! The budget of repeated sends: a share of the requests of a sliding window.
+
+use std::collections::VecDeque;
+
+use crate::unit::{Moment, Span};
+
+/// Steps that a window is counted in.
+const STEPS: u64 = 20;
+
+/// Share of the agreed ratio that is used; the rest is kept for windows that lie across the steps.
+const USED: f64 = 0.9;
+
+#[derive(Clone, Copy, Debug)]
+struct Step {
+    number: u64,
+    firsts: u32,
+    repeats: u32,
+}
+
+/// One VM's budget towards one service.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    step: Span,
+    share: f64,
+    extra: f64,
+    steps: VecDeque<Step>,
+}
+
+impl Budget {
+    /// A budget of `share` of the requests in `window`, and `extra` more.
+    pub fn new(window: Span, share: f64, extra: f64) -> Budget {
+        let step = Span((window.0 / STEPS).max(1));
+        Budget { step, share: share * USED, extra, steps: VecDeque::new() }
+    }
+
+    /// Counts a request that is sent for the first time.
+    pub fn first(&mut self, now: Moment) {
+        self.at(now).firsts += 1;
+    }
+
+    /// Takes a repeated send, if one is left.
+    pub fn spend(&mut self, now: Moment) -> bool {
+        self.at(now);
+        let firsts: u32 = self.steps.iter().map(|step| step.firsts).sum();
+        let repeats: u32 = self.steps.iter().map(|step| step.repeats).sum();
+        if f64::from(repeats) + 1.0 > f64::from(firsts) * self.share + self.extra {
+            return false;
+        }
+        self.at(now).repeats += 1;
+        true
+    }
+
+    /// The present step; those that left the window are dropped.
+    fn at(&mut self, now: Moment) -> &mut Step {
+        let number = now.0 / self.step.0;
+        while self.steps.front().is_some_and(|step| step.number + STEPS < number) {
+            self.steps.pop_front();
+        }
+        if self.steps.back().is_none_or(|step| step.number != number) {
+            self.steps.push_back(Step { number, firsts: 0, repeats: 0 });
+        }
+        self.steps.back_mut().expect("it was just pushed")
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,9 +1,14 @@
 //! The decisions: pure functions of what is known and of the present time.
 
 pub mod admit;
+pub mod budget;
+pub mod canary;
 pub mod cascade;
+pub mod ends;
 pub mod fair;
 pub mod limit;
+pub mod outlier;
+pub mod place;
 pub mod replica;
 pub mod retry;
 pub mod rollout;
--- /dev/null
+++ b/src/decide/outlier.rs
@@ -0,0 +1,100 @@
+//! Whether a backend server is left out for a while, and when it is tried again.
+
+use super::ends::End;
+use crate::unit::{Moment, Span};
+
+/// Failures to connect, or broken answers, in a row that leave a server out.
+const UNREACHABLE: u32 = 1;
+const BROKEN: u32 = 3;
+
+/// Weight of the latest answer in the share of failures.
+const LATEST: f64 = 0.15;
+
+/// Answers before a share of failures says anything.
+const KNOWN: u32 = 8;
+
+/// A server is left out if its share of failures exceeds twice the pool's and this.
+const WORSE: f64 = 0.25;
+
+/// First time out, and the longest; it doubles each time.
+const OUT: Span = Span::millis(600);
+const LONGEST_OUT: Span = Span::secs(6);
+
+/// What one VM has met at one server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Record {
+    unreachable: u32,
+    broken: u32,
+    share: f64,
+    answers: u32,
+    out_until: Option<Moment>,
+    times_out: u32,
+}
+
+impl Record {
+    /// Share of answers that were failures, of late.
+    pub fn failures(&self) -> f64 {
+        self.share
+    }
+
+    /// Whether requests should go elsewhere.
+    pub fn is_out(&self, now: Moment) -> bool {
+        self.out_until.is_some_and(|until| now < until)
+    }
+
+    /// Notes how an attempt ended; `usual` is the pool's share of failures. Whether the server
+    /// is left out from now on.
+    pub fn note(&mut self, end: End, usual: f64, now: Moment) -> bool {
+        match end {
+            End::NotSent => {
+                self.unreachable += 1;
+            }
+            End::Broken | End::Late => {
+                self.broken += 1;
+                self.count(1.0);
+            }
+            End::Failed => {
+                self.answered();
+                self.count(1.0);
+            }
+            End::Good => {
+                self.answered();
+                self.count(0.0);
+            }
+            // A full server answers well; its load says the rest.
+            End::NotRun => self.unreachable = 0,
+        }
+        let worse = self.answers >= KNOWN && self.share > 2.0 * usual + WORSE;
+        if self.unreachable >= UNREACHABLE || self.broken >= BROKEN || worse {
+            self.leave_out(now);
+            return true;
+        }
+        if end == End::Good && self.out_until.is_some_and(|until| now >= until + LONGEST_OUT) {
+            self.times_out = 0;
+            self.out_until = None;
+        }
+        false
+    }
+
+    fn answered(&mut self) {
+        self.unreachable = 0;
+        self.broken = 0;
+    }
+
+    fn count(&mut self, failed: f64) {
+        self.answers = self.answers.saturating_add(1);
+        let weight = LATEST.max(1.0 / f64::from(self.answers));
+        self.share += weight * (failed - self.share);
+    }
+
+    fn leave_out(&mut self, now: Moment) {
+        let doubled = OUT.0.saturating_mul(1 << self.times_out.min(10));
+        self.out_until = Some(now + Span(doubled.min(LONGEST_OUT.0)));
+        self.times_out += 1;
+        // It comes back with a clean slate, but one more failure counts soon.
+        self.unreachable = 0;
+        self.broken = BROKEN - 1;
+        self.answers = 0;
+        self.share = 0.0;
+    }
+}
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -41,6 +41,10 @@
     NoServer,
     /// The deadline passed before it ran.
     Late,
+    /// The backend servers are too busy to answer in time.
+    Busy,
+    /// The time was up while a backend server had the request.
+    TimedOut,
     /// Bills cannot be kept safe now.
     NoLedger,
     /// A call that may not be repeated has no key.
@@ -106,6 +110,8 @@
     Limited "limited" 429 No Some(1), "The workspace's rate is used up; come back later.";
     NoServer "no_server" 503 No Some(2), "No backend server can take it now; come back later.";
     Late "late" 504 No Some(1), "The deadline passed before it ran; allow more time.";
+    Busy "busy" 503 No Some(1), "The backend servers are too busy to answer in time; come back later.";
+    TimedOut "timed_out" 504 Unknown None, "The time was up while a backend server had the request; it may have run.";
     NoLedger "no_ledger" 503 No Some(10), "Bills cannot be kept safe now; come back later.";
     KeyMissing "key_missing" 400 No None, "This call may not be repeated; give it an `Idempotency-Key` of its own.";
     KeyReused "key_reused" 422 No None, "This key was used with another body; use a new key for a new call.";
--- a/src/error.rs
+++ b/src/error.rs
@@ -36,6 +36,14 @@
         Format(path: String, line: usize, cause: String) {
             display("{path}:{line}: {cause}")
         }
+        /// The settings file is missing or cannot be read.
+        Unset(path: String, cause: String) {
+            display("The settings file `{path}` cannot be read: {cause}.")
+        }
+        /// A field of a settings file is missing or does not read.
+        Field(path: String, field: String, cause: String) {
+            display("The field `{field}` of `{path}` is not accepted: {cause}.")
+        }
         /// The platform's object API did not answer.
         Store(cause: String) {
             display("The platform's object API did not answer: {cause}. Try again when it is back.")
@@ -78,7 +86,9 @@
             Error::Settings(..)
             | Error::Contradiction(_)
             | Error::Declarations(_)
-            | Error::Format(..) => MISUSED,
+            | Error::Format(..)
+            | Error::Unset(..)
+            | Error::Field(..) => MISUSED,
             _ => FAILED,
         }
     }
--- /dev/null
+++ b/src/forward/attempt.rs
@@ -0,0 +1,242 @@
+//! One attempt: a request at one server, until its answer is whole or its first event is there.
+
+use std::rc::Rc;
+
+use actix_http::ResponseHead;
+use bytes::Bytes;
+
+use super::call::Answer;
+use super::connection::{Connection, Fault};
+use super::event::{Batch, Events};
+use super::job::{Job, Open};
+use super::pool;
+use super::replica::Replica;
+use crate::config::Repeat;
+use crate::decide::ends::End;
+use crate::platform::header::{self, Extra};
+use crate::unit::{Model, Moment, Span};
+
+/// A connection that does not open within this is tried elsewhere; the servers are some
+/// milliseconds away.
+const OPEN_WITHIN: Span = Span::millis(350);
+
+/// Largest answer that is not a stream.
+const LARGEST: usize = 8 * 1024 * 1024;
+
+/// Answers for other requests that may precede ours on a connection.
+const STRANGERS: u32 = 2;
+
+/// What an attempt brought.
+pub struct Outcome {
+    /// How it ended.
+    pub end: End,
+    /// Why, in words, if it is no good end.
+    pub why: String,
+    /// The answer's head, as the server gave it and as it was understood.
+    pub head: Option<(ResponseHead, Answer)>,
+    /// The body, if it is whole.
+    pub body: Bytes,
+    /// The rest of a stream.
+    pub stream: Option<Stream>,
+}
+
+/// A stream whose first whole event, or end, has arrived.
+pub struct Stream {
+    /// Where the rest comes from.
+    pub connection: Connection,
+    /// Events that arrived and are not passed on.
+    pub events: Events,
+    /// The first whole events.
+    pub first: Option<Batch>,
+    /// Whether the server ended it.
+    pub ended: bool,
+    /// Counts the request at the server.
+    pub open: Open,
+}
+
+impl Outcome {
+    fn without_answer(end: End, why: impl Into<String>) -> Outcome {
+        Outcome { end, why: why.into(), head: None, body: Bytes::new(), stream: None }
+    }
+}
+
+/// Sends a request to a server and waits until `until`.
+pub async fn run(
+    job: &Job,
+    replica: &Replica,
+    model: Option<&Model>,
+    after_event: Option<u64>,
+    until: Moment,
+) -> Outcome {
+    let vm = &job.vm;
+    let open = Open::new(vm, &replica.id);
+    let mut sent = false;
+    let left = until.since(vm.now()).duration();
+    let exchange = exchange(job, replica, model, after_event, open, &mut sent);
+    let outcome = match tokio::time::timeout(left, exchange).await {
+        Ok(outcome) => outcome,
+        Err(_) if sent => Outcome::without_answer(End::Late, "no answer in time"),
+        Err(_) => Outcome::without_answer(End::NotSent, "no connection in time"),
+    };
+    note(job, replica, &outcome);
+    outcome
+}
+
+/// Keeps what an attempt told about its server.
+fn note(job: &Job, replica: &Replica, outcome: &Outcome) {
+    let vm = &job.vm;
+    let now = vm.now();
+    let end = format!("{:?}", outcome.end);
+    vm.metrics.attempts.with_label_values(&[job.service.as_str(), end.as_str()]).inc();
+    job.record.ended(replica, outcome.end, &outcome.why, now);
+    let mut fleet = vm.fleet.borrow_mut();
+    let usual = fleet.failures(&job.service);
+    let Some(server) = fleet.get_mut(&replica.id) else { return };
+    if let Some(load) = outcome.head.as_ref().and_then(|(_, answer)| answer.load) {
+        server.hear(load, now);
+    }
+    let left_out = server.record.note(outcome.end, usual, now);
+    let failures = server.record.failures();
+    drop(fleet);
+    if left_out {
+        vm.log(
+            "server left out",
+            &[
+                ("server", replica.id.as_str().into()),
+                ("after", outcome.why.as_str().into()),
+                ("failures", failures.into()),
+                ("usual_failures", usual.into()),
+            ],
+        );
+    }
+}
+
+async fn exchange(
+    job: &Job,
+    replica: &Replica,
+    model: Option<&Model>,
+    after_event: Option<u64>,
+    open: Open,
+    sent: &mut bool,
+) -> Outcome {
+    let vm = &job.vm;
+    let repeatable = job.route.repeat != Repeat::Never;
+    let now = vm.now();
+    let resting = {
+        let mut fleet = vm.fleet.borrow_mut();
+        fleet.get_mut(&replica.id).and_then(|server| server.pool.take(repeatable, now))
+    };
+    let mut connection = match pool::connect(resting, replica.address, OPEN_WITHIN).await {
+        Ok(connection) => connection,
+        Err(fault) => return broken(fault),
+    };
+    let extra = Extra {
+        replica,
+        left: job.left(vm.now()),
+        workspace: job.holder.as_ref().map(|holder| &holder.workspace),
+        model,
+        priority: job.route.streams.then(|| job.priority()),
+        after_event,
+    };
+    let head = header::request(&job.head, &extra);
+    // From here on a byte may leave.
+    *sent = true;
+    let (head, answer) = match answer(job, &mut connection, head).await {
+        Ok(answered) => answered,
+        Err(fault) => return broken(fault),
+    };
+    if head.status.is_success() && (!answer.signed || answer.encoded) {
+        return Outcome::without_answer(End::Broken, "a success that the server did not sign");
+    }
+    if head.status.is_success() && job.route.streams {
+        return first_event(connection, open, head, answer).await;
+    }
+    let body = match connection.whole_body(LARGEST).await {
+        Ok(body) => body,
+        Err(fault) => return broken(fault),
+    };
+    let end = match (answer.not_run, head.status.is_server_error()) {
+        (true, _) => End::NotRun,
+        (false, true) => End::Failed,
+        (false, false) => End::Good,
+    };
+    keep(job, replica, connection, answer.rest);
+    let why = if end == End::Good { String::new() } else { head.status.as_str().to_owned() };
+    Outcome { end, why, head: Some((head, answer)), body, stream: None }
+}
+
+/// Sends, and reads heads until one answers this request.
+async fn answer(
+    job: &Job,
+    connection: &mut Connection,
+    head: actix_http::RequestHead,
+) -> Result<(ResponseHead, Answer), Fault> {
+    let mut head = connection.ask(head, &job.body).await?;
+    for _ in 0..=STRANGERS {
+        let answer = header::answer(&head);
+        // A server that turns a request away unread may not have seen its id.
+        let ours = answer.id.as_deref() == Some(job.call.id.as_str())
+            || (answer.id.is_none() && answer.not_run);
+        if ours || job.call.id.is_empty() {
+            return Ok((head, answer));
+        }
+        if answer.id.is_none() {
+            return Err(Fault::Broken("an answer without an id".to_owned()));
+        }
+        // The answer of an earlier request; ours is due behind it.
+        connection.whole_body(LARGEST).await?;
+        head = connection.next_head().await?;
+    }
+    Err(Fault::Broken("answers for other requests only".to_owned()))
+}
+
+async fn first_event(
+    mut connection: Connection,
+    open: Open,
+    head: ResponseHead,
+    answer: Answer,
+) -> Outcome {
+    let mut events = Events::default();
+    let mut ended = false;
+    let first = loop {
+        if let Some(batch) = events.take() {
+            break Some(batch);
+        }
+        match connection.next_chunk().await {
+            Ok(Some(bytes)) if events.push(&bytes) => {}
+            Ok(Some(_)) => return Outcome::without_answer(End::Broken, "an event without an end"),
+            Ok(None) if events.has_part() => {
+                return Outcome::without_answer(End::Broken, "a stream that ends within an event");
+            }
+            Ok(None) => {
+                ended = true;
+                break None;
+            }
+            Err(fault) => return broken(fault),
+        }
+    };
+    let stream = Stream { connection, events, first, ended, open };
+    Outcome {
+        end: End::Good,
+        why: String::new(),
+        head: Some((head, answer)),
+        body: Bytes::new(),
+        stream: Some(stream),
+    }
+}
+
+fn broken(fault: Fault) -> Outcome {
+    match fault {
+        Fault::NotSent(why) => Outcome::without_answer(End::NotSent, why),
+        Fault::Broken(why) => Outcome::without_answer(End::Broken, why),
+    }
+}
+
+/// Lets a connection rest for the next request.
+pub fn keep(job: &Job, replica: &Replica, connection: Connection, rest: Option<Span>) {
+    let vm: &Rc<super::Vm> = &job.vm;
+    let now = vm.now();
+    if let Some(server) = vm.fleet.borrow_mut().get_mut(&replica.id) {
+        server.pool.keep(connection, rest, now);
+    }
+}
--- /dev/null
+++ b/src/forward/call.rs
@@ -0,0 +1,77 @@
+//! A request as a caller sent it, and an answer as a server gave it, in the project's own types.
+
+use actix_http::StatusCode;
+
+use crate::unit::{Model, Span};
+
+/// What the head of a caller's request says.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The caller's id of this try; each try has its own.
+    pub id: String,
+    /// The host that it asks.
+    pub host: String,
+    /// The path, without a query.
+    pub path: String,
+    /// The workspace's key.
+    pub key: Option<String>,
+    /// Time that the caller waits.
+    pub patience: Span,
+    /// Whether the system is to choose the model.
+    pub any_model: bool,
+    /// The model, if the caller named one.
+    pub model: Option<Model>,
+    /// Parts of the prompt in order; servers keep parts that they have read.
+    pub prompt: Vec<PromptPart>,
+    /// Tokens of the prompt.
+    pub tokens_in: u64,
+    /// Tokens of the answer at most.
+    pub tokens_out: u64,
+    /// The session, if it belongs to one.
+    pub session: Option<String>,
+    /// The last event that the caller has, if it goes on with a stream.
+    pub after_event: Option<u64>,
+}
+
+/// A part of a prompt that other requests may share.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PromptPart {
+    /// Its id.
+    pub id: String,
+    /// Its length in tokens.
+    pub tokens: u64,
+}
+
+/// What the head of a server's answer says.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// The id of the request that it answers.
+    pub id: Option<String>,
+    /// Whether it bears the server's signature.
+    pub signed: bool,
+    /// The server's word that it did not run the request.
+    pub not_run: bool,
+    /// Whether the body is encoded; servers never do that.
+    pub encoded: bool,
+    /// The server's load.
+    pub load: Option<Load>,
+    /// The model's own rough opinion of its answer, 0 to 100.
+    pub confidence: Option<f64>,
+    /// The server that answered, if it is another than expected.
+    pub instance: Option<String>,
+    /// Time that the connection may rest.
+    pub rest: Option<Span>,
+}
+
+/// A server's load as it told it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
--- /dev/null
+++ b/src/forward/door.rs
@@ -0,0 +1,335 @@
+//! The doors of an entry VM: callers, the balancer's question, the counters.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::{BodyStream, BoxBody};
+use actix_http::header::{HeaderName, HeaderValue, RETRY_AFTER};
+use actix_http::{
+    ConnectionType, HttpService, KeepAlive, Payload, Request, Response, ResponseHead, StatusCode,
+};
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+use super::call::Call;
+use super::choice;
+use super::drive::{self, Reply};
+use super::job::{Job, Record};
+use super::relay;
+use super::vm::Vm;
+use crate::config::{Holder, Route, Table};
+use crate::entry::refusal::{Kind, Refusal};
+use crate::error::Error;
+use crate::platform::header;
+use crate::unit::Span;
+
+/// Connections that may wait to be taken; a burst of callers must fit.
+const BACKLOG: u32 = 4096;
+
+/// Pause after a connection could not be taken, for want of descriptors.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// A refusal tells to come back after this, unless more is known; callers wait at most a third of
+/// their time.
+const COME_BACK: Span = Span::millis(300);
+
+/// Time that the balancer's questions and readers of counters may take.
+const QUESTION_WITHIN: Duration = Duration::from_secs(5);
+
+type Answer = Response<BoxBody>;
+
+/// Binds an address for callers.
+///
+/// # Errors
+/// If it cannot be bound.
+pub fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    let fault = |e: std::io::Error| Error::Bind(address.to_string(), e.to_string());
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    };
+    let socket = socket.map_err(fault)?;
+    // A process that starts again takes its address over from connections that still close.
+    socket.set_reuseaddr(true).map_err(fault)?;
+    socket.bind(address).map_err(fault)?;
+    socket.listen(BACKLOG).map_err(fault)
+}
+
+/// Serves callers until the process ends.
+pub async fn serve_callers(vm: Rc<Vm>, listener: TcpListener) {
+    loop {
+        let limits = vm.routes().map(|table| table.limits).unwrap_or_default();
+        let handler = vm.clone();
+        let service = HttpService::build()
+            .keep_alive(KeepAlive::Timeout(limits.idle.duration()))
+            .client_request_timeout(limits.head_within.duration())
+            .h1_allow_half_closed(false)
+            .tcp_nodelay(true)
+            .h1(fn_service(move |request: Request| {
+                let vm = handler.clone();
+                async move { Ok::<_, std::convert::Infallible>(answer(vm, request).await) }
+            }))
+            .tcp();
+        // Connections taken from here on go by these limits.
+        let same = || vm.routes().map(|table| table.limits).unwrap_or_default() == limits;
+        match service.new_service(()).await {
+            Ok(service) => take(&listener, Rc::new(service), same).await,
+            Err(()) => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
+
+/// Answers whether the VM takes new connections.
+pub async fn serve_readiness(vm: Rc<Vm>, listener: TcpListener) {
+    serve_questions(listener, move |request: &Request| {
+        let ready = header::asks_readiness(request.head()) && vm.is_ready(vm.now());
+        let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        Response::with_body(status, BoxBody::new(()))
+    })
+    .await;
+}
+
+/// Serves the counters.
+pub async fn serve_metrics(vm: Rc<Vm>, listener: TcpListener) {
+    serve_questions(listener, move |_: &Request| {
+        let age = vm.proof_age(vm.now()).map_or(f64::INFINITY, Span::as_secs);
+        vm.metrics.proof_age.set(age);
+        Response::with_body(StatusCode::OK, BoxBody::new(vm.metrics.text()))
+    })
+    .await;
+}
+
+async fn serve_questions(listener: TcpListener, reply: impl Fn(&Request) -> Answer + 'static) {
+    let reply = Rc::new(reply);
+    let service = HttpService::build()
+        .client_request_timeout(QUESTION_WITHIN)
+        .tcp_nodelay(true)
+        .h1(fn_service(move |request: Request| {
+            let reply = reply.clone();
+            async move { Ok::<_, std::convert::Infallible>(reply(&request)) }
+        }))
+        .tcp();
+    if let Ok(service) = service.new_service(()).await {
+        take(&listener, Rc::new(service), || true).await;
+    }
+}
+
+/// Takes connections while `go_on` says so.
+async fn take<S>(listener: &TcpListener, service: Rc<S>, go_on: impl Fn() -> bool)
+where
+    S: Service<TcpStream> + 'static,
+{
+    while go_on() {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let connection = service.call(stream);
+                // A connection that breaks concerns nobody else; its requests tell their ends.
+                actix_web::rt::spawn(async move { drop(connection.await) });
+            }
+            Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
+
+/// Answers one request of a caller.
+async fn answer(vm: Rc<Vm>, mut request: Request) -> Answer {
+    let arrived = vm.now();
+    let call = header::call(request.head());
+    let id = header::answer_id(&call);
+    let mut record = Record::new(vm.clone(), &call, arrived);
+    let payload = request.take_payload();
+    let admitted = admit(&vm, &call, payload, &mut record).await;
+    let mut response = match admitted {
+        Ok(Admitted { route, holder, body }) => {
+            let deadline = arrived + call.patience.min(route.timeout);
+            let weight = choice::point(&[call.id.as_str()]);
+            match route.service(weight).cloned() {
+                Some(service) => {
+                    let head = request.head().clone();
+                    let vm = vm.clone();
+                    let job = Job {
+                        vm,
+                        head,
+                        call,
+                        body,
+                        route,
+                        service,
+                        holder,
+                        arrived,
+                        deadline,
+                        record,
+                    };
+                    forward(job).await
+                }
+                None => {
+                    record.set_outcome("no service");
+                    refusal(&vm, &Refusal::new(Kind::NoServer), call.patience)
+                }
+            }
+        }
+        Err(refused) => {
+            record.set_outcome(refused.kind.row().name);
+            refusal(&vm, &refused, call.patience)
+        }
+    };
+    if let Some((name, value)) = id.filter(|(name, _)| !response.headers().contains_key(name)) {
+        response.headers_mut().insert(name, value);
+    }
+    if vm.stopping.get() {
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    response
+}
+
+/// What a request needs to be sent on.
+struct Admitted {
+    route: Rc<Route>,
+    holder: Option<Rc<Holder>>,
+    body: Bytes,
+}
+
+async fn admit(
+    vm: &Rc<Vm>,
+    call: &Call,
+    payload: Payload,
+    record: &mut Record,
+) -> Result<Admitted, Refusal> {
+    let table = vm.routes().ok_or_else(|| Refusal::new(Kind::Behind))?;
+    let most = table.limits.body;
+    let body = read(payload, most);
+    let body = tokio::time::timeout(call.patience.duration(), body).await;
+    let body = body.map_err(|_| Refusal::new(Kind::Malformed))??;
+    let (table, found) = match allowed(&table, call) {
+        Ok(found) => (table, Ok(found)),
+        // What this VM does not know may have been added since its last proof.
+        Err(_) if confirm(vm).await => {
+            let newest = vm.routes().unwrap_or(table);
+            let found = allowed(&newest, call);
+            (newest, found)
+        }
+        Err(_) => return Err(Refusal::new(Kind::Behind)),
+    };
+    let (route, holder) = found?;
+    record.set_route(&route.name);
+    if table.keyed && !route.public && !fresh(vm).await {
+        return Err(Refusal::new(Kind::CutOff));
+    }
+    if vm.listed.get() != (true, true) {
+        return Err(Refusal::new(Kind::Behind));
+    }
+    // A key may have been taken away while the proof was awaited.
+    let newest = vm.routes().unwrap_or(table);
+    let (route, holder) = allowed(&newest, call).unwrap_or((route, holder));
+    Ok(Admitted { route, holder, body })
+}
+
+/// The route of a request, and who holds its key.
+fn allowed(table: &Table, call: &Call) -> Result<(Rc<Route>, Option<Rc<Holder>>), Refusal> {
+    let route = table.route(&call.host, &call.path);
+    let route = route.ok_or_else(|| Refusal::new(Kind::NotFound))?.clone();
+    if !table.keyed || route.public {
+        return Ok((route, None));
+    }
+    let holder = call.key.as_deref().and_then(|key| table.holder(key));
+    let holder = holder.ok_or_else(|| Refusal::new(Kind::Unauthorised))?.clone();
+    Ok((route, Some(holder)))
+}
+
+/// An answer that a route or key is not there needs proof no older than this.
+const DENIAL_PROOF: Span = Span::millis(300);
+
+/// Longest wait for a proof of freshness.
+const PROOF_WITHIN: Span = Span::millis(900);
+
+/// Waits until a proof younger than [`DENIAL_PROOF`] is there. Whether it came.
+async fn confirm(vm: &Rc<Vm>) -> bool {
+    let now = vm.now();
+    let young = |vm: &Vm| vm.proved.get().is_some_and(|at| now.since(at) < DENIAL_PROOF);
+    young(vm) || await_proof(vm, young).await
+}
+
+/// Whether requests with a key may be sent on, waiting for a proof if need be.
+async fn fresh(vm: &Rc<Vm>) -> bool {
+    let now = vm.now();
+    vm.may_use_keys(now) || await_proof(vm, |vm| vm.may_use_keys(vm.now())).await
+}
+
+async fn await_proof(vm: &Rc<Vm>, enough: impl Fn(&Vm) -> bool) -> bool {
+    let until = vm.now() + PROOF_WITHIN;
+    while vm.now() < until {
+        let heard = vm.proof.notified();
+        vm.prove.notify_one();
+        let left = until.since(vm.now()).duration();
+        let _ = tokio::time::timeout(left, heard).await;
+        if enough(vm) {
+            return true;
+        }
+        // A proof that just failed will not come; the caller had better go elsewhere.
+        if vm.store_lost.get() {
+            return false;
+        }
+    }
+    false
+}
+
+async fn read(mut payload: Payload, most: usize) -> Result<Bytes, Refusal> {
+    let mut whole = BytesMut::new();
+    while let Some(piece) = payload.next().await {
+        let piece = piece.map_err(|_| Refusal::new(Kind::Malformed))?;
+        if whole.len() + piece.len() > most {
+            return Err(Refusal::new(Kind::TooLarge));
+        }
+        whole.extend_from_slice(&piece);
+    }
+    Ok(whole.freeze())
+}
+
+async fn forward(job: Job) -> Answer {
+    let vm = job.vm.clone();
+    match drive::run(&job).await {
+        Reply::Whole(whole) => {
+            let (head, body) = *whole;
+            relayed(&head, BoxBody::new(body))
+        }
+        Reply::Stream(begun) => {
+            let mut response = relayed(&begun.head, BoxBody::new(()));
+            let body = BodyStream::new(Box::pin(relay::body(job, *begun)));
+            response = response.set_body(BoxBody::new(body));
+            response
+        }
+        Reply::Refused(refused) => refusal(&vm, &refused, job.left(vm.now())),
+    }
+}
+
+/// A server's answer, with its status and headers as they are.
+fn relayed(head: &ResponseHead, body: BoxBody) -> Answer {
+    let mut response = Response::with_body(head.status, body);
+    for (name, value) in header::answer_headers(head) {
+        response.headers_mut().append(name, value);
+    }
+    response
+}
+
+/// An answer of this VM's own.
+fn refusal(vm: &Vm, refused: &Refusal, left: Span) -> Answer {
+    let row = refused.kind.row();
+    let status = StatusCode::from_u16(row.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    let body = refused.body().to_string();
+    let mut response = Response::with_body(status, BoxBody::new(body));
+    let headers = response.headers_mut();
+    let mut set = |name: HeaderName, value: &str| {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            headers.insert(name, value);
+        }
+    };
+    set(actix_http::header::CONTENT_TYPE, "application/problem+json");
+    set(HeaderName::from_static(crate::entry::header::VM), vm.settings.vm.as_str());
+    if row.again.is_some() {
+        let again = refused.again.unwrap_or(COME_BACK).min(Span(left.0 / 3));
+        set(RETRY_AFTER, &format!("{:.3}", again.as_secs()));
+    }
+    response
+}
--- /dev/null
+++ b/src/forward/drive.rs
@@ -0,0 +1,261 @@
+//! The life of one request: attempts at servers until one answers, or nothing more may be tried.
+
+use actix_http::ResponseHead;
+use bytes::Bytes;
+
+use super::attempt::{self, Outcome, Stream};
+use super::call::Answer;
+use super::choice::{self, Wish};
+use super::job::Job;
+use super::replica::Replica;
+use super::trial::Sample;
+use crate::config::Repeat;
+use crate::decide::ends::{self, End, Last, Next};
+use crate::entry::refusal::{Kind, Refusal};
+use crate::unit::{Model, Moment, Server as Id, Span};
+
+/// A repeat needs at least this much time.
+const LEAST: Span = Span::millis(30);
+
+/// Attempts without a byte sent, which the route's number does not count.
+const UNSENT: u32 = 4;
+
+/// A request that may be repeated is tried elsewhere after this many times the route's goal without
+/// an answer, if there is time for it.
+const SILENCE: u64 = 3;
+
+/// Pause before another try when no server takes work.
+const PAUSE: Span = Span::millis(50);
+
+/// What the caller gets.
+pub enum Reply {
+    /// A whole answer of a server.
+    Whole(Box<(ResponseHead, Bytes)>),
+    /// A stream.
+    Stream(Box<Begun>),
+    /// An answer of this VM's own.
+    Refused(Refusal),
+}
+
+/// A stream that has begun, and who sends it.
+pub struct Begun {
+    /// The head of the first server.
+    pub head: ResponseHead,
+    /// The rest.
+    pub stream: Stream,
+    /// The server.
+    pub replica: Replica,
+    /// The model.
+    pub model: Option<Model>,
+    /// Servers tried so far.
+    pub tried: Vec<Id>,
+}
+
+/// What is known of the attempts so far.
+#[derive(Default)]
+struct Progress {
+    tried: Vec<Id>,
+    unsent: u32,
+    may_have_run: bool,
+    /// A failure that a server gave, kept in case that nothing better comes.
+    failure: Option<(ResponseHead, Bytes)>,
+}
+
+/// Tries servers until one answers.
+pub async fn run(job: &Job) -> Reply {
+    let vm = &job.vm;
+    let mut progress = Progress::default();
+    let mut model = first_model(job);
+    vm.count_first(&job.service, vm.now());
+    loop {
+        let now = vm.now();
+        if job.left(now) < LEAST {
+            return give_up(job, progress, End::Late);
+        }
+        let wish = Wish {
+            service: &job.service,
+            call: &job.call,
+            model: model.as_ref().or(job.call.model.as_ref()),
+            tried: &progress.tried,
+        };
+        let Some(replica) = choice::server(vm, &wish, now) else {
+            return give_up(job, progress, End::NotSent);
+        };
+        vm.metrics.added.observe(now.since(job.arrived).as_secs());
+        job.record.attempt();
+        let begun = now;
+        let until = patience(job, &progress, now);
+        let outcome =
+            attempt::run(job, &replica, model.as_ref(), job.call.after_event, until).await;
+        learn(job, &replica, &outcome, begun);
+        progress.tried.push(replica.id.clone());
+        if outcome.end == End::Good
+            && is_doubtful(job, &outcome)
+            && let Some(larger) = larger_model(job, model.as_ref())
+            && may_try_again(job, &progress, End::Good)
+        {
+            // Dropping the answer closes its connection, so the server stops.
+            drop(outcome);
+            progress.tried.pop();
+            model = Some(larger);
+            continue;
+        }
+        match ends::next(outcome.end, job.route.repeat) {
+            Next::Deliver => return deliver(job, replica, model, outcome, progress),
+            Next::Unknown if !goes_on(job, &outcome) => {
+                progress.may_have_run = true;
+                return give_up(job, progress, outcome.end);
+            }
+            Next::Unknown | Next::Elsewhere => {}
+        }
+        let end = outcome.end;
+        progress.unsent += u32::from(end == End::NotSent);
+        progress.may_have_run |= matches!(end, End::Broken | End::Failed | End::Late);
+        if let (End::Failed, Some((head, _))) = (end, outcome.head) {
+            progress.failure = Some((head, outcome.body));
+        }
+        if !may_try_again(job, &progress, end) {
+            return give_up(job, progress, end);
+        }
+    }
+}
+
+/// The model that begins, if the caller leaves the choice to the system: the smallest.
+fn first_model(job: &Job) -> Option<Model> {
+    if !job.call.any_model {
+        return None;
+    }
+    job.route.cascade.first().cloned()
+}
+
+/// The model that takes over from one whose answer is in doubt: the largest, if it is not that
+/// already. Models between cost several times more than the smallest and answer few more.
+fn larger_model(job: &Job, model: Option<&Model>) -> Option<Model> {
+    let largest = job.route.cascade.last().filter(|_| job.call.any_model)?;
+    (model != Some(largest)).then(|| largest.clone())
+}
+
+/// Whether an answer that nobody has seen yet gives way to one of a larger model.
+fn is_doubtful(job: &Job, outcome: &Outcome) -> bool {
+    let confidence = outcome.head.as_ref().and_then(|(_, answer)| answer.confidence);
+    confidence.is_some_and(|confidence| confidence < job.vm.settings.keep_confidence)
+}
+
+/// Until when an attempt waits: a request that may be repeated does not spend all its time on a
+/// server that says nothing.
+fn patience(job: &Job, progress: &Progress, now: Moment) -> Moment {
+    let attempts_left = job.route.attempts.saturating_sub(sends(job, progress));
+    if job.route.repeat != Repeat::Safe || attempts_left <= 1 {
+        return job.deadline;
+    }
+    let half = now + Span(job.left(now).0 / 2);
+    half.min(now + Span(job.route.goal.0 * SILENCE))
+}
+
+/// Sends that count as an attempt.
+fn sends(job: &Job, progress: &Progress) -> u32 {
+    job.record.attempts().saturating_sub(progress.unsent)
+}
+
+/// Whether a request that may be repeated can still go elsewhere after its attempt's time was up.
+fn goes_on(job: &Job, outcome: &Outcome) -> bool {
+    let more = job.left(job.vm.now()) >= LEAST;
+    outcome.end == End::Late && job.route.repeat == Repeat::Safe && more
+}
+
+fn may_try_again(job: &Job, progress: &Progress, end: End) -> bool {
+    let vm = &job.vm;
+    let now = vm.now();
+    if job.left(now) < LEAST || progress.unsent >= UNSENT {
+        return false;
+    }
+    if end == End::NotSent {
+        return true;
+    }
+    sends(job, progress) < job.route.attempts && vm.spend_repeat(&job.service, now)
+}
+
+/// Keeps what an answer tells about versions.
+fn learn(job: &Job, replica: &Replica, outcome: &Outcome, begun: Moment) {
+    let vm = &job.vm;
+    let now = vm.now();
+    if let Some(session) = &job.call.session {
+        let gap = vm.settings.bounds.session_gap;
+        vm.sessions.borrow_mut().note(session, &replica.version, gap, now);
+    }
+    if !matches!(outcome.end, End::Good | End::Failed) {
+        return;
+    }
+    let good = outcome.end == End::Good;
+    let time = good.then(|| per_thousand(now.since(begun), job.call.tokens_in));
+    let sample = Sample { route: &job.route.name, version: &replica.version, failed: !good, time };
+    vm.trials.borrow_mut().entry(job.service.clone()).or_default().note(&sample);
+}
+
+/// A time, made comparable over prompts of unlike lengths.
+fn per_thousand(time: Span, tokens: u64) -> Span {
+    Span((time.0 as f64 / (1.0 + tokens as f64 / 1000.0)) as u64)
+}
+
+fn deliver(
+    job: &Job,
+    replica: Replica,
+    model: Option<Model>,
+    outcome: Outcome,
+    progress: Progress,
+) -> Reply {
+    job.record.answered(job.vm.now());
+    let Some((head, answer)) = outcome.head else {
+        return unknown(job, "an answer without a head");
+    };
+    if let Some(stream) = outcome.stream {
+        let tried = progress.tried;
+        return Reply::Stream(Box::new(Begun { head, stream, replica, model, tried }));
+    }
+    if promises_not_run(&answer) {
+        return unknown(job, "a failure that promises too much");
+    }
+    job.record.set_outcome(head.status.as_str());
+    Reply::Whole(Box::new((head, outcome.body)))
+}
+
+/// Whether callers would take an answer for the promise that the request did not run, which the
+/// server did not give.
+fn promises_not_run(answer: &Answer) -> bool {
+    matches!(answer.status.as_u16(), 408 | 421 | 429 | 503) && !answer.not_run
+}
+
+fn unknown(job: &Job, why: &str) -> Reply {
+    refuse(job, Refusal::because(Kind::Broken, why))
+}
+
+fn refuse(job: &Job, refusal: Refusal) -> Reply {
+    job.record.set_outcome(refusal.kind.row().name);
+    Reply::Refused(refusal)
+}
+
+/// The last word when nothing more may be tried.
+fn give_up(job: &Job, progress: Progress, end: End) -> Reply {
+    let late = job.left(job.vm.now()) < LEAST;
+    if let Some((head, body)) = progress.failure {
+        let answer = crate::platform::header::answer(&head);
+        if !promises_not_run(&answer) {
+            job.record.set_outcome(head.status.as_str());
+            return Reply::Whole(Box::new((head, body)));
+        }
+    }
+    match ends::last(end, progress.may_have_run) {
+        Last::Refused if late => refuse(job, Refusal::new(Kind::Busy)),
+        Last::Refused => refuse(job, Refusal::new(Kind::NoServer)),
+        Last::Unknown | Last::Delivered if !progress.may_have_run => {
+            refuse(job, Refusal::new(Kind::Busy))
+        }
+        Last::Unknown | Last::Delivered if late => refuse(job, Refusal::new(Kind::TimedOut)),
+        Last::Unknown | Last::Delivered => unknown(job, "no server gave a whole answer"),
+    }
+}
+
+/// A pause before a stream that has begun is tried elsewhere again.
+pub fn pause() -> Span {
+    PAUSE
+}
--- /dev/null
+++ b/src/forward/job.rs
@@ -0,0 +1,182 @@
+//! One request on its way through this VM, and the record that it leaves.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use actix_http::RequestHead;
+use bytes::Bytes;
+
+use super::call::Call;
+use super::replica::Replica;
+use super::vm::Vm;
+use crate::config::{Holder, Route};
+use crate::decide::ends::End;
+use crate::unit::{Moment, Server as Id, Service, Span};
+
+/// A request that was admitted.
+pub struct Job {
+    /// The VM.
+    pub vm: Rc<Vm>,
+    /// The head as the caller sent it.
+    pub head: RequestHead,
+    /// What the head says.
+    pub call: Call,
+    /// The whole body.
+    pub body: Bytes,
+    /// Its route.
+    pub route: Rc<Route>,
+    /// The service that answers.
+    pub service: Service,
+    /// Who holds its key.
+    pub holder: Option<Rc<Holder>>,
+    /// When its head arrived.
+    pub arrived: Moment,
+    /// When the caller, or the route's timeout, has it given up.
+    pub deadline: Moment,
+    /// What is told when it ends.
+    pub record: Record,
+}
+
+impl Job {
+    /// Time left.
+    pub fn left(&self, now: Moment) -> Span {
+        self.deadline.since(now)
+    }
+
+    /// Rank at a server, 0 to 9: the workspace's comes before the route's.
+    pub fn priority(&self) -> u32 {
+        let workspace = self.holder.as_ref().map_or(0, |holder| holder.priority);
+        (workspace * RANKS_OF_ROUTES + self.route.priority).min(LOWEST_RANK)
+    }
+}
+
+/// Ranks that routes are told apart by within one rank of workspaces.
+const RANKS_OF_ROUTES: u32 = 3;
+
+/// The lowest rank that servers know.
+const LOWEST_RANK: u32 = 9;
+
+/// What is told of a request when it ends, however it ends.
+pub struct Record {
+    vm: Rc<Vm>,
+    id: String,
+    route: String,
+    arrived: Moment,
+    revision: u64,
+    proof_age: Option<Span>,
+    outcome: RefCell<String>,
+    attempts: Cell<u32>,
+    trail: RefCell<String>,
+    first: Cell<Option<Span>>,
+}
+
+impl Record {
+    /// The record of a request that arrived just now.
+    pub fn new(vm: Rc<Vm>, call: &Call, arrived: Moment) -> Record {
+        vm.running.set(vm.running.get() + 1);
+        vm.metrics.running.set(vm.running.get() as i64);
+        Record {
+            id: call.id.clone(),
+            route: String::new(),
+            arrived,
+            revision: vm.routes().map_or(0, |table| table.revision.0),
+            proof_age: vm.proof_age(arrived),
+            outcome: RefCell::new("caller left".to_owned()),
+            attempts: Cell::new(0),
+            trail: RefCell::default(),
+            first: Cell::new(None),
+            vm,
+        }
+    }
+
+    /// The route was found.
+    pub fn set_route(&mut self, route: &str) {
+        route.clone_into(&mut self.route);
+    }
+
+    /// Sends to a server so far.
+    pub fn attempts(&self) -> u32 {
+        self.attempts.get()
+    }
+
+    /// A send to a server is about to begin.
+    pub fn attempt(&self) {
+        self.attempts.set(self.attempts.get() + 1);
+    }
+
+    /// An attempt ended.
+    pub fn ended(&self, replica: &Replica, end: End, why: &str, now: Moment) {
+        let mut trail = self.trail.borrow_mut();
+        if !trail.is_empty() {
+            trail.push_str("; ");
+        }
+        let after = now.since(self.arrived).0 / 1000;
+        trail.push_str(&format!("{after}ms {} {end:?}", replica.id));
+        if !why.is_empty() {
+            trail.push_str(&format!(" ({why})"));
+        }
+    }
+
+    /// The answer, or its first event, is on its way to the caller.
+    pub fn answered(&self, now: Moment) {
+        self.first.set(Some(now.since(self.arrived)));
+    }
+
+    /// How the request ended.
+    pub fn set_outcome(&self, outcome: impl Into<String>) {
+        *self.outcome.borrow_mut() = outcome.into();
+    }
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        let vm = &self.vm;
+        vm.running.set(vm.running.get().saturating_sub(1));
+        vm.metrics.running.set(vm.running.get() as i64);
+        let outcome = self.outcome.borrow();
+        vm.metrics.requests.with_label_values(&[self.route.as_str(), outcome.as_str()]).inc();
+        if let Some(first) = self.first.get() {
+            let histogram = vm.metrics.answer.with_label_values(&[self.route.as_str()]);
+            histogram.observe(first.as_secs());
+        }
+        let took = vm.now().since(self.arrived);
+        vm.log(
+            "request",
+            &[
+                ("id", self.id.as_str().into()),
+                ("route", self.route.as_str().into()),
+                ("outcome", outcome.as_str().into()),
+                ("attempts", self.attempts.get().into()),
+                ("trail", self.trail.borrow().as_str().into()),
+                ("revision", self.revision.into()),
+                ("proof_age_ms", self.proof_age.map_or(-1.0, Span::as_millis).into()),
+                ("first_ms", self.first.get().map_or(-1.0, Span::as_millis).into()),
+                ("took_ms", took.as_millis().into()),
+            ],
+        );
+    }
+}
+
+/// A request that is open at a server; it is counted there while this lives.
+pub struct Open {
+    vm: Rc<Vm>,
+    id: Id,
+}
+
+impl Open {
+    /// Counts a request at a server.
+    pub fn new(vm: &Rc<Vm>, id: &Id) -> Open {
+        if let Some(server) = vm.fleet.borrow_mut().get_mut(id) {
+            server.open += 1;
+        }
+        Open { vm: vm.clone(), id: id.clone() }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        if let Some(server) = self.vm.fleet.borrow_mut().get_mut(&self.id) {
+            server.open = server.open.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/src/forward/metrics.rs
@@ -0,0 +1,85 @@
+//! Counters and histograms of an entry VM.
+
+use prometheus::{
+    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
+};
+
+/// Bounds of the latency histograms, in seconds.
+const BOUNDS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 3.0, 6.0, 12.0];
+
+/// The counters.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by route and outcome.
+    pub requests: IntCounterVec,
+    /// Attempts by service and how they ended.
+    pub attempts: IntCounterVec,
+    /// Time from a request to its answer or first event, by route.
+    pub answer: HistogramVec,
+    /// Time that this VM added before it sent a request on.
+    pub added: Histogram,
+    /// Calls to the platform's store, by kind and outcome.
+    pub store: IntCounterVec,
+    /// Objects of the platform that did not read.
+    pub unreadable: IntCounterVec,
+    /// Requests in flight.
+    pub running: IntGauge,
+    /// Revision of the configuration in force.
+    pub revision: IntGauge,
+    /// Age of the last proof that the configuration is the newest, in seconds.
+    pub proof_age: Gauge,
+}
+
+impl Metrics {
+    /// Counters at nought.
+    pub fn new() -> Metrics {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let made = IntCounterVec::new(Opts::new(name, help), labels);
+            register(&registry, made.expect("the name is well formed"))
+        };
+        let histogram =
+            |name: &str, help: &str| HistogramOpts::new(name, help).buckets(BOUNDS.to_vec());
+        let answer = histogram("kitepulley_answer_seconds", "Time to the answer or first event.");
+        let added = histogram("kitepulley_added_seconds", "Time before a request was sent on.");
+        let running = IntGauge::new("kitepulley_running", "Requests in flight.");
+        let revision = IntGauge::new("kitepulley_revision", "Revision in force.");
+        let proof = Gauge::new("kitepulley_proof_age_seconds", "Age of the proof of freshness.");
+        Metrics {
+            requests: counter("kitepulley_requests", "Requests.", &["route", "outcome"]),
+            attempts: counter("kitepulley_attempts", "Attempts.", &["service", "end"]),
+            store: counter("kitepulley_store_calls", "Calls to the store.", &["call", "outcome"]),
+            unreadable: counter("kitepulley_unreadable", "Objects not read.", &["kind"]),
+            answer: register(
+                &registry,
+                HistogramVec::new(answer, &["route"]).expect("the name is well formed"),
+            ),
+            added: register(&registry, Histogram::with_opts(added).expect("a well formed name")),
+            running: register(&registry, running.expect("the name is well formed")),
+            revision: register(&registry, revision.expect("the name is well formed")),
+            proof_age: register(&registry, proof.expect("the name is well formed")),
+            registry,
+        }
+    }
+
+    /// All of them in the text format.
+    pub fn text(&self) -> String {
+        let mut out = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut out) {
+            Ok(()) => String::from_utf8_lossy(&out).into_owned(),
+            Err(fault) => format!("# the counters could not be written: {fault}\n"),
+        }
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        Metrics::new()
+    }
+}
+
+fn register<T: prometheus::core::Collector + Clone + 'static>(registry: &Registry, one: T) -> T {
+    registry.register(Box::new(one.clone())).expect("each name is used once");
+    one
+}
--- /dev/null
+++ b/src/forward/mod.rs
@@ -0,0 +1,27 @@
+//! An entry VM on the users' platform: requests are forwarded to backend servers unchanged, and
+//! what must be agreed lies in the platform's store. `docs/PLATFORM.md` has the design.
+
+pub mod attempt;
+pub mod call;
+pub mod choice;
+pub mod connection;
+mod door;
+pub mod drive;
+pub mod event;
+mod follow;
+pub mod job;
+mod metrics;
+pub mod pool;
+mod relay;
+pub mod replica;
+mod run;
+pub mod server;
+pub mod session;
+mod settings;
+mod steps;
+pub mod trial;
+mod vm;
+
+pub use run::run;
+pub use settings::{Bounds, KEEP_CONFIDENCE, Settings};
+pub use vm::Vm;
--- /dev/null
+++ b/src/forward/relay.rs
@@ -0,0 +1,180 @@
+//! A stream of events on its way to the caller: whole events as they arrive, gone on with at
+//! another server if one breaks off.
+
+use bytes::Bytes;
+use futures_util::Stream as Pieces;
+
+use super::attempt;
+use super::choice::{self, Wish};
+use super::connection::Fault;
+use super::drive::{self, Begun};
+use super::event::Batch;
+use super::job::Job;
+use crate::config::Repeat;
+use crate::decide::ends::End;
+use crate::unit::Moment;
+
+/// A stream that is passed on.
+struct Relay {
+    job: Job,
+    begun: Begun,
+    last: Option<u64>,
+    unsent: u32,
+}
+
+/// Why the caller's stream is broken off; the connection is reset, so that it does not look whole.
+#[derive(Debug)]
+pub struct BrokenOff(String);
+
+impl std::fmt::Display for BrokenOff {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for BrokenOff {}
+
+/// The body of the caller's answer. Dropping it closes the server's connection.
+pub fn body(job: Job, begun: Begun) -> impl Pieces<Item = Result<Bytes, BrokenOff>> {
+    let last = job.call.after_event;
+    // The caller left, unless the end is seen.
+    job.record.set_outcome("caller left its stream");
+    let relay = Relay { job, begun, last, unsent: 0 };
+    futures_util::stream::unfold(Some(relay), |relay| async move {
+        let mut relay = relay?;
+        match relay.next().await {
+            Some(Ok(bytes)) => Some((Ok(bytes), Some(relay))),
+            Some(Err(why)) => {
+                relay.job.record.set_outcome(format!("broken off: {why}"));
+                Some((Err(BrokenOff(why)), None))
+            }
+            None => {
+                relay.job.record.set_outcome("streamed");
+                relay.rest();
+                None
+            }
+        }
+    })
+}
+
+impl Relay {
+    /// The next whole events; nothing at the end of the stream.
+    async fn next(&mut self) -> Option<Result<Bytes, String>> {
+        loop {
+            let Some(batch) = self.ready() else {
+                if self.begun.stream.ended {
+                    return None;
+                }
+                match self.read().await {
+                    Ok(()) => continue,
+                    Err(why) => match self.go_on(why).await {
+                        Ok(()) => continue,
+                        Err(why) => return Some(Err(why)),
+                    },
+                }
+            };
+            match self.in_order(&batch) {
+                Ok(()) => {
+                    self.last = batch.last.or(self.last);
+                    return Some(Ok(batch.bytes));
+                }
+                Err(why) => match self.go_on(why).await {
+                    Ok(()) => continue,
+                    Err(why) => return Some(Err(why)),
+                },
+            }
+        }
+    }
+
+    fn ready(&mut self) -> Option<Batch> {
+        let stream = &mut self.begun.stream;
+        stream.first.take().or_else(|| stream.events.take())
+    }
+
+    /// Events must follow those that the caller has.
+    fn in_order(&self, batch: &Batch) -> Result<(), String> {
+        match (self.last, batch.first) {
+            (Some(last), Some(first)) if first != last + 1 => {
+                Err(format!("event {first} came after event {last}"))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    async fn read(&mut self) -> Result<(), String> {
+        let left = self.job.left(self.job.vm.now()).duration();
+        let stream = &mut self.begun.stream;
+        let chunk = tokio::time::timeout(left, stream.connection.next_chunk()).await;
+        match chunk {
+            Ok(Ok(Some(bytes))) if stream.events.push(&bytes) => Ok(()),
+            Ok(Ok(Some(_))) => Err("an event without an end".to_owned()),
+            Ok(Ok(None)) if stream.events.has_part() => {
+                Err("the stream ended within an event".to_owned())
+            }
+            Ok(Ok(None)) => {
+                stream.ended = true;
+                Ok(())
+            }
+            Ok(Err(Fault::NotSent(why) | Fault::Broken(why))) => Err(why),
+            Err(_) => Err("the time was up".to_owned()),
+        }
+    }
+
+    /// Goes on at another server after the last whole event, if the request allows it.
+    async fn go_on(&mut self, why: String) -> Result<(), String> {
+        let vm = self.job.vm.clone();
+        let broken = &self.begun.replica;
+        self.job.record.ended(broken, End::Broken, &why, vm.now());
+        {
+            let mut fleet = vm.fleet.borrow_mut();
+            let usual = fleet.failures(&self.job.service);
+            if let Some(server) = fleet.get_mut(&broken.id) {
+                server.record.note(End::Broken, usual, vm.now());
+            }
+        }
+        if self.job.route.repeat != Repeat::Resume {
+            return Err(why);
+        }
+        loop {
+            let now = vm.now();
+            if !self.may_go_on(now) {
+                return Err(why);
+            }
+            if !vm.spend_repeat(&self.job.service, now) {
+                tokio::time::sleep(drive::pause().duration()).await;
+                continue;
+            }
+            let wish = Wish {
+                service: &self.job.service,
+                call: &self.job.call,
+                model: self.begun.model.as_ref().or(self.job.call.model.as_ref()),
+                tried: &self.begun.tried,
+            };
+            let Some(replica) = choice::server(&vm, &wish, now) else {
+                return Err(format!("{why}; no other server takes work"));
+            };
+            self.job.record.attempt();
+            let model = self.begun.model.clone();
+            let until = self.job.deadline;
+            let outcome = attempt::run(&self.job, &replica, model.as_ref(), self.last, until).await;
+            self.begun.tried.push(replica.id.clone());
+            self.unsent += u32::from(outcome.end == End::NotSent);
+            if let Some(stream) = outcome.stream {
+                self.begun.stream = stream;
+                self.begun.replica = replica;
+                return Ok(());
+            }
+        }
+    }
+
+    fn may_go_on(&self, now: Moment) -> bool {
+        let sends = self.job.record.attempts().saturating_sub(self.unsent);
+        sends < self.job.route.attempts && now < self.job.deadline
+    }
+
+    /// Lets the connection of a stream that ended rest.
+    fn rest(self) {
+        let Relay { job, begun, .. } = self;
+        attempt::keep(&job, &begun.replica, begun.stream.connection, None);
+    }
+}
--- /dev/null
+++ b/src/forward/run.rs
@@ -0,0 +1,123 @@
+//! Starts an entry VM's tasks, and stops it as planned.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_web::rt::signal::unix::{SignalKind, signal};
+use actix_web::rt::spawn;
+
+use super::follow::{self, Kind};
+use super::settings::Settings;
+use super::vm::Vm;
+use super::{door, steps};
+use crate::error::Error;
+use crate::platform;
+use crate::unit::Span;
+use crate::vm::Clock;
+use crate::watch::line::Lines;
+
+/// Time between two writes of log lines.
+const FLUSH: Duration = Duration::from_millis(100);
+
+/// The balancer has noticed a VM that is not ready after two questions, a second apart.
+const NOTICED: Span = Span::millis(2500);
+
+/// Time kept free before the process would be killed.
+const MARGIN: Span = Span::millis(700);
+
+/// Time between two looks whether the last request has ended.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Runs an entry VM until a signal to stop.
+///
+/// # Errors
+/// If an address cannot be bound.
+pub async fn run(settings: Settings) -> Result<(), Error> {
+    let callers = door::bind(settings.callers)?;
+    let readiness = door::bind(settings.readiness)?;
+    let metrics = settings.metrics.map(door::bind).transpose()?;
+    let lines = Lines::to_standard_output();
+    let vm = Rc::new(Vm::new(settings, Clock::default(), lines));
+    log_start(&vm);
+    for kind in [Kind::Config, Kind::Servers, Kind::Rollouts] {
+        spawn(follow::follow(vm.clone(), kind));
+    }
+    spawn(follow::prove(vm.clone()));
+    spawn(follow::expire(vm.clone()));
+    spawn(steps::run(vm.clone()));
+    spawn(door::serve_callers(vm.clone(), callers));
+    spawn(door::serve_readiness(vm.clone(), readiness));
+    if let Some(listener) = metrics {
+        spawn(door::serve_metrics(vm.clone(), listener));
+    }
+    spawn(write_lines(vm.clone()));
+    spawn(reload(vm.clone()));
+    stop_signal().await;
+    stop(&vm).await;
+    Ok(())
+}
+
+fn log_start(vm: &Vm) {
+    let settings = &vm.settings;
+    let (callers, store) = (settings.callers.to_string(), settings.store.to_string());
+    let fields = [
+        ("vm", settings.vm.as_str().into()),
+        ("data_centre", settings.data_centre.as_str().into()),
+        ("callers", callers.as_str().into()),
+        ("store", store.as_str().into()),
+        ("version", env!("CARGO_PKG_VERSION").into()),
+    ];
+    vm.log("start", &fields);
+}
+
+async fn write_lines(vm: Rc<Vm>) {
+    loop {
+        tokio::time::sleep(FLUSH).await;
+        vm.lines.flush();
+    }
+}
+
+/// Reads the settings file again at each SIGHUP. Addresses cannot change while the process runs,
+/// so a change of one is told and the next start takes it.
+async fn reload(vm: Rc<Vm>) {
+    let mut hangups = signal(SignalKind::hangup()).expect("signals can be watched");
+    while hangups.recv().await.is_some() {
+        let outcome = match platform::settings::from_environment() {
+            Ok(read) if read.store == vm.settings.store => {
+                "nothing that needs a restart".to_owned()
+            }
+            Ok(_) => "the store's address changed; it is taken at the next start".to_owned(),
+            Err(fault) => fault.to_string(),
+        };
+        vm.log("settings read again", &[("outcome", outcome.as_str().into())]);
+    }
+}
+
+async fn stop_signal() {
+    let mut terminate = signal(SignalKind::terminate()).expect("signals can be watched");
+    let mut interrupt = signal(SignalKind::interrupt()).expect("signals can be watched");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+/// A planned stop: no longer ready, open connections are served on, then the process ends.
+async fn stop(vm: &Rc<Vm>) {
+    let begun = vm.now();
+    vm.stopping.set(true);
+    vm.log("stop begins", &[("running", vm.running.get().into())]);
+    let latest = begun + Span(vm.settings.bounds.stop_within.0.saturating_sub(MARGIN.0));
+    let earliest = begun + NOTICED;
+    loop {
+        let now = vm.now();
+        let idle = now >= earliest && vm.running.get() == 0;
+        if idle || now >= latest {
+            break;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    let took = vm.now().since(begun).as_millis();
+    vm.log("stop", &[("cut_off", vm.running.get().into()), ("took_ms", took.into())]);
+    vm.lines.flush();
+}
--- /dev/null
+++ b/src/forward/server.rs
@@ -0,0 +1,181 @@
+//! What one VM knows of one backend server beyond its entry.
+
+use std::collections::HashMap;
+
+use super::call::Load;
+use super::pool::Pool;
+use super::replica::Replica;
+use crate::decide::outlier::Record;
+use crate::unit::{Moment, Server as Id, Service, Span, Version};
+
+/// A told load counts for this long; then only what this VM has open there does.
+const TOLD_FOR: Span = Span::secs(4);
+
+/// A server whose entry went while the store was away is used on for this long after its return:
+/// entries of servers that live come back within two seconds.
+const LAPSED_FOR: Span = Span::millis(2500);
+
+/// A told load, and what this VM had open there when it heard it.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    load: Load,
+    open: u32,
+    at: Moment,
+}
+
+/// One backend server.
+pub struct Server {
+    /// Its entry.
+    pub replica: Replica,
+    /// Requests that this VM has open there.
+    pub open: u32,
+    /// What this VM has met there.
+    pub record: Record,
+    /// Connections that rest.
+    pub pool: Pool,
+    told: Option<Told>,
+    lapsed: Option<Moment>,
+}
+
+impl Server {
+    fn new(replica: Replica) -> Server {
+        Server {
+            replica,
+            open: 0,
+            record: Record::default(),
+            pool: Pool::default(),
+            told: None,
+            lapsed: None,
+        }
+    }
+
+    /// Notes the load that an answer told.
+    pub fn hear(&mut self, load: Load, now: Moment) {
+        self.told = Some(Told { load, open: self.open, at: now });
+    }
+
+    /// Requests that it is thought to hold: what was told, and what this VM sent since.
+    pub fn load(&self, now: Moment) -> f64 {
+        let own = f64::from(self.open);
+        let Some(told) = self.told.filter(|told| now.since(told.at) < TOLD_FOR) else {
+            return own;
+        };
+        let then = f64::from(told.load.running + told.load.waiting);
+        (then + own - f64::from(told.open)).max(own)
+    }
+
+    /// Whether new work may go there, its record apart.
+    pub fn takes_work(&self) -> bool {
+        self.replica.ready
+    }
+}
+
+/// All backend servers.
+#[derive(Default)]
+pub struct Fleet {
+    servers: HashMap<Id, Server>,
+    /// The version of a service that is in use when no roll-out says otherwise.
+    usual: HashMap<Service, Version>,
+}
+
+impl Fleet {
+    /// Takes a whole list. With `after_outage`, entries that are missing may have lapsed and are
+    /// kept a while.
+    pub fn replace(&mut self, replicas: Vec<Replica>, after_outage: bool, now: Moment) {
+        let listed: Vec<Id> = replicas.iter().map(|replica| replica.id.clone()).collect();
+        for server in self.servers.values_mut() {
+            if !listed.contains(&server.replica.id) && server.lapsed.is_none() {
+                server.lapsed = Some(now);
+            }
+        }
+        if !after_outage {
+            self.servers.retain(|id, _| listed.contains(id));
+        }
+        for replica in replicas {
+            self.put(replica);
+        }
+    }
+
+    /// Takes one entry.
+    pub fn put(&mut self, replica: Replica) {
+        self.usual.entry(replica.service.clone()).or_insert_with(|| replica.version.clone());
+        match self.servers.get_mut(&replica.id) {
+            Some(server) => {
+                server.replica = replica;
+                server.lapsed = None;
+            }
+            None => {
+                self.servers.insert(replica.id.clone(), Server::new(replica));
+            }
+        }
+    }
+
+    /// An entry went. With `in_outage` it may have lapsed and is kept a while.
+    pub fn remove(&mut self, id: &Id, in_outage: bool, now: Moment) {
+        if !in_outage {
+            self.servers.remove(id);
+        } else if let Some(server) = self.servers.get_mut(id) {
+            server.lapsed.get_or_insert(now);
+        }
+    }
+
+    /// Drops entries that lapsed and did not come back.
+    pub fn expire(&mut self, now: Moment) -> Vec<Id> {
+        let gone: Vec<Id> = self
+            .servers
+            .iter()
+            .filter(|(_, server)| server.lapsed.is_some_and(|at| now.since(at) >= LAPSED_FOR))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &gone {
+            self.servers.remove(id);
+        }
+        gone
+    }
+
+    /// A server.
+    pub fn get(&self, id: &Id) -> Option<&Server> {
+        self.servers.get(id)
+    }
+
+    /// A server.
+    pub fn get_mut(&mut self, id: &Id) -> Option<&mut Server> {
+        self.servers.get_mut(id)
+    }
+
+    /// The servers of a service that take work.
+    pub fn of<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = &'a Server> {
+        let of_service = self.servers.values().filter(move |one| one.replica.service == *service);
+        of_service.filter(|server| server.takes_work())
+    }
+
+    /// The version of a service that is in use when no roll-out says otherwise.
+    pub fn usual(&self, service: &Service) -> Option<&Version> {
+        self.usual.get(service)
+    }
+
+    /// Makes a version the usual one.
+    pub fn settle(&mut self, service: &Service, version: &Version) {
+        self.usual.insert(service.clone(), version.clone());
+    }
+
+    /// Whether any server is known.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
+    /// All servers.
+    pub fn all(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values()
+    }
+
+    /// The mean share of failures among the servers of a service.
+    pub fn failures(&self, service: &Service) -> f64 {
+        let (mut sum, mut count) = (0.0, 0.0);
+        for server in self.of(service) {
+            sum += server.record.failures();
+            count += 1.0;
+        }
+        if count > 0.0 { sum / count } else { 0.0 }
+    }
+}
--- /dev/null
+++ b/src/forward/steps.rs
@@ -0,0 +1,102 @@
+//! The task that moves roll-outs on.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::follow::put_rollout;
+use super::replica::{Phase, Rollout};
+use super::vm::Vm;
+use crate::decide::canary::{self, Known, Step};
+use crate::platform::object::{self, ROLLOUTS};
+use crate::platform::objects::{Objects, Trouble};
+use crate::unit::Service;
+
+/// Time between two looks.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// A VM waits up to this before it writes a step, so that mostly one VM does.
+const SPREAD: f64 = 0.5;
+
+/// A step back is written at once by whoever finds the version bad.
+const SPREAD_BACK: f64 = 0.05;
+
+/// Looks for steps that are due until the process ends.
+pub async fn run(vm: Rc<Vm>) {
+    let mut store = Objects::new(vm.settings.store);
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let running =
+            |one: &&Rollout| !matches!(one.phase, Some(Phase::Completed | Phase::RolledBack));
+        let open: Vec<Service> = {
+            let rollouts = vm.rollouts.borrow();
+            rollouts.values().filter(running).map(|one| one.service.clone()).collect()
+        };
+        for service in open {
+            step(&vm, &mut store, &service).await;
+        }
+    }
+}
+
+async fn step(vm: &Rc<Vm>, store: &mut Objects, service: &Service) {
+    let Some((_, phase)) = due(vm, service) else { return };
+    let spread = if phase == Phase::RolledBack { SPREAD_BACK } else { SPREAD };
+    tokio::time::sleep(Duration::from_secs_f64(spread * rand::random::<f64>())).await;
+    // Another VM may have written it meanwhile.
+    let Some((rollout, phase)) = due(vm, service) else { return };
+    let status = object::progress(&rollout, phase);
+    let written = store.put_status(ROLLOUTS, service.as_str(), rollout.revision, status).await;
+    let outcome = if written.is_ok() { "answered" } else { "failed" };
+    vm.metrics.store.with_label_values(&["step", outcome]).inc();
+    let name = format!("{phase:?}");
+    match written {
+        Ok(object) => {
+            let fields = [("service", service.as_str().into()), ("to", name.as_str().into())];
+            vm.log("roll-out moved", &fields);
+            learn(vm, &object);
+        }
+        Err(Trouble::Conflict(Some(object))) => learn(vm, &object),
+        Err(trouble) => {
+            let why = trouble.to_string();
+            let fields = [
+                ("service", service.as_str().into()),
+                ("to", name.as_str().into()),
+                ("why", why.as_str().into()),
+            ];
+            vm.log("roll-out not moved", &fields);
+        }
+    }
+}
+
+fn learn(vm: &Vm, object: &object::Object) {
+    match object::rollout(object) {
+        Ok(rollout) => put_rollout(vm, rollout),
+        Err(why) => {
+            vm.log("object not read", &[("kind", ROLLOUTS.into()), ("why", why.as_str().into())])
+        }
+    }
+}
+
+/// The step that is due, and the order as it is known.
+fn due(vm: &Vm, service: &Service) -> Option<(Rollout, Phase)> {
+    let now = vm.now();
+    let rollouts = vm.rollouts.borrow();
+    let rollout = rollouts.get(service)?;
+    let trials = vm.trials.borrow();
+    let trial = trials.get(service)?;
+    let fleet = vm.fleet.borrow();
+    let ready = fleet.of(service).filter(|one| one.replica.version == rollout.version).count();
+    let known = Known {
+        phase: rollout.phase,
+        age: trial.age(now),
+        phase_age: trial.phase_age(now),
+        within: rollout.within,
+        exposure: vm.settings.bounds.exposure,
+        ready,
+        bad: trial.is_bad(),
+        seen: trial.seen(),
+    };
+    match canary::next(&known) {
+        Step::Hold => None,
+        Step::Move(phase) => Some((rollout.clone(), phase)),
+    }
+}
--- /dev/null
+++ b/src/forward/vm.rs
@@ -0,0 +1,155 @@
+//! The state of one entry VM. All of it lives on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use tokio::sync::Notify;
+
+use super::metrics::Metrics;
+use super::replica::Rollout;
+use super::server::Fleet;
+use super::session::Sessions;
+use super::settings::Settings;
+use super::trial::Trials;
+use crate::config::Table;
+use crate::decide::budget::Budget;
+use crate::unit::{Moment, Service, Span};
+use crate::vm::Clock;
+use crate::watch::line::{Lines, Value};
+
+/// Part of the extra repeats of all VMs that one VM takes for itself. Nothing tells how many VMs
+/// there are; with this, two hundred may spend it at the same moment and stay within it.
+const EXTRA_PART: f64 = 0.005;
+
+/// But at least one, or a VM without traffic could not repeat its first request.
+const EXTRA_LEAST: f64 = 1.0;
+
+/// Margin of the age of the proof of freshness, for clocks that run unlike.
+const FRESH_MARGIN: Span = Span::millis(250);
+
+/// One entry VM.
+pub struct Vm {
+    /// Its settings.
+    pub settings: Settings,
+    /// Its clocks.
+    pub clock: Clock,
+    /// Routes and keys in force; none before the first configuration was read.
+    pub table: RefCell<Option<Rc<Table>>>,
+    /// Backend servers.
+    pub fleet: RefCell<Fleet>,
+    /// Roll-outs by service.
+    pub rollouts: RefCell<HashMap<Service, Rollout>>,
+    /// What was seen of roll-outs.
+    pub trials: RefCell<HashMap<Service, Trials>>,
+    /// Sessions seen of late.
+    pub sessions: RefCell<Sessions>,
+    /// When the last read that proved the configuration the newest was sent.
+    pub proved: Cell<Option<Moment>>,
+    /// Whether the last proof failed.
+    pub store_lost: Cell<bool>,
+    /// Wakes the task that proves freshness.
+    pub prove: Notify,
+    /// Wakes those who wait for a proof.
+    pub proof: Notify,
+    /// Tells followers that the way to the store is back.
+    pub regained: tokio::sync::watch::Sender<u64>,
+    /// Whether backend servers and roll-outs have been listed.
+    pub listed: Cell<(bool, bool)>,
+    /// Whether a planned stop has begun.
+    pub stopping: Cell<bool>,
+    /// Requests in flight.
+    pub running: Cell<usize>,
+    /// Log lines.
+    pub lines: Lines,
+    /// Counters.
+    pub metrics: Metrics,
+    budgets: RefCell<HashMap<Service, Budget>>,
+}
+
+impl Vm {
+    /// A VM that knows nothing yet.
+    pub fn new(settings: Settings, clock: Clock, lines: Lines) -> Vm {
+        Vm {
+            settings,
+            clock,
+            table: RefCell::default(),
+            fleet: RefCell::default(),
+            rollouts: RefCell::default(),
+            trials: RefCell::default(),
+            sessions: RefCell::default(),
+            proved: Cell::new(None),
+            store_lost: Cell::new(false),
+            prove: Notify::new(),
+            proof: Notify::new(),
+            regained: tokio::sync::watch::Sender::new(0),
+            listed: Cell::new((false, false)),
+            stopping: Cell::new(false),
+            running: Cell::new(0),
+            lines,
+            metrics: Metrics::new(),
+            budgets: RefCell::default(),
+        }
+    }
+
+    /// The present moment.
+    pub fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    /// Adds a log line.
+    pub fn log(&self, event: &str, fields: &[(&str, Value)]) {
+        self.lines.add(event, self.clock.date(), self.now(), fields);
+    }
+
+    /// The routes in force.
+    pub fn routes(&self) -> Option<Rc<Table>> {
+        self.table.borrow().clone()
+    }
+
+    /// How old the proof is that the configuration is the newest.
+    pub fn proof_age(&self, now: Moment) -> Option<Span> {
+        self.proved.get().map(|at| now.since(at))
+    }
+
+    /// The longest age of the proof at which a request with a key may be sent on.
+    pub fn longest_proof_age(&self) -> Option<Span> {
+        let bound = self.settings.bounds.key_staleness?;
+        Some(Span(bound.0.saturating_sub(FRESH_MARGIN.0)))
+    }
+
+    /// Whether a request with a key may be sent on.
+    pub fn may_use_keys(&self, now: Moment) -> bool {
+        match (self.longest_proof_age(), self.proof_age(now)) {
+            (None, _) => true,
+            (Some(longest), Some(age)) => age < longest,
+            (Some(_), None) => false,
+        }
+    }
+
+    /// Whether the balancer may send new connections.
+    pub fn is_ready(&self, now: Moment) -> bool {
+        let known = self.table.borrow().is_some() && self.listed.get() == (true, true);
+        known && !self.stopping.get() && self.may_use_keys(now)
+    }
+
+    /// Counts a request's first send to a service.
+    pub fn count_first(&self, service: &Service, now: Moment) {
+        self.budget(service, |budget| budget.first(now));
+    }
+
+    /// Takes a repeated send to a service from the budget.
+    pub fn spend_repeat(&self, service: &Service, now: Moment) -> bool {
+        self.budget(service, |budget| budget.spend(now))
+    }
+
+    fn budget<T>(&self, service: &Service, act: impl FnOnce(&mut Budget) -> T) -> T {
+        let bounds = &self.settings.bounds;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            let extra = (bounds.retry_extra * EXTRA_PART).max(EXTRA_LEAST);
+            Budget::new(bounds.retry_window, bounds.retry_share, extra)
+        });
+        act(budget)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod error;
 pub mod evidence;
 pub mod experiment;
+pub mod forward;
 pub mod history;
 pub mod ledger;
 pub mod once;
--- a/src/options.rs
+++ b/src/options.rs
@@ -7,6 +7,8 @@
 use crate::cli;
 use crate::decide::rollout::Policy;
 use crate::error::Error;
+use crate::forward;
+use crate::platform::settings;
 use crate::unit::{Parts, Size, Span};
 use crate::vm::Settings;
 
@@ -153,6 +155,19 @@
     Ok(())
 }
 
+/// Checks the flags of `entry` and reads the platform's settings file.
+///
+/// # Errors
+/// The flag, or the field of the file, that is missing or does not read.
+pub fn entry(flags: &cli::Entry) -> Result<forward::Settings, Error> {
+    let port: Option<u16> = optional("metrics-port", flags.metrics_port.as_ref())?;
+    let mut settings = settings::from_environment()?;
+    settings.keep_confidence =
+        or("keep-confidence", flags.keep_confidence.as_ref(), settings.keep_confidence)?;
+    settings.metrics = port.map(|port| SocketAddr::new(settings.ip, port));
+    Ok(settings)
+}
+
 /// An address that must be there.
 ///
 /// # Errors
--- /dev/null
+++ b/src/platform/header.rs
@@ -0,0 +1,210 @@
+//! The platform's headers, decoded into typed calls and answers.
+
+use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Method, RequestHead, ResponseHead};
+
+use crate::forward::call::{Answer, Call, Load, PromptPart};
+use crate::forward::replica::Replica;
+use crate::unit::{Model, Span, Workspace};
+
+const ATTEMPT: &str = "x-attempt-id";
+const DEADLINE: &str = "x-deadline-ms";
+const SIGNATURE: &str = "x-response-signature";
+const NOT_EXECUTED: &str = "x-not-executed";
+const EXPECT_INSTANCE: &str = "x-expect-instance";
+const INSTANCE: &str = "x-instance-id";
+const TENANT: &str = "x-tenant";
+const LOAD: &str = "x-server-load";
+const MODEL: &str = "x-model";
+const PREFIX: &str = "x-prefix-hash";
+const TOKENS: &str = "x-token-usage";
+const SESSION: &str = "session";
+const LAST_EVENT: &str = "last-event-id";
+const CONFIDENCE: &str = "x-confidence";
+const PRIORITY: &str = "x-request-priority";
+
+/// Headers that only the system may set towards a server; a caller's are dropped.
+const OWN: [&str; 7] =
+    [TENANT, EXPECT_INSTANCE, PRIORITY, "x-pin-ms", "x-hold", "x-kv-backup", "x-expect-version"];
+
+/// Headers that tell of one connection only.
+const HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::CONTENT_LENGTH,
+    header::UPGRADE,
+    header::TE,
+    header::TRAILER,
+    header::EXPECT,
+    header::PROXY_AUTHENTICATE,
+];
+
+/// More of the same that the library has no constant for.
+const HOP_TEXT: [&str; 3] = ["keep-alive", "proxy-connection", "kv-from"];
+
+/// The word before a key in `Authorization`.
+const SCHEME: &str = "token ";
+
+/// What a caller that wants the system to choose names as its model.
+const ANY_MODEL: &str = "*";
+
+/// Time that a caller waits if it does not say so.
+const PATIENCE: Span = Span::secs(30);
+
+/// The longest time that is believed.
+const LONGEST_PATIENCE: Span = Span::secs(3600);
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// Decodes the head of a caller's request.
+pub fn call(head: &RequestHead) -> Call {
+    let headers = &head.headers;
+    let key = text(headers, header::AUTHORIZATION.as_str());
+    let key = key.filter(|key| key.to_ascii_lowercase().starts_with(SCHEME));
+    let model = text(headers, MODEL).filter(|model| *model != ANY_MODEL);
+    let patience = text(headers, DEADLINE).and_then(|ms| ms.trim().parse::<f64>().ok());
+    let patience = patience.filter(|ms| *ms >= 0.0).map(|ms| Span((ms * 1000.0) as u64));
+    let (tokens_in, tokens_out) = tokens(text(headers, TOKENS).unwrap_or_default());
+    Call {
+        id: text(headers, ATTEMPT).unwrap_or_default().to_owned(),
+        host: text(headers, header::HOST.as_str()).unwrap_or_default().to_owned(),
+        path: head.uri.path().to_owned(),
+        key: key.map(|key| key[SCHEME.len()..].trim().to_owned()),
+        patience: patience.unwrap_or(PATIENCE).min(LONGEST_PATIENCE),
+        any_model: text(headers, MODEL) == Some(ANY_MODEL),
+        model: model.and_then(|model| model.parse().ok()),
+        prompt: prompt(text(headers, PREFIX).unwrap_or_default()),
+        tokens_in,
+        tokens_out,
+        session: text(headers, SESSION).map(str::to_owned),
+        after_event: text(headers, LAST_EVENT).and_then(|id| id.trim().parse().ok()),
+    }
+}
+
+fn tokens(text: &str) -> (u64, u64) {
+    let mut numbers = text.split(',').map(|part| part.trim().parse().unwrap_or_default());
+    (numbers.next().unwrap_or_default(), numbers.next().unwrap_or_default())
+}
+
+fn prompt(text: &str) -> Vec<PromptPart> {
+    let part = |part: &str| {
+        let (id, tokens) = part.trim().split_once(':')?;
+        Some(PromptPart { id: id.to_owned(), tokens: tokens.parse().ok()? })
+    };
+    text.split(',').filter_map(part).collect()
+}
+
+/// What the system adds to a caller's request for one server.
+pub struct Extra<'a> {
+    /// The server that is meant.
+    pub replica: &'a Replica,
+    /// Time left.
+    pub left: Span,
+    /// The workspace that holds the caller's key.
+    pub workspace: Option<&'a Workspace>,
+    /// The model, if the system chose it.
+    pub model: Option<&'a Model>,
+    /// Rank among the requests at the server, 0 to 9.
+    pub priority: Option<u32>,
+    /// The last event that the caller has, if another server began the answer.
+    pub after_event: Option<u64>,
+}
+
+/// The head that goes to a server.
+pub fn request(from: &RequestHead, extra: &Extra) -> RequestHead {
+    let mut head = RequestHead::default();
+    head.method = from.method.clone();
+    head.uri = from.uri.clone();
+    let headers = &mut head.headers;
+    let named = hop_headers_named(&from.headers);
+    for (name, value) in from.headers.iter() {
+        let own = OWN.contains(&name.as_str()) || HOP_TEXT.contains(&name.as_str());
+        let hop = HOP.contains(name) || named.iter().any(|named| named == name.as_str());
+        if !own && !hop && *name != header::AUTHORIZATION && name.as_str() != DEADLINE {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    let mut set = |name: &'static str, value: String| {
+        if let Ok(value) = HeaderValue::from_str(&value) {
+            headers.insert(HeaderName::from_static(name), value);
+        }
+    };
+    set(DEADLINE, (extra.left.0 / 1000).max(1).to_string());
+    set(EXPECT_INSTANCE, extra.replica.id.to_string());
+    if let Some(workspace) = extra.workspace {
+        set(TENANT, workspace.to_string());
+    }
+    if let Some(model) = extra.model {
+        set(MODEL, model.to_string());
+    }
+    if let Some(priority) = extra.priority {
+        set(PRIORITY, priority.to_string());
+    }
+    if let Some(event) = extra.after_event {
+        set(LAST_EVENT, event.to_string());
+    }
+    head
+}
+
+/// Headers that `Connection` names as its own.
+fn hop_headers_named(headers: &HeaderMap) -> Vec<String> {
+    let listed = headers.get_all(header::CONNECTION).filter_map(|value| value.to_str().ok());
+    listed.flat_map(|text| text.split(',')).map(|name| name.trim().to_ascii_lowercase()).collect()
+}
+
+/// Decodes the head of a server's answer.
+pub fn answer(head: &ResponseHead) -> Answer {
+    let headers = &head.headers;
+    Answer {
+        status: head.status,
+        id: text(headers, ATTEMPT).map(str::to_owned),
+        signed: headers.contains_key(SIGNATURE),
+        not_run: headers.contains_key(NOT_EXECUTED)
+            || head.status == actix_http::StatusCode::MISDIRECTED_REQUEST,
+        encoded: headers.contains_key(header::CONTENT_ENCODING),
+        load: text(headers, LOAD).and_then(load),
+        confidence: text(headers, CONFIDENCE).and_then(|text| text.trim().parse().ok()),
+        instance: text(headers, INSTANCE).map(str::to_owned),
+        rest: text(headers, "keep-alive").and_then(rest),
+    }
+}
+
+fn load(text: &str) -> Option<Load> {
+    let mut numbers = text.split(',').map(|part| part.trim().parse::<u32>());
+    let mut next = || numbers.next()?.ok();
+    Some(Load { running: next()?, waiting: next()?, slots: next()? })
+}
+
+/// The time that `Keep-Alive: timeout=N` gives an idle connection.
+fn rest(text: &str) -> Option<Span> {
+    let parts = text.split(',').map(str::trim);
+    let mut seconds =
+        parts.filter_map(|part| part.strip_prefix("timeout=").unwrap_or(part).parse().ok());
+    seconds.next().map(Span::secs)
+}
+
+/// The headers of a server's answer that a caller gets.
+pub fn answer_headers(head: &ResponseHead) -> Vec<(HeaderName, HeaderValue)> {
+    let named = hop_headers_named(&head.headers);
+    let keeps = |name: &HeaderName| {
+        !HOP.contains(name)
+            && !HOP_TEXT.contains(&name.as_str())
+            && name.as_str() != LOAD
+            && !named.iter().any(|named| named == name.as_str())
+    };
+    let kept = head.headers.iter().filter(|(name, _)| keeps(name));
+    kept.map(|(name, value)| (name.clone(), value.clone())).collect()
+}
+
+/// The id of a request, for the answers that the system gives by itself.
+pub fn answer_id(call: &Call) -> Option<(HeaderName, HeaderValue)> {
+    let value = HeaderValue::from_str(&call.id).ok()?;
+    (!call.id.is_empty()).then(|| (HeaderName::from_static(ATTEMPT), value))
+}
+
+/// Whether the balancer's question is the one about readiness.
+pub fn asks_readiness(head: &RequestHead) -> bool {
+    head.method == Method::GET && head.uri.path() == "/v1/readyz"
+}
--- /dev/null
+++ b/src/platform/object.rs
@@ -0,0 +1,292 @@
+//! The platform's objects, decoded into the project's types.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::config::{Holder, Limits, Part, Pool, Repeat, Route, Table};
+use crate::forward::replica::{Phase, Replica, Rollout};
+use crate::unit::{Model, Revision, Service, Span};
+
+/// Kinds of objects, and the name of the operator's configuration.
+pub const CONFIG: &str = "config";
+/// The newest configuration's name.
+pub const MAIN: &str = "main";
+/// Entries of backend servers.
+pub const SERVERS: &str = "servers";
+/// Orders to roll a version out.
+pub const ROLLOUTS: &str = "rollouts";
+
+/// Attempts of a route that names none.
+const ATTEMPTS: u32 = 1;
+
+/// Rank of a workspace or route that names none.
+const PRIORITY: u32 = 5;
+
+/// Weight of a part that names none.
+const WEIGHT: f64 = 1.0;
+
+/// Timeout of a route that names none, in milliseconds.
+const TIMEOUT_MS: f64 = 30_000.0;
+
+/// Goal of a route that names none, in milliseconds.
+const GOAL_MS: f64 = 1000.0;
+
+/// Connections that a server of a service that says nothing takes.
+const CONNECTIONS: u32 = 64;
+
+/// An object of the store.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Object {
+    /// Name and revision.
+    pub metadata: Metadata,
+    /// What its owner wrote.
+    #[serde(default)]
+    pub spec: Value,
+    /// What was answered to it.
+    #[serde(default)]
+    pub status: Value,
+}
+
+/// Name and revision of an object.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Metadata {
+    /// Its name among its kind.
+    pub name: String,
+    /// Revision of its last change.
+    pub revision: u64,
+}
+
+#[derive(Deserialize)]
+struct Config {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<RouteEntry>,
+    #[serde(default)]
+    services: Vec<ServiceEntry>,
+    #[serde(default)]
+    limits: LimitsEntry,
+    tenants: Option<Vec<Tenant>>,
+}
+
+#[derive(Deserialize)]
+struct RouteEntry {
+    #[serde(default)]
+    name: String,
+    host: String,
+    path_prefix: String,
+    r#type: String,
+    timeout_ms: Option<f64>,
+    latency_goal_ms: Option<f64>,
+    gap_target_ms: Option<f64>,
+    priority: Option<u32>,
+    max_attempts: Option<u32>,
+    service: Option<Service>,
+    backends: Option<Vec<Backend>>,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    stream_resume: bool,
+    sizes: Option<Vec<Model>>,
+}
+
+#[derive(Deserialize)]
+struct Backend {
+    service: Service,
+    weight: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct ServiceEntry {
+    name: Service,
+    health_path: Option<String>,
+    max_connections: Option<u32>,
+    engine: Option<Engine>,
+}
+
+#[derive(Deserialize)]
+struct Engine {
+    #[serde(default)]
+    models: Vec<Priced>,
+}
+
+#[derive(Deserialize)]
+struct Priced {
+    name: Model,
+    cost: Option<f64>,
+}
+
+#[derive(Default, Deserialize)]
+struct LimitsEntry {
+    max_body_bytes: Option<usize>,
+    header_timeout_ms: Option<f64>,
+    idle_timeout_ms: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct Tenant {
+    name: crate::unit::Workspace,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    priority: Option<u32>,
+}
+
+fn millis(ms: f64) -> Span {
+    Span((ms.max(0.0) * 1000.0) as u64)
+}
+
+/// The configuration of an object.
+///
+/// # Errors
+/// Why it does not read.
+pub fn table(object: &Object) -> Result<Table, String> {
+    let config: Config =
+        serde_json::from_value(object.spec.clone()).map_err(|fault| fault.to_string())?;
+    let known = Limits::default();
+    let entry = &config.limits;
+    let limits = Limits {
+        body: entry.max_body_bytes.unwrap_or(known.body),
+        head_within: entry.header_timeout_ms.map_or(known.head_within, millis),
+        idle: entry.idle_timeout_ms.map_or(known.idle, millis),
+    };
+    let mut table = Table::new(Revision(config.version), limits, config.tenants.is_some());
+    for entry in config.routes {
+        let host = entry.host.clone();
+        table.add_route(&host, route(entry)?);
+    }
+    for entry in config.services {
+        table.add_pool(entry.name.clone(), pool(entry));
+    }
+    for tenant in config.tenants.into_iter().flatten() {
+        let priority = tenant.priority.unwrap_or(PRIORITY);
+        let holder = Rc::new(Holder { workspace: tenant.name, priority });
+        for key in &tenant.api_keys {
+            table.add_key(key, holder.clone());
+        }
+    }
+    Ok(table)
+}
+
+fn route(entry: RouteEntry) -> Result<Route, String> {
+    let streams = entry.r#type == "streaming";
+    let repeat = match entry.r#type.as_str() {
+        "idempotent" => Repeat::Safe,
+        "streaming" if entry.stream_resume => Repeat::Resume,
+        _ => Repeat::Never,
+    };
+    let whole = entry.service.map(|service| vec![Part { service, weight: WEIGHT }]);
+    let split = entry.backends.map(|parts| {
+        let part = |b: Backend| Part { service: b.service, weight: b.weight.unwrap_or(WEIGHT) };
+        parts.into_iter().map(part).collect()
+    });
+    let parts = split.or(whole).ok_or_else(|| format!("route `{}` has no service", entry.name))?;
+    Ok(Route {
+        name: entry.name,
+        prefix: entry.path_prefix,
+        parts,
+        repeat,
+        streams,
+        timeout: millis(entry.timeout_ms.unwrap_or(TIMEOUT_MS)),
+        goal: millis(entry.latency_goal_ms.unwrap_or(GOAL_MS)),
+        gap_goal: entry.gap_target_ms.map(millis),
+        attempts: entry.max_attempts.unwrap_or(ATTEMPTS).max(1),
+        priority: entry.priority.unwrap_or(PRIORITY),
+        public: entry.public,
+        cascade: entry.sizes.unwrap_or_default(),
+    })
+}
+
+fn pool(entry: ServiceEntry) -> Pool {
+    let priced = entry.engine.map(|engine| engine.models).unwrap_or_default();
+    let prices: BTreeMap<Model, f64> =
+        priced.into_iter().map(|model| (model.name, model.cost.unwrap_or_default())).collect();
+    Pool {
+        health: entry.health_path.unwrap_or_default(),
+        connections: entry.max_connections.unwrap_or(CONNECTIONS),
+        prices,
+    }
+}
+
+#[derive(Deserialize)]
+struct Entry {
+    service: Service,
+    address: String,
+    zone: crate::unit::DataCentre,
+    version: Option<crate::unit::Version>,
+    capacity: Option<u32>,
+    state: Option<String>,
+}
+
+/// The backend server of an object.
+///
+/// # Errors
+/// Why it does not read.
+pub fn replica(object: &Object) -> Result<Replica, String> {
+    let entry: Entry =
+        serde_json::from_value(object.spec.clone()).map_err(|fault| fault.to_string())?;
+    let unversioned = || "unversioned".parse().expect("a plain name");
+    Ok(Replica {
+        id: object.metadata.name.parse().map_err(|fault| format!("{fault}"))?,
+        service: entry.service,
+        address: entry.address.parse().map_err(|fault| format!("`{}`: {fault}", entry.address))?,
+        data_centre: entry.zone,
+        version: entry.version.unwrap_or_else(unversioned),
+        slots: entry.capacity.unwrap_or(1).max(1),
+        ready: entry.state.as_deref() != Some("draining"),
+    })
+}
+
+#[derive(Deserialize)]
+struct Order {
+    service: Service,
+    target_version: crate::unit::Version,
+    duration_s: f64,
+}
+
+#[derive(Default, Deserialize)]
+struct Progress {
+    target_version: Option<crate::unit::Version>,
+    state: Option<String>,
+    /// Our own field: what share of sessions the new version gets.
+    share: Option<f64>,
+}
+
+/// The roll-out of an object.
+///
+/// # Errors
+/// Why it does not read.
+pub fn rollout(object: &Object) -> Result<Rollout, String> {
+    let order: Order =
+        serde_json::from_value(object.spec.clone()).map_err(|fault| fault.to_string())?;
+    // A status that does not read counts as none: the next step writes a good one.
+    let progress: Progress = serde_json::from_value(object.status.clone()).unwrap_or_default();
+    let of_this_order = progress.target_version.as_ref() == Some(&order.target_version);
+    let phase = match progress.state.as_deref() {
+        _ if !of_this_order => None,
+        Some("completed") => Some(Phase::Completed),
+        Some("rolled_back") => Some(Phase::RolledBack),
+        Some("in_progress") => {
+            Some(Phase::Running { share: progress.share.unwrap_or_default().clamp(0.0, 1.0) })
+        }
+        _ => None,
+    };
+    Ok(Rollout {
+        service: order.service,
+        version: order.target_version,
+        within: millis(order.duration_s * 1000.0),
+        phase,
+        revision: object.metadata.revision,
+    })
+}
+
+/// The status that says how far a roll-out has come.
+pub fn progress(rollout: &Rollout, phase: Phase) -> Value {
+    let (state, share) = match phase {
+        Phase::Running { share } => ("in_progress", share),
+        Phase::Completed => ("completed", 1.0),
+        Phase::RolledBack => ("rolled_back", 0.0),
+    };
+    json!({"target_version": rollout.version.as_str(), "state": state, "share": share})
+}
--- /dev/null
+++ b/src/platform/objects.rs
@@ -0,0 +1,216 @@
+//! Client of the platform's object store.
+
+use std::net::SocketAddr;
+
+use actix_http::header::{CONTENT_TYPE, HOST, HeaderValue};
+use actix_http::{Method, RequestHead, StatusCode};
+use bytes::Bytes;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use super::object::Object;
+use crate::forward::connection::{Connection, Fault};
+use crate::unit::Span;
+
+/// Time to open a connection to the store.
+const OPEN_WITHIN: Span = Span::millis(800);
+
+/// Time for an answer; the store usually takes some milliseconds.
+const ANSWER_WITHIN: Span = Span::millis(1200);
+
+/// Largest answer: a list of about 1 MB, with room for its framing.
+const LARGEST: usize = 4 * 1024 * 1024;
+
+/// Why a call gave nothing.
+#[derive(Debug)]
+pub enum Trouble {
+    /// The history that a watch asked for is gone; list again.
+    HistoryGone,
+    /// The object was changed meanwhile; this is how it stands, if the store said so.
+    Conflict(Option<Box<Object>>),
+    /// The store refused, and did nothing.
+    Refused(u16),
+    /// No answer; a write may have been done, or may be done later.
+    NoAnswer(String),
+}
+
+impl std::fmt::Display for Trouble {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Trouble::HistoryGone => f.write_str("the history is gone"),
+            Trouble::Conflict(_) => f.write_str("the object was changed meanwhile"),
+            Trouble::Refused(status) => write!(f, "it answered {status}"),
+            Trouble::NoAnswer(why) => write!(f, "no answer: {why}"),
+        }
+    }
+}
+
+/// All objects of a kind at one revision of the store.
+#[derive(Debug, Deserialize)]
+pub struct Listing {
+    /// The objects.
+    pub items: Vec<Object>,
+    /// Whether there are more after the last.
+    #[serde(default)]
+    pub has_more: bool,
+    /// The store's revision.
+    pub store_revision: u64,
+}
+
+/// A change of an object.
+#[derive(Debug, Deserialize)]
+pub struct Event {
+    /// The object as it stands, or stood.
+    pub object: Object,
+    /// Whether it is gone.
+    #[serde(default)]
+    pub deleted: bool,
+}
+
+/// What a watch brought.
+#[derive(Debug, Deserialize)]
+pub struct Events {
+    /// The changes in order; none if the wait ended before one.
+    #[serde(default)]
+    pub events: Vec<Event>,
+    /// The revision to go on from.
+    pub store_revision: u64,
+}
+
+/// A client with one connection; one call at a time.
+pub struct Objects {
+    address: SocketAddr,
+    connection: Option<Connection>,
+}
+
+impl Objects {
+    /// A client of the store at `address`; it connects at the first call.
+    pub fn new(address: SocketAddr) -> Objects {
+        Objects { address, connection: None }
+    }
+
+    /// Forgets the connection, which may lead nowhere.
+    pub fn disconnect(&mut self) {
+        self.connection = None;
+    }
+
+    /// All objects of a kind, page after page.
+    ///
+    /// # Errors
+    /// If the store refuses or does not answer.
+    pub async fn list(&mut self, kind: &str) -> Result<Listing, Trouble> {
+        let mut whole: Option<Listing> = None;
+        loop {
+            let after = whole.as_ref().and_then(|list| list.items.last());
+            let path = match after {
+                Some(last) => {
+                    format!("/v1/objects/{kind}?since_revision={}", last.metadata.name)
+                }
+                None => format!("/v1/objects/{kind}"),
+            };
+            let body = self.call(Method::GET, &path, None, ANSWER_WITHIN).await?;
+            let page: Listing = read(&body)?;
+            let more = page.has_more && !page.items.is_empty();
+            match &mut whole {
+                // Changes between two pages are told by a watch from the first page's revision.
+                Some(list) => list.items.extend(page.items),
+                None => whole = Some(page),
+            }
+            if !more {
+                return whole.ok_or_else(|| Trouble::NoAnswer("an empty list".to_owned()));
+            }
+        }
+    }
+
+    /// Changes of a kind after a revision, as soon as there is one, or none after `wait`.
+    ///
+    /// # Errors
+    /// `HistoryGone` if the changes are no longer known; else if the store refuses or does not
+    /// answer.
+    pub async fn watch(&mut self, kind: &str, from: u64, wait: Span) -> Result<Events, Trouble> {
+        let wait_ms = wait.0 / 1000;
+        let path = format!("/v1/objects/{kind}?watch={from}&wait_ms={wait_ms}");
+        let within = Span(wait.0 + ANSWER_WITHIN.0);
+        read(&self.call(Method::GET, &path, None, within).await?)
+    }
+
+    /// Writes the status of an object that must still be at `revision`.
+    ///
+    /// # Errors
+    /// `Conflict` if it is not; `NoAnswer` if it is not known whether it was written.
+    pub async fn put_status(
+        &mut self,
+        kind: &str,
+        name: &str,
+        revision: u64,
+        status: Value,
+    ) -> Result<Object, Trouble> {
+        let path = format!("/v1/objects/{kind}/{name}/status");
+        let body = json!({"metadata": {"name": name, "revision": revision}, "status": status});
+        let body = Bytes::from(body.to_string());
+        read(&self.call(Method::PUT, &path, Some(body), ANSWER_WITHIN).await?)
+    }
+
+    async fn call(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Option<Bytes>,
+        within: Span,
+    ) -> Result<Bytes, Trouble> {
+        let exchange = self.exchange(method, path, body.unwrap_or_default());
+        let answered = tokio::time::timeout(within.duration(), exchange).await;
+        let answered =
+            answered.unwrap_or_else(|_| Err(Trouble::NoAnswer(format!("nothing within {within}"))));
+        // After a call without an answer the connection says nothing more.
+        if matches!(answered, Err(Trouble::NoAnswer(_))) {
+            self.connection = None;
+        }
+        answered
+    }
+
+    async fn exchange(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Bytes, Trouble> {
+        let no_answer = |fault: Fault| match fault {
+            Fault::NotSent(why) | Fault::Broken(why) => Trouble::NoAnswer(why),
+        };
+        let held = self.connection.take().filter(Connection::is_quiet);
+        let mut connection = match held {
+            Some(connection) => connection,
+            None => Connection::open(self.address, OPEN_WITHIN).await.map_err(no_answer)?,
+        };
+        let head = self.head(method, path)?;
+        let head = connection.ask(head, &body).await.map_err(no_answer)?;
+        let body = connection.whole_body(LARGEST).await.map_err(no_answer)?;
+        if connection.is_reusable() {
+            self.connection = Some(connection);
+        }
+        match head.status {
+            StatusCode::OK | StatusCode::CREATED => Ok(body),
+            StatusCode::GONE => Err(Trouble::HistoryGone),
+            StatusCode::CONFLICT => {
+                Err(Trouble::Conflict(serde_json::from_slice(&body).ok().map(Box::new)))
+            }
+            other => Err(Trouble::Refused(other.as_u16())),
+        }
+    }
+
+    fn head(&self, method: Method, path: &str) -> Result<RequestHead, Trouble> {
+        let mut head = RequestHead::default();
+        let malformed = |what: String| Trouble::NoAnswer(format!("a malformed call: {what}"));
+        head.method = method;
+        head.uri = path.parse().map_err(|fault| malformed(format!("{fault}")))?;
+        let host = HeaderValue::from_str(&self.address.to_string());
+        head.headers.insert(HOST, host.map_err(|fault| malformed(format!("{fault}")))?);
+        head.headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        Ok(head)
+    }
+}
+
+fn read<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, Trouble> {
+    serde_json::from_slice(body).map_err(|fault| Trouble::NoAnswer(format!("unreadable: {fault}")))
+}
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,137 @@
+//! The platform's settings file, decoded once.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::error::Error;
+use crate::forward::{Bounds, KEEP_CONFIDENCE, Settings};
+use crate::unit::Span;
+
+/// The variable that holds the file's path.
+pub const PATH_VARIABLE: &str = "KITEPULLEY_CONFIG";
+
+/// Bounds that a file leaves out, in milliseconds; those of the smallest published site.
+const CONTACT_MS: f64 = 3000.0;
+const REVOKE_MS: f64 = 5000.0;
+const ROLLBACK_MS: f64 = 5000.0;
+const GRACE_S: f64 = 8.0;
+const SESSION_S: f64 = 5.0;
+const RETRY_RATIO: f64 = 0.9;
+const RETRY_EXTRA: f64 = 54.0;
+const RETRY_WINDOW_S: f64 = 10.0;
+const EXPOSURE_SHARE: f64 = 0.15;
+
+/// The largest bound that is believed, so that a slip in the file cannot overflow a time.
+const LARGEST_MS: f64 = 86_400_000.0;
+
+#[derive(Deserialize)]
+struct File {
+    node_name: Option<String>,
+    ip: Option<String>,
+    zone: Option<String>,
+    listen: Option<Listen>,
+    platform: Option<Store>,
+    #[serde(default)]
+    bounds: serde_json::Map<String, Value>,
+}
+
+#[derive(Deserialize)]
+struct Listen {
+    frontend: Option<String>,
+    readiness: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Store {
+    address: Option<String>,
+}
+
+/// Reads the settings file that the environment names.
+///
+/// # Errors
+/// If the variable is not set, or as [`read`] says.
+pub fn from_environment() -> Result<Settings, Error> {
+    let missing = || {
+        let what = format!("{PATH_VARIABLE} is not set; give it the path of the settings file.");
+        Error::Contradiction(what)
+    };
+    let path = std::env::var_os(PATH_VARIABLE).ok_or_else(missing)?;
+    read(Path::new(&path))
+}
+
+/// Reads a settings file; fields that it does not know are passed over.
+///
+/// # Errors
+/// If the file cannot be read, is not JSON, lacks a field, or an address does not read; the
+/// sentence names the field.
+pub fn read(path: &Path) -> Result<Settings, Error> {
+    let shown = path.display().to_string();
+    let unreadable = |e: std::io::Error| Error::Unset(shown.clone(), e.to_string());
+    let text = std::fs::read_to_string(path).map_err(unreadable)?;
+    parse(&text, &shown)
+}
+
+/// Reads the text of a settings file; `path` is for the errors.
+///
+/// # Errors
+/// As [`read`].
+pub fn parse(text: &str, path: &str) -> Result<Settings, Error> {
+    let malformed = |e: serde_json::Error| Error::Format(path.to_owned(), e.line(), format!("{e}"));
+    let file: File = serde_json::from_str(text).map_err(malformed)?;
+    let listen = file.listen.unwrap_or(Listen { frontend: None, readiness: None });
+    let store = file.platform.unwrap_or(Store { address: None });
+    let ip: IpAddr = reads(path, "ip", needed(path, "ip", file.ip)?)?;
+    Ok(Settings {
+        vm: reads(path, "node_name", needed(path, "node_name", file.node_name)?)?,
+        data_centre: reads(path, "zone", needed(path, "zone", file.zone)?)?,
+        ip,
+        callers: address(path, "listen.frontend", listen.frontend)?,
+        readiness: address(path, "listen.readiness", listen.readiness)?,
+        store: address(path, "platform.address", store.address)?,
+        metrics: None,
+        keep_confidence: KEEP_CONFIDENCE,
+        bounds: bounds(&file.bounds),
+    })
+}
+
+fn needed(path: &str, field: &str, value: Option<String>) -> Result<String, Error> {
+    let missing = || Error::Field(path.to_owned(), field.to_owned(), "it is missing".to_owned());
+    value.ok_or_else(missing)
+}
+
+fn reads<T>(path: &str, field: &str, text: String) -> Result<T, Error>
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Display,
+{
+    let fault =
+        |e: T::Err| Error::Field(path.to_owned(), field.to_owned(), format!("`{text}`: {e}"));
+    text.parse().map_err(fault)
+}
+
+fn address(path: &str, field: &str, value: Option<String>) -> Result<SocketAddr, Error> {
+    reads(path, field, needed(path, field, value)?)
+}
+
+fn bounds(fields: &serde_json::Map<String, Value>) -> Bounds {
+    let number = |name: &str, default: f64| {
+        let value = fields.get(name).and_then(Value::as_f64);
+        value.filter(|value| *value >= 0.0).unwrap_or(default)
+    };
+    let millis = |value: f64| Span((value.min(LARGEST_MS) * 1000.0) as u64);
+    let strict = fields.get("strict_revocation").and_then(Value::as_bool).unwrap_or(true);
+    Bounds {
+        contact: millis(number("contact_ms", CONTACT_MS)),
+        key_staleness: strict.then(|| millis(number("revoke_ms", REVOKE_MS))),
+        rollback: millis(number("rollback_ms", ROLLBACK_MS)),
+        stop_within: millis(number("grace_s", GRACE_S) * 1000.0),
+        session_gap: millis(number("session_s", SESSION_S) * 1000.0),
+        retry_share: number("retry_budget_ratio", RETRY_RATIO),
+        retry_extra: number("retry_budget_extra", RETRY_EXTRA),
+        retry_window: millis(number("budget_window_s", RETRY_WINDOW_S) * 1000.0),
+        exposure: number("exposure_share", EXPOSURE_SHARE).min(1.0),
+    }
+}
--- a/src/watch/mod.rs
+++ b/src/watch/mod.rs
@@ -1,6 +1,7 @@
 //! Watching: decision records, the burn report, counters.
 
 mod burn;
+pub mod line;
 mod metrics;
 mod trace;
 
