Keys refused after a late proof; streams not begun late in a planned stop

Cause of the first: a request that waited for a proof was checked again against the newer routes, and where these refused its key the older answer was kept. Ruled out: the age of the proof itself (the log shows proof_age_ms 9034 at arrival and an answer after the proof came). Cause of the second: resting connections stayed open during a stop, and streams begun 5 s into it were still running when the process ended. Now resting connections close when the stop begins, and streams are refused as not run 2.8 s later. Log lines: written to descriptor 1 itself; a duplicate of it was not seen by who reads the log.

--- a/src/forward/door.rs
+++ b/src/forward/door.rs
@@ -12,6 +12,7 @@
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use futures_util::future::LocalBoxFuture;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use super::call::Call;
@@ -68,6 +69,7 @@
             .client_request_timeout(limits.head_within.duration())
             .h1_allow_half_closed(false)
             .tcp_nodelay(true)
+            .graceful_shutdown_signal(closing(&vm))
             .h1(fn_service(move |request: Request| {
                 let vm = handler.clone();
                 async move { Ok::<_, std::convert::Infallible>(answer(vm, request).await) }
@@ -82,6 +84,21 @@
     }
 }
 
+/// Closes connections that rest when a planned stop begins, and others after their answer. Those
+/// that are taken during the stop are served first.
+fn closing(vm: &Rc<Vm>) -> impl Fn() -> LocalBoxFuture<'static, ()> + 'static {
+    let vm = vm.clone();
+    move || {
+        let mut stop = vm.stop.subscribe();
+        let stopping = vm.is_stopping();
+        Box::pin(async move {
+            if stopping || stop.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        })
+    }
+}
+
 /// Answers whether the VM takes new connections.
 pub async fn serve_readiness(vm: Rc<Vm>, listener: TcpListener) {
     serve_questions(listener, move |request: &Request| {
@@ -178,7 +195,7 @@
     if let Some((name, value)) = id.filter(|(name, _)| !response.headers().contains_key(name)) {
         response.headers_mut().insert(name, value);
     }
-    if vm.stopping.get() {
+    if vm.is_stopping() {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
     response
@@ -212,8 +229,11 @@
         }
         Err(_) => return Err(Refusal::new(Kind::Behind)),
     };
-    let (route, holder) = found?;
+    let route = found?.0;
     record.set_route(&route.name);
+    if vm.would_outlast(route.streams, vm.now()) {
+        return Err(Refusal::after(Kind::Stopping, Span(0)));
+    }
     if table.keyed && !route.public && !fresh(vm).await {
         return Err(Refusal::new(Kind::CutOff));
     }
@@ -222,7 +242,7 @@
     }
     // A key may have been taken away while the proof was awaited.
     let newest = vm.routes().unwrap_or(table);
-    let (route, holder) = allowed(&newest, call).unwrap_or((route, holder));
+    let (route, holder) = allowed(&newest, call)?;
     Ok(Admitted { route, holder, body })
 }
 
@@ -259,7 +279,8 @@
 
 async fn await_proof(vm: &Rc<Vm>, enough: impl Fn(&Vm) -> bool) -> bool {
     let until = vm.now() + PROOF_WITHIN;
-    while vm.now() < until {
+    // While the store is known to be away a proof is tried for all the time; nobody waits for it.
+    while vm.now() < until && !vm.store_lost.get() {
         let heard = vm.proof.notified();
         vm.prove.notify_one();
         let left = until.since(vm.now()).duration();
@@ -267,10 +288,6 @@
         if enough(vm) {
             return true;
         }
-        // A proof that just failed will not come; the caller had better go elsewhere.
-        if vm.store_lost.get() {
-            return false;
-        }
     }
     false
 }
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -105,7 +105,7 @@
 /// A planned stop: no longer ready, open connections are served on, then the process ends.
 async fn stop(vm: &Rc<Vm>) {
     let begun = vm.now();
-    vm.stopping.set(true);
+    vm.stop.send_replace(Some(begun));
     vm.log("stop begins", &[("running", vm.running.get().into())]);
     let latest = begun + Span(vm.settings.bounds.stop_within.0.saturating_sub(MARGIN.0));
     let earliest = begun + NOTICED;
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -28,6 +28,10 @@
 /// Margin of the age of the proof of freshness, for clocks that run unlike.
 const FRESH_MARGIN: Span = Span::millis(250);
 
+/// During a planned stop streams are begun for this long: the balancer needs two to three seconds to
+/// notice the stop, and a stream takes some seconds too.
+const STREAMS_TAKEN: Span = Span::millis(2800);
+
 /// One entry VM.
 pub struct Vm {
     /// Its settings.
@@ -56,8 +60,8 @@
     pub regained: tokio::sync::watch::Sender<u64>,
     /// Whether backend servers and roll-outs have been listed.
     pub listed: Cell<(bool, bool)>,
-    /// Whether a planned stop has begun.
-    pub stopping: Cell<bool>,
+    /// When a planned stop began.
+    pub stop: tokio::sync::watch::Sender<Option<Moment>>,
     /// Requests in flight.
     pub running: Cell<usize>,
     /// Log lines.
@@ -84,7 +88,7 @@
             proof: Notify::new(),
             regained: tokio::sync::watch::Sender::new(0),
             listed: Cell::new((false, false)),
-            stopping: Cell::new(false),
+            stop: tokio::sync::watch::Sender::new(None),
             running: Cell::new(0),
             lines,
             metrics: Metrics::new(),
@@ -130,7 +134,19 @@
     /// Whether the balancer may send new connections.
     pub fn is_ready(&self, now: Moment) -> bool {
         let known = self.table.borrow().is_some() && self.listed.get() == (true, true);
-        known && !self.stopping.get() && self.may_use_keys(now)
+        known && !self.is_stopping() && self.may_use_keys(now)
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stop.borrow().is_some()
+    }
+
+    /// Whether a request that arrives now could outlast a planned stop.
+    pub fn would_outlast(&self, streams: bool, now: Moment) -> bool {
+        let Some(begun) = *self.stop.borrow() else { return false };
+        let taken = if streams { STREAMS_TAKEN } else { self.settings.bounds.stop_within.half() };
+        now.since(begun) > taken
     }
 
     /// Counts a request's first send to a service.
--- a/src/unit/time.rs
+++ b/src/unit/time.rs
@@ -39,6 +39,11 @@
         self.0 as f64 / (MILLI * MILLI) as f64
     }
 
+    /// Half of the span.
+    pub const fn half(self) -> Span {
+        Span(self.0 / 2)
+    }
+
     /// The span as the standard library's type.
     pub fn duration(self) -> Duration {
         Duration::from_micros(self.0)
--- a/src/watch/line.rs
+++ b/src/watch/line.rs
@@ -7,7 +7,8 @@
 use std::fmt::Write as _;
 use std::fs::File;
 use std::io::Write as _;
-use std::os::fd::{AsFd, AsRawFd, OwnedFd};
+use std::mem::ManuallyDrop;
+use std::os::fd::{AsRawFd, FromRawFd};
 use std::rc::Rc;
 
 use crate::unit::{Date, Moment};
@@ -66,7 +67,7 @@
     waiting: Vec<u8>,
     dropped: u64,
     /// Where they go; nowhere if the process has no standard output.
-    out: Option<File>,
+    out: Option<ManuallyDrop<File>>,
 }
 
 /// Writer of the lines of one process; clones share it.
@@ -79,11 +80,10 @@
     /// A writer to standard output, which from now on refuses what it cannot take at once, in
     /// place of blocking the process.
     pub fn to_standard_output() -> Lines {
-        let out = std::io::stdout().as_fd().try_clone_to_owned().ok();
-        if let Some(out) = &out {
-            never_block(out);
-        }
-        let buffer = Buffer { out: out.map(File::from), ..Buffer::default() };
+        // SAFETY: the descriptor is open from the start of the process, and is never closed here.
+        let out = ManuallyDrop::new(unsafe { File::from_raw_fd(libc::STDOUT_FILENO) });
+        never_block(&out);
+        let buffer = Buffer { out: Some(out), ..Buffer::default() };
         Lines { buffer: Rc::new(RefCell::new(buffer)) }
     }
 
@@ -130,7 +130,7 @@
     }
 }
 
-fn never_block(out: &OwnedFd) {
+fn never_block(out: &File) {
     // SAFETY: both calls read and set the flags of an open descriptor, and touch no memory.
     unsafe {
         let flags = libc::fcntl(out.as_raw_fd(), libc::F_GETFL);
