--- a/src/engine/client.rs
+++ b/src/engine/client.rs
@@ -1,8 +1,12 @@
 //! Client of engines and services, one for each thread.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::{RequestHead, ResponseHead};
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
 use awc::{Client, Connector};
@@ -11,6 +15,10 @@
 
 use super::wire::{Cancel, Frame, Generate, LOAD, Load, NotRun, Order, Reason};
 use crate::decide::retry::Failure;
+use crate::forward::connection;
+use crate::forward::pool::{self, Pool};
+use crate::unit::Span;
+use crate::vm::Clock;
 
 /// A load report that takes longer is a failure.
 const LOAD_WITHIN: Duration = Duration::from_millis(800);
@@ -21,6 +29,9 @@
 /// A connection that does not open within this never will.
 const OPEN_WITHIN: Duration = Duration::from_millis(500);
 
+/// The same for services.
+const SERVICE_OPEN: Span = Span::millis(500);
+
 /// An engine says within this whether it takes a request; a change of configuration may wait
 /// for that word.
 const TAKEN_WITHIN: Duration = Duration::from_secs(3);
@@ -32,6 +43,8 @@
 #[derive(Clone)]
 pub struct Engines {
     client: Client,
+    services: Rc<RefCell<HashMap<SocketAddr, Pool>>>,
+    clock: Clock,
 }
 
 /// Why an attempt gave no stream.
@@ -67,12 +80,36 @@
     /// A client.
     pub fn new() -> Engines {
         let connector = Connector::new().timeout(OPEN_WITHIN).limit(0);
-        Engines { client: Client::builder().connector(connector).disable_timeout().finish() }
+        let client = Client::builder().connector(connector).disable_timeout().finish();
+        Engines { client, services: Rc::default(), clock: Clock::default() }
     }
 
-    /// The client itself, for services.
-    pub fn http(&self) -> &Client {
-        &self.client
+    /// Calls a service and reads its whole answer, of at most `most` bytes.
+    ///
+    /// # Errors
+    /// What a failed call proves.
+    pub async fn call(
+        &self,
+        to: SocketAddr,
+        head: RequestHead,
+        body: &Bytes,
+        repeatable: bool,
+        most: usize,
+    ) -> Result<(ResponseHead, Bytes), Failure> {
+        let failure = |fault| match fault {
+            connection::Fault::NotSent(_) => Failure::NotSent,
+            connection::Fault::Broken(_) => Failure::Broken,
+        };
+        let resting = {
+            let mut pools = self.services.borrow_mut();
+            pools.entry(to).or_default().take(repeatable, self.clock.now())
+        };
+        let mut connection = pool::connect(resting, to, SERVICE_OPEN).await.map_err(failure)?;
+        let head = connection.ask(head, body).await.map_err(failure)?;
+        let body = connection.whole_body(most).await.map_err(failure)?;
+        let mut pools = self.services.borrow_mut();
+        pools.entry(to).or_default().keep(connection, None, self.clock.now());
+        Ok((head, body))
     }
 
     /// Starts work on an engine.
@@ -137,7 +174,7 @@
 }
 
 /// What a failed exchange proves: only a connection that never opened sent nothing.
-pub fn classify(fault: &SendRequestError) -> Fault {
+fn classify(fault: &SendRequestError) -> Fault {
     let never_opened = match fault {
         SendRequestError::Connect(inner) => !matches!(inner, ConnectError::Disconnected),
         SendRequestError::Url(_) | SendRequestError::TunnelNotSupported => true,
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use actix_http::RequestHead;
+use actix_web::http::header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue};
 use actix_web::http::{Method, StatusCode};
 use actix_web::web::{Bytes, Data, Payload};
 use actix_web::{HttpRequest, HttpResponse};
@@ -13,7 +15,7 @@
 use super::refusal::{Kind as Refused, Refusal};
 use crate::config::ServiceEntry;
 use crate::decide::retry::{self, Failure};
-use crate::engine::client::{Engines, classify};
+use crate::engine::client::Engines;
 use crate::history::Event;
 use crate::ledger::{Entry, Part, Why};
 use crate::once::{Answer, Claim, Outcome, Settled, Word, digest};
@@ -356,23 +358,30 @@
     call: &Call,
     now: Moment,
 ) -> Result<Reply, Failure> {
-    let url = format!("http://{to}{}", call.path);
-    let mut request = engines.http().request(call.method.clone(), url);
-    for (name, value) in &call.headers {
-        request = request.insert_header((*name, value.as_str()));
-    }
+    let head = service_head(to, call).ok_or(Failure::NotSent)?;
     let within = Duration::from_micros(call.deadline.since(now).0);
     let exchange = async {
-        let sent = request.send_body(call.body.clone()).await;
-        let mut answer = sent.map_err(|fault| classify(&fault).failure)?;
-        let kind = answer.headers().get("content-type").and_then(|value| value.to_str().ok());
+        let sent = engines.call(to, head, &call.body, call.repeatable, LARGEST).await;
+        let (head, body) = sent?;
+        let kind = head.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
         let kind = kind.unwrap_or("application/octet-stream").to_owned();
-        let body = answer.body().limit(LARGEST).await.map_err(|_| Failure::Broken)?;
-        Ok(Reply { status: answer.status().as_u16(), kind, body })
+        Ok(Reply { status: head.status.as_u16(), kind, body })
     };
     tokio::time::timeout(within, exchange).await.unwrap_or(Err(Failure::Broken))
 }
 
+/// The head of a call of a service; nothing if a caller's path or header cannot be one.
+fn service_head(to: std::net::SocketAddr, call: &Call) -> Option<RequestHead> {
+    let mut head = RequestHead::default();
+    head.method = call.method.clone();
+    head.uri = call.path.parse().ok()?;
+    head.headers.insert(HOST, HeaderValue::from_str(&to.to_string()).ok()?);
+    for (name, value) in &call.headers {
+        head.headers.insert(HeaderName::from_static(name), HeaderValue::from_str(value).ok()?);
+    }
+    Some(head)
+}
+
 async fn bill(vm: &Data<Vm>, caller: &Caller, call: &Call) -> Result<(), Refusal> {
     let entry = Entry {
         number: 0,
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -46,6 +46,9 @@
             Some(Ok(bytes)) => Some((Ok(bytes), Some(relay))),
             Some(Err(why)) => {
                 relay.job.record.set_outcome(format!("broken off: {why}"));
+                // The server of callers drops what it has not written when a body fails; while
+                // the body is pending it writes.
+                tokio::task::yield_now().await;
                 Some((Err(BrokenOff(why)), None))
             }
             None => {
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -134,6 +134,46 @@
         read(&self.call(Method::GET, &path, None, within).await?)
     }
 
+    /// One object, if there is one.
+    ///
+    /// # Errors
+    /// If the store refuses or does not answer.
+    pub async fn get(&mut self, kind: &str, name: &str) -> Result<Option<Object>, Trouble> {
+        let path = format!("/v1/objects/{kind}/{name}");
+        match self.call(Method::GET, &path, None, ANSWER_WITHIN).await {
+            Ok(body) => Ok(Some(read(&body)?)),
+            Err(Trouble::Refused(status)) if status == StatusCode::NOT_FOUND.as_u16() => Ok(None),
+            Err(trouble) => Err(trouble),
+        }
+    }
+
+    /// Makes an object that must not exist yet.
+    ///
+    /// # Errors
+    /// `Conflict` if it does; `NoAnswer` if it is not known whether it was made.
+    pub async fn create(&mut self, kind: &str, name: &str, spec: Value) -> Result<Object, Trouble> {
+        let path = format!("/v1/objects/{kind}");
+        let body = json!({"metadata": {"name": name}, "spec": spec}).to_string();
+        read(&self.call(Method::POST, &path, Some(body.into()), ANSWER_WITHIN).await?)
+    }
+
+    /// Writes an object that must still be at `revision`.
+    ///
+    /// # Errors
+    /// `Conflict` if it is not; `NoAnswer` if it is not known whether it was written.
+    pub async fn replace(
+        &mut self,
+        kind: &str,
+        name: &str,
+        revision: u64,
+        spec: Value,
+    ) -> Result<Object, Trouble> {
+        let path = format!("/v1/objects/{kind}/{name}");
+        let body = json!({"metadata": {"name": name, "revision": revision}, "spec": spec});
+        let body = Bytes::from(body.to_string());
+        read(&self.call(Method::PUT, &path, Some(body), ANSWER_WITHIN).await?)
+    }
+
     /// Writes the status of an object that must still be at `revision`.
     ///
     /// # Errors
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,21 +1,27 @@
-//! Client of the platform's object API.
+//! The platform's object store as `serve` and the operators' commands use it: keys and JSON values,
+//! kept as objects whose kind is the key's first part.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::rc::Rc;
 
-use awc::Client;
-use awc::http::StatusCode;
 use bytes::Bytes;
+use serde_json::Value;
 
+use super::object::Object as Raw;
+use super::objects::{Objects, Trouble};
 use crate::error::Error;
 use crate::standin::platform::Listed;
 use crate::unit::Span;
 
-/// A call that takes longer is given up; what it wrote may have taken effect.
-const CALL_WITHIN: Duration = Duration::from_millis(1500);
+/// Stands for `/` in the names of objects; no id of ours has it.
+const SEPARATOR: &str = "~";
 
-/// Largest value of an object, with room for its JSON.
-const LARGEST: usize = 2_000_000;
+/// The kind of the objects that list the VMs.
+const VMS: &str = "vms";
+
+/// Connections that rest at most.
+const RESTING: usize = 4;
 
 /// An object as it stands.
 #[derive(Clone, Debug)]
@@ -35,22 +41,17 @@
     Conflict,
 }
 
-/// A client for one thread.
+/// A client for one thread; calls may run at the same time.
 #[derive(Clone)]
 pub struct Store {
     address: SocketAddr,
-    client: Client,
+    resting: Rc<RefCell<Vec<Objects>>>,
 }
 
 impl Store {
-    /// A client of the API at `address`.
+    /// A client of the store at `address`.
     pub fn new(address: SocketAddr) -> Store {
-        // A watch is answered late, so each call sets its own time.
-        Store { address, client: Client::builder().disable_timeout().finish() }
-    }
-
-    fn url(&self, path: &str) -> String {
-        format!("http://{}/{path}", self.address)
+        Store { address, resting: Rc::default() }
     }
 
     /// An object, if there is one.
@@ -58,13 +59,11 @@
     /// # Errors
     /// If the platform does not answer.
     pub async fn get(&self, key: &str) -> Result<Option<Object>, Error> {
-        let url = self.url(&format!("objects/{key}"));
-        let (status, version, body) = self.send("GET", &url, None, None, CALL_WITHIN).await?;
-        match status {
-            StatusCode::OK => Ok(Some(Object { version, body })),
-            StatusCode::NOT_FOUND => Ok(None),
-            other => Err(unexpected(other)),
-        }
+        let (kind, name) = parts(key);
+        let mut client = self.take();
+        let answer = client.get(kind, &name).await;
+        self.rest(client);
+        Ok(answer.map_err(failed)?.map(|object| shown(&object)))
     }
 
     /// Waits up to `wait` for a version after `after`; nothing if none came.
@@ -72,14 +71,16 @@
     /// # Errors
     /// If the platform does not answer.
     pub async fn watch(&self, key: &str, after: u64, wait: Span) -> Result<Option<Object>, Error> {
-        let wait_ms = wait.as_millis() as u64;
-        let url = self.url(&format!("objects/{key}?after={after}&wait_ms={wait_ms}"));
-        let within = wait.duration() + CALL_WITHIN;
-        let (status, version, body) = self.send("GET", &url, None, None, within).await?;
-        match status {
-            StatusCode::OK => Ok(Some(Object { version, body })),
-            StatusCode::NOT_MODIFIED | StatusCode::NOT_FOUND => Ok(None),
-            other => Err(unexpected(other)),
+        let (kind, name) = parts(key);
+        let mut client = self.take();
+        let watched = wait_for(&mut client, kind, &name, after, wait).await;
+        self.rest(client);
+        match watched {
+            Err(Trouble::HistoryGone) => {
+                let object = self.get(key).await?;
+                Ok(object.filter(|object| object.version > after))
+            }
+            watched => Ok(watched.map_err(failed)?.map(|object| shown(&object))),
         }
     }
 
@@ -88,7 +89,12 @@
     /// # Errors
     /// If the platform does not answer; the write may have taken effect.
     pub async fn create(&self, key: &str, body: Vec<u8>) -> Result<Written, Error> {
-        self.put(key, ("if-none-match", "*".to_owned()), body).await
+        let (kind, name) = parts(key);
+        let spec = value(&body)?;
+        let mut client = self.take();
+        let written = client.create(kind, &name, spec).await;
+        self.rest(client);
+        outcome(written)
     }
 
     /// Writes an object that must still be at `version`.
@@ -96,22 +102,12 @@
     /// # Errors
     /// If the platform does not answer; the write may have taken effect.
     pub async fn replace(&self, key: &str, version: u64, body: Vec<u8>) -> Result<Written, Error> {
-        self.put(key, ("if-match", version.to_string()), body).await
-    }
-
-    async fn put(
-        &self,
-        key: &str,
-        condition: (&'static str, String),
-        body: Vec<u8>,
-    ) -> Result<Written, Error> {
-        let url = self.url(&format!("objects/{key}"));
-        let sent = self.send("PUT", &url, Some(condition), Some(body), CALL_WITHIN).await?;
-        match sent.0 {
-            StatusCode::OK => Ok(Written::Done),
-            StatusCode::PRECONDITION_FAILED => Ok(Written::Conflict),
-            other => Err(unexpected(other)),
-        }
+        let (kind, name) = parts(key);
+        let spec = value(&body)?;
+        let mut client = self.take();
+        let written = client.replace(kind, &name, version, spec).await;
+        self.rest(client);
+        outcome(written)
     }
 
     /// The keys that begin with `prefix`, in order.
@@ -119,12 +115,14 @@
     /// # Errors
     /// If the platform does not answer.
     pub async fn list(&self, prefix: &str) -> Result<Vec<String>, Error> {
-        let url = self.url(&format!("list?prefix={prefix}"));
-        let (status, _, body) = self.send("GET", &url, None, None, CALL_WITHIN).await?;
-        if status != StatusCode::OK {
-            return Err(unexpected(status));
-        }
-        serde_json::from_slice(&body).map_err(|fault| Error::Store(fault.to_string()))
+        let (kind, start) = parts(prefix);
+        let key = |name: &str| format!("{kind}/{}", name.replace(SEPARATOR, "/"));
+        let listed = self.all(kind).await?;
+        let names = listed.iter().map(|object| object.metadata.name.as_str());
+        let mut keys: Vec<String> =
+            names.filter(|name| name.starts_with(&start)).map(key).collect();
+        keys.sort_unstable();
+        Ok(keys)
     }
 
     /// The list of VMs, which lags.
@@ -132,40 +130,79 @@
     /// # Errors
     /// If the platform does not answer.
     pub async fn vms(&self) -> Result<Vec<Listed>, Error> {
-        let (status, _, body) = self.send("GET", &self.url("vms"), None, None, CALL_WITHIN).await?;
-        if status != StatusCode::OK {
-            return Err(unexpected(status));
+        let listed = self.all(VMS).await?;
+        let read = |object: Raw| {
+            serde_json::from_value(object.spec).map_err(|fault| Error::Store(fault.to_string()))
+        };
+        listed.into_iter().map(read).collect()
+    }
+
+    async fn all(&self, kind: &str) -> Result<Vec<Raw>, Error> {
+        let mut client = self.take();
+        let listed = client.list(kind).await;
+        self.rest(client);
+        Ok(listed.map_err(failed)?.items)
+    }
+
+    fn take(&self) -> Objects {
+        let resting = self.resting.borrow_mut().pop();
+        resting.unwrap_or_else(|| Objects::new(self.address))
+    }
+
+    fn rest(&self, client: Objects) {
+        let mut resting = self.resting.borrow_mut();
+        if resting.len() < RESTING {
+            resting.push(client);
         }
-        serde_json::from_slice(&body).map_err(|fault| Error::Store(fault.to_string()))
     }
+}
 
-    async fn send(
-        &self,
-        method: &str,
-        url: &str,
-        condition: Option<(&'static str, String)>,
-        body: Option<Vec<u8>>,
-        within: Duration,
-    ) -> Result<(StatusCode, u64, Bytes), Error> {
-        let method = method.parse().expect("a method of this file");
-        let mut request = self.client.request(method, url);
-        if let Some(condition) = condition {
-            request = request.insert_header(condition);
+/// Watches a kind until the object of that name changes; changes of others are passed over.
+async fn wait_for(
+    client: &mut Objects,
+    kind: &str,
+    name: &str,
+    after: u64,
+    wait: Span,
+) -> Result<Option<Raw>, Trouble> {
+    let begun = std::time::Instant::now();
+    let mut from = after;
+    loop {
+        let left = Span(wait.0.saturating_sub(begun.elapsed().as_micros() as u64));
+        let events = client.watch(kind, from, left).await?;
+        let ours = |object: &Raw| object.metadata.name == name && object.metadata.revision > after;
+        let changes = events.events.into_iter().filter(|event| !event.deleted);
+        let newest = changes.map(|event| event.object).rfind(ours);
+        if newest.is_some() || begun.elapsed() >= wait.duration() {
+            return Ok(newest);
         }
-        let exchange = async {
-            let sent = request.send_body(body.unwrap_or_default()).await;
-            let mut answer = sent.map_err(|fault| Error::Store(fault.to_string()))?;
-            let body = answer.body().limit(LARGEST).await;
-            let body = body.map_err(|fault| Error::Store(fault.to_string()))?;
-            let etag = answer.headers().get("etag").and_then(|value| value.to_str().ok());
-            let version = etag.and_then(|text| text.parse().ok()).unwrap_or_default();
-            Ok((answer.status(), version, body))
-        };
-        let late = |_| Error::Store(format!("no answer within {within:?}"));
-        tokio::time::timeout(within, exchange).await.map_err(late)?
+        from = from.max(events.store_revision);
+    }
+}
+
+/// Kind and name of a key.
+fn parts(key: &str) -> (&str, String) {
+    let (kind, name) = key.split_once('/').unwrap_or((key, ""));
+    (kind, name.replace('/', SEPARATOR))
+}
+
+fn shown(object: &Raw) -> Object {
+    Object { version: object.metadata.revision, body: Bytes::from(object.spec.to_string()) }
+}
+
+fn value(body: &[u8]) -> Result<Value, Error> {
+    serde_json::from_slice(body)
+        .map_err(|fault| Error::Store(format!("a value is no JSON: {fault}")))
+}
+
+fn outcome(written: Result<Raw, Trouble>) -> Result<Written, Error> {
+    match written {
+        Ok(_) => Ok(Written::Done),
+        Err(Trouble::Conflict(_)) => Ok(Written::Conflict),
+        Err(trouble) => Err(failed(trouble)),
     }
 }
 
-fn unexpected(status: StatusCode) -> Error {
-    Error::Store(format!("it answered {status}"))
+fn failed(trouble: Trouble) -> Error {
+    Error::Store(trouble.to_string())
 }
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -3,6 +3,7 @@
 pub mod engine;
 pub mod platform;
 pub mod rating;
+pub mod replica;
 mod server;
 pub mod service;
 mod text;
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -1,14 +1,15 @@
-//! Stand-in of the platform: versioned objects, watches and the lagging list of VMs.
+//! Stand-in of the platform's object store: kinds of objects, conditional writes, watches over a
+//! history of changes, and the lagging list of VMs as one of the kinds.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use actix_web::web::{Bytes, Data, Json, Path, Query, ServiceConfig};
-use actix_web::{HttpRequest, HttpResponse, web};
+use actix_web::{HttpResponse, web};
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
+use serde_json::{Value, json};
 use tokio::sync::Notify;
 
 use super::{Running, launch};
@@ -17,14 +18,26 @@
 use crate::unit::{DataCentre, Revision, Target, Vm, Workspace};
 
 /// The object whose changes go to the history.
-const ROOT: &str = "config/root";
+const ROOT: (&str, &str) = ("config", "root");
+
+/// Begins the names of the pieces of a configuration.
+const PIECE: &str = "piece~";
+
+/// The kind of the objects that list the VMs.
+const VMS: &str = "vms";
 
 /// Largest value of an object.
-const LARGEST: usize = 1_000_000;
+const LARGEST: usize = 1_048_576;
 
 /// Longest that a watch waits.
 const LONGEST_WATCH: Duration = Duration::from_secs(30);
 
+/// Objects on one page of a list.
+const PAGE: usize = 500;
+
+/// Changes that are remembered.
+const HISTORY: usize = 20_000;
+
 /// What the stand-in does wrong on request.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
@@ -33,8 +46,13 @@
     pub down: bool,
     /// Waits this long before each answer, in milliseconds.
     pub slow_ms: u64,
-    /// So many coming writes take effect and are then answered by 503.
+    /// So many coming writes take effect and are then answered by a cut connection.
     pub lose: u32,
+    /// So many coming writes get no answer and take effect a second later, if their condition
+    /// still holds.
+    pub late: u32,
+    /// Answers nothing but 429.
+    pub busy: bool,
     /// Watches never report a change.
     pub quiet: bool,
 }
@@ -63,10 +81,33 @@
     pub leaving: bool,
 }
 
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 struct Object {
-    version: u64,
-    body: Bytes,
+    revision: u64,
+    created: u64,
+    finalizers: Value,
+    spec: Value,
+    status: Value,
+}
+
+impl Object {
+    fn shown(&self, name: &str) -> Value {
+        let metadata = json!({
+            "name": name,
+            "revision": self.revision,
+            "created": self.created,
+            "finalizers": self.finalizers,
+            "deletion_pending": false,
+        });
+        json!({"metadata": metadata, "spec": self.spec, "status": self.status})
+    }
+}
+
+struct Change {
+    revision: u64,
+    kind: String,
+    object: Value,
+    deleted: bool,
 }
 
 /// Writes and reads a second that the stand-in takes.
@@ -101,11 +142,13 @@
 }
 
 struct State {
-    objects: BTreeMap<String, Object>,
+    objects: BTreeMap<(String, String), Object>,
+    /// Changes that watches can ask for, and the revision up to which they are forgotten.
+    changes: VecDeque<Change>,
+    forgotten: u64,
     clock: u64,
     switches: Switches,
     calls: Calls,
-    listed: Vec<Listed>,
     writes: Bucket,
     reads: Bucket,
 }
@@ -124,10 +167,11 @@
         let bucket = |rate| Bucket { rate, level: rate, at: Instant::now() };
         let state = State {
             objects: BTreeMap::new(),
+            changes: VecDeque::new(),
+            forgotten: 0,
             clock: 0,
             switches: Switches::default(),
             calls: Calls::default(),
-            listed: Vec::new(),
             writes: bucket(rates.writes),
             reads: bucket(rates.reads),
         };
@@ -156,14 +200,55 @@
 
     /// Sets the list of VMs.
     pub fn list(&self, listed: Vec<Listed>) {
-        self.lock().listed = listed;
+        let mut state = self.lock();
+        let old: Vec<String> = state.names(VMS);
+        for name in old.iter().filter(|name| !listed.iter().any(|one| one.vm.as_str() == **name)) {
+            state.delete(VMS, name);
+        }
+        for one in listed {
+            let spec = serde_json::to_value(&one).expect("an entry is plain data");
+            state.write(VMS, one.vm.as_str(), |object| object.spec = spec);
+        }
+        drop(state);
+        self.changed.notify_waiters();
     }
 
-    /// The bodies of all objects whose key begins so.
+    /// The values of all objects whose key, kind and name with `/` between, begins so.
     pub fn bodies(&self, prefix: &str) -> Vec<(String, Bytes)> {
         let state = self.lock();
-        let found = state.objects.iter().filter(|(key, _)| key.starts_with(prefix));
-        found.map(|(key, object)| (key.clone(), object.body.clone())).collect()
+        let keys = state.objects.iter().map(|((kind, name), object)| {
+            (format!("{kind}/{}", name.replace('~', "/")), Bytes::from(object.spec.to_string()))
+        });
+        keys.filter(|(key, _)| key.starts_with(prefix)).collect()
+    }
+
+    /// Writes an object as its owner does, whatever the switches; its revision.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) -> u64 {
+        let revision = self.lock().write(kind, name, |object| object.spec = spec);
+        self.changed.notify_waiters();
+        revision
+    }
+
+    /// Deletes an object as its owner does, whatever the switches.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.lock().delete(kind, name);
+        self.changed.notify_waiters();
+    }
+
+    /// The status of an object.
+    pub fn status(&self, kind: &str, name: &str) -> Value {
+        let state = self.lock();
+        let object = state.objects.get(&(kind.to_owned(), name.to_owned()));
+        object.map(|object| object.status.clone()).unwrap_or_default()
+    }
+
+    /// Forgets all changes so far, so that watches from before them are answered 410.
+    pub fn forget(&self) {
+        let mut state = self.lock();
+        state.changes.clear();
+        state.forgotten = state.clock;
+        drop(state);
+        self.changed.notify_waiters();
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
@@ -173,12 +258,13 @@
     fn routes(&self, app: &mut ServiceConfig) {
         app.app_data(Data::new(self.clone()))
             .app_data(web::PayloadConfig::new(LARGEST + 1))
-            .route("/objects/{key:.*}", web::get().to(get))
-            .route("/objects/{key:.*}", web::put().to(put))
-            .route("/objects/{key:.*}", web::delete().to(delete))
-            .route("/list", web::get().to(list))
-            .route("/vms", web::get().to(vms))
-            .route("/vms", web::put().to(set_vms))
+            .app_data(web::JsonConfig::default().limit(LARGEST + 1))
+            .route("/v1/objects/{kind}", web::get().to(list_or_watch))
+            .route("/v1/objects/{kind}", web::post().to(create))
+            .route("/v1/objects/{kind}/{name}", web::get().to(get))
+            .route("/v1/objects/{kind}/{name}", web::put().to(replace))
+            .route("/v1/objects/{kind}/{name}", web::delete().to(delete))
+            .route("/v1/objects/{kind}/{name}/status", web::put().to(replace_status))
             .route("/calls", web::get().to(calls))
             .route("/switches", web::put().to(set_switches));
     }
@@ -203,111 +289,305 @@
         if switches.down {
             return Some(HttpResponse::ServiceUnavailable().finish());
         }
+        if switches.busy {
+            return Some(HttpResponse::TooManyRequests().finish());
+        }
         (!within).then(|| HttpResponse::TooManyRequests().finish())
     }
 
-    /// The answer to a write that took effect, which a switch may lose.
-    fn written(&self, version: u64) -> HttpResponse {
+    /// Does a write, unless a switch delays it, and answers it, unless a switch loses the answer.
+    async fn written(&self, write: impl Fn(&mut State) -> Result<Value, Failure>) -> HttpResponse {
+        let (late, lose) = {
+            let mut state = self.lock();
+            let late = take_one(&mut state.switches.late);
+            (late, !late && take_one(&mut state.switches.lose))
+        };
+        if late {
+            tokio::time::sleep(LATE).await;
+        }
+        let written = write(&mut self.lock());
         self.changed.notify_waiters();
-        let mut state = self.lock();
-        if state.switches.lose > 0 {
-            state.switches.lose -= 1;
-            return HttpResponse::ServiceUnavailable().finish();
+        if late || lose {
+            return cut();
+        }
+        match written {
+            Ok(object) => HttpResponse::Ok().json(object),
+            Err(Failure::Conflict(object)) => HttpResponse::Conflict().json(object),
+            Err(Failure::Missing) => HttpResponse::NotFound().finish(),
         }
-        HttpResponse::Ok().insert_header(("etag", version.to_string())).finish()
+    }
+}
+
+/// A late write takes effect after this.
+const LATE: Duration = Duration::from_secs(1);
+
+/// Why a write did nothing.
+enum Failure {
+    /// The object stands otherwise, like this.
+    Conflict(Value),
+    /// There is no such object.
+    Missing,
+}
+
+fn take_one(count: &mut u32) -> bool {
+    let some = *count > 0;
+    *count = count.saturating_sub(1);
+    some
+}
+
+/// An answer that breaks off before its end.
+fn cut() -> HttpResponse {
+    let broken = futures_util::stream::once(async {
+        Err::<Bytes, std::io::Error>(std::io::ErrorKind::ConnectionReset.into())
+    });
+    HttpResponse::Ok().streaming(broken)
+}
+
+impl State {
+    fn names(&self, kind: &str) -> Vec<String> {
+        let of_kind = self.objects.keys().filter(|(of, _)| of == kind);
+        of_kind.map(|(_, name)| name.clone()).collect()
+    }
+
+    fn get(&self, kind: &str, name: &str) -> Option<&Object> {
+        self.objects.get(&(kind.to_owned(), name.to_owned()))
+    }
+
+    /// Changes an object, or makes it; nothing happens if it is then as before.
+    fn write(&mut self, kind: &str, name: &str, change: impl FnOnce(&mut Object)) -> u64 {
+        let key = (kind.to_owned(), name.to_owned());
+        let next = self.clock + 1;
+        let old = self.objects.get(&key).cloned();
+        let mut object = old.clone().unwrap_or(Object {
+            revision: next,
+            created: next,
+            finalizers: json!([]),
+            spec: Value::Null,
+            status: Value::Null,
+        });
+        change(&mut object);
+        let same = |old: &Object| old.spec == object.spec && old.status == object.status;
+        if let Some(old) = old.filter(same) {
+            return old.revision;
+        }
+        object.revision = next;
+        self.clock = next;
+        self.remember(kind, object.shown(name), false);
+        self.objects.insert(key, object);
+        next
+    }
+
+    fn delete(&mut self, kind: &str, name: &str) {
+        if let Some(object) = self.objects.remove(&(kind.to_owned(), name.to_owned())) {
+            self.clock += 1;
+            self.remember(kind, object.shown(name), true);
+        }
+    }
+
+    fn remember(&mut self, kind: &str, object: Value, deleted: bool) {
+        let revision = self.clock;
+        self.changes.push_back(Change { revision, kind: kind.to_owned(), object, deleted });
+        if self.changes.len() > HISTORY
+            && let Some(oldest) = self.changes.pop_front()
+        {
+            self.forgotten = oldest.revision;
+        }
+    }
+
+    fn events(&self, kind: &str, after: u64) -> Vec<Value> {
+        let later = self.changes.iter().filter(|one| one.revision > after && one.kind == kind);
+        later.map(|one| json!({"object": one.object, "deleted": one.deleted})).collect()
     }
 }
 
 #[derive(Deserialize)]
-struct Watch {
-    after: Option<u64>,
+struct Asked {
+    watch: Option<u64>,
     wait_ms: Option<u64>,
+    /// The name after which a list goes on.
+    since_revision: Option<String>,
 }
 
-async fn get(platform: Data<Platform>, key: Path<String>, watch: Query<Watch>) -> HttpResponse {
+async fn list_or_watch(
+    platform: Data<Platform>,
+    kind: Path<String>,
+    asked: Query<Asked>,
+) -> HttpResponse {
     if let Some(stop) = platform.enter(false).await {
         return stop;
     }
-    let Some(after) = watch.after else {
-        return found(&platform, &key);
-    };
+    match asked.watch {
+        Some(after) => watch(&platform, &kind, after, asked.wait_ms).await,
+        None => page(&platform, &kind, asked.since_revision.as_deref().unwrap_or_default()),
+    }
+}
+
+fn page(platform: &Platform, kind: &str, after: &str) -> HttpResponse {
+    let state = platform.lock();
+    let mut found = state
+        .objects
+        .iter()
+        .filter(|((of, name), _)| of == kind && name.as_str() > after)
+        .map(|((_, name), object)| object.shown(name));
+    let items: Vec<Value> = found.by_ref().take(PAGE).collect();
+    let has_more = found.next().is_some();
+    let revision = state.clock;
+    let list = json!({"items": items, "has_more": has_more, "store_revision": revision});
+    HttpResponse::Ok().json(list)
+}
+
+async fn watch(platform: &Platform, kind: &str, after: u64, wait_ms: Option<u64>) -> HttpResponse {
     platform.lock().calls.watches += 1;
-    let wait = Duration::from_millis(watch.wait_ms.unwrap_or(1000)).min(LONGEST_WATCH);
+    let wait = Duration::from_millis(wait_ms.unwrap_or(1000)).min(LONGEST_WATCH);
     let until = tokio::time::Instant::now() + wait;
     loop {
         let changed = platform.changed.notified();
         {
             let state = platform.lock();
-            let newer = state.objects.get(key.as_str()).is_some_and(|o| o.version > after);
-            if newer && !state.switches.quiet {
-                drop(state);
-                return found(&platform, &key);
-            }
             if state.switches.down {
                 return HttpResponse::ServiceUnavailable().finish();
             }
+            if after < state.forgotten {
+                return HttpResponse::Gone().finish();
+            }
+            let events = state.events(kind, after);
+            let waited = tokio::time::Instant::now() >= until;
+            if waited || (!events.is_empty() && !state.switches.quiet) {
+                let events = if state.switches.quiet { Vec::new() } else { events };
+                let revision = if state.switches.quiet { after } else { state.clock };
+                return HttpResponse::Ok()
+                    .json(json!({"events": events, "store_revision": revision}));
+            }
         }
-        if tokio::time::timeout_at(until, changed).await.is_err() {
-            return HttpResponse::NotModified().finish();
-        }
+        // Whether it was a change or the time, the next round tells.
+        let _ = tokio::time::timeout_at(until, changed).await;
     }
 }
 
-fn found(platform: &Platform, key: &str) -> HttpResponse {
-    match platform.lock().objects.get(key) {
-        Some(object) => HttpResponse::Ok()
-            .insert_header(("etag", object.version.to_string()))
-            .body(object.body.clone()),
+async fn get(platform: Data<Platform>, path: Path<(String, String)>) -> HttpResponse {
+    if let Some(stop) = platform.enter(false).await {
+        return stop;
+    }
+    let (kind, name) = path.into_inner();
+    match platform.lock().get(&kind, &name) {
+        Some(object) => HttpResponse::Ok().json(object.shown(&name)),
         None => HttpResponse::NotFound().finish(),
     }
 }
 
-async fn put(
+#[derive(Default, Deserialize)]
+struct Body {
+    #[serde(default)]
+    metadata: Metadata,
+    #[serde(default)]
+    spec: Value,
+    #[serde(default)]
+    status: Value,
+}
+
+#[derive(Default, Deserialize)]
+struct Metadata {
+    name: Option<String>,
+    revision: Option<u64>,
+}
+
+async fn create(platform: Data<Platform>, kind: Path<String>, body: Json<Body>) -> HttpResponse {
+    if let Some(stop) = platform.enter(true).await {
+        return stop;
+    }
+    let Some(name) = body.metadata.name.clone() else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let write = |state: &mut State| {
+        if let Some(object) = state.get(&kind, &name) {
+            return Err(Failure::Conflict(object.shown(&name)));
+        }
+        Ok(platform.change(state, &kind, &name, |object| object.spec = body.spec.clone()))
+    };
+    platform.written(write).await
+}
+
+async fn replace(
     platform: Data<Platform>,
-    key: Path<String>,
-    request: HttpRequest,
-    body: Bytes,
+    path: Path<(String, String)>,
+    body: Json<Body>,
+) -> HttpResponse {
+    change(&platform, &path, &body, |object| object.spec = body.spec.clone()).await
+}
+
+async fn replace_status(
+    platform: Data<Platform>,
+    path: Path<(String, String)>,
+    body: Json<Body>,
+) -> HttpResponse {
+    change(&platform, &path, &body, |object| object.status = body.status.clone()).await
+}
+
+async fn change(
+    platform: &Data<Platform>,
+    (kind, name): &(String, String),
+    body: &Body,
+    change: impl Fn(&mut Object),
 ) -> HttpResponse {
-    if body.len() > LARGEST {
-        return HttpResponse::PayloadTooLarge().finish();
-    }
     if let Some(stop) = platform.enter(true).await {
         return stop;
     }
-    let version = {
-        let mut state = platform.lock();
-        let current = state.objects.get(key.as_str()).map(|object| object.version);
-        if !condition(&request, current) {
-            return HttpResponse::PreconditionFailed().finish();
+    let write = |state: &mut State| {
+        let object = state.get(kind, name).ok_or(Failure::Missing)?;
+        if body.metadata.revision.is_some_and(|revision| revision != object.revision) {
+            return Err(Failure::Conflict(object.shown(name)));
         }
-        state.clock += 1;
-        let version = state.clock;
-        let is_root = key.as_str() == ROOT;
-        state.objects.insert(key.into_inner(), Object { version, body });
-        if is_root {
-            platform.history.note(|| confirmed(&state));
-        }
-        version
+        Ok(platform.change(state, kind, name, &change))
     };
-    platform.written(version)
+    platform.written(write).await
+}
+
+async fn delete(platform: Data<Platform>, path: Path<(String, String)>) -> HttpResponse {
+    if let Some(stop) = platform.enter(true).await {
+        return stop;
+    }
+    let (kind, name) = path.into_inner();
+    let write = |state: &mut State| {
+        let object = state.get(&kind, &name).ok_or(Failure::Missing)?.shown(&name);
+        state.delete(&kind, &name);
+        Ok(object)
+    };
+    platform.written(write).await
+}
+
+impl Platform {
+    /// Changes an object and notes a new root in the history.
+    fn change(
+        &self,
+        state: &mut State,
+        kind: &str,
+        name: &str,
+        change: impl FnOnce(&mut Object),
+    ) -> Value {
+        state.write(kind, name, change);
+        if (kind, name) == ROOT {
+            self.history.note(|| confirmed(state));
+        }
+        state.get(kind, name).map(|object| object.shown(name)).unwrap_or_default()
+    }
 }
 
 /// What the root that just took effect allows, resolved from the pieces beside it.
 fn confirmed(state: &State) -> Event {
-    let parse = |key: &str| {
-        let object = state.objects.get(key);
-        object.and_then(|object| serde_json::from_slice::<Value>(&object.body).ok())
+    let value = |name: &str| {
+        let object = state.get(ROOT.0, name);
+        object.map(|object| object.spec.clone()).unwrap_or_default()
     };
-    let root = parse(ROOT).unwrap_or_default();
+    let root = value(ROOT.1);
     let mut allowed: BTreeMap<Workspace, Vec<Target>> = BTreeMap::new();
     for (name, digest) in root["pieces"].as_object().into_iter().flatten() {
         let Some(name) = name.strip_prefix("workspace/") else {
             continue;
         };
-        let body = parse(&format!("config/piece/{}", digest.as_str().unwrap_or_default()));
-        let versions = body.map(|body| body["versions"].clone()).unwrap_or_default();
+        let body = value(&format!("{PIECE}{}", digest.as_str().unwrap_or_default()));
         if let Ok(name) = name.parse() {
-            allowed.insert(name, serde_json::from_value(versions).unwrap_or_default());
+            let versions = serde_json::from_value(body["versions"].clone());
+            allowed.insert(name, versions.unwrap_or_default());
         }
     }
     let withdrawn: Vec<Target> =
@@ -319,53 +599,6 @@
     Event::Confirmed { revision, allowed, withdrawn }
 }
 
-async fn delete(platform: Data<Platform>, key: Path<String>) -> HttpResponse {
-    if let Some(stop) = platform.enter(true).await {
-        return stop;
-    }
-    platform.lock().objects.remove(key.as_str());
-    platform.written(0)
-}
-
-fn condition(request: &HttpRequest, current: Option<u64>) -> bool {
-    let header = |name| request.headers().get(name).and_then(|value| value.to_str().ok());
-    if header("if-none-match") == Some("*") {
-        return current.is_none();
-    }
-    match header("if-match") {
-        Some(wanted) => wanted.parse().ok() == current,
-        None => true,
-    }
-}
-
-#[derive(Deserialize)]
-struct Prefix {
-    prefix: String,
-}
-
-async fn list(platform: Data<Platform>, prefix: Query<Prefix>) -> HttpResponse {
-    if let Some(stop) = platform.enter(false).await {
-        return stop;
-    }
-    let state = platform.lock();
-    let from = state.objects.range(prefix.prefix.clone()..);
-    let keys: Vec<&String> =
-        from.map(|(key, _)| key).take_while(|key| key.starts_with(&prefix.prefix)).collect();
-    HttpResponse::Ok().json(keys)
-}
-
-async fn vms(platform: Data<Platform>) -> HttpResponse {
-    if let Some(stop) = platform.enter(false).await {
-        return stop;
-    }
-    HttpResponse::Ok().json(&platform.lock().listed)
-}
-
-async fn set_vms(platform: Data<Platform>, listed: Json<Vec<Listed>>) -> HttpResponse {
-    platform.list(listed.into_inner());
-    HttpResponse::Ok().finish()
-}
-
 async fn calls(platform: Data<Platform>) -> HttpResponse {
     HttpResponse::Ok().json(platform.calls())
 }
--- /dev/null
+++ b/src/standin/replica.rs
@@ -0,0 +1,338 @@
+//! Stand-in of a backend server on the users' platform, which does what a test tells it to: it
+//! answers, turns away, breaks off, or sends bytes that belong to no request.
+
+use std::collections::VecDeque;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use crate::error::Error;
+
+/// Longest head of a request.
+const LONGEST_HEAD: usize = 64 * 1024;
+
+/// Headers of a request at most.
+const HEADERS: usize = 64;
+
+/// A connection without a request ends after this.
+const IDLE: Duration = Duration::from_secs(20);
+
+/// What it does with one request.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// A signed answer of this status and body.
+    Whole(u16, String),
+    /// A success without a signature.
+    Unsigned,
+    /// It says that it did not run the request.
+    NotRun,
+    /// It says that it is another server than expected.
+    Another,
+    /// It promises 100 bytes, sends five and closes.
+    CutLength,
+    /// It begins a chunk and closes.
+    CutChunk,
+    /// An answer without a length, which ends with the connection; or is reset.
+    Unframed {
+        /// Whether it is reset.
+        reset: bool,
+    },
+    /// The answer of another request, then its own.
+    StrangerFirst,
+    /// Its own answer, then one that nobody asked for.
+    StrangerAfter,
+    /// It answers when it has the head, and reads the body afterwards.
+    Early,
+    /// It reads the request and resets.
+    Reset,
+    /// It reads the request, says nothing for a time, then answers.
+    Slow(Duration),
+    /// Bytes that are no HTTP.
+    Noise,
+    /// A stream of events up to this id; after so many it breaks off within one, if that is said.
+    Events {
+        /// The last event.
+        last: u64,
+        /// Events that it sends before it breaks off.
+        cut_after: Option<u64>,
+        /// The model's opinion of its answer.
+        confidence: Option<u32>,
+        /// Time between two events.
+        pause: Duration,
+    },
+}
+
+/// A request as it arrived.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// Method, path and query.
+    pub line: String,
+    /// Names in lower case, and values.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Seen {
+    /// The value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(known, _)| known == name);
+        found.map(|(_, value)| value.as_str())
+    }
+}
+
+#[derive(Default)]
+struct State {
+    acts: VecDeque<Act>,
+    usual: Option<Act>,
+    seen: Vec<Seen>,
+    connections: usize,
+}
+
+/// The stand-in.
+#[derive(Clone)]
+pub struct Replica {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl Replica {
+    /// Starts one on a free port of loopback.
+    ///
+    /// # Errors
+    /// If no port can be bound.
+    pub fn launch() -> Result<Replica, Error> {
+        let at = SocketAddr::from(([127, 0, 0, 1], 0));
+        let fault = |e: std::io::Error| Error::Bind(at.to_string(), e.to_string());
+        let listener = TcpListener::bind(at).map_err(fault)?;
+        let address = listener.local_addr().map_err(fault)?;
+        let replica = Replica { address, state: Arc::default() };
+        let serving = replica.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                serving.lock().connections += 1;
+                let serving = serving.clone();
+                // A caller that is gone ends the thread, which is all there is to it.
+                std::thread::spawn(move || drop(serving.serve(stream)));
+            }
+        });
+        Ok(replica)
+    }
+
+    /// What it does with the coming requests, one after the other.
+    pub fn then(&self, act: Act) -> &Replica {
+        self.lock().acts.push_back(act);
+        self
+    }
+
+    /// What it does with all others.
+    pub fn usually(&self, act: Act) -> &Replica {
+        self.lock().usual = Some(act);
+        self
+    }
+
+    /// The requests that arrived.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.lock().seen.clone()
+    }
+
+    /// Connections that were opened.
+    pub fn connections(&self) -> usize {
+        self.lock().connections
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no panic while held")
+    }
+
+    fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(IDLE))?;
+        let mut buffer = Vec::new();
+        loop {
+            let Some((mut seen, length)) = head(&mut stream, &mut buffer)? else {
+                return Ok(());
+            };
+            let act = {
+                let mut state = self.lock();
+                let next = state.acts.pop_front().or_else(|| state.usual.clone());
+                next.unwrap_or(Act::Whole(200, "fine".to_owned()))
+            };
+            if matches!(act, Act::Early) {
+                stream.write_all(answer(&seen, 200, "early").as_bytes())?;
+            }
+            while buffer.len() < length {
+                fill(&mut stream, &mut buffer)?;
+            }
+            seen.body = buffer.drain(..length).collect();
+            self.lock().seen.push(seen.clone());
+            if !perform(&mut stream, &seen, act)? {
+                return Ok(());
+            }
+        }
+    }
+}
+
+fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> std::io::Result<usize> {
+    let mut bytes = [0; 16 * 1024];
+    let got = stream.read(&mut bytes)?;
+    if got == 0 {
+        return Err(std::io::ErrorKind::UnexpectedEof.into());
+    }
+    buffer.extend_from_slice(&bytes[..got]);
+    Ok(got)
+}
+
+/// Reads a head; nothing if the caller closed before one.
+fn head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> std::io::Result<Option<(Seen, usize)>> {
+    loop {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+        let mut request = httparse::Request::new(&mut headers);
+        let parsed = request.parse(buffer).map_err(|_| std::io::ErrorKind::InvalidData)?;
+        if let httparse::Status::Complete(end) = parsed {
+            let line = format!("{} {}", request.method.unwrap_or(""), request.path.unwrap_or(""));
+            let text = |value: &[u8]| String::from_utf8_lossy(value).into_owned();
+            let headers: Vec<(String, String)> = request
+                .headers
+                .iter()
+                .map(|header| (header.name.to_ascii_lowercase(), text(header.value)))
+                .collect();
+            let seen = Seen { line, headers, body: Vec::new() };
+            let length = seen.header("content-length").and_then(|text| text.parse().ok());
+            buffer.drain(..end);
+            return Ok(Some((seen, length.unwrap_or(0))));
+        }
+        if buffer.len() > LONGEST_HEAD {
+            return Err(std::io::ErrorKind::InvalidData.into());
+        }
+        match fill(stream, buffer) {
+            Ok(_) => {}
+            Err(_) if buffer.is_empty() => return Ok(None),
+            Err(fault) => return Err(fault),
+        }
+    }
+}
+
+fn signed(id: &str, status: u16, more: &str) -> String {
+    format!(
+        "HTTP/1.1 {status} Status\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: sig.{id}\r\n\
+         X-Server-Load: 1,0,8\r\n{more}"
+    )
+}
+
+fn answer(seen: &Seen, status: u16, body: &str) -> String {
+    let id = seen.header("x-attempt-id").unwrap_or_default();
+    answer_to(id, status, body)
+}
+
+fn answer_to(id: &str, status: u16, body: &str) -> String {
+    let length = format!("Content-Length: {}\r\n\r\n{body}", body.len());
+    signed(id, status, &length)
+}
+
+fn resets(stream: &TcpStream) -> std::io::Result<()> {
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
+
+/// Does what is asked; whether the connection goes on.
+fn perform(stream: &mut TcpStream, seen: &Seen, act: Act) -> std::io::Result<bool> {
+    let id = seen.header("x-attempt-id").unwrap_or_default().to_owned();
+    match act {
+        Act::Whole(status, body) => {
+            stream.write_all(answer(seen, status, &body).as_bytes())?;
+            return Ok(true);
+        }
+        Act::Unsigned => {
+            stream.write_all(
+                format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nContent-Length: 2\r\n\r\nno")
+                    .as_bytes(),
+            )?;
+            return Ok(true);
+        }
+        Act::NotRun => {
+            let text = format!(
+                "HTTP/1.1 503 Full\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\n\
+                 Content-Length: 0\r\n\r\n"
+            );
+            stream.write_all(text.as_bytes())?;
+            return Ok(true);
+        }
+        Act::Another => {
+            stream.write_all(
+                b"HTTP/1.1 421 Misdirected\r\nX-Instance-Id: other\r\nContent-Length: 0\r\n\r\n",
+            )?;
+            return Ok(true);
+        }
+        Act::CutLength => {
+            stream.write_all(signed(&id, 200, "Content-Length: 100\r\n\r\nfive.").as_bytes())?;
+        }
+        Act::CutChunk => {
+            let text = signed(&id, 200, "Transfer-Encoding: chunked\r\n\r\n64\r\nfive.");
+            stream.write_all(text.as_bytes())?;
+        }
+        Act::Unframed { reset } => {
+            stream.write_all(signed(&id, 200, "\r\nto the end").as_bytes())?;
+            if reset {
+                std::thread::sleep(Duration::from_millis(50));
+                resets(stream)?;
+                return Ok(false);
+            }
+        }
+        Act::StrangerFirst => {
+            let text = answer_to("stranger", 200, "not yours") + &answer(seen, 200, "yours");
+            stream.write_all(text.as_bytes())?;
+            return Ok(true);
+        }
+        Act::StrangerAfter => {
+            let text = answer(seen, 200, "yours") + &answer_to("stranger", 200, "not yours");
+            stream.write_all(text.as_bytes())?;
+            return Ok(true);
+        }
+        Act::Early => return Ok(true),
+        Act::Reset => {
+            resets(stream)?;
+            return Ok(false);
+        }
+        Act::Slow(time) => {
+            std::thread::sleep(time);
+            stream.write_all(answer(seen, 200, "slow").as_bytes())?;
+            return Ok(true);
+        }
+        Act::Noise => stream.write_all(b"\x01\x02\x03 no answer at all\r\n\r\n")?,
+        Act::Events { last, cut_after, confidence, pause } => {
+            let opinion = confidence.map(|c| format!("X-Confidence: {c}\r\n")).unwrap_or_default();
+            let more = format!(
+                "{opinion}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            );
+            stream.write_all(signed(&id, 200, &more).as_bytes())?;
+            return events(stream, seen, last, cut_after, pause);
+        }
+    }
+    stream.shutdown(Shutdown::Both)?;
+    Ok(false)
+}
+
+fn events(
+    stream: &mut TcpStream,
+    seen: &Seen,
+    last: u64,
+    cut_after: Option<u64>,
+    pause: Duration,
+) -> std::io::Result<bool> {
+    let begun = seen.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0u64);
+    for (sent, id) in (begun + 1..=last).enumerate() {
+        let event = format!("id: {id}\ndata: piece {id}\n\n");
+        if cut_after == Some(sent as u64) {
+            let part = &event[..event.len() / 2];
+            stream.write_all(format!("{:x}\r\n{part}", event.len()).as_bytes())?;
+            stream.shutdown(Shutdown::Both)?;
+            return Ok(false);
+        }
+        stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+        std::thread::sleep(pause);
+    }
+    stream.write_all(b"0\r\n\r\n")?;
+    Ok(true)
+}
--- a/tests/door.rs
+++ b/tests/door.rs
@@ -309,3 +309,14 @@
     }
     world.end();
 }
+
+#[test]
+fn an_answer_that_a_service_breaks_off_is_not_passed_on_as_whole() {
+    let world = World::start(&Shape::default()).expect("the world starts");
+    let at = world.nodes.values().next().expect("a VM").address;
+    world.services.iter().for_each(|service| service.cut(1));
+    let got = confirm(1, "cut-1").to(at);
+    assert_eq!((got.status, got.body["ran"].as_str()), (502, Some("unknown")), "{}", got.body);
+    let ran: u64 = world.services.iter().map(|service| service.ran().values().sum::<u64>()).sum();
+    assert_eq!(ran, 1, "a call that may have run is not sent again");
+}
--- /dev/null
+++ b/tests/forward.rs
@@ -0,0 +1,475 @@
+//! An entry VM on the users' platform, as a process: each way that an attempt can end, streams,
+//! keys, routes, the store's troubles, planned stops.
+
+mod site;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use kitepulley::standin::platform::Switches;
+use kitepulley::standin::replica::Act;
+use serde_json::json;
+use site::{Site, ask, eventually, head};
+
+/// Kinds of routes in the platform's words.
+const SAFE: &str = "idempotent";
+const ONCE: &str = "non_idempotent";
+const STREAM: &str = "streaming";
+
+fn site() -> Site {
+    Site::new()
+        .route("safe", SAFE, json!({}))
+        .route("once", ONCE, json!({}))
+        .route("stream", STREAM, json!({"stream_resume": true}))
+        .route("cascade", STREAM, json!({"stream_resume": true, "sizes": ["small", "large"]}))
+        .route("talk", STREAM, json!({}))
+}
+
+fn events(last: u64, cut_after: Option<u64>) -> Act {
+    Act::Events { last, cut_after, confidence: None, pause: Duration::ZERO }
+}
+
+fn pieces(upto: u64) -> String {
+    (1..=upto).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect()
+}
+
+#[test]
+fn a_request_goes_through_unchanged_and_its_answer_comes_back_signed() {
+    let mut site = site().workspace("roasters", &["secret"]);
+    let replica = site.replica("r1", "v1");
+    let vm = site.start_ready();
+    let more =
+        "Authorization: Token secret\r\nX-Tenant: someone-else\r\nX-Hold: 7\r\nX-Own: kept\r\n";
+    let answer = ask(vm.callers, &head("POST /once/a/b?c=d%20e", "id1", more), b"two bags");
+    assert_eq!((answer.status, answer.text().as_str(), answer.whole), (200, "fine", true));
+    assert_eq!(answer.header("x-response-signature").as_deref(), Some("sig.id1"));
+    let seen = replica.seen().pop().expect("it arrived");
+    assert_eq!(seen.line, "POST /once/a/b?c=d%20e");
+    assert_eq!(seen.body, b"two bags");
+    assert_eq!(seen.header("x-attempt-id"), Some("id1"));
+    assert_eq!(seen.header("x-tenant"), Some("roasters"));
+    assert_eq!(seen.header("x-expect-instance"), Some("r1"));
+    assert_eq!(seen.header("x-own"), Some("kept"));
+    assert_eq!(seen.header("authorization"), None);
+    assert_eq!(seen.header("x-hold"), None);
+    let left: u64 = seen.header("x-deadline-ms").unwrap().parse().unwrap();
+    assert!((1..=2500).contains(&left), "{left}");
+}
+
+/// Each row of the table of ends for a request that may not be repeated.
+#[test]
+fn what_may_not_be_repeated_runs_at_most_once_whatever_happens() {
+    let mut site = site();
+    let replica = site.replica("r1", "v1");
+    let vm = site.start_ready();
+    let rows = [
+        (Act::Reset, 502),
+        (Act::CutLength, 502),
+        (Act::CutChunk, 502),
+        (Act::Noise, 502),
+        (Act::Unsigned, 502),
+        (Act::Unframed { reset: true }, 502),
+        (Act::Unframed { reset: false }, 200),
+        (Act::Whole(500, "failed".to_owned()), 500),
+        (Act::Whole(503, "ran and failed".to_owned()), 502),
+        (Act::Slow(Duration::from_secs(4)), 504),
+    ];
+    for (number, (act, status)) in rows.into_iter().enumerate() {
+        let id = format!("once{number}");
+        replica.then(act.clone());
+        let answer = ask(vm.callers, &head("POST /once/x", &id, ""), b"order");
+        assert_eq!(answer.status, status, "{act:?}");
+        assert!(answer.whole, "{act:?}");
+        let arrived =
+            replica.seen().iter().filter(|seen| seen.header("x-attempt-id") == Some(&id)).count();
+        assert_eq!(arrived, 1, "{act:?}");
+    }
+}
+
+#[test]
+fn what_may_be_repeated_goes_elsewhere_until_an_answer_is_whole() {
+    let mut site = site();
+    let replica = site.replica("r1", "v1");
+    let other = site.replica("r2", "v1");
+    let vm = site.start_ready();
+    let acts = [
+        Act::Reset,
+        Act::CutLength,
+        Act::CutChunk,
+        Act::Noise,
+        Act::Unsigned,
+        Act::Unframed { reset: true },
+        Act::Whole(500, "failed".to_owned()),
+        Act::NotRun,
+        Act::Another,
+    ];
+    for (number, act) in acts.into_iter().enumerate() {
+        // Whichever gets it first does this; the other then answers.
+        replica.then(act.clone());
+        other.then(act.clone());
+        let id = format!("safe{number}");
+        let answer = ask(vm.callers, &head("GET /safe/x", &id, ""), b"");
+        let arrived = |one: &kitepulley::standin::replica::Replica| {
+            one.seen().iter().filter(|seen| seen.header("x-attempt-id") == Some(&id)).count()
+        };
+        let sends = arrived(&replica) + arrived(&other);
+        assert!(sends == 2, "{act:?}: {sends} sends, {}", answer.status);
+        // Both did the same, so the caller gets the last word of the table; drain what is left.
+        let expected = match act {
+            Act::Whole(500, _) => 500,
+            Act::NotRun | Act::Another => 503,
+            _ => 502,
+        };
+        assert_eq!(answer.status, expected, "{act:?}");
+        // Servers left out after a few failures come back.
+        eventually("it is served again", || {
+            ask(vm.callers, &head("GET /safe/x", "again", ""), b"").status == 200
+        });
+    }
+}
+
+#[test]
+fn a_server_that_did_not_run_a_request_leaves_it_to_another() {
+    let mut site = site();
+    let replica = site.replica("r1", "v1");
+    replica.usually(Act::NotRun);
+    let other = site.replica("r2", "v1");
+    let vm = site.start_ready();
+    for number in 0..6 {
+        let answer = ask(vm.callers, &head("POST /once/x", &format!("n{number}"), ""), b"order");
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(other.seen().len(), 6);
+}
+
+#[test]
+fn a_refusal_is_true_and_says_when_to_come_back() {
+    let mut site = site();
+    let replica = site.replica("r1", "v1");
+    replica.usually(Act::NotRun);
+    let vm = site.start_ready();
+    let answer = ask(vm.callers, &head("POST /once/x", "refused", ""), b"order");
+    assert_eq!(answer.status, 503);
+    let again: f64 = answer.header("retry-after").unwrap().parse().unwrap();
+    assert!(again > 0.0 && again <= 2.5 / 3.0, "{again}");
+    assert!(answer.text().contains("\"ran\":\"no\""), "{}", answer.text());
+    assert!(answer.header("x-response-signature").is_none());
+}
+
+#[test]
+fn a_server_that_does_not_open_is_passed_over() {
+    let mut site = site();
+    let good = site.replica("r2", "v1");
+    // An address where nobody listens.
+    let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    site.list("r1", "v1", "ready", nobody);
+    let vm = site.start_ready();
+    for number in 0..5 {
+        let answer = ask(vm.callers, &head("POST /once/x", &format!("d{number}"), ""), b"order");
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(good.seen().len(), 5);
+}
+
+#[test]
+fn an_answer_for_another_request_is_never_passed_on() {
+    let mut site = site();
+    let replica = site.replica("r1", "v1");
+    let vm = site.start_ready();
+    for act in [Act::StrangerFirst, Act::StrangerAfter, Act::Whole(200, "yours".to_owned())] {
+        replica.then(act.clone());
+        let answer = ask(vm.callers, &head("POST /once/x", "mine", ""), b"order");
+        assert_eq!((answer.status, answer.text().as_str()), (200, "yours"), "{act:?}");
+        assert_eq!(answer.header("x-attempt-id").as_deref(), Some("mine"));
+    }
+}
+
+#[test]
+fn an_early_answer_to_a_long_body_ends_the_use_of_its_connection() {
+    let mut site = site();
+    let replica = site.replica("r1", "v1");
+    let vm = site.start_ready();
+    replica.then(Act::Early);
+    let answer = ask(vm.callers, &head("POST /once/x", "long", ""), &vec![b'x'; 90_000]);
+    assert_eq!((answer.status, answer.text().as_str()), (200, "early"));
+    let next = ask(vm.callers, &head("POST /once/x", "next", ""), b"order");
+    assert_eq!((next.status, next.text().as_str()), (200, "fine"));
+    let bodies: Vec<usize> = replica.seen().iter().map(|seen| seen.body.len()).collect();
+    assert!(bodies.iter().all(|length| *length == 90_000 || *length == 5), "{bodies:?}");
+}
+
+#[test]
+fn a_silent_server_does_not_use_up_the_time_of_what_may_be_repeated() {
+    let mut site = site();
+    let slow = Act::Slow(Duration::from_secs(5));
+    let one = site.replica("r1", "v1");
+    let two = site.replica("r2", "v1");
+    one.usually(slow.clone());
+    let vm = site.start_ready();
+    // Whichever is asked first: before long the silent one has been.
+    let mut number = 0;
+    while one.seen().is_empty() {
+        number += 1;
+        let begun = Instant::now();
+        let answer = ask(vm.callers, &head("GET /safe/x", &format!("silent{number}"), ""), b"");
+        assert_eq!(answer.status, 200);
+        assert!(begun.elapsed() < Duration::from_millis(2500), "{:?}", begun.elapsed());
+        assert!(number < 50, "the silent server was never asked");
+    }
+    assert_eq!(two.seen().len(), number);
+}
+
+#[test]
+fn a_stream_goes_on_at_another_server_without_gap_or_repeat() {
+    let mut site = site();
+    let one = site.replica("r1", "v1");
+    let two = site.replica("r2", "v1");
+    one.usually(events(9, Some(4)));
+    two.usually(events(9, Some(4)));
+    let vm = site.start_ready();
+    let answer = ask(vm.callers, &head("POST /stream/x", "s1", ""), b"prompt");
+    assert_eq!(answer.status, 200);
+    // Two servers, four events each, then one is asked for the rest: 4 + 4 + 1 of 3 attempts.
+    assert!(answer.text().starts_with(&pieces(8)), "{}", answer.text());
+    let seen: Vec<_> = one.seen().into_iter().chain(two.seen()).collect();
+    let after: Vec<_> = seen.iter().map(|seen| seen.header("last-event-id")).collect();
+    assert!(after.contains(&None) && after.contains(&Some("4")), "{after:?}");
+    assert!(seen.len() <= 3, "{}", seen.len());
+}
+
+#[test]
+fn a_stream_that_may_not_be_resumed_is_broken_off_and_does_not_look_whole() {
+    let mut site = site();
+    let one = site.replica("r1", "v1");
+    one.usually(events(9, Some(4)));
+    let vm = site.start_ready();
+    let answer = ask(vm.callers, &head("POST /talk/x", "t1", ""), b"prompt");
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.text(), pieces(4));
+    assert!(!answer.whole);
+    assert_eq!(one.seen().len(), 1);
+}
+
+#[test]
+fn a_caller_that_goes_on_gets_what_it_lacks() {
+    let mut site = site();
+    let replica = site.replica("r1", "v1");
+    replica.usually(events(6, None));
+    let vm = site.start_ready();
+    let answer = ask(vm.callers, &head("POST /stream/x", "l1", "Last-Event-Id: 4\r\n"), b"prompt");
+    assert_eq!(answer.text(), "id: 5\ndata: piece 5\n\nid: 6\ndata: piece 6\n\n");
+    assert!(answer.whole);
+}
+
+#[test]
+fn a_server_hears_at_once_that_the_caller_left_its_stream() {
+    let mut site = site();
+    let replica = site.replica("r1", "v1");
+    let pause = Duration::from_millis(100);
+    replica.usually(Act::Events { last: 100, cut_after: None, confidence: None, pause });
+    let vm = site.start_ready();
+    let mut stream = TcpStream::connect(vm.callers).unwrap();
+    let text = head("POST /stream/x", "leaves", "Content-Length: 1\r\n");
+    stream.write_all(format!("{text}\r\nx").as_bytes()).unwrap();
+    let mut bytes = [0; 512];
+    assert!(stream.read(&mut bytes).unwrap() > 0);
+    drop(stream);
+    eventually("the log says that the caller left", || {
+        vm.lines().iter().any(|line| line["outcome"] == "caller left its stream")
+    });
+}
+
+#[test]
+fn a_small_model_in_doubt_gives_way_to_the_largest() {
+    let mut site = site();
+    let replica = site.replica("r1", "v1");
+    let vm = site.start_ready();
+    let answers = |confidence| Act::Events {
+        last: 2,
+        cut_after: None,
+        confidence: Some(confidence),
+        pause: Duration::ZERO,
+    };
+    let models = |id: &str| -> Vec<String> {
+        let seen = replica.seen();
+        let of_id = seen.iter().filter(|seen| seen.header("x-attempt-id") == Some(id));
+        of_id.map(|seen| seen.header("x-model").unwrap_or_default().to_owned()).collect()
+    };
+    replica.then(answers(95));
+    let sure = ask(vm.callers, &head("POST /cascade/x", "sure", "X-Model: *\r\n"), b"prompt");
+    assert_eq!((sure.text(), models("sure")), (pieces(2), vec!["small".to_owned()]));
+    replica.then(answers(5)).then(answers(50));
+    let unsure = ask(vm.callers, &head("POST /cascade/x", "unsure", "X-Model: *\r\n"), b"prompt");
+    assert_eq!(unsure.text(), pieces(2));
+    assert_eq!(models("unsure"), ["small", "large"]);
+    replica.then(answers(5));
+    ask(vm.callers, &head("POST /cascade/x", "named", "X-Model: small\r\n"), b"prompt");
+    assert_eq!(models("named"), ["small"]);
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_decides_and_weights_split() {
+    let mut site = Site::new()
+        .route("a", SAFE, json!({"service": "other"}))
+        .route("longer", SAFE, json!({"path_prefix": "/a/b/"}))
+        .route(
+            "split",
+            SAFE,
+            json!({"backends": [
+            {"service": "api", "weight": 0}, {"service": "api2", "weight": 1}]}),
+        );
+    let replica = site.replica("r1", "v1");
+    let vm = site.start_ready();
+    assert_eq!(ask(vm.callers, &head("GET /a/b/c", "p1", ""), b"").status, 200);
+    assert_eq!(ask(vm.callers, &head("GET /a/bb", "p2", ""), b"").status, 503);
+    assert_eq!(ask(vm.callers, &head("GET /split/x", "p3", ""), b"").status, 503);
+    assert_eq!(ask(vm.callers, &head("GET /b/", "p4", ""), b"").status, 404);
+    let foreign = "GET /a/b/c HTTP/1.1\r\nHost: other.example\r\nX-Attempt-Id: p5\r\n";
+    assert_eq!(ask(vm.callers, foreign, b"").status, 404);
+    assert_eq!(replica.seen().len(), 1);
+}
+
+#[test]
+fn keys_come_and_go_while_the_process_runs() {
+    let mut site = site().workspace("roasters", &["old"]);
+    site.replica("r1", "v1");
+    let vm = site.start_ready();
+    let status = |key: &str| {
+        let more = format!("Authorization: Token {key}\r\n");
+        ask(vm.callers, &head("GET /safe/x", "k", &more), b"").status
+    };
+    assert_eq!((status("old"), status("new")), (200, 401));
+    site.config["tenants"][0]["api_keys"] = json!(["new"]);
+    site.publish();
+    eventually("the new key is known", || status("new") == 200);
+    assert_eq!(status("old"), 401);
+    // An older configuration, told late, changes nothing.
+    site.store.put("config", "main", json!({"version": 1, "routes": [], "services": []}));
+    std::thread::sleep(Duration::from_millis(400));
+    assert_eq!(status("new"), 200);
+}
+
+#[test]
+fn a_vm_that_cannot_prove_that_its_keys_are_good_refuses_and_comes_back() {
+    let mut site = site().workspace("roasters", &["key"]);
+    let replica = site.replica("r1", "v1");
+    let vm = site.start_ready();
+    let more = "Authorization: Token key\r\n";
+    let status = || ask(vm.callers, &head("GET /safe/x", "f", more), b"").status;
+    assert_eq!(status(), 200);
+    site.store.switch(Switches { down: true, ..Switches::default() });
+    // The key is taken away while nobody hears of it.
+    site.config["tenants"][0]["api_keys"] = json!([]);
+    site.publish();
+    let taken = Instant::now();
+    std::thread::sleep(Duration::from_millis(2000));
+    let before = replica.seen().len();
+    assert_eq!(status(), 503);
+    assert!(!vm.is_ready(), "{:?}", taken.elapsed());
+    assert_eq!(replica.seen().len(), before);
+    site.store.switch(Switches::default());
+    eventually("it is ready again", || vm.is_ready());
+    assert_eq!(status(), 401);
+    assert_eq!(replica.seen().len(), before);
+}
+
+#[test]
+fn the_store_s_refusals_and_lost_history_are_got_over() {
+    let mut site = site();
+    site.replica("r1", "v1");
+    let vm = site.start_ready();
+    let status = |path: &str| ask(vm.callers, &head(&format!("GET {path}"), "h", ""), b"").status;
+    for (round, switches) in [
+        Switches { busy: true, ..Switches::default() },
+        Switches { down: true, ..Switches::default() },
+        Switches { slow_ms: 300, ..Switches::default() },
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        site.store.switch(switches);
+        let name = format!("round{round}");
+        site = site.route(&name, SAFE, json!({}));
+        site.publish();
+        site.store.forget();
+        std::thread::sleep(Duration::from_millis(700));
+        site.store.switch(Switches::default());
+        eventually("the new route is served", || status(&format!("/{name}/x")) == 200);
+    }
+    for event in ["history lost", "store regained"] {
+        eventually(event, || vm.lines().iter().any(|line| line["event"] == event));
+    }
+}
+
+#[test]
+fn a_configuration_that_does_not_read_leaves_the_last_good_one() {
+    let mut site = site();
+    site.replica("r1", "v1");
+    let vm = site.start_ready();
+    site.store.put("config", "main", json!({"version": "seven", "routes": 3}));
+    eventually("it is counted", || vm.counter(&["kitepulley_unreadable", "config"]) >= 1.0);
+    assert_eq!(ask(vm.callers, &head("GET /safe/x", "g", ""), b"").status, 200);
+    eventually("it is told", || vm.lines().iter().any(|line| line["event"] == "object not read"));
+}
+
+#[test]
+fn a_leaving_server_gets_no_new_work() {
+    let mut site = site();
+    let leaving = site.replica("r1", "v1");
+    let staying = site.replica("r2", "v1");
+    let vm = site.start_ready();
+    site.list("r1", "v1", "draining", leaving.address);
+    eventually("the entry is known", || {
+        vm.lines().iter().any(|line| line["event"] == "server entry" && line["ready"] == false)
+    });
+    let before = leaving.seen().len();
+    for number in 0..6 {
+        ask(vm.callers, &head("POST /once/x", &format!("l{number}"), ""), b"order");
+    }
+    assert_eq!((leaving.seen().len(), staying.seen().len()), (before, 6 - before + before));
+}
+
+#[test]
+fn a_planned_stop_cuts_nothing_off_and_says_so_to_the_balancer() {
+    let mut site = site();
+    let replica = site.replica("r1", "v1");
+    replica.usually(Act::Slow(Duration::from_millis(1200)));
+    let mut vm = site.start_ready();
+    let callers = vm.callers;
+    let asked =
+        std::thread::spawn(move || ask(callers, &head("POST /once/x", "open", ""), b"order"));
+    eventually("it arrived", || !replica.seen().is_empty());
+    vm.signal(libc::SIGTERM);
+    eventually("it is not ready", || !vm.is_ready());
+    let answer = asked.join().unwrap();
+    assert_eq!((answer.status, answer.text().as_str()), (200, "slow"));
+    assert_eq!(answer.header("connection").as_deref(), Some("close"));
+    let ended = vm.process.wait().unwrap();
+    assert!(ended.success());
+    let lines = vm.lines();
+    let stop = lines.iter().find(|line| line["event"] == "stop").expect("the end is told");
+    assert_eq!(stop["cut_off"], 0.0);
+}
+
+#[test]
+fn a_hangup_reads_the_settings_again_and_harms_nothing() {
+    let mut site = site();
+    site.replica("r1", "v1");
+    let vm = site.start_ready();
+    vm.signal(libc::SIGHUP);
+    eventually("it is told", || {
+        vm.lines().iter().any(|line| line["event"] == "settings read again")
+    });
+    assert_eq!(ask(vm.callers, &head("GET /safe/x", "u", ""), b"").status, 200);
+}
+
+#[test]
+fn a_body_that_is_too_long_is_refused() {
+    let mut site = site();
+    let replica = site.replica("r1", "v1");
+    let vm = site.start_ready();
+    let answer = ask(vm.callers, &head("POST /once/x", "big", ""), &vec![b'x'; 200_000]);
+    assert_eq!(answer.status, 413);
+    assert!(replica.seen().is_empty());
+}
--- /dev/null
+++ b/tests/site/mod.rs
@@ -0,0 +1,306 @@
+//! Builder of a small site: the platform's store and backend servers as stand-ins, entry VMs as
+//! real processes, and callers that see every byte.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use kitepulley::history::Sink;
+use kitepulley::standin::Running;
+use kitepulley::standin::platform::{Platform, Rates};
+use kitepulley::standin::replica::Replica;
+use serde_json::{Value, json};
+
+/// A VM must be ready, and a change in force, within this; a busy machine is slow.
+const SOON: Duration = Duration::from_secs(10);
+
+/// Tells the files of sites apart.
+static SITES: AtomicU32 = AtomicU32::new(0);
+
+/// An entry VM's process.
+pub struct Vm {
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    pub metrics: SocketAddr,
+    pub process: Child,
+    pub log: PathBuf,
+    settings: PathBuf,
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = std::fs::remove_file(&self.settings);
+        let _ = std::fs::remove_file(&self.log);
+    }
+}
+
+impl Vm {
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: i32) {
+        // SAFETY: the process was started by this test and has not been waited for.
+        unsafe { libc::kill(self.process.id() as i32, signal) };
+    }
+
+    /// Whether it calls itself ready.
+    pub fn is_ready(&self) -> bool {
+        let answer = try_ask(self.readiness, "GET /v1/readyz HTTP/1.1\r\nHost: x\r\n", b"");
+        answer.is_some_and(|answer| answer.status == 200)
+    }
+
+    /// The log lines so far.
+    pub fn lines(&self) -> Vec<Value> {
+        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
+        text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect()
+    }
+
+    /// A counter's line on the metrics page that contains all of these.
+    pub fn counter(&self, parts: &[&str]) -> f64 {
+        let page = ask(self.metrics, "GET /metrics HTTP/1.1\r\nHost: x\r\n", b"");
+        let text = String::from_utf8_lossy(&page.body).into_owned();
+        let line = text.lines().find(|line| parts.iter().all(|part| line.contains(part)));
+        let value = line.and_then(|line| line.rsplit(' ').next()?.parse().ok());
+        value.unwrap_or(0.0)
+    }
+}
+
+/// A site.
+pub struct Site {
+    pub store: Platform,
+    pub store_server: Running,
+    pub config: Value,
+    pub bounds: Value,
+    version: u64,
+}
+
+impl Default for Site {
+    fn default() -> Site {
+        Site::new()
+    }
+}
+
+impl Site {
+    /// A store with an empty configuration.
+    pub fn new() -> Site {
+        let store = Platform::new(Rates { writes: 1e6, reads: 1e6 }, Sink::default());
+        let store_server = store.launch("127.0.0.1:0".parse().unwrap()).unwrap();
+        let config = json!({
+            "version": 1, "routes": [], "services": [],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 100_000,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        });
+        let bounds = json!({"revoke_ms": 2000, "strict_revocation": true, "grace_s": 4,
+            "session_s": 1, "retry_budget_extra": 1000, "exposure_share": 0.5});
+        Site { store, store_server, config, bounds, version: 1 }
+    }
+
+    /// A route under `/NAME/` of the host `h.example` to a service.
+    pub fn route(self, name: &str, kind: &str, more: Value) -> Site {
+        let mut route = json!({"name": name, "host": "h.example",
+            "path_prefix": format!("/{name}/"), "type": kind, "timeout_ms": 3000,
+            "latency_goal_ms": 200, "max_attempts": 3, "priority": 1, "service": "api"});
+        merge(&mut route, more);
+        self.change(|config| push(config, "routes", route))
+    }
+
+    /// A workspace with keys; from now on requests need one.
+    pub fn workspace(self, name: &str, keys: &[&str]) -> Site {
+        let workspace = json!({"name": name, "api_keys": keys, "priority": 1});
+        self.change(|config| push(config, "tenants", workspace))
+    }
+
+    /// Changes the configuration; it is not told yet.
+    pub fn change(mut self, change: impl FnOnce(&mut Value)) -> Site {
+        change(&mut self.config);
+        self
+    }
+
+    /// Tells the configuration under a new version.
+    pub fn publish(&mut self) {
+        self.version += 1;
+        self.config["version"] = json!(self.version);
+        self.store.put("config", "main", self.config.clone());
+    }
+
+    /// Starts a backend server of `api` and lists it.
+    pub fn replica(&self, id: &str, version: &str) -> Replica {
+        let replica = Replica::launch().unwrap();
+        self.list(id, version, "ready", replica.address);
+        replica
+    }
+
+    /// Writes the entry of a backend server.
+    pub fn list(&self, id: &str, version: &str, state: &str, address: SocketAddr) {
+        let entry = json!({"service": "api", "address": address.to_string(),
+            "zone": "here", "version": version, "capacity": 8, "state": state, "sequence": 1});
+        self.store.put("servers", id, entry);
+    }
+
+    /// Starts an entry VM that takes no new knowledge for granted.
+    pub fn start(&self) -> Vm {
+        let number = SITES.fetch_add(1, Ordering::SeqCst);
+        let name = format!("kitepulley-{}-{number}", std::process::id());
+        let (callers, readiness, metrics) = (free(), free(), free());
+        let settings = std::env::temp_dir().join(format!("{name}.json"));
+        let log = std::env::temp_dir().join(format!("{name}.log"));
+        let text = json!({
+            "node_name": format!("vm{number}"), "ip": "127.0.0.1", "zone": "here",
+            "listen": {"frontend": callers.to_string(), "readiness": readiness.to_string()},
+            "bounds": self.bounds, "something_new": {"unknown": true},
+            "platform": {"address": self.store_server.address.to_string()},
+        });
+        std::fs::write(&settings, text.to_string()).unwrap();
+        let out = std::fs::File::create(&log).unwrap();
+        let process = Command::new(env!("CARGO_BIN_EXE_kitepulley"))
+            .args(["entry", "--metrics-port", &metrics.port().to_string()])
+            .env("KITEPULLEY_CONFIG", &settings)
+            .stdout(Stdio::from(out))
+            .spawn()
+            .expect("the program starts");
+        Vm { callers, readiness, metrics, process, log, settings }
+    }
+
+    /// Starts an entry VM and waits until it is ready.
+    pub fn start_ready(&mut self) -> Vm {
+        self.publish();
+        let vm = self.start();
+        eventually("the VM is ready", || vm.is_ready());
+        vm
+    }
+}
+
+fn push(config: &mut Value, list: &str, entry: Value) {
+    match config[list].as_array_mut() {
+        Some(entries) => entries.push(entry),
+        None => config[list] = json!([entry]),
+    }
+}
+
+fn merge(into: &mut Value, more: Value) {
+    for (name, value) in more.as_object().into_iter().flatten() {
+        into[name] = value.clone();
+    }
+}
+
+/// Ports below those that the system gives to connections, so that none takes one meanwhile.
+const PORTS: std::ops::Range<u32> = 12_000..32_000;
+
+/// An address that is free, and that no other test of this process gets.
+fn free() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let span = PORTS.end - PORTS.start;
+    // Processes begin far apart.
+    let start = std::process::id().wrapping_mul(2_654_435_761) % span;
+    loop {
+        let number = start + NEXT.fetch_add(1, Ordering::SeqCst);
+        let port = PORTS.start + number % span;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+/// Waits until something holds.
+pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < SOON, "not within {SOON:?}: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// An answer as a caller sees it.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+    /// Whether its framing came to its end.
+    pub whole: bool,
+}
+
+impl Answer {
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// The value of a header.
+    pub fn header(&self, name: &str) -> Option<String> {
+        let prefix = format!("{}:", name.to_ascii_lowercase());
+        let found = self.head.lines().find(|line| line.to_ascii_lowercase().starts_with(&prefix));
+        found.map(|line| line[prefix.len()..].trim().to_owned())
+    }
+}
+
+/// The head of a request with an id of its own.
+pub fn head(line: &str, id: &str, more: &str) -> String {
+    format!(
+        "{line} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 2500\r\n{more}"
+    )
+}
+
+/// Asks on a connection of its own, which ends with the answer.
+pub fn ask(to: SocketAddr, head: &str, body: &[u8]) -> Answer {
+    try_ask(to, head, body).expect("an answer")
+}
+
+/// As [`ask`]; nothing if there is no answer.
+pub fn try_ask(to: SocketAddr, head: &str, body: &[u8]) -> Option<Answer> {
+    let mut stream = TcpStream::connect(to).ok()?;
+    stream.set_read_timeout(Some(SOON)).ok()?;
+    let length = format!("Content-Length: {}\r\n", body.len());
+    let length = if body.is_empty() { "" } else { length.as_str() };
+    let text = format!("{head}{length}Connection: close\r\n\r\n");
+    stream.write_all(text.as_bytes()).ok()?;
+    stream.write_all(body).ok()?;
+    let mut bytes = Vec::new();
+    // A reset in the middle leaves what came before.
+    let _ = stream.read_to_end(&mut bytes);
+    read(&bytes)
+}
+
+/// Reads an answer that ended with its connection.
+pub fn read(bytes: &[u8]) -> Option<Answer> {
+    let end = bytes.windows(4).position(|end| end == b"\r\n\r\n")?;
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let mut answer = Answer { status, head, body: Vec::new(), whole: false };
+    let rest = &bytes[end + 4..];
+    if answer.header("transfer-encoding").is_some() {
+        (answer.body, answer.whole) = chunks(rest);
+    } else {
+        let length = answer.header("content-length").and_then(|text| text.parse().ok());
+        answer.whole = length.unwrap_or(0) == rest.len();
+        answer.body = rest.to_vec();
+    }
+    Some(answer)
+}
+
+fn chunks(mut bytes: &[u8]) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    loop {
+        let Some(line) = bytes.windows(2).position(|end| end == b"\r\n") else {
+            return (body, false);
+        };
+        let size = std::str::from_utf8(&bytes[..line]).ok();
+        let Some(size) = size.and_then(|size| usize::from_str_radix(size, 16).ok()) else {
+            return (body, false);
+        };
+        bytes = &bytes[line + 2..];
+        if size == 0 {
+            return (body, bytes.starts_with(b"\r\n"));
+        }
+        if bytes.len() < size + 2 {
+            body.extend_from_slice(&bytes[..bytes.len().min(size)]);
+            return (body, false);
+        }
+        body.extend_from_slice(&bytes[..size]);
+        bytes = &bytes[size + 2..];
+    }
+}
