VMs tell one another of work sent to servers; roll-outs go over at the very end

Chosen: a prompt goes where it is read soonest, by the work that waits there (tokens not held x a learned pace a model). Slow answers are now judged against the reading of the whole prompt, attempts given up count, evidence of all VMs is merged, the trial's requests meet on few servers, and all sessions go over only for the last part of the time, so that a version that nobody finds bad stays within its share.

What a version that is bad only under a load that never comes costs: it completes.

--- a/src/decide/budget.rs
+++ b/src/decide/budget.rs
@@ -22,15 +22,20 @@
 pub struct Budget {
     step: Span,
     share: f64,
-    extra: f64,
+    extra: u32,
     steps: VecDeque<Step>,
 }
 
 impl Budget {
-    /// A budget of `share` of the requests in `window`, and `extra` more.
-    pub fn new(window: Span, share: f64, extra: f64) -> Budget {
+    /// A budget of `share` of the requests in `window`, and one more until an extra is set.
+    pub fn new(window: Span, share: f64) -> Budget {
         let step = Span((window.0 / STEPS).max(1));
-        Budget { step, share: share * USED, extra, steps: VecDeque::new() }
+        Budget { step, share: share * USED, extra: 1, steps: VecDeque::new() }
+    }
+
+    /// Sets the repeats beyond the share: this VM's part of what all may spend.
+    pub fn set_extra(&mut self, extra: u32) {
+        self.extra = extra;
     }
 
     /// Counts a request that is sent for the first time.
@@ -43,7 +48,7 @@
         self.at(now);
         let firsts: u32 = self.steps.iter().map(|step| step.firsts).sum();
         let repeats: u32 = self.steps.iter().map(|step| step.repeats).sum();
-        if f64::from(repeats) + 1.0 > f64::from(firsts) * self.share + self.extra {
+        if f64::from(repeats) + 1.0 > f64::from(firsts) * self.share + f64::from(self.extra) {
             return false;
         }
         self.at(now).repeats += 1;
--- a/src/decide/canary.rs
+++ b/src/decide/canary.rs
@@ -1,35 +1,32 @@
-//! The next step of a roll-out that has a time limit: a small share first, then more while the new
-//! version does no worse than the old, then all; or back at once.
+//! The next step of a roll-out that has a time limit: a small share while the new version does no
+//! worse than the old, and all at the very end; or back at once.
+//!
+//! Some versions are bad under a load or at a time that the trial does not meet. So all sessions
+//! go over as late as the time limit allows: even a version that nobody finds bad has then had
+//! less than its bounded share of the requests.
+
+use serde::{Deserialize, Serialize};
 
 use super::sequential::{Count, evidence};
 use crate::forward::replica::Phase;
 use crate::unit::Span;
 
-/// Share of sessions that try the new version first; operators bound the exposure to a bad one.
-const FIRST: f64 = 0.5;
-
-/// The largest first share, whatever the bound.
+/// Share of sessions that try the new version, as a part of the bound on exposure, and at most.
+const FIRST: f64 = 0.25;
 const FIRST_AT_MOST: f64 = 0.1;
 
-/// Shares after the first half, each for [`STEP`] of the time.
-const RISE: [f64; 3] = [0.3, 0.6, 1.0];
-
-/// The first rise, as a part of the whole time: live sessions stay until then.
-const RISE_AT: f64 = 0.5;
-
-/// Time between two rises, as a part of the whole.
-const STEP: f64 = 0.06;
+/// All sessions go over for the last part of the time, as a part of the bound on exposure: with
+/// the first share and what operators tolerate beside it, the bound is kept.
+const ALL: f64 = 0.35;
 
-/// The new version takes over when it has had all sessions for this part of the time, so that
-/// answers of the old one have ended; and not before [`DONE_AT`].
-const ALONE: f64 = 0.2;
-const DONE_AT: f64 = 0.85;
+/// Time kept at the end for writing that it is done, as a part of the whole.
+const DONE_BEFORE: f64 = 0.04;
 
 /// Answers of the new version that a VM must have seen before the share rises.
 const SEEN: f64 = 4.0;
 
 /// Chance to accuse a good version, of one test.
-const RISK: f64 = 1e-4;
+const RISK: f64 = 1e-3;
 
 /// A share of bad answers that is always borne.
 const BORNE: f64 = 0.03;
@@ -38,7 +35,7 @@
 const LEAST_BAD: f64 = 3.0;
 
 /// Answers of a version, by one of the ways to be bad.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Trial {
     /// Of the new version.
     pub new: Count,
@@ -47,6 +44,11 @@
 }
 
 impl Trial {
+    /// Both trials together.
+    pub fn plus(self, other: Trial) -> Trial {
+        Trial { new: self.new.plus(other.new), old: self.old.plus(other.old) }
+    }
+
     /// Whether the new version is worse beyond chance.
     pub fn is_bad(&self) -> bool {
         let usual = self.old.rate(BORNE).max(BORNE);
@@ -70,8 +72,6 @@
     pub phase: Option<Phase>,
     /// Time since this VM saw the order.
     pub age: Span,
-    /// Time since this VM saw the present phase.
-    pub phase_age: Span,
     /// Time in which it is to be done.
     pub within: Span,
     /// Share of requests that a bad version may get.
@@ -87,29 +87,29 @@
 /// The next step.
 pub fn next(known: &Known) -> Step {
     let past = |part: f64| known.age.0 as f64 >= known.within.0 as f64 * part;
-    let held = |part: f64| known.phase_age.0 as f64 >= known.within.0 as f64 * part;
     match known.phase {
         Some(Phase::Completed | Phase::RolledBack) => Step::Hold,
         _ if known.bad => Step::Move(Phase::RolledBack),
         None if known.ready == 0 => Step::Hold,
         None => Step::Move(Phase::Running { share: first(known.exposure) }),
         Some(Phase::Running { share }) if share >= 1.0 => {
-            if past(DONE_AT) && held(ALONE) && known.ready > 0 {
-                return Step::Move(Phase::Completed);
-            }
-            Step::Hold
+            let done = past(1.0 - DONE_BEFORE) && known.ready > 0;
+            if done { Step::Move(Phase::Completed) } else { Step::Hold }
         }
-        Some(Phase::Running { share }) => {
-            let rise = RISE.iter().find(|next| **next > share + 1e-9);
-            let due = past(RISE_AT) && held(STEP) && known.seen >= SEEN;
-            match rise {
-                Some(next) if due => Step::Move(Phase::Running { share: *next }),
-                _ => Step::Hold,
-            }
+        Some(Phase::Running { .. }) => {
+            let all = past(1.0 - DONE_BEFORE - known.exposure * ALL);
+            let tried = known.seen >= SEEN && known.ready > 0;
+            if all && tried { Step::Move(Phase::Running { share: 1.0 }) } else { Step::Hold }
         }
     }
 }
 
+/// Servers of the new version that share its requests: so few that each is about as busy as one of
+/// the old, since some versions are bad under load only.
+pub fn busy_servers(share: f64, servers: usize) -> usize {
+    ((share * servers as f64).ceil() as usize).clamp(1, servers.max(1))
+}
+
 /// The share that tries the new version first.
 fn first(exposure: f64) -> f64 {
     (exposure * FIRST).min(FIRST_AT_MOST)
--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -45,6 +45,14 @@
     Rate(limit.0 * (floor + share * (1.0 - LEAST)))
 }
 
+/// Part of a limit that VMs share out; the rest is for those that are not known yet.
+const SHARED_OUT: f64 = 0.85;
+
+/// One VM's even part of a limit on what many have open, at least one.
+pub fn even_part(limit: u32, vms: u32) -> u32 {
+    ((f64::from(limit) * SHARED_OUT / f64::from(vms.max(1))) as u32).max(1)
+}
+
 /// Rise of an adaptive limit at each look, while it is used and hardly anyone met a full pool.
 const RISE: f64 = 0.04;
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,6 +1,7 @@
 //! The decisions: pure functions of what is known and of the present time.
 
 pub mod admit;
+pub mod backlog;
 pub mod budget;
 pub mod canary;
 pub mod cascade;
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -1,16 +1,16 @@
-//! Which backend server gets a request: the least loaded, or the home of its prompt while that
-//! is not much fuller than the others.
+//! Which backend server gets a request: the least loaded, or where its prompt is read soonest.
 
-/// The home of a prompt keeps a request while it holds no more than this many times the mean.
-const HOME_SHARE: f64 = 1.25;
-
-/// And this many requests beyond, so that an idle pool keeps its homes.
-const HOME_SPARE: f64 = 3.0;
+use crate::unit::Span;
 
 /// A server in another data centre counts as fuller by this part of its slots: bytes between data
 /// centres are paid for, a short queue is not worth them.
 const FAR: f64 = 0.15;
 
+/// Requests that run beside one another slow each other a little: a server that is full counts as
+/// so much later than an empty one, in microseconds. Steps take a tenth longer when full, and a
+/// stream some hundred steps.
+const FULL: f64 = 150_000.0;
+
 /// A server that may get the request.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -20,8 +20,9 @@
     pub slots: f64,
     /// Whether it is in the VM's own data centre.
     pub near: bool,
-    /// Hash of the prompt and the server; the greatest is the prompt's home.
-    pub affinity: u64,
+    /// Time until the prompt would be read there: what waits, and its own tokens that the server
+    /// does not hold.
+    pub until_read: Span,
 }
 
 impl Candidate {
@@ -30,15 +31,14 @@
     }
 }
 
-/// The home of a prompt among the candidates, or the next in its order that is not much fuller
-/// than the mean; none if there is no candidate.
-pub fn at_home(candidates: &[Candidate]) -> Option<usize> {
-    let slots: f64 = candidates.iter().map(|one| one.slots).sum();
-    let load: f64 = candidates.iter().map(|one| one.load).sum();
-    let mean = load / slots.max(1.0);
-    let fits = |one: &Candidate| one.load <= mean * one.slots * HOME_SHARE + HOME_SPARE;
-    let fitting = (0..candidates.len()).filter(|i| fits(&candidates[*i]));
-    fitting.max_by_key(|i| candidates[*i].affinity).or_else(|| least_loaded(candidates, 0.0))
+/// The candidate where a prompt is read soonest; none if there is no candidate.
+pub fn soonest(candidates: &[Candidate]) -> Option<usize> {
+    let score = |one: &Candidate| {
+        let far = if one.near { 0.0 } else { FAR };
+        one.until_read.0 as f64 + (one.fullness() + far) * FULL
+    };
+    let scores = candidates.iter().map(score).enumerate();
+    scores.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(at, _)| at)
 }
 
 /// The least loaded candidate; `point` between 0 and 1 decides between equals.
--- a/src/decide/sequential.rs
+++ b/src/decide/sequential.rs
@@ -2,9 +2,12 @@
 //!
 //! The counts are sufficient, so evidence merged from many VMs is tested as one.
 
+use serde::{Deserialize, Serialize};
+
 /// Alternatives that the test against harm is a mixture of, in share of bad events, and their
 /// weights: harm that is worth finding fast weighs most.
-const HARMS: [(f64, f64); 5] = [(0.03, 0.15), (0.06, 0.25), (0.12, 0.3), (0.24, 0.2), (0.48, 0.1)];
+const HARMS: [(f64, f64); 6] =
+    [(0.03, 0.13), (0.06, 0.22), (0.12, 0.27), (0.24, 0.18), (0.48, 0.1), (0.9, 0.1)];
 
 /// Weight of the prior that keeps rates of few events off 0 and 1.
 const PRIOR: f64 = 2.0;
@@ -13,7 +16,7 @@
 const EDGE: f64 = 1e-4;
 
 /// Bad events among all events.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Count {
     /// All events.
     pub all: f64,
--- a/src/forward/choice.rs
+++ b/src/forward/choice.rs
@@ -2,13 +2,17 @@
 
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
+use std::rc::Rc;
 
 use super::call::Call;
+use super::peer;
 use super::replica::{Phase, Replica};
 use super::server::Server;
 use super::vm::Vm;
+use crate::decide::canary;
+use crate::decide::limit;
 use crate::decide::place::{self, Candidate};
-use crate::unit::{Model, Moment, Server as Id, Service, Version};
+use crate::unit::{Model, Moment, Server as Id, Service, Span, Version};
 
 /// What a request wants of its server.
 pub struct Wish<'a> {
@@ -116,35 +120,146 @@
 fn among(vm: &Vm, wish: &Wish, versions: &Versions, now: Moment) -> Option<Replica> {
     let fleet = vm.fleet.borrow();
     let of_version = || fleet.of(wish.service).filter(|one| versions.allow(&one.replica.version));
-    let untried = |one: &&Server| !wish.tried.contains(&one.replica.id);
     let sound = |one: &&Server| !one.record.is_out(now);
-    let mut servers: Vec<&Server> = of_version().filter(untried).filter(sound).collect();
+    let busy = busy(vm, wish.service, versions, of_version().filter(sound));
+    let most = connections_each(vm, wish.service, now);
+    let untried = |one: &&Server| !wish.tried.contains(&one.replica.id) && one.open < most;
+    let in_trial = |one: &&Server| busy.as_ref().is_none_or(|busy| busy.contains(&one.replica.id));
+    let mut servers: Vec<&Server> =
+        of_version().filter(untried).filter(sound).filter(in_trial).collect();
+    // A repeat stays with its version, on servers beyond those of the trial.
+    if servers.is_empty() {
+        servers = of_version().filter(untried).filter(sound).collect();
+    }
     // If all that is left is left out, its record may be wrong and refusing is no better.
     if servers.is_empty() {
         servers = of_version().filter(untried).collect();
     }
+    let prompt = Prompt::new(wish, &servers);
     let candidates: Vec<Candidate> =
-        servers.iter().map(|server| candidate(vm, wish, server, now)).collect();
-    let at = match home(wish).is_empty() {
+        servers.iter().map(|server| candidate(vm, wish, &prompt, server, now)).collect();
+    let at = match wish.call.prompt.is_empty() {
         true => place::least_loaded(&candidates, rand::random()),
-        false => place::at_home(&candidates),
+        false => place::soonest(&candidates),
     };
     at.map(|at| servers[at].replica.clone())
 }
 
-/// What names a prompt's home: the last part that other requests share.
-fn home<'a>(wish: &Wish<'a>) -> &'a str {
-    let shared = wish.call.prompt.len().saturating_sub(1);
-    wish.call.prompt[..shared].last().map_or("", |part| part.id.as_str())
+/// Requests that this VM may have open at one server: its part of the connections that the server
+/// takes from all VMs together; beyond them it resets.
+fn connections_each(vm: &Vm, service: &Service, now: Moment) -> u32 {
+    let declared = vm.routes().and_then(|table| table.pool(service).map(|pool| pool.connections));
+    let vms = vm.peers.borrow().present(now) as u32;
+    declared.map_or(u32::MAX, |all| limit::even_part(all, vms))
+}
+
+/// The servers of a version under trial that share its requests, the same on all VMs; none if all
+/// of them do.
+fn busy<'a>(
+    vm: &Vm,
+    service: &Service,
+    versions: &Versions,
+    servers: impl Iterator<Item = &'a Server>,
+) -> Option<Vec<Id>> {
+    let rollouts = vm.rollouts.borrow();
+    let rollout = rollouts.get(service)?;
+    let Some(Phase::Running { share }) = rollout.phase else { return None };
+    if *versions != Versions::Only(rollout.version.clone()) || share >= 1.0 {
+        return None;
+    }
+    let mut ranked: Vec<(u64, Id)> = servers
+        .map(|server| server.replica.id.clone())
+        .map(|id| (stable_hash(&[service.as_str(), id.as_str()]), id))
+        .collect();
+    ranked.sort();
+    ranked.truncate(canary::busy_servers(share, ranked.len()));
+    Some(ranked.into_iter().map(|(_, id)| id).collect())
+}
+
+/// The parts of a prompt, and where the shared ones are thought to be.
+pub struct Prompt {
+    /// Hash, with the model, and tokens of each part.
+    parts: Vec<(u64, u64)>,
+    /// The server where requests that share the last shared part go first.
+    home: Option<Id>,
+}
+
+impl Prompt {
+    fn new(wish: &Wish, servers: &[&Server]) -> Prompt {
+        let parts = parts(wish.call, wish.model);
+        let shared = parts.len().checked_sub(2).map(|at| parts[at].0.to_string());
+        let rank = |server: &&&Server| {
+            let part = shared.as_deref().unwrap_or_default();
+            stable_hash(&[part, server.replica.id.as_str()])
+        };
+        let home = servers.iter().filter(|_| shared.is_some()).max_by_key(rank);
+        Prompt { parts, home: home.map(|server| server.replica.id.clone()) }
+    }
+
+    /// Tokens that a server would have to read: parts from the first that it does not hold.
+    pub fn unread(&self, server: &Server, now: Moment) -> u64 {
+        let at_home = self.home.as_ref() == Some(&server.replica.id);
+        let last = self.parts.len().saturating_sub(1);
+        let held = |at: usize, part: u64| {
+            // The first part is shared by so many requests that every server soon holds it.
+            (at == 0 && last > 0) || (at_home && at < last) || server.holds(part, now)
+        };
+        let first = self.parts.iter().enumerate().position(|(at, (part, _))| !held(at, *part));
+        let from = first.unwrap_or(self.parts.len());
+        self.parts[from..].iter().map(|(_, tokens)| tokens).sum()
+    }
+}
+
+/// The parts of a prompt: a hash with the model, since models share nothing, and the tokens.
+fn parts(call: &Call, model: Option<&Model>) -> Vec<(u64, u64)> {
+    let model = model.map_or("", |model| model.as_str());
+    let part = |part: &super::call::PromptPart| (stable_hash(&[&part.id, model]), part.tokens);
+    call.prompt.iter().map(part).collect()
+}
+
+/// What is expected of a request that was sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sent {
+    /// Tokens that the server had to read.
+    pub unread: u64,
+    /// Time until the whole prompt would be read if the server held none of it; none if the
+    /// request has no prompt.
+    pub expected: Option<Span>,
+}
+
+/// Notes that a request was sent: its prompt waits at the server, which then holds its parts.
+pub fn sent(
+    vm: &Rc<Vm>,
+    replica: &Replica,
+    call: &Call,
+    model: Option<&Model>,
+    now: Moment,
+) -> Sent {
+    if call.prompt.is_empty() {
+        return Sent::default();
+    }
+    let mut fleet = vm.fleet.borrow_mut();
+    let Some(server) = fleet.get_mut(&replica.id) else { return Sent::default() };
+    let prompt = Prompt { parts: parts(call, model), home: None };
+    let unread = prompt.unread(server, now);
+    let work = vm.pace(model).time(unread);
+    let waits = server.backlog.left(now);
+    let whole = vm.pace(model).time(prompt.parts.iter().map(|(_, tokens)| tokens).sum());
+    server.backlog.add(work, now);
+    for (part, _) in prompt.parts {
+        server.hold(part, now);
+    }
+    drop(fleet);
+    peer::tell_work(vm, &replica.id, work);
+    Sent { unread, expected: Some(Span(waits.0 + whole.0)) }
 }
 
-fn candidate(vm: &Vm, wish: &Wish, server: &Server, now: Moment) -> Candidate {
-    let model = wish.model.map_or("", |model| model.as_str());
-    let id = server.replica.id.as_str();
+fn candidate(vm: &Vm, wish: &Wish, prompt: &Prompt, server: &Server, now: Moment) -> Candidate {
+    let reading = vm.pace(wish.model).time(prompt.unread(server, now));
     Candidate {
         load: server.load(now),
         slots: f64::from(server.replica.slots),
         near: server.replica.data_centre == vm.settings.data_centre,
-        affinity: stable_hash(&[home(wish), model, id]),
+        until_read: Span(server.backlog.left(now).0 + reading.0),
     }
 }
--- a/src/forward/drive.rs
+++ b/src/forward/drive.rs
@@ -8,11 +8,11 @@
 use super::choice::{self, Wish};
 use super::job::Job;
 use super::replica::Replica;
-use super::trial::Sample;
+use super::trial::{self, Sample};
 use crate::config::Repeat;
 use crate::decide::ends::{self, End, Last, Next};
 use crate::entry::refusal::{Kind, Refusal};
-use crate::unit::{Model, Moment, Server as Id, Span};
+use crate::unit::{Model, Moment, Server as Id, Span, Version};
 
 /// A repeat needs at least this much time.
 const LEAST: Span = Span::millis(30);
@@ -84,10 +84,17 @@
         vm.metrics.added.observe(now.since(job.arrived).as_secs());
         job.record.attempt();
         let begun = now;
+        let named = model.as_ref().or(job.call.model.as_ref());
+        let sent = choice::sent(vm, &replica, &job.call, named, now);
         let until = patience(job, &progress, now);
+        let trial = Watched::new(job, &replica, named, begun, sent.expected);
         let outcome =
             attempt::run(job, &replica, model.as_ref(), job.call.after_event, until).await;
-        learn(job, &replica, &outcome, begun);
+        trial.ended(outcome.end);
+        note_session(job, &replica);
+        if outcome.end == End::Good {
+            vm.learn_pace(named, sent.unread, vm.now().since(begun));
+        }
         progress.tried.push(replica.id.clone());
         if outcome.end == End::Good
             && is_doubtful(job, &outcome)
@@ -175,26 +182,72 @@
     sends(job, progress) < job.route.attempts && vm.spend_repeat(&job.service, now)
 }
 
-/// Keeps what an answer tells about versions.
-fn learn(job: &Job, replica: &Replica, outcome: &Outcome, begun: Moment) {
+/// Keeps the version that a session was sent to.
+fn note_session(job: &Job, replica: &Replica) {
     let vm = &job.vm;
-    let now = vm.now();
     if let Some(session) = &job.call.session {
         let gap = vm.settings.bounds.session_gap;
-        vm.sessions.borrow_mut().note(session, &replica.version, gap, now);
+        vm.sessions.borrow_mut().note(session, &replica.version, gap, vm.now());
+    }
+}
+
+/// An attempt as a roll-out's trial sees it. One that is dropped, since its caller left, still says
+/// how long the server had kept it waiting.
+struct Watched<'a> {
+    job: &'a Job,
+    kind: String,
+    version: Version,
+    begun: Moment,
+    expected: Option<Span>,
+    told: bool,
+}
+
+impl<'a> Watched<'a> {
+    fn new(
+        job: &'a Job,
+        replica: &Replica,
+        model: Option<&Model>,
+        begun: Moment,
+        expected: Option<Span>,
+    ) -> Watched<'a> {
+        let kind = format!("{} {}", job.route.name, model.map_or("", |model| model.as_str()));
+        let version = replica.version.clone();
+        Watched { job, kind, version, begun, expected, told: false }
     }
-    if !matches!(outcome.end, End::Good | End::Failed) {
-        return;
+
+    fn ended(mut self, end: End) {
+        self.told = true;
+        match end {
+            End::Good | End::Late => self.tell(false),
+            End::Failed => self.tell(true),
+            // A connection that breaks and a server that is full say nothing about the version.
+            End::NotSent | End::NotRun | End::Broken => {}
+        }
+    }
+
+    fn tell(&self, failed: bool) {
+        let vm = &self.job.vm;
+        let time = (!failed).then(|| vm.now().since(self.begun));
+        let sample = Sample {
+            route: &self.kind,
+            version: &self.version,
+            failed,
+            time,
+            expected: self.expected,
+        };
+        let mut trials = vm.trials.borrow_mut();
+        trials.entry(self.job.service.clone()).or_default().note(&sample);
     }
-    let good = outcome.end == End::Good;
-    let time = good.then(|| per_thousand(now.since(begun), job.call.tokens_in));
-    let sample = Sample { route: &job.route.name, version: &replica.version, failed: !good, time };
-    vm.trials.borrow_mut().entry(job.service.clone()).or_default().note(&sample);
 }
 
-/// A time, made comparable over prompts of unlike lengths.
-fn per_thousand(time: Span, tokens: u64) -> Span {
-    Span((time.0 as f64 / (1.0 + tokens as f64 / 1000.0)) as u64)
+impl Drop for Watched<'_> {
+    fn drop(&mut self) {
+        let waited = self.job.vm.now().since(self.begun);
+        // Callers that leave soon say nothing; those that waited long do.
+        if !self.told && self.expected.is_some_and(|time| trial::is_slow(waited, time)) {
+            self.tell(false);
+        }
+    }
 }
 
 fn deliver(
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -12,8 +12,10 @@
 /// Longest wait of a watch; the store allows 30 s.
 const WAIT: Span = Span::secs(29);
 
-/// Pause after an event, so that those of one change come with one call.
+/// Pause after an event, so that those of one change come with one call. Entries of servers come
+/// in numbers, and a server that leaves may get work for two seconds.
 const GATHER: Duration = Duration::from_millis(250);
+const GATHER_SERVERS: Duration = Duration::from_millis(700);
 
 /// First pause after a failed call, and the longest; a random part keeps VMs apart.
 const PAUSE: Span = Span::millis(150);
@@ -82,7 +84,8 @@
                 from = Some(from.map_or(revision, |known| known.max(revision)));
                 pause = Pause::default();
                 if some {
-                    tokio::time::sleep(GATHER).await;
+                    let servers = kind == Kind::Servers;
+                    tokio::time::sleep(if servers { GATHER_SERVERS } else { GATHER }).await;
                 }
             }
             Err(Trouble::HistoryGone) => {
@@ -270,7 +273,7 @@
     vm.log("roll-out", &fields);
     let mut trials = vm.trials.borrow_mut();
     let trial = trials.entry(rollout.service.clone()).or_default();
-    trial.follow(&rollout.version, rollout.phase, vm.now());
+    trial.follow(&rollout.version, vm.now());
     if rollout.phase == Some(Phase::Completed) {
         vm.fleet.borrow_mut().settle(&rollout.service, &rollout.version);
     }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -11,6 +11,7 @@
 mod follow;
 pub mod job;
 mod metrics;
+pub mod peer;
 pub mod pool;
 mod relay;
 pub mod replica;
--- /dev/null
+++ b/src/forward/peer.rs
@@ -0,0 +1,322 @@
+//! What entry VMs tell one another: work that they sent to a server, and what they saw of a
+//! version that is rolled out. All of it is evidence; nothing is lost but speed if it is lost.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_web::rt::spawn;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use super::trial::Totals;
+use super::vm::Vm;
+use crate::peer::wire::{decode, encode};
+use crate::peer::{Incoming, Links, neighbours};
+use crate::platform::objects::{Objects, Trouble};
+use crate::unit::{Moment, Server, Service, Span, Version, Vm as Name};
+
+/// The kind and name of the object that holds the key of the links between VMs. The deploy file
+/// is public, so the first VM makes a key and all take it from there.
+const KEYS: &str = "kitepulley-keys";
+const LINKS: &str = "links";
+
+/// The kind of the objects that name the VMs and their addresses.
+const VMS: &str = "kitepulley-vms";
+
+/// Bytes of the key.
+const KEY_BYTES: usize = 32;
+
+/// Up to this number every VM tells every other; beyond it each tells its ring neighbours, so that
+/// what a VM sends grows with the logarithm of their number.
+const ALL: usize = 12;
+
+/// Time between two looks at the peers.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// A peer that was told nothing for this long is greeted.
+const GREET_EVERY: Span = Span::secs(2);
+
+/// A peer that said nothing for this long is taken as gone, and greeted again from time to time.
+const SILENT: Span = Span::secs(5);
+
+/// After this it is forgotten, and its entry removed.
+const FORGET: Span = Span::secs(60);
+
+/// Pause after the store did not answer.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Work below this is not told: it is done before the word arrives.
+const WORTH_TELLING: Span = Span::millis(25);
+
+/// What one VM tells another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Word {
+    /// It is there.
+    Hello,
+    /// It stops.
+    Bye,
+    /// It sent a prompt to a server.
+    Work {
+        /// The server.
+        server: Server,
+        /// Time that the server needs to read it.
+        work: Span,
+    },
+    /// What it has seen of a version since its roll-out began.
+    Seen {
+        /// The service.
+        service: Service,
+        /// The new version.
+        version: Version,
+        /// Its counts.
+        totals: Totals,
+    },
+}
+
+/// A word, who says it, and where to answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Envelope {
+    from: Name,
+    address: SocketAddr,
+    word: Word,
+}
+
+struct Peer {
+    address: SocketAddr,
+    heard: Moment,
+    told: Moment,
+}
+
+/// The other VMs as this one knows them.
+#[derive(Default)]
+pub struct Peers {
+    links: Option<Links>,
+    known: HashMap<Name, Peer>,
+}
+
+impl Peers {
+    /// VMs heard of late, this one too.
+    pub fn present(&self, now: Moment) -> usize {
+        1 + self.known.values().filter(|peer| now.since(peer.heard) < SILENT).count()
+    }
+}
+
+/// Takes part until the process ends.
+pub async fn run(vm: Rc<Vm>) {
+    let Some(address) = vm.settings.links else { return };
+    let mut store = Objects::new(vm.settings.store);
+    let key = shared_key(&vm, &mut store).await;
+    let (sender, incoming) = mpsc::unbounded_channel();
+    let links = match Links::bind(address, key.as_bytes(), sender) {
+        Ok(links) => links,
+        Err(fault) => {
+            let why = fault.to_string();
+            vm.log("links not opened", &[("why", why.as_str().into())]);
+            return;
+        }
+    };
+    vm.peers.borrow_mut().links = Some(links);
+    spawn(hear(vm.clone(), incoming));
+    register(&vm, &mut store, address).await;
+    loop {
+        look(&vm, &mut store).await;
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// The key of the links: made by whichever VM is first.
+async fn shared_key(vm: &Vm, store: &mut Objects) -> String {
+    loop {
+        let made: [u8; KEY_BYTES] = rand::random();
+        let text: String = made.iter().map(|byte| format!("{byte:02x}")).collect();
+        let known = match store.get(KEYS, LINKS).await {
+            Ok(None) => match store.create(KEYS, LINKS, json!({"key": text})).await {
+                Err(Trouble::Conflict(Some(object))) => Ok(Some(*object)),
+                created => created.map(Some),
+            },
+            known => known,
+        };
+        match known {
+            Ok(Some(object)) => {
+                if let Some(key) = object.spec["key"].as_str() {
+                    return key.to_owned();
+                }
+            }
+            Ok(None) => {}
+            Err(trouble) => {
+                let why = trouble.to_string();
+                vm.log("key of the links not read", &[("why", why.as_str().into())]);
+            }
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Writes this VM's entry and greets those whose entries are there.
+async fn register(vm: &Rc<Vm>, store: &mut Objects, address: SocketAddr) {
+    let name = vm.settings.vm.as_str();
+    loop {
+        let entry = json!({"address": address.to_string()});
+        let written = match store.create(VMS, name, entry.clone()).await {
+            Err(Trouble::Conflict(Some(old))) => {
+                store.replace(VMS, name, old.metadata.revision, entry).await
+            }
+            written => written,
+        };
+        match (written, store.list(VMS).await) {
+            (Ok(_), Ok(listing)) => {
+                for object in listing.items {
+                    let address =
+                        object.spec["address"].as_str().and_then(|text| text.parse().ok());
+                    let other = object.metadata.name.parse::<Name>().ok();
+                    if let (Some(other), Some(address)) = (other, address) {
+                        meet(vm, other, address);
+                    }
+                }
+                return;
+            }
+            (Err(trouble), _) | (_, Err(trouble)) => {
+                let why = trouble.to_string();
+                vm.log("entry not written", &[("why", why.as_str().into())]);
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Notes a VM that is named in the store; until it answers it does not count as present.
+fn meet(vm: &Rc<Vm>, name: Name, address: SocketAddr) {
+    if name == vm.settings.vm {
+        return;
+    }
+    let never = Moment(0);
+    let peer = Peer { address, heard: never, told: vm.now() };
+    vm.peers.borrow_mut().known.entry(name).or_insert(peer);
+    say(vm, address, Word::Hello);
+}
+
+async fn hear(vm: Rc<Vm>, mut incoming: mpsc::UnboundedReceiver<Incoming>) {
+    while let Some(message) = incoming.recv().await {
+        let Incoming::Frame(bytes) = message else { continue };
+        match decode::<Envelope>(&bytes) {
+            Some(envelope) => take(&vm, envelope),
+            None => vm.log("word of a peer not read", &[("bytes", bytes.len().into())]),
+        }
+    }
+}
+
+fn take(vm: &Rc<Vm>, envelope: Envelope) {
+    let Envelope { from, address, word } = envelope;
+    let now = vm.now();
+    if matches!(word, Word::Bye) {
+        vm.peers.borrow_mut().known.remove(&from);
+        vm.log("peer left", &[("peer", from.as_str().into())]);
+        return;
+    }
+    let known = {
+        let mut peers = vm.peers.borrow_mut();
+        let peer = Peer { address, heard: Moment(0), told: Moment(0) };
+        let peer = peers.known.entry(from.clone()).or_insert(peer);
+        let known = now.since(peer.heard) < SILENT && peer.address == address;
+        peer.address = address;
+        peer.heard = now;
+        known
+    };
+    if !known {
+        vm.log("peer heard", &[("peer", from.as_str().into())]);
+        say(vm, address, Word::Hello);
+    }
+    match word {
+        Word::Hello | Word::Bye => {}
+        Word::Work { server, work } => {
+            if let Some(server) = vm.fleet.borrow_mut().get_mut(&server) {
+                server.backlog.add(work, now);
+            }
+        }
+        Word::Seen { service, version, totals } => {
+            let mut trials = vm.trials.borrow_mut();
+            trials.entry(service).or_default().hear(&from, &version, totals);
+        }
+    }
+}
+
+/// Greets peers that were told nothing, and drops those that are gone.
+async fn look(vm: &Rc<Vm>, store: &mut Objects) {
+    let now = vm.now();
+    let (mut greet, mut gone) = (Vec::new(), Vec::new());
+    {
+        let mut peers = vm.peers.borrow_mut();
+        let near = near(vm, &peers, now);
+        for (name, peer) in &mut peers.known {
+            let silent = now.since(peer.heard);
+            let due = if silent < SILENT { GREET_EVERY } else { SILENT };
+            if silent >= FORGET && now.since(peer.told) < FORGET && now > Moment(0) + FORGET {
+                gone.push(name.clone());
+            } else if now.since(peer.told) >= due && (silent >= SILENT || near.contains(name)) {
+                peer.told = now;
+                greet.push(peer.address);
+            }
+        }
+        for name in &gone {
+            peers.known.remove(name);
+        }
+    }
+    for address in greet {
+        say(vm, address, Word::Hello);
+    }
+    for name in gone {
+        vm.log("peer forgotten", &[("peer", name.as_str().into())]);
+        if let Err(trouble) = store.delete(VMS, name.as_str()).await {
+            let why = trouble.to_string();
+            vm.log("entry not removed", &[("why", why.as_str().into())]);
+        }
+    }
+}
+
+/// The peers that this VM tells things: all, or its neighbours on the ring.
+fn near(vm: &Vm, peers: &Peers, now: Moment) -> Vec<Name> {
+    let present = peers.known.iter().filter(|(_, peer)| now.since(peer.heard) < SILENT);
+    let mut names: Vec<Name> = present.map(|(name, _)| name.clone()).collect();
+    if names.len() <= ALL {
+        return names;
+    }
+    names.push(vm.settings.vm.clone());
+    neighbours(&vm.settings.vm, &names)
+}
+
+fn say(vm: &Rc<Vm>, to: SocketAddr, word: Word) {
+    let (Some(links), Some(address)) = (vm.peers.borrow().links.clone(), vm.settings.links) else {
+        return;
+    };
+    let envelope = Envelope { from: vm.settings.vm.clone(), address, word };
+    // A word that does not arrive is told anew or does not matter.
+    spawn(async move { links.send(to, encode(&envelope)).await });
+}
+
+/// Tells the peers.
+pub fn tell(vm: &Rc<Vm>, word: &Word) {
+    let now = vm.now();
+    let addresses: Vec<SocketAddr> = {
+        let mut peers = vm.peers.borrow_mut();
+        let near = near(vm, &peers, now);
+        let told = peers.known.iter_mut().filter(|(name, _)| near.contains(name));
+        told.map(|(_, peer)| {
+            peer.told = now;
+            peer.address
+        })
+        .collect()
+    };
+    for address in addresses {
+        say(vm, address, word.clone());
+    }
+}
+
+/// Tells the peers of work that was sent to a server, if it takes long enough to matter.
+pub fn tell_work(vm: &Rc<Vm>, server: &Server, work: Span) {
+    if work >= WORTH_TELLING {
+        tell(vm, &Word::Work { server: server.clone(), work });
+    }
+}
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -9,7 +9,7 @@
 use super::follow::{self, Kind};
 use super::settings::Settings;
 use super::vm::Vm;
-use super::{door, steps};
+use super::{door, peer, steps};
 use crate::error::Error;
 use crate::platform;
 use crate::unit::Span;
@@ -45,6 +45,7 @@
     spawn(follow::prove(vm.clone()));
     spawn(follow::expire(vm.clone()));
     spawn(steps::run(vm.clone()));
+    spawn(peer::run(vm.clone()));
     spawn(door::serve_callers(vm.clone(), callers));
     spawn(door::serve_readiness(vm.clone(), readiness));
     if let Some(listener) = metrics {
@@ -117,6 +118,8 @@
         }
         tokio::time::sleep(LOOK).await;
     }
+    peer::tell(vm, &peer::Word::Bye);
+    tokio::time::sleep(LOOK).await;
     let took = vm.now().since(begun).as_millis();
     vm.log("stop", &[("cut_off", vm.running.get().into()), ("took_ms", took.into())]);
     vm.lines.flush();
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -5,6 +5,7 @@
 use super::call::Load;
 use super::pool::Pool;
 use super::replica::Replica;
+use crate::decide::backlog::Backlog;
 use crate::decide::outlier::Record;
 use crate::unit::{Moment, Server as Id, Service, Span, Version};
 
@@ -15,6 +16,11 @@
 /// entries of servers that live come back within two seconds.
 const LAPSED_FOR: Span = Span::millis(2500);
 
+/// Parts of prompts remembered for one server, and for how long; servers drop the oldest when their
+/// memory is full, which takes some ten seconds under load.
+const HELD: usize = 1000;
+const HELD_FOR: Span = Span::secs(20);
+
 /// A told load, and what this VM had open there when it heard it.
 #[derive(Clone, Copy, Debug)]
 struct Told {
@@ -33,6 +39,10 @@
     pub record: Record,
     /// Connections that rest.
     pub pool: Pool,
+    /// Prompts that wait to be read there, as far as this VM knows.
+    pub backlog: Backlog,
+    /// Parts of prompts that it was sent of late, by model, and when.
+    held: HashMap<u64, Moment>,
     told: Option<Told>,
     lapsed: Option<Moment>,
 }
@@ -44,6 +54,8 @@
             open: 0,
             record: Record::default(),
             pool: Pool::default(),
+            backlog: Backlog::default(),
+            held: HashMap::new(),
             told: None,
             lapsed: None,
         }
@@ -64,6 +76,21 @@
         (then + own - f64::from(told.open)).max(own)
     }
 
+    /// Notes that it was sent a part of a prompt, which it now holds for a while.
+    pub fn hold(&mut self, part: u64, now: Moment) {
+        if self.held.len() >= HELD {
+            self.held.retain(|_, at| now.since(*at) < HELD_FOR);
+        }
+        if self.held.len() < HELD {
+            self.held.insert(part, now);
+        }
+    }
+
+    /// Whether it was sent a part of a prompt of late.
+    pub fn holds(&self, part: u64, now: Moment) -> bool {
+        self.held.get(&part).is_some_and(|at| now.since(*at) < HELD_FOR)
+    }
+
     /// Whether new work may go there, its record apart.
     pub fn takes_work(&self) -> bool {
         self.replica.ready
--- a/src/forward/settings.rs
+++ b/src/forward/settings.rs
@@ -21,6 +21,8 @@
     pub callers: SocketAddr,
     /// Where the balancer asks whether it takes new connections.
     pub readiness: SocketAddr,
+    /// Where other VMs reach it, by UDP; none if it is to stay alone.
+    pub links: Option<SocketAddr>,
     /// The platform's object store.
     pub store: SocketAddr,
     /// Where counters are served, if anywhere.
--- a/src/forward/steps.rs
+++ b/src/forward/steps.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::follow::put_rollout;
+use super::peer;
 use super::replica::{Phase, Rollout};
 use super::vm::Vm;
 use crate::decide::canary::{self, Known, Step};
@@ -15,7 +16,7 @@
 const LOOK: Duration = Duration::from_millis(200);
 
 /// A VM waits up to this before it writes a step, so that mostly one VM does.
-const SPREAD: f64 = 0.5;
+const SPREAD: f64 = 0.2;
 
 /// A step back is written at once by whoever finds the version bad.
 const SPREAD_BACK: f64 = 0.05;
@@ -32,11 +33,20 @@
             rollouts.values().filter(running).map(|one| one.service.clone()).collect()
         };
         for service in open {
+            tell_news(&vm, &service);
             step(&vm, &mut store, &service).await;
         }
     }
 }
 
+/// Tells the others what this VM has seen, if there is more than they know.
+fn tell_news(vm: &Rc<Vm>, service: &Service) {
+    let news = vm.trials.borrow_mut().get_mut(service).and_then(|trial| trial.news());
+    if let Some((version, totals)) = news {
+        peer::tell(vm, &peer::Word::Seen { service: service.clone(), version, totals });
+    }
+}
+
 async fn step(vm: &Rc<Vm>, store: &mut Objects, service: &Service) {
     let Some((_, phase)) = due(vm, service) else { return };
     let spread = if phase == Phase::RolledBack { SPREAD_BACK } else { SPREAD };
@@ -88,7 +98,6 @@
     let known = Known {
         phase: rollout.phase,
         age: trial.age(now),
-        phase_age: trial.phase_age(now),
         within: rollout.within,
         exposure: vm.settings.bounds.exposure,
         ready,
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -7,24 +7,20 @@
 use tokio::sync::Notify;
 
 use super::metrics::Metrics;
+use super::peer::Peers;
 use super::replica::Rollout;
 use super::server::Fleet;
 use super::session::Sessions;
 use super::settings::Settings;
 use super::trial::Trials;
 use crate::config::Table;
+use crate::decide::backlog::Pace;
 use crate::decide::budget::Budget;
-use crate::unit::{Moment, Service, Span};
+use crate::decide::limit;
+use crate::unit::{Model, Moment, Service, Span};
 use crate::vm::Clock;
 use crate::watch::line::{Lines, Value};
 
-/// Part of the extra repeats of all VMs that one VM takes for itself. Nothing tells how many VMs
-/// there are; with this, two hundred may spend it at the same moment and stay within it.
-const EXTRA_PART: f64 = 0.005;
-
-/// But at least one, or a VM without traffic could not repeat its first request.
-const EXTRA_LEAST: f64 = 1.0;
-
 /// Margin of the age of the proof of freshness, for clocks that run unlike.
 const FRESH_MARGIN: Span = Span::millis(250);
 
@@ -64,11 +60,14 @@
     pub stop: tokio::sync::watch::Sender<Option<Moment>>,
     /// Requests in flight.
     pub running: Cell<usize>,
+    /// The other VMs.
+    pub peers: RefCell<Peers>,
     /// Log lines.
     pub lines: Lines,
     /// Counters.
     pub metrics: Metrics,
     budgets: RefCell<HashMap<Service, Budget>>,
+    paces: RefCell<HashMap<Option<Model>, Pace>>,
 }
 
 impl Vm {
@@ -90,9 +89,11 @@
             listed: Cell::new((false, false)),
             stop: tokio::sync::watch::Sender::new(None),
             running: Cell::new(0),
+            peers: RefCell::default(),
             lines,
             metrics: Metrics::new(),
             budgets: RefCell::default(),
+            paces: RefCell::default(),
         }
     }
 
@@ -149,6 +150,16 @@
         now.since(begun) > taken
     }
 
+    /// How fast a model reads prompts.
+    pub fn pace(&self, model: Option<&Model>) -> Pace {
+        self.paces.borrow().get(&model.cloned()).copied().unwrap_or_default()
+    }
+
+    /// Learns how fast a model reads prompts.
+    pub fn learn_pace(&self, model: Option<&Model>, tokens: u64, time: Span) {
+        self.paces.borrow_mut().entry(model.cloned()).or_default().note(tokens, time);
+    }
+
     /// Counts a request's first send to a service.
     pub fn count_first(&self, service: &Service, now: Moment) {
         self.budget(service, |budget| budget.first(now));
@@ -162,10 +173,11 @@
     fn budget<T>(&self, service: &Service, act: impl FnOnce(&mut Budget) -> T) -> T {
         let bounds = &self.settings.bounds;
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            let extra = (bounds.retry_extra * EXTRA_PART).max(EXTRA_LEAST);
-            Budget::new(bounds.retry_window, bounds.retry_share, extra)
-        });
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(bounds.retry_window, bounds.retry_share));
+        let vms = self.peers.borrow().present(self.now()) as u32;
+        budget.set_extra(limit::even_part(bounds.retry_extra as u32, vms));
         act(budget)
     }
 }
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -174,6 +174,19 @@
         read(&self.call(Method::PUT, &path, Some(body), ANSWER_WITHIN).await?)
     }
 
+    /// Removes an object; one that is not there is as good as removed.
+    ///
+    /// # Errors
+    /// If the store refuses or does not answer.
+    pub async fn delete(&mut self, kind: &str, name: &str) -> Result<(), Trouble> {
+        let path = format!("/v1/objects/{kind}/{name}");
+        match self.call(Method::DELETE, &path, None, ANSWER_WITHIN).await {
+            Ok(_) => Ok(()),
+            Err(Trouble::Refused(status)) if status == StatusCode::NOT_FOUND.as_u16() => Ok(()),
+            Err(trouble) => Err(trouble),
+        }
+    }
+
     /// Writes the status of an object that must still be at `revision`.
     ///
     /// # Errors
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -34,6 +34,9 @@
     zone: Option<String>,
     listen: Option<Listen>,
     platform: Option<Store>,
+    /// First and last of the ports that are free for links between VMs.
+    #[serde(default)]
+    port_range: Vec<u16>,
     #[serde(default)]
     bounds: serde_json::Map<String, Value>,
 }
@@ -91,6 +94,7 @@
         callers: address(path, "listen.frontend", listen.frontend)?,
         readiness: address(path, "listen.readiness", listen.readiness)?,
         store: address(path, "platform.address", store.address)?,
+        links: file.port_range.first().map(|port| SocketAddr::new(ip, *port)),
         metrics: None,
         keep_confidence: KEEP_CONFIDENCE,
         bounds: bounds(&file.bounds),
