Properties of the decisions, roll-outs and peers tested; peers count from when they are heard

Tests: tests/decide.rs (budget over any window, ends, exposure whatever is seen, placing, events cut anywhere, outliers), and in tests/forward.rs roll-outs bad and good, sessions, VMs that find one another, lost and late answers of the store; bad settings files in tests/bad_input.rs.

Found by them: a peer that was only named in the store counted as present for its first five seconds, since 'never heard' was a moment near the clock's start; and a roll-out of 6 s was completed 46 ms late, since 4% of it left no time for a look and a write: at least 700 ms are kept now. Both tests failed first.

--- a/src/decide/canary.rs
+++ b/src/decide/canary.rs
@@ -19,8 +19,10 @@
 /// the first share and what operators tolerate beside it, the bound is kept.
 const ALL: f64 = 0.35;
 
-/// Time kept at the end for writing that it is done, as a part of the whole.
+/// Time kept at the end for writing that it is done, as a part of the whole, and at least: VMs look
+/// a few times a second, and a write may be lost once.
 const DONE_BEFORE: f64 = 0.04;
+const DONE_BEFORE_LEAST: Span = Span::millis(700);
 
 /// Answers of the new version that a VM must have seen before the share rises.
 const SEEN: f64 = 4.0;
@@ -86,18 +88,20 @@
 
 /// The next step.
 pub fn next(known: &Known) -> Step {
-    let past = |part: f64| known.age.0 as f64 >= known.within.0 as f64 * part;
+    let done_before = (known.within.0 as f64 * DONE_BEFORE).max(DONE_BEFORE_LEAST.0 as f64);
+    let all_before = done_before + known.within.0 as f64 * known.exposure * ALL;
+    let left = known.within.0 as f64 - known.age.0 as f64;
     match known.phase {
         Some(Phase::Completed | Phase::RolledBack) => Step::Hold,
         _ if known.bad => Step::Move(Phase::RolledBack),
         None if known.ready == 0 => Step::Hold,
         None => Step::Move(Phase::Running { share: first(known.exposure) }),
         Some(Phase::Running { share }) if share >= 1.0 => {
-            let done = past(1.0 - DONE_BEFORE) && known.ready > 0;
+            let done = left <= done_before && known.ready > 0;
             if done { Step::Move(Phase::Completed) } else { Step::Hold }
         }
         Some(Phase::Running { .. }) => {
-            let all = past(1.0 - DONE_BEFORE - known.exposure * ALL);
+            let all = left <= all_before;
             let tried = known.seen >= SEEN && known.ready > 0;
             if all && tried { Step::Move(Phase::Running { share: 1.0 }) } else { Step::Hold }
         }
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -86,10 +86,27 @@
 
 struct Peer {
     address: SocketAddr,
-    heard: Moment,
+    /// When it was first named, heard last, and told something last.
+    met: Moment,
+    heard: Option<Moment>,
     told: Moment,
 }
 
+impl Peer {
+    fn new(address: SocketAddr, now: Moment) -> Peer {
+        Peer { address, met: now, heard: None, told: now }
+    }
+
+    fn is_present(&self, now: Moment) -> bool {
+        self.heard.is_some_and(|heard| now.since(heard) < SILENT)
+    }
+
+    /// Time since anything was heard of it.
+    fn silent(&self, now: Moment) -> Span {
+        now.since(self.heard.unwrap_or(self.met))
+    }
+}
+
 /// The other VMs as this one knows them.
 #[derive(Default)]
 pub struct Peers {
@@ -100,7 +117,7 @@
 impl Peers {
     /// VMs heard of late, this one too.
     pub fn present(&self, now: Moment) -> usize {
-        1 + self.known.values().filter(|peer| now.since(peer.heard) < SILENT).count()
+        1 + self.known.values().filter(|peer| peer.is_present(now)).count()
     }
 }
 
@@ -192,8 +209,7 @@
     if name == vm.settings.vm {
         return;
     }
-    let never = Moment(0);
-    let peer = Peer { address, heard: never, told: vm.now() };
+    let peer = Peer::new(address, vm.now());
     vm.peers.borrow_mut().known.entry(name).or_insert(peer);
     say(vm, address, Word::Hello);
 }
@@ -218,11 +234,10 @@
     }
     let known = {
         let mut peers = vm.peers.borrow_mut();
-        let peer = Peer { address, heard: Moment(0), told: Moment(0) };
-        let peer = peers.known.entry(from.clone()).or_insert(peer);
-        let known = now.since(peer.heard) < SILENT && peer.address == address;
+        let peer = peers.known.entry(from.clone()).or_insert(Peer::new(address, now));
+        let known = peer.is_present(now) && peer.address == address;
         peer.address = address;
-        peer.heard = now;
+        peer.heard = Some(now);
         known
     };
     if !known {
@@ -251,11 +266,11 @@
         let mut peers = vm.peers.borrow_mut();
         let near = near(vm, &peers, now);
         for (name, peer) in &mut peers.known {
-            let silent = now.since(peer.heard);
-            let due = if silent < SILENT { GREET_EVERY } else { SILENT };
-            if silent >= FORGET && now.since(peer.told) < FORGET && now > Moment(0) + FORGET {
+            let present = peer.is_present(now);
+            let due = if present { GREET_EVERY } else { SILENT };
+            if peer.silent(now) >= FORGET {
                 gone.push(name.clone());
-            } else if now.since(peer.told) >= due && (silent >= SILENT || near.contains(name)) {
+            } else if now.since(peer.told) >= due && (!present || near.contains(name)) {
                 peer.told = now;
                 greet.push(peer.address);
             }
@@ -278,7 +293,7 @@
 
 /// The peers that this VM tells things: all, or its neighbours on the ring.
 fn near(vm: &Vm, peers: &Peers, now: Moment) -> Vec<Name> {
-    let present = peers.known.iter().filter(|(_, peer)| now.since(peer.heard) < SILENT);
+    let present = peers.known.iter().filter(|(_, peer)| peer.is_present(now));
     let mut names: Vec<Name> = present.map(|(name, _)| name.clone()).collect();
     if names.len() <= ALL {
         return names;
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -94,10 +94,48 @@
     says(&output, 2, &["roastmind@v8", "under its target", ".toml:"]);
 }
 
+/// A settings file of the users' platform with every field that is needed.
+const NODE: &str = r#"{"node_name": "vm1", "ip": "127.0.0.1", "zone": "here",
+    "listen": {"frontend": "127.0.0.1:1", "readiness": "127.0.0.1:2"},
+    "platform": {"address": "127.0.0.1:3"}}"#;
+
+fn entry(name: &str, text: &str) -> Output {
+    let file = std::env::temp_dir().join(format!("kitepulley-{}-{name}", std::process::id()));
+    std::fs::write(&file, text).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_kitepulley"));
+    let output = command.arg("entry").env("KITEPULLEY_CONFIG", &file).output();
+    std::fs::remove_file(&file).unwrap();
+    output.expect("the program starts")
+}
+
+#[test]
+fn a_settings_file_that_does_not_read_names_the_field() {
+    let missing = Command::new(env!("CARGO_BIN_EXE_kitepulley"))
+        .arg("entry")
+        .env("KITEPULLEY_CONFIG", "/nowhere/node.json")
+        .output()
+        .unwrap();
+    says(&missing, 2, &["/nowhere/node.json", "cannot be read"]);
+    let unset = Command::new(env!("CARGO_BIN_EXE_kitepulley"))
+        .arg("entry")
+        .env_remove("KITEPULLEY_CONFIG")
+        .output()
+        .unwrap();
+    says(&unset, 2, &["KITEPULLEY_CONFIG is not set"]);
+    says(&entry("a", "{ node"), 2, &[":1:"]);
+    for field in ["node_name", "ip", "zone", "frontend", "readiness", "address"] {
+        let without = NODE.replace(&format!("\"{field}\""), "\"other\"");
+        says(&entry(field, &without), 2, &[&format!("{field}`"), "is missing"]);
+    }
+    let unread = NODE.replace("127.0.0.1:2", "localhost");
+    says(&entry("b", &unread), 2, &["listen.readiness", "`localhost`"]);
+}
+
 #[test]
 fn each_command_has_help_with_an_example() {
     let commands = [
         "serve",
+        "entry",
         "standin",
         "demo",
         "plan",
--- /dev/null
+++ b/tests/decide.rs
@@ -0,0 +1,214 @@
+//! Properties of the decisions that `forward` takes: budgets, ends, roll-outs, placing, events.
+
+use kitepulley::config::Repeat;
+use kitepulley::decide::backlog::{Backlog, Pace};
+use kitepulley::decide::budget::Budget;
+use kitepulley::decide::canary::{self, Known, Step, Trial};
+use kitepulley::decide::ends::{self, End, Last, Next};
+use kitepulley::decide::limit::even_part;
+use kitepulley::decide::outlier::Record;
+use kitepulley::decide::place::{Candidate, least_loaded, soonest};
+use kitepulley::decide::sequential::Count;
+use kitepulley::forward::event::Events;
+use kitepulley::forward::replica::Phase;
+use kitepulley::unit::{Moment, Span};
+use quickcheck::{TestResult, quickcheck};
+
+const ENDS: [End; 6] = [End::NotSent, End::NotRun, End::Broken, End::Failed, End::Good, End::Late];
+
+#[test]
+fn what_may_have_run_goes_elsewhere_only_if_it_may_run_twice() {
+    for end in ENDS {
+        let may_have_run = matches!(end, End::Broken | End::Failed | End::Late | End::Good);
+        let goes_on = ends::next(end, Repeat::Never) == Next::Elsewhere;
+        assert!(!(may_have_run && goes_on), "{end:?}");
+    }
+}
+
+#[test]
+fn a_refusal_is_the_last_word_only_if_nothing_can_have_run() {
+    for end in ENDS {
+        for ran_before in [false, true] {
+            if ends::last(end, ran_before) == Last::Refused {
+                assert!(matches!(end, End::NotSent | End::NotRun) && !ran_before, "{end:?}");
+            }
+        }
+    }
+}
+
+quickcheck! {
+    /// Over any window the repeats stay within the share of that window's requests, and the extra.
+    fn repeats_stay_within_the_budget(steps: Vec<(u8, bool)>) -> bool {
+        const WINDOW: u64 = 10_000_000;
+        let mut budget = Budget::new(Span(WINDOW), 0.9);
+        budget.set_extra(3);
+        let (mut now, mut events) = (1_000_000, Vec::new());
+        for (pause, repeat) in steps {
+            now += u64::from(pause) * 20_000;
+            if repeat {
+                if budget.spend(Moment(now)) {
+                    events.push((now, true));
+                }
+            } else {
+                budget.first(Moment(now));
+                events.push((now, false));
+            }
+        }
+        events.iter().all(|(end, _)| {
+            let within = |(at, _): &&(u64, bool)| *at <= *end && *at + WINDOW > *end;
+            let repeats = events.iter().filter(within).filter(|(_, repeat)| *repeat).count();
+            // The rule looks at the requests of the window, or of the one before it.
+            let lately = |(at, _): &&(u64, bool)| *at <= *end && *at + 2 * WINDOW > *end;
+            let firsts = events.iter().filter(lately).filter(|(_, repeat)| !*repeat).count();
+            repeats as f64 <= firsts as f64 * 0.9 + 3.0
+        })
+    }
+
+    /// Even parts of all VMs stay within the limit, but for the one that each may always have.
+    fn parts_of_all_vms_fit(limit: u16, vms: u8) -> bool {
+        let (limit, vms) = (u32::from(limit), u32::from(vms.max(1)));
+        even_part(limit, vms) * vms <= limit.max(vms)
+    }
+
+    /// Work shrinks with time and never below nothing.
+    fn a_backlog_shrinks(work: u32, passed: u32) -> bool {
+        let mut backlog = Backlog::default();
+        backlog.add(Span(u64::from(work)), Moment(5));
+        let left = backlog.left(Moment(5 + u64::from(passed)));
+        left.0 == u64::from(work).saturating_sub(u64::from(passed))
+    }
+
+    /// A server that is no fuller and reads a prompt sooner is never passed over for another.
+    fn a_better_server_wins(loads: Vec<(u8, u16, bool)>) -> TestResult {
+        let candidate = |(load, micros, near): &(u8, u16, bool)| Candidate {
+            load: f64::from(*load),
+            slots: 64.0,
+            near: *near,
+            until_read: Span(u64::from(*micros)),
+        };
+        let candidates: Vec<Candidate> = loads.iter().map(candidate).collect();
+        let Some(at) = soonest(&candidates) else {
+            return TestResult::from_bool(candidates.is_empty());
+        };
+        let best = candidates[at];
+        let beats = |one: &Candidate| {
+            one.load < best.load && one.until_read < best.until_read && (one.near || !best.near)
+        };
+        TestResult::from_bool(!candidates.iter().any(beats))
+    }
+
+    fn least_loaded_finds_one_if_there_is_one(loads: Vec<u8>, point: u8) -> bool {
+        let candidate = |load: &u8| Candidate {
+            load: f64::from(*load), slots: 6.0, near: true, until_read: Span(0),
+        };
+        let candidates: Vec<Candidate> = loads.iter().map(candidate).collect();
+        match least_loaded(&candidates, f64::from(point) / 256.0) {
+            Some(at) => loads.iter().all(|load| *load >= loads[at]),
+            None => loads.is_empty(),
+        }
+    }
+
+    /// However a stream is cut into pieces, the same whole events come out in order.
+    fn events_do_not_depend_on_the_pieces(cuts: Vec<u8>, count: u8) -> bool {
+        let text: String = (1..=u64::from(count)).map(|id| format!("id: {id}\ndata: x\n\n")).collect();
+        let (mut events, mut out, mut last) = (Events::default(), Vec::new(), 0);
+        let mut rest = text.as_bytes();
+        let mut cuts = cuts.into_iter().chain(std::iter::repeat(7));
+        while !rest.is_empty() {
+            let length = usize::from(cuts.next().unwrap_or(1)).clamp(1, rest.len());
+            events.push(&rest[..length]);
+            rest = &rest[length..];
+            if let Some(batch) = events.take() {
+                if batch.first != Some(last + 1) || !batch.bytes.ends_with(b"\n\n") {
+                    return false;
+                }
+                last = batch.last.unwrap_or(0);
+                out.extend_from_slice(&batch.bytes);
+            }
+        }
+        out == text.as_bytes() && !events.has_part()
+    }
+
+    /// Whatever is seen, a roll-out never goes on with a version that was found bad, and a version
+    /// that nobody finds bad has had less than its share when the time is up.
+    fn exposure_stays_within_the_bound(exposure: u8, seconds: u8) -> bool {
+        let exposure = f64::from(exposure % 50 + 1) / 100.0;
+        let within = Span::secs(u64::from(seconds % 60 + 10));
+        let (mut phase, mut exposed) = (None, 0.0);
+        for ms in (0..within.0).step_by(10_000) {
+            let known = Known {
+                phase, age: Span(ms), within, exposure, ready: 3, bad: false, seen: 100.0,
+            };
+            if let Step::Move(next) = canary::next(&known) {
+                phase = Some(next);
+            }
+            exposed += match phase {
+                Some(Phase::Running { share }) => share,
+                Some(Phase::Completed) => 1.0,
+                Some(Phase::RolledBack) | None => 0.0,
+            } * 10_000.0;
+        }
+        let bad = Known {
+            phase, age: Span(0), within, exposure, ready: 3, bad: true, seen: 9.0,
+        };
+        let goes_on = matches!(
+            canary::next(&bad), Step::Move(Phase::Running { .. } | Phase::Completed));
+        phase == Some(Phase::Completed) && exposed <= exposure * within.0 as f64 + (0.04 * within.0 as f64).max(700_000.0)
+            && !goes_on
+    }
+}
+
+#[test]
+fn a_version_that_fails_half_its_answers_is_found_within_a_dozen() {
+    let old = Count::of(400, 2);
+    let bad = Trial { new: Count::of(12, 6), old };
+    let good = Trial { new: Count::of(12, 0), old };
+    assert!(bad.is_bad());
+    assert!(!good.is_bad());
+    // Failures that the old version has as well accuse nobody.
+    let usual = Trial { new: Count::of(40, 6), old: Count::of(400, 56) };
+    assert!(!usual.is_bad());
+}
+
+#[test]
+fn a_server_that_cannot_be_reached_is_left_out_and_comes_back() {
+    let mut record = Record::default();
+    let now = Moment(1_000_000);
+    assert!(record.note(End::NotSent, 0.0, now));
+    assert!(record.is_out(now + Span::millis(500)));
+    assert!(!record.is_out(now + Span::millis(700)));
+    // Again and again: longer each time, but never for long.
+    let mut at = now;
+    for _ in 0..20 {
+        at = at + Span::secs(10);
+        record.note(End::NotSent, 0.0, at);
+    }
+    assert!(record.is_out(at + Span::millis(5900)));
+    assert!(!record.is_out(at + Span::secs(7)));
+}
+
+#[test]
+fn a_server_that_fails_as_often_as_all_is_not_left_out() {
+    let mut record = Record::default();
+    for number in 0..200u64 {
+        let end = if number % 7 == 0 { End::Failed } else { End::Good };
+        assert!(!record.note(end, 1.0 / 7.0, Moment(number * 10_000)), "{number}");
+    }
+    let mut grey = Record::default();
+    let left_out = (0..60u64).any(|number| {
+        let end = if number % 2 == 0 { End::Failed } else { End::Good };
+        grey.note(end, 0.02, Moment(number * 10_000))
+    });
+    assert!(left_out);
+}
+
+#[test]
+fn a_pace_follows_short_times_and_hardly_long_ones() {
+    let mut pace = Pace::default();
+    for _ in 0..50 {
+        pace.note(1000, Span::millis(5));
+        pace.note(1000, Span::millis(200));
+    }
+    let time = pace.time(1000);
+    assert!(time >= Span::millis(5) && time <= Span::millis(40), "{time}");
+}
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -473,3 +473,110 @@
     assert_eq!(answer.status, 413);
     assert!(replica.seen().is_empty());
 }
+
+/// Sends requests of sessions of their own until something holds.
+fn load_until(vm: &site::Vm, what: &str, mut holds: impl FnMut() -> bool) {
+    let mut number = 0;
+    eventually(what, || {
+        number += 1;
+        let more = format!("Session: {what}{number}\r\n");
+        let answer = ask(vm.callers, &head("GET /safe/x", &format!("{what}{number}"), &more), b"");
+        assert!(answer.status == 200 || answer.status == 500, "{}", answer.status);
+        holds()
+    });
+}
+
+fn order(site: &Site, seconds: f64) {
+    let order = json!({"service": "api", "target_version": "v2", "duration_s": seconds});
+    site.store.put("rollouts", "api", order);
+}
+
+#[test]
+fn a_bad_version_is_rolled_back_and_gets_no_more_requests() {
+    let mut site = site();
+    site.replica("r1", "v1");
+    let vm = site.start_ready();
+    let bad = site.replica("r2", "v2");
+    bad.usually(Act::Whole(500, "bad".to_owned()));
+    order(&site, 60.0);
+    load_until(&vm, "bad", || site.store.status("rollouts", "api")["state"] == "rolled_back");
+    let met = bad.seen().len();
+    assert!((1..=40).contains(&met), "{met}");
+    for number in 0..30 {
+        ask(vm.callers, &head("GET /safe/x", &format!("after{number}"), ""), b"");
+    }
+    assert_eq!(bad.seen().len(), met);
+    assert!(vm.lines().iter().any(|line| line["event"] == "roll-out moved"));
+}
+
+#[test]
+fn a_good_version_takes_over_before_its_time_is_up() {
+    let mut site = site();
+    let old = site.replica("r1", "v1");
+    let vm = site.start_ready();
+    let new = site.replica("r2", "v2");
+    let begun = Instant::now();
+    order(&site, 6.0);
+    load_until(&vm, "good", || site.store.status("rollouts", "api")["state"] == "completed");
+    assert!(begun.elapsed() < Duration::from_secs(6), "{:?}", begun.elapsed());
+    let before = old.seen().len();
+    let met = new.seen().len();
+    for number in 0..10 {
+        assert_eq!(
+            ask(vm.callers, &head("GET /safe/x", &format!("g{number}"), ""), b"").status,
+            200
+        );
+    }
+    assert_eq!((old.seen().len(), new.seen().len()), (before, met + 10));
+}
+
+#[test]
+fn a_session_stays_on_its_version_while_the_trial_is_young() {
+    let mut site = site();
+    site.replica("r1", "v1");
+    let vm = site.start_ready();
+    let send = |session: u32| {
+        let more = format!("Session: s{session}\r\n");
+        ask(vm.callers, &head("GET /safe/x", &format!("s{session}"), &more), b"").status
+    };
+    for session in 0..40 {
+        assert_eq!(send(session), 200);
+    }
+    let new = site.replica("r2", "v2");
+    order(&site, 60.0);
+    eventually("the trial runs", || site.store.status("rollouts", "api")["state"] == "in_progress");
+    std::thread::sleep(Duration::from_millis(500));
+    for session in 0..40 {
+        assert_eq!(send(session), 200);
+    }
+    assert_eq!(new.seen().len(), 0, "sessions that were alive stay");
+}
+
+#[test]
+fn vms_find_one_another_through_the_store_and_say_goodbye() {
+    let mut site = site();
+    site.replica("r1", "v1");
+    let one = site.start_ready();
+    let mut two = site.start_ready();
+    let heard = |vm: &site::Vm, event: &str| vm.lines().iter().any(|line| line["event"] == event);
+    eventually("both have heard the other", || {
+        heard(&one, "peer heard") && heard(&two, "peer heard")
+    });
+    two.signal(libc::SIGTERM);
+    eventually("the one that stops says so", || heard(&one, "peer left"));
+    assert!(two.process.wait().unwrap().success());
+}
+
+#[test]
+fn a_write_whose_answer_is_lost_moves_a_roll_out_once() {
+    let mut site = site();
+    site.replica("r1", "v1");
+    let vm = site.start_ready();
+    site.replica("r2", "v2");
+    site.store.switch(Switches { lose: 1, late: 1, ..Switches::default() });
+    order(&site, 60.0);
+    load_until(&vm, "lost", || site.store.status("rollouts", "api")["state"] == "in_progress");
+    eventually("the VM knows", || {
+        vm.lines().iter().any(|line| line["event"] == "roll-out" && line["share"] != 0.0)
+    });
+}
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -150,6 +150,7 @@
         let text = json!({
             "node_name": format!("vm{number}"), "ip": "127.0.0.1", "zone": "here",
             "listen": {"frontend": callers.to_string(), "readiness": readiness.to_string()},
+            "port_range": [free().port(), 0],
             "bounds": self.bounds, "something_new": {"unknown": true},
             "platform": {"address": self.store_server.address.to_string()},
         });
