Read as a newcomer: constants atop their files, one noun a file, no fields that nobody reads

The stand-in of the store is split into its doors and its state; the pace of models has a file of its own; one attempt and what is learned from it stand apart from the loop over attempts; fields that were decoded and never read are gone (prices, health path, goals of pauses, token counts, the id of another instance). Behaviour is as before.

--- a/src/config/route.rs
+++ b/src/config/route.rs
@@ -1,6 +1,6 @@
 //! Routes: which service answers a request, and how long and how often it may be tried.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use crate::unit::{Model, Revision, Service, Span, Workspace};
@@ -42,8 +42,6 @@
     pub timeout: Span,
     /// Time to the answer, or to the first event, that callers want.
     pub goal: Span,
-    /// Longest pause between two events that callers want.
-    pub gap_goal: Option<Span>,
     /// Servers that one request may be sent to.
     pub attempts: u32,
     /// Rank; 0 is the most urgent.
@@ -80,12 +78,8 @@
 /// What is declared of a service.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
-    /// Path of the health check.
-    pub health: String,
     /// Connections that one server takes from all VMs together.
     pub connections: u32,
-    /// Price of a thousand tokens, by model; empty for a plain service.
-    pub prices: BTreeMap<Model, f64>,
 }
 
 /// What a caller may send.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -9,6 +9,7 @@
 pub mod fair;
 pub mod limit;
 pub mod outlier;
+pub mod pace;
 pub mod place;
 pub mod replica;
 pub mod retry;
--- a/src/forward/call.rs
+++ b/src/forward/call.rs
@@ -23,10 +23,6 @@
     pub model: Option<Model>,
     /// Parts of the prompt in order; servers keep parts that they have read.
     pub prompt: Vec<PromptPart>,
-    /// Tokens of the prompt.
-    pub tokens_in: u64,
-    /// Tokens of the answer at most.
-    pub tokens_out: u64,
     /// The session, if it belongs to one.
     pub session: Option<String>,
     /// The last event that the caller has, if it goes on with a stream.
@@ -59,8 +55,6 @@
     pub load: Option<Load>,
     /// The model's own rough opinion of its answer, 0 to 100.
     pub confidence: Option<f64>,
-    /// The server that answered, if it is another than expected.
-    pub instance: Option<String>,
     /// Time that the connection may rest.
     pub rest: Option<Span>,
 }
--- a/src/forward/door.rs
+++ b/src/forward/door.rs
@@ -37,6 +37,12 @@
 /// their time.
 const COME_BACK: Span = Span::millis(300);
 
+/// An answer that a route or key is not there needs proof no older than this.
+const DENIAL_PROOF: Span = Span::millis(300);
+
+/// Longest wait for a proof of freshness.
+const PROOF_WITHIN: Span = Span::millis(900);
+
 /// Time that the balancer's questions and readers of counters may take.
 const QUESTION_WITHIN: Duration = Duration::from_secs(5);
 
@@ -258,12 +264,6 @@
     Ok((route, Some(holder)))
 }
 
-/// An answer that a route or key is not there needs proof no older than this.
-const DENIAL_PROOF: Span = Span::millis(300);
-
-/// Longest wait for a proof of freshness.
-const PROOF_WITHIN: Span = Span::millis(900);
-
 /// Waits until a proof younger than [`DENIAL_PROOF`] is there. Whether it came.
 async fn confirm(vm: &Rc<Vm>) -> bool {
     let now = vm.now();
--- a/src/forward/drive.rs
+++ b/src/forward/drive.rs
@@ -24,9 +24,6 @@
 /// an answer, if there is time for it.
 const SILENCE: u64 = 3;
 
-/// Pause before another try when no server takes work.
-const PAUSE: Span = Span::millis(50);
-
 /// What the caller gets.
 pub enum Reply {
     /// A whole answer of a server.
@@ -83,18 +80,7 @@
         };
         vm.metrics.added.observe(now.since(job.arrived).as_secs());
         job.record.attempt();
-        let begun = now;
-        let named = model.as_ref().or(job.call.model.as_ref());
-        let sent = choice::sent(vm, &replica, &job.call, named, now);
-        let until = patience(job, &progress, now);
-        let trial = Watched::new(job, &replica, named, begun, sent.expected);
-        let outcome =
-            attempt::run(job, &replica, model.as_ref(), job.call.after_event, until).await;
-        trial.ended(outcome.end);
-        note_session(job, &replica);
-        if outcome.end == End::Good {
-            vm.learn_pace(named, sent.unread, vm.now().since(begun));
-        }
+        let outcome = try_at(job, &replica, model.as_ref(), patience(job, &progress, now)).await;
         progress.tried.push(replica.id.clone());
         if outcome.end == End::Good
             && is_doubtful(job, &outcome)
@@ -127,6 +113,22 @@
     }
 }
 
+/// One attempt, and what this VM learns from it.
+async fn try_at(job: &Job, replica: &Replica, model: Option<&Model>, until: Moment) -> Outcome {
+    let vm = &job.vm;
+    let begun = vm.now();
+    let named = model.or(job.call.model.as_ref());
+    let sent = choice::sent(vm, replica, &job.call, named, begun);
+    let trial = Watched::new(job, replica, named, begun, sent.expected);
+    let outcome = attempt::run(job, replica, model, job.call.after_event, until).await;
+    trial.ended(outcome.end);
+    note_session(job, replica);
+    if outcome.end == End::Good {
+        vm.learn_pace(named, sent.unread, vm.now().since(begun));
+    }
+    outcome
+}
+
 /// The model that begins, if the caller leaves the choice to the system: the smallest.
 fn first_model(job: &Job) -> Option<Model> {
     if !job.call.any_model {
@@ -307,8 +309,3 @@
         Last::Unknown | Last::Delivered => unknown(job, "no server gave a whole answer"),
     }
 }
-
-/// A pause before a stream that has begun is tried elsewhere again.
-pub fn pause() -> Span {
-    PAUSE
-}
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -7,12 +7,15 @@
 use super::attempt;
 use super::choice::{self, Wish};
 use super::connection::Fault;
-use super::drive::{self, Begun};
+use super::drive::Begun;
 use super::event::Batch;
 use super::job::Job;
 use crate::config::Repeat;
 use crate::decide::ends::End;
-use crate::unit::Moment;
+use crate::unit::{Moment, Span};
+
+/// Pause until the budget of repeats is asked again.
+const PAUSE: Span = Span::millis(50);
 
 /// A stream that is passed on.
 struct Relay {
@@ -144,7 +147,7 @@
                 return Err(why);
             }
             if !vm.spend_repeat(&self.job.service, now) {
-                tokio::time::sleep(drive::pause().duration()).await;
+                tokio::time::sleep(PAUSE.duration()).await;
                 continue;
             }
             let wish = Wish {
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -12,12 +12,10 @@
 const SIGNATURE: &str = "x-response-signature";
 const NOT_EXECUTED: &str = "x-not-executed";
 const EXPECT_INSTANCE: &str = "x-expect-instance";
-const INSTANCE: &str = "x-instance-id";
 const TENANT: &str = "x-tenant";
 const LOAD: &str = "x-server-load";
 const MODEL: &str = "x-model";
 const PREFIX: &str = "x-prefix-hash";
-const TOKENS: &str = "x-token-usage";
 const SESSION: &str = "session";
 const LAST_EVENT: &str = "last-event-id";
 const CONFIDENCE: &str = "x-confidence";
@@ -66,7 +64,6 @@
     let model = text(headers, MODEL).filter(|model| *model != ANY_MODEL);
     let patience = text(headers, DEADLINE).and_then(|ms| ms.trim().parse::<f64>().ok());
     let patience = patience.filter(|ms| *ms >= 0.0).map(|ms| Span((ms * 1000.0) as u64));
-    let (tokens_in, tokens_out) = tokens(text(headers, TOKENS).unwrap_or_default());
     Call {
         id: text(headers, ATTEMPT).unwrap_or_default().to_owned(),
         host: text(headers, header::HOST.as_str()).unwrap_or_default().to_owned(),
@@ -76,18 +73,11 @@
         any_model: text(headers, MODEL) == Some(ANY_MODEL),
         model: model.and_then(|model| model.parse().ok()),
         prompt: prompt(text(headers, PREFIX).unwrap_or_default()),
-        tokens_in,
-        tokens_out,
         session: text(headers, SESSION).map(str::to_owned),
         after_event: text(headers, LAST_EVENT).and_then(|id| id.trim().parse().ok()),
     }
 }
 
-fn tokens(text: &str) -> (u64, u64) {
-    let mut numbers = text.split(',').map(|part| part.trim().parse().unwrap_or_default());
-    (numbers.next().unwrap_or_default(), numbers.next().unwrap_or_default())
-}
-
 fn prompt(text: &str) -> Vec<PromptPart> {
     let part = |part: &str| {
         let (id, tokens) = part.trim().split_once(':')?;
@@ -166,7 +156,6 @@
         encoded: headers.contains_key(header::CONTENT_ENCODING),
         load: text(headers, LOAD).and_then(load),
         confidence: text(headers, CONFIDENCE).and_then(|text| text.trim().parse().ok()),
-        instance: text(headers, INSTANCE).map(str::to_owned),
         rest: text(headers, "keep-alive").and_then(rest),
     }
 }
--- a/src/platform/object.rs
+++ b/src/platform/object.rs
@@ -1,6 +1,5 @@
 //! The platform's objects, decoded into the project's types.
 
-use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use serde::Deserialize;
@@ -80,7 +79,6 @@
     r#type: String,
     timeout_ms: Option<f64>,
     latency_goal_ms: Option<f64>,
-    gap_target_ms: Option<f64>,
     priority: Option<u32>,
     max_attempts: Option<u32>,
     service: Option<Service>,
@@ -101,21 +99,7 @@
 #[derive(Deserialize)]
 struct ServiceEntry {
     name: Service,
-    health_path: Option<String>,
     max_connections: Option<u32>,
-    engine: Option<Engine>,
-}
-
-#[derive(Deserialize)]
-struct Engine {
-    #[serde(default)]
-    models: Vec<Priced>,
-}
-
-#[derive(Deserialize)]
-struct Priced {
-    name: Model,
-    cost: Option<f64>,
 }
 
 #[derive(Default, Deserialize)]
@@ -157,7 +141,8 @@
         table.add_route(&host, route(entry)?);
     }
     for entry in config.services {
-        table.add_pool(entry.name.clone(), pool(entry));
+        let connections = entry.max_connections.unwrap_or(CONNECTIONS);
+        table.add_pool(entry.name, Pool { connections });
     }
     for tenant in config.tenants.into_iter().flatten() {
         let priority = tenant.priority.unwrap_or(PRIORITY);
@@ -190,7 +175,6 @@
         streams,
         timeout: millis(entry.timeout_ms.unwrap_or(TIMEOUT_MS)),
         goal: millis(entry.latency_goal_ms.unwrap_or(GOAL_MS)),
-        gap_goal: entry.gap_target_ms.map(millis),
         attempts: entry.max_attempts.unwrap_or(ATTEMPTS).max(1),
         priority: entry.priority.unwrap_or(PRIORITY),
         public: entry.public,
@@ -198,17 +182,6 @@
     })
 }
 
-fn pool(entry: ServiceEntry) -> Pool {
-    let priced = entry.engine.map(|engine| engine.models).unwrap_or_default();
-    let prices: BTreeMap<Model, f64> =
-        priced.into_iter().map(|model| (model.name, model.cost.unwrap_or_default())).collect();
-    Pool {
-        health: entry.health_path.unwrap_or_default(),
-        connections: entry.max_connections.unwrap_or(CONNECTIONS),
-        prices,
-    }
-}
-
 #[derive(Deserialize)]
 struct Entry {
     service: Service,
--- a/src/standin/platform.rs
+++ b/src/standin/platform/mod.rs
@@ -1,7 +1,8 @@
 //! Stand-in of the platform's object store: kinds of objects, conditional writes, watches over a
 //! history of changes, and the lagging list of VMs as one of the kinds.
 
-use std::collections::{BTreeMap, VecDeque};
+mod state;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -14,14 +15,9 @@
 
 use super::{Running, launch};
 use crate::error::Error;
-use crate::history::{Event, Sink};
-use crate::unit::{DataCentre, Revision, Target, Vm, Workspace};
-
-/// The object whose changes go to the history.
-const ROOT: (&str, &str) = ("config", "root");
-
-/// Begins the names of the pieces of a configuration.
-const PIECE: &str = "piece~";
+use crate::history::Sink;
+use crate::unit::{DataCentre, Vm};
+use state::{Object, ROOT, State, confirmed};
 
 /// The kind of the objects that list the VMs.
 const VMS: &str = "vms";
@@ -35,8 +31,8 @@
 /// Objects on one page of a list.
 const PAGE: usize = 500;
 
-/// Changes that are remembered.
-const HISTORY: usize = 20_000;
+/// A late write takes effect after this.
+const LATE: Duration = Duration::from_secs(1);
 
 /// What the stand-in does wrong on request.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -81,35 +77,6 @@
     pub leaving: bool,
 }
 
-#[derive(Clone, Debug)]
-struct Object {
-    revision: u64,
-    created: u64,
-    finalizers: Value,
-    spec: Value,
-    status: Value,
-}
-
-impl Object {
-    fn shown(&self, name: &str) -> Value {
-        let metadata = json!({
-            "name": name,
-            "revision": self.revision,
-            "created": self.created,
-            "finalizers": self.finalizers,
-            "deletion_pending": false,
-        });
-        json!({"metadata": metadata, "spec": self.spec, "status": self.status})
-    }
-}
-
-struct Change {
-    revision: u64,
-    kind: String,
-    object: Value,
-    deleted: bool,
-}
-
 /// Writes and reads a second that the stand-in takes.
 #[derive(Clone, Copy, Debug)]
 pub struct Rates {
@@ -122,37 +89,6 @@
 /// The rates that the brief names.
 pub const RATES: Rates = Rates { writes: 100.0, reads: 2000.0 };
 
-struct Bucket {
-    rate: f64,
-    level: f64,
-    at: Instant,
-}
-
-impl Bucket {
-    fn take(&mut self, now: Instant) -> bool {
-        let gained = now.duration_since(self.at).as_secs_f64() * self.rate;
-        self.level = (self.level + gained).min(self.rate);
-        self.at = now;
-        if self.level < 1.0 {
-            return false;
-        }
-        self.level -= 1.0;
-        true
-    }
-}
-
-struct State {
-    objects: BTreeMap<(String, String), Object>,
-    /// Changes that watches can ask for, and the revision up to which they are forgotten.
-    changes: VecDeque<Change>,
-    forgotten: u64,
-    clock: u64,
-    switches: Switches,
-    calls: Calls,
-    writes: Bucket,
-    reads: Bucket,
-}
-
 /// The stand-in, shared by its handlers and whoever embeds it.
 #[derive(Clone)]
 pub struct Platform {
@@ -164,17 +100,7 @@
 impl Platform {
     /// A platform that holds nothing yet.
     pub fn new(rates: Rates, history: Sink) -> Platform {
-        let bucket = |rate| Bucket { rate, level: rate, at: Instant::now() };
-        let state = State {
-            objects: BTreeMap::new(),
-            changes: VecDeque::new(),
-            forgotten: 0,
-            clock: 0,
-            switches: Switches::default(),
-            calls: Calls::default(),
-            writes: bucket(rates.writes),
-            reads: bucket(rates.reads),
-        };
+        let state = State::new(rates);
         Platform { state: Arc::new(Mutex::new(state)), changed: Arc::new(Notify::new()), history }
     }
 
@@ -318,9 +244,6 @@
     }
 }
 
-/// A late write takes effect after this.
-const LATE: Duration = Duration::from_secs(1);
-
 /// Why a write did nothing.
 enum Failure {
     /// The object stands otherwise, like this.
@@ -343,63 +266,6 @@
     HttpResponse::Ok().streaming(broken)
 }
 
-impl State {
-    fn names(&self, kind: &str) -> Vec<String> {
-        let of_kind = self.objects.keys().filter(|(of, _)| of == kind);
-        of_kind.map(|(_, name)| name.clone()).collect()
-    }
-
-    fn get(&self, kind: &str, name: &str) -> Option<&Object> {
-        self.objects.get(&(kind.to_owned(), name.to_owned()))
-    }
-
-    /// Changes an object, or makes it; nothing happens if it is then as before.
-    fn write(&mut self, kind: &str, name: &str, change: impl FnOnce(&mut Object)) -> u64 {
-        let key = (kind.to_owned(), name.to_owned());
-        let next = self.clock + 1;
-        let old = self.objects.get(&key).cloned();
-        let mut object = old.clone().unwrap_or(Object {
-            revision: next,
-            created: next,
-            finalizers: json!([]),
-            spec: Value::Null,
-            status: Value::Null,
-        });
-        change(&mut object);
-        let same = |old: &Object| old.spec == object.spec && old.status == object.status;
-        if let Some(old) = old.filter(same) {
-            return old.revision;
-        }
-        object.revision = next;
-        self.clock = next;
-        self.remember(kind, object.shown(name), false);
-        self.objects.insert(key, object);
-        next
-    }
-
-    fn delete(&mut self, kind: &str, name: &str) {
-        if let Some(object) = self.objects.remove(&(kind.to_owned(), name.to_owned())) {
-            self.clock += 1;
-            self.remember(kind, object.shown(name), true);
-        }
-    }
-
-    fn remember(&mut self, kind: &str, object: Value, deleted: bool) {
-        let revision = self.clock;
-        self.changes.push_back(Change { revision, kind: kind.to_owned(), object, deleted });
-        if self.changes.len() > HISTORY
-            && let Some(oldest) = self.changes.pop_front()
-        {
-            self.forgotten = oldest.revision;
-        }
-    }
-
-    fn events(&self, kind: &str, after: u64) -> Vec<Value> {
-        let later = self.changes.iter().filter(|one| one.revision > after && one.kind == kind);
-        later.map(|one| json!({"object": one.object, "deleted": one.deleted})).collect()
-    }
-}
-
 #[derive(Deserialize)]
 struct Asked {
     watch: Option<u64>,
@@ -572,33 +438,6 @@
     }
 }
 
-/// What the root that just took effect allows, resolved from the pieces beside it.
-fn confirmed(state: &State) -> Event {
-    let value = |name: &str| {
-        let object = state.get(ROOT.0, name);
-        object.map(|object| object.spec.clone()).unwrap_or_default()
-    };
-    let root = value(ROOT.1);
-    let mut allowed: BTreeMap<Workspace, Vec<Target>> = BTreeMap::new();
-    for (name, digest) in root["pieces"].as_object().into_iter().flatten() {
-        let Some(name) = name.strip_prefix("workspace/") else {
-            continue;
-        };
-        let body = value(&format!("{PIECE}{}", digest.as_str().unwrap_or_default()));
-        if let Ok(name) = name.parse() {
-            let versions = serde_json::from_value(body["versions"].clone());
-            allowed.insert(name, versions.unwrap_or_default());
-        }
-    }
-    let withdrawn: Vec<Target> =
-        serde_json::from_value(root["withdrawn"].clone()).unwrap_or_default();
-    for list in allowed.values_mut() {
-        list.retain(|target| !withdrawn.contains(target));
-    }
-    let revision = Revision(root["revision"].as_u64().unwrap_or_default());
-    Event::Confirmed { revision, allowed, withdrawn }
-}
-
 async fn calls(platform: Data<Platform>) -> HttpResponse {
     HttpResponse::Ok().json(platform.calls())
 }
--- /dev/null
+++ b/src/standin/platform/state.rs
@@ -0,0 +1,182 @@
+//! What the stand-in of the platform's store holds.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Instant;
+
+use serde_json::{Value, json};
+
+use super::{Calls, Rates, Switches};
+use crate::history::Event;
+use crate::unit::{Revision, Target, Workspace};
+
+/// The object whose changes go to the history.
+pub const ROOT: (&str, &str) = ("config", "root");
+
+/// Begins the names of the pieces of a configuration.
+const PIECE: &str = "piece~";
+
+/// Changes that are remembered.
+const HISTORY: usize = 20_000;
+
+/// An object.
+#[derive(Clone, Debug)]
+pub struct Object {
+    pub revision: u64,
+    pub created: u64,
+    pub finalizers: Value,
+    pub spec: Value,
+    pub status: Value,
+}
+
+impl Object {
+    pub fn shown(&self, name: &str) -> Value {
+        let metadata = json!({
+            "name": name,
+            "revision": self.revision,
+            "created": self.created,
+            "finalizers": self.finalizers,
+            "deletion_pending": false,
+        });
+        json!({"metadata": metadata, "spec": self.spec, "status": self.status})
+    }
+}
+
+/// A change that watches can ask for.
+pub struct Change {
+    pub revision: u64,
+    pub kind: String,
+    pub object: Value,
+    pub deleted: bool,
+}
+
+/// A bound on calls a second.
+pub struct Bucket {
+    pub rate: f64,
+    pub level: f64,
+    pub at: Instant,
+}
+
+impl Bucket {
+    pub fn take(&mut self, now: Instant) -> bool {
+        let gained = now.duration_since(self.at).as_secs_f64() * self.rate;
+        self.level = (self.level + gained).min(self.rate);
+        self.at = now;
+        if self.level < 1.0 {
+            return false;
+        }
+        self.level -= 1.0;
+        true
+    }
+}
+
+/// All objects, and what the stand-in does wrong.
+pub struct State {
+    pub objects: BTreeMap<(String, String), Object>,
+    /// Changes that watches can ask for, and the revision up to which they are forgotten.
+    pub changes: VecDeque<Change>,
+    pub forgotten: u64,
+    pub clock: u64,
+    pub switches: Switches,
+    pub calls: Calls,
+    pub writes: Bucket,
+    pub reads: Bucket,
+}
+
+impl State {
+    /// Nothing yet.
+    pub fn new(rates: Rates) -> State {
+        let bucket = |rate| Bucket { rate, level: rate, at: Instant::now() };
+        State {
+            objects: BTreeMap::new(),
+            changes: VecDeque::new(),
+            forgotten: 0,
+            clock: 0,
+            switches: Switches::default(),
+            calls: Calls::default(),
+            writes: bucket(rates.writes),
+            reads: bucket(rates.reads),
+        }
+    }
+
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let of_kind = self.objects.keys().filter(|(of, _)| of == kind);
+        of_kind.map(|(_, name)| name.clone()).collect()
+    }
+
+    pub fn get(&self, kind: &str, name: &str) -> Option<&Object> {
+        self.objects.get(&(kind.to_owned(), name.to_owned()))
+    }
+
+    /// Changes an object, or makes it; nothing happens if it is then as before.
+    pub fn write(&mut self, kind: &str, name: &str, change: impl FnOnce(&mut Object)) -> u64 {
+        let key = (kind.to_owned(), name.to_owned());
+        let next = self.clock + 1;
+        let old = self.objects.get(&key).cloned();
+        let mut object = old.clone().unwrap_or(Object {
+            revision: next,
+            created: next,
+            finalizers: json!([]),
+            spec: Value::Null,
+            status: Value::Null,
+        });
+        change(&mut object);
+        let same = |old: &Object| old.spec == object.spec && old.status == object.status;
+        if let Some(old) = old.filter(same) {
+            return old.revision;
+        }
+        object.revision = next;
+        self.clock = next;
+        self.remember(kind, object.shown(name), false);
+        self.objects.insert(key, object);
+        next
+    }
+
+    pub fn delete(&mut self, kind: &str, name: &str) {
+        if let Some(object) = self.objects.remove(&(kind.to_owned(), name.to_owned())) {
+            self.clock += 1;
+            self.remember(kind, object.shown(name), true);
+        }
+    }
+
+    pub fn remember(&mut self, kind: &str, object: Value, deleted: bool) {
+        let revision = self.clock;
+        self.changes.push_back(Change { revision, kind: kind.to_owned(), object, deleted });
+        if self.changes.len() > HISTORY
+            && let Some(oldest) = self.changes.pop_front()
+        {
+            self.forgotten = oldest.revision;
+        }
+    }
+
+    pub fn events(&self, kind: &str, after: u64) -> Vec<Value> {
+        let later = self.changes.iter().filter(|one| one.revision > after && one.kind == kind);
+        later.map(|one| json!({"object": one.object, "deleted": one.deleted})).collect()
+    }
+}
+
+/// What the root that just took effect allows, resolved from the pieces beside it.
+pub fn confirmed(state: &State) -> Event {
+    let value = |name: &str| {
+        let object = state.get(ROOT.0, name);
+        object.map(|object| object.spec.clone()).unwrap_or_default()
+    };
+    let root = value(ROOT.1);
+    let mut allowed: BTreeMap<Workspace, Vec<Target>> = BTreeMap::new();
+    for (name, digest) in root["pieces"].as_object().into_iter().flatten() {
+        let Some(name) = name.strip_prefix("workspace/") else {
+            continue;
+        };
+        let body = value(&format!("{PIECE}{}", digest.as_str().unwrap_or_default()));
+        if let Ok(name) = name.parse() {
+            let versions = serde_json::from_value(body["versions"].clone());
+            allowed.insert(name, versions.unwrap_or_default());
+        }
+    }
+    let withdrawn: Vec<Target> =
+        serde_json::from_value(root["withdrawn"].clone()).unwrap_or_default();
+    for list in allowed.values_mut() {
+        list.retain(|target| !withdrawn.contains(target));
+    }
+    let revision = Revision(root["revision"].as_u64().unwrap_or_default());
+    Event::Confirmed { revision, allowed, withdrawn }
+}
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -1,12 +1,13 @@
 //! Properties of the decisions that `forward` takes: budgets, ends, roll-outs, placing, events.
 
 use kitepulley::config::Repeat;
-use kitepulley::decide::backlog::{Backlog, Pace};
+use kitepulley::decide::backlog::Backlog;
 use kitepulley::decide::budget::Budget;
 use kitepulley::decide::canary::{self, Known, Step, Trial};
 use kitepulley::decide::ends::{self, End, Last, Next};
 use kitepulley::decide::limit::even_part;
 use kitepulley::decide::outlier::Record;
+use kitepulley::decide::pace::Pace;
 use kitepulley::decide::place::{Candidate, least_loaded, soonest};
 use kitepulley::decide::sequential::Count;
 use kitepulley::forward::event::Events;
