--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -12,7 +12,8 @@
 use kitepulley::decide::sequential::Count;
 use kitepulley::forward::event::Events;
 use kitepulley::forward::replica::Phase;
-use kitepulley::unit::{Moment, Span};
+use kitepulley::forward::trial::{Sample, Totals, Trials};
+use kitepulley::unit::{Moment, Span, Version};
 use quickcheck::{TestResult, quickcheck};
 
 const ENDS: [End; 6] = [End::NotSent, End::NotRun, End::Broken, End::Failed, End::Good, End::Late];
@@ -213,3 +214,46 @@
     let time = pace.time(1000);
     assert!(time >= Span::millis(5) && time <= Span::millis(40), "{time}");
 }
+
+/// An answer of a prompt whose reading should take 40 ms at most.
+fn sample(version: &Version, millis: u64) -> Sample<'_> {
+    let time = Some(Span::millis(millis));
+    Sample { route: "r", version, failed: false, time, expected: Some(Span::millis(40)) }
+}
+
+#[test]
+fn a_slow_version_is_found_and_one_that_holds_no_prompt_yet_is_not_accused() {
+    let (old, new): (Version, Version) = ("v1".parse().unwrap(), "v2".parse().unwrap());
+    // The old version holds most prompts and answers soon, now and then behind others.
+    let beside_old = |new_millis: u64| {
+        let mut trials = Trials::default();
+        trials.follow(&new, Moment(1));
+        for number in 0..200 {
+            trials.note(&sample(&old, if number % 10 == 0 { 300 } else { 30 }));
+        }
+        (0..12).for_each(|_| trials.note(&sample(&new, new_millis)));
+        trials.is_bad()
+    };
+    assert!(beside_old(400), "ten times as long as the whole prompt takes");
+    assert!(!beside_old(65), "it reads the whole prompt, as a new server must");
+}
+
+#[test]
+fn what_other_vms_saw_counts_for_this_version_only() {
+    let (old, new): (Version, Version) = ("v1".parse().unwrap(), "v2".parse().unwrap());
+    let seen = |all, bad| Trial { new: Count::of(all, bad), old: Count::of(500, 2) };
+    let totals = Totals { failures: seen(4, 2), slow: seen(4, 0) };
+    let mut trials = Trials::default();
+    trials.follow(&new, Moment(1));
+    for number in 0..3 {
+        trials.hear(&format!("vm{number}").parse().unwrap(), &old, totals);
+    }
+    assert!(!trials.is_bad());
+    // No VM alone has seen enough, however often it says so; two together have.
+    (0..3).for_each(|_| trials.hear(&"vm1".parse().unwrap(), &new, totals));
+    assert!(!trials.is_bad());
+    trials.hear(&"vm2".parse().unwrap(), &new, totals);
+    assert!(trials.is_bad());
+    trials.follow(&"v3".parse().unwrap(), Moment(2));
+    assert!(!trials.is_bad(), "another order begins anew");
+}
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -580,3 +580,55 @@
         vm.lines().iter().any(|line| line["event"] == "roll-out" && line["share"] != 0.0)
     });
 }
+
+#[test]
+fn a_repeat_stays_with_the_version_of_its_session() {
+    let mut site = site();
+    let old = site.replica("r1", "v1");
+    let vm = site.start_ready();
+    // As many as a request may be sent to: the old version serves only when none is left to ask.
+    let new = ["r2", "r3", "r4"].map(|id| site.replica(id, "v2"));
+    new.iter().for_each(|replica| drop(replica.usually(Act::NotRun)));
+    order(&site, 60.0);
+    eventually("the trial runs", || site.store.status("rollouts", "api")["state"] == "in_progress");
+    let ids = |replica: &kitepulley::standin::replica::Replica| -> Vec<String> {
+        let seen = replica.seen();
+        seen.iter().filter_map(|seen| seen.header("x-attempt-id").map(str::to_owned)).collect()
+    };
+    for number in 0..60 {
+        let more = format!("Session: t{number}\r\n");
+        ask(vm.callers, &head("GET /safe/x", &format!("t{number}"), &more), b"");
+    }
+    let (first, second) = (ids(&new[0]), ids(&new[1]));
+    assert!(
+        !first.is_empty() && !second.is_empty(),
+        "both were asked: one of the trial, one beyond"
+    );
+    assert!(ids(&old).iter().all(|id| !first.contains(id) && !second.contains(id)));
+}
+
+#[test]
+fn streams_are_not_begun_late_in_a_planned_stop() {
+    let mut site = site().route("long", STREAM, json!({"timeout_ms": 9000}));
+    site.bounds["grace_s"] = json!(6);
+    let replica = site.replica("r1", "v1");
+    let pause = Duration::from_millis(100);
+    replica.usually(Act::Events { last: 45, cut_after: None, confidence: None, pause });
+    let vm = site.start_ready();
+    let long = |id: &str| {
+        let line = "POST /long/x HTTP/1.1\r\nHost: h.example\r\nX-Deadline-Ms: 9000\r\n";
+        ask(vm.callers, &format!("{line}X-Attempt-Id: {id}\r\n"), b"prompt")
+    };
+    std::thread::scope(|scope| {
+        let open = scope.spawn(|| long("before"));
+        eventually("it arrived", || !replica.seen().is_empty());
+        vm.signal(libc::SIGTERM);
+        std::thread::sleep(Duration::from_millis(3200));
+        let late = long("late");
+        assert_eq!((late.status, late.header("connection").as_deref()), (503, Some("close")));
+        assert_eq!(late.header("retry-after").as_deref(), Some("0.000"));
+        let answer = open.join().unwrap();
+        assert!(answer.whole && answer.text() == pieces(45), "{}", answer.text());
+    });
+    assert_eq!(replica.seen().len(), 1);
+}
