A dropped answer of a small model counts as a run

Found by reading the change: a request whose doubtful answer was dropped, and whose larger model could not be had, was refused with 'not run'; and a cascade on a route that may not be repeated ran twice. Cause: dropping the answer left may_have_run as it was, and the escalation did not look at what the route allows. Both tests failed first (503 where 502 is due; 2 runs where 1 is). No site has the second kind of route.

--- a/src/forward/drive.rs
+++ b/src/forward/drive.rs
@@ -87,8 +87,9 @@
             && let Some(larger) = larger_model(job, model.as_ref())
             && may_try_again(job, &progress, End::Good)
         {
-            // Dropping the answer closes its connection, so the server stops.
+            // Dropping the answer closes its connection, so the server stops. It did run.
             drop(outcome);
+            progress.may_have_run = true;
             progress.tried.pop();
             model = Some(larger);
             continue;
@@ -138,9 +139,13 @@
 }
 
 /// The model that takes over from one whose answer is in doubt: the largest, if it is not that
-/// already. Models between cost several times more than the smallest and answer few more.
+/// already and the request may run again. Models between cost several times more than the smallest
+/// and answer few more.
 fn larger_model(job: &Job, model: Option<&Model>) -> Option<Model> {
-    let largest = job.route.cascade.last().filter(|_| job.call.any_model)?;
+    if !job.call.any_model || job.route.repeat == Repeat::Never {
+        return None;
+    }
+    let largest = job.route.cascade.last()?;
     (model != Some(largest)).then(|| largest.clone())
 }
 
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -640,3 +640,30 @@
     });
     assert_eq!(replica.seen().len(), 1);
 }
+
+/// A stream whose model thinks little of it.
+fn doubtful() -> Act {
+    Act::Events { last: 2, cut_after: None, confidence: Some(5), pause: Duration::ZERO }
+}
+
+#[test]
+fn a_request_whose_small_answer_was_dropped_is_not_refused_as_not_run() {
+    let mut site = site();
+    let replica = site.replica("r1", "v1");
+    let vm = site.start_ready();
+    replica.then(doubtful()).usually(Act::NotRun);
+    let answer = ask(vm.callers, &head("POST /cascade/x", "ran", "X-Model: *\r\n"), b"prompt");
+    assert_eq!(answer.status, 502, "{}", answer.text());
+    assert!(answer.text().contains("\"ran\":\"unknown\""), "{}", answer.text());
+}
+
+#[test]
+fn a_cascade_that_may_not_be_repeated_keeps_its_first_answer() {
+    let mut site = site().route("final", STREAM, json!({"sizes": ["small", "large"]}));
+    let replica = site.replica("r1", "v1");
+    let vm = site.start_ready();
+    replica.usually(doubtful());
+    let answer = ask(vm.callers, &head("POST /final/x", "once", "X-Model: *\r\n"), b"prompt");
+    assert_eq!((answer.status, answer.text()), (200, pieces(2)));
+    assert_eq!(replica.seen().len(), 1);
+}
