Tidied after reading: one wish, one reading of a stream, one reading of a roll-out

What a request wants of its server stood in the drive and in the relay; reading on a stream stood in the attempt and in the relay; steps read a roll-out beside the followers, without the counter. Conditional writes of the store share their call; methods that nothing calls are gone; constants stand atop their file.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -54,6 +54,25 @@
     pub open: Open,
 }
 
+impl Stream {
+    /// Reads what arrives next, or finds that the server ended the stream.
+    ///
+    /// # Errors
+    /// `Broken` if it broke off, or ended within an event.
+    pub async fn read(&mut self) -> Result<(), Fault> {
+        let broken = |why: &str| Err(Fault::Broken(why.to_owned()));
+        match self.connection.next_chunk().await? {
+            Some(bytes) if self.events.push(&bytes) => Ok(()),
+            Some(_) => broken("an event without an end"),
+            None if self.events.has_part() => broken("the stream ended within an event"),
+            None => {
+                self.ended = true;
+                Ok(())
+            }
+        }
+    }
+}
+
 impl Outcome {
     fn without_answer(end: End, why: impl Into<String>) -> Outcome {
         Outcome { end, why: why.into(), head: None, body: Bytes::new(), stream: None }
@@ -191,31 +210,22 @@
 }
 
 async fn first_event(
-    mut connection: Connection,
+    connection: Connection,
     open: Open,
     head: ResponseHead,
     answer: Answer,
 ) -> Outcome {
-    let mut events = Events::default();
-    let mut ended = false;
-    let first = loop {
-        if let Some(batch) = events.take() {
-            break Some(batch);
+    let events = Events::default();
+    let mut stream = Stream { connection, events, first: None, ended: false, open };
+    loop {
+        stream.first = stream.events.take();
+        if stream.first.is_some() || stream.ended {
+            break;
         }
-        match connection.next_chunk().await {
-            Ok(Some(bytes)) if events.push(&bytes) => {}
-            Ok(Some(_)) => return Outcome::without_answer(End::Broken, "an event without an end"),
-            Ok(None) if events.has_part() => {
-                return Outcome::without_answer(End::Broken, "a stream that ends within an event");
-            }
-            Ok(None) => {
-                ended = true;
-                break None;
-            }
-            Err(fault) => return broken(fault),
+        if let Err(fault) = stream.read().await {
+            return broken(fault);
         }
-    };
-    let stream = Stream { connection, events, first, ended, open };
+    }
     Outcome {
         end: End::Good,
         why: String::new(),
--- a/src/forward/door.rs
+++ b/src/forward/door.rs
@@ -312,10 +312,9 @@
             relayed(&head, BoxBody::new(body))
         }
         Reply::Stream(begun) => {
-            let mut response = relayed(&begun.head, BoxBody::new(()));
+            let response = relayed(&begun.head, BoxBody::new(()));
             let body = BodyStream::new(Box::pin(relay::body(job, *begun)));
-            response = response.set_body(BoxBody::new(body));
-            response
+            response.set_body(BoxBody::new(body))
         }
         Reply::Refused(refused) => refusal(&vm, &refused, job.left(vm.now())),
     }
--- a/src/forward/drive.rs
+++ b/src/forward/drive.rs
@@ -5,7 +5,7 @@
 
 use super::attempt::{self, Outcome, Stream};
 use super::call::Answer;
-use super::choice::{self, Wish};
+use super::choice;
 use super::job::Job;
 use super::replica::Replica;
 use super::trial::{self, Sample};
@@ -69,12 +69,7 @@
         if job.left(now) < LEAST {
             return give_up(job, progress, End::Late);
         }
-        let wish = Wish {
-            service: &job.service,
-            call: &job.call,
-            model: model.as_ref().or(job.call.model.as_ref()),
-            tried: &progress.tried,
-        };
+        let wish = job.wish(model.as_ref(), &progress.tried);
         let Some(replica) = choice::server(vm, &wish, now) else {
             return give_up(job, progress, End::NotSent);
         };
--- a/src/forward/event.rs
+++ b/src/forward/event.rs
@@ -42,11 +42,6 @@
     pub fn has_part(&self) -> bool {
         !self.buffer.is_empty()
     }
-
-    /// Drops a part of an event, which another server sends whole.
-    pub fn clear(&mut self) {
-        self.buffer.clear();
-    }
 }
 
 /// Where the last whole event ends, which is after an empty line.
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -233,7 +233,8 @@
     }
 }
 
-fn read_rollout(vm: &Vm, object: &Object) -> Option<Rollout> {
+/// The roll-out of an object; one that does not read is counted and told.
+pub fn read_rollout(vm: &Vm, object: &Object) -> Option<Rollout> {
     match object::rollout(object) {
         Ok(rollout) => Some(rollout),
         Err(why) => {
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -7,11 +7,18 @@
 use bytes::Bytes;
 
 use super::call::Call;
+use super::choice::Wish;
 use super::replica::Replica;
 use super::vm::Vm;
 use crate::config::{Holder, Route};
 use crate::decide::ends::End;
-use crate::unit::{Moment, Server as Id, Service, Span};
+use crate::unit::{Model, Moment, Server as Id, Service, Span};
+
+/// Ranks that routes are told apart by within one rank of workspaces.
+const RANKS_OF_ROUTES: u32 = 3;
+
+/// The lowest rank that servers know.
+const LOWEST_RANK: u32 = 9;
 
 /// A request that was admitted.
 pub struct Job {
@@ -43,6 +50,12 @@
         self.deadline.since(now)
     }
 
+    /// What it wants of its server; `model` is the one that the system chose, if it did.
+    pub fn wish<'a>(&'a self, model: Option<&'a Model>, tried: &'a [Id]) -> Wish<'a> {
+        let model = model.or(self.call.model.as_ref());
+        Wish { service: &self.service, call: &self.call, model, tried }
+    }
+
     /// Rank at a server, 0 to 9: the workspace's comes before the route's.
     pub fn priority(&self) -> u32 {
         let workspace = self.holder.as_ref().map_or(0, |holder| holder.priority);
@@ -50,12 +63,6 @@
     }
 }
 
-/// Ranks that routes are told apart by within one rank of workspaces.
-const RANKS_OF_ROUTES: u32 = 3;
-
-/// The lowest rank that servers know.
-const LOWEST_RANK: u32 = 9;
-
 /// What is told of a request when it ends, however it ends.
 pub struct Record {
     vm: Rc<Vm>,
--- a/src/forward/pool.rs
+++ b/src/forward/pool.rs
@@ -52,16 +52,6 @@
         }
         self.resting.push(Resting { connection, since: now, until: now + rest - MARGIN });
     }
-
-    /// Connections that rest.
-    pub fn len(&self) -> usize {
-        self.resting.len()
-    }
-
-    /// Whether none rests.
-    pub fn is_empty(&self) -> bool {
-        self.resting.is_empty()
-    }
 }
 
 /// A connection for one request: a resting one, or a new one.
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -5,7 +5,7 @@
 use futures_util::Stream as Pieces;
 
 use super::attempt;
-use super::choice::{self, Wish};
+use super::choice;
 use super::connection::Fault;
 use super::drive::Begun;
 use super::event::Batch;
@@ -67,27 +67,22 @@
     /// The next whole events; nothing at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, String>> {
         loop {
-            let Some(batch) = self.ready() else {
-                if self.begun.stream.ended {
-                    return None;
-                }
-                match self.read().await {
-                    Ok(()) => continue,
-                    Err(why) => match self.go_on(why).await {
-                        Ok(()) => continue,
-                        Err(why) => return Some(Err(why)),
-                    },
-                }
-            };
-            match self.in_order(&batch) {
-                Ok(()) => {
-                    self.last = batch.last.or(self.last);
-                    return Some(Ok(batch.bytes));
-                }
-                Err(why) => match self.go_on(why).await {
+            let why = match self.ready() {
+                Some(batch) => match self.in_order(&batch) {
+                    Ok(()) => {
+                        self.last = batch.last.or(self.last);
+                        return Some(Ok(batch.bytes));
+                    }
+                    Err(why) => why,
+                },
+                None if self.begun.stream.ended => return None,
+                None => match self.read().await {
                     Ok(()) => continue,
-                    Err(why) => return Some(Err(why)),
+                    Err(why) => why,
                 },
+            };
+            if let Err(why) = self.go_on(why).await {
+                return Some(Err(why));
             }
         }
     }
@@ -109,18 +104,8 @@
 
     async fn read(&mut self) -> Result<(), String> {
         let left = self.job.left(self.job.vm.now()).duration();
-        let stream = &mut self.begun.stream;
-        let chunk = tokio::time::timeout(left, stream.connection.next_chunk()).await;
-        match chunk {
-            Ok(Ok(Some(bytes))) if stream.events.push(&bytes) => Ok(()),
-            Ok(Ok(Some(_))) => Err("an event without an end".to_owned()),
-            Ok(Ok(None)) if stream.events.has_part() => {
-                Err("the stream ended within an event".to_owned())
-            }
-            Ok(Ok(None)) => {
-                stream.ended = true;
-                Ok(())
-            }
+        match tokio::time::timeout(left, self.begun.stream.read()).await {
+            Ok(Ok(())) => Ok(()),
             Ok(Err(Fault::NotSent(why) | Fault::Broken(why))) => Err(why),
             Err(_) => Err("the time was up".to_owned()),
         }
@@ -150,12 +135,7 @@
                 tokio::time::sleep(PAUSE.duration()).await;
                 continue;
             }
-            let wish = Wish {
-                service: &self.job.service,
-                call: &self.job.call,
-                model: self.begun.model.as_ref().or(self.job.call.model.as_ref()),
-                tried: &self.begun.tried,
-            };
+            let wish = self.job.wish(self.begun.model.as_ref(), &self.begun.tried);
             let Some(replica) = choice::server(&vm, &wish, now) else {
                 return Err(format!("{why}; no other server takes work"));
             };
--- a/src/forward/steps.rs
+++ b/src/forward/steps.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::follow::put_rollout;
+use super::follow::{put_rollout, read_rollout};
 use super::peer;
 use super::replica::{Phase, Rollout};
 use super::vm::Vm;
@@ -78,11 +78,8 @@
 }
 
 fn learn(vm: &Vm, object: &object::Object) {
-    match object::rollout(object) {
-        Ok(rollout) => put_rollout(vm, rollout),
-        Err(why) => {
-            vm.log("object not read", &[("kind", ROLLOUTS.into()), ("why", why.as_str().into())])
-        }
+    if let Some(rollout) = read_rollout(vm, object) {
+        put_rollout(vm, rollout);
     }
 }
 
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -170,8 +170,7 @@
     ) -> Result<Object, Trouble> {
         let path = format!("/v1/objects/{kind}/{name}");
         let body = json!({"metadata": {"name": name, "revision": revision}, "spec": spec});
-        let body = Bytes::from(body.to_string());
-        read(&self.call(Method::PUT, &path, Some(body), ANSWER_WITHIN).await?)
+        self.put(&path, &body).await
     }
 
     /// Removes an object; one that is not there is as good as removed.
@@ -200,8 +199,12 @@
     ) -> Result<Object, Trouble> {
         let path = format!("/v1/objects/{kind}/{name}/status");
         let body = json!({"metadata": {"name": name, "revision": revision}, "status": status});
+        self.put(&path, &body).await
+    }
+
+    async fn put(&mut self, path: &str, body: &Value) -> Result<Object, Trouble> {
         let body = Bytes::from(body.to_string());
-        read(&self.call(Method::PUT, &path, Some(body), ANSWER_WITHIN).await?)
+        read(&self.call(Method::PUT, path, Some(body), ANSWER_WITHIN).await?)
     }
 
     async fn call(
