Bad versions are found from what all VMs saw of a route, and slow ones when they are due

They did not count: what was due went by reading the whole prompt though the VM knew better; an answer that takes seconds was told seconds late, or its caller left first; a version bad on one route was judged on each VM's own few answers there. And the step to all asked for no evidence. Ruled out: loss of words between VMs (few of them, all heard). Change: what is due goes by what the VM knows the server to hold; a late answer is told at the moment it is late; counts go between VMs by route; the trial's share is 0.06 where it was 0.0375 (bound 0.15); a version in doubt does not take over.

--- a/src/decide/canary.rs
+++ b/src/decide/canary.rs
@@ -12,23 +12,28 @@
 use crate::unit::Span;
 
 /// Share of sessions that try the new version, as a part of the bound on exposure, and at most.
-const FIRST: f64 = 0.25;
+const FIRST: f64 = 0.4;
 const FIRST_AT_MOST: f64 = 0.1;
 
 /// All sessions go over for the last part of the time, as a part of the bound on exposure: with
 /// the first share and what operators tolerate beside it, the bound is kept.
-const ALL: f64 = 0.35;
+const ALL: f64 = 0.3;
 
 /// Time kept at the end for writing that it is done, as a part of the whole, and at least: VMs look
 /// a few times a second, and a write may be lost once.
 const DONE_BEFORE: f64 = 0.04;
 const DONE_BEFORE_LEAST: Span = Span::millis(700);
 
-/// Answers of the new version that a VM must have seen before the share rises.
-const SEEN: f64 = 4.0;
+/// Answers of the new version that must have been seen before the share rises.
+const SEEN: f64 = 8.0;
 
-/// Chance to accuse a good version, of one test.
-const RISK: f64 = 1e-3;
+/// Evidence against a version, as in [`ACCUSED`], at which it does not take over: of a version that
+/// takes over there is no way back, and one that waits for another order costs little.
+const DOUBTED: f64 = 1.1;
+
+/// Evidence at which a version is accused: the logarithm of the inverse of the chance to accuse a good
+/// one, a thousandth, of one test however often it is looked at.
+pub const ACCUSED: f64 = 6.9;
 
 /// A share of bad answers that is always borne.
 const BORNE: f64 = 0.03;
@@ -51,10 +56,18 @@
         Trial { new: self.new.plus(other.new), old: self.old.plus(other.old) }
     }
 
+    /// Evidence that the new version is worse: the logarithm of a likelihood ratio. None before a
+    /// few bad answers were seen.
+    pub fn evidence(&self) -> f64 {
+        if self.new.bad < LEAST_BAD {
+            return 0.0;
+        }
+        evidence(self.new, self.old.rate(BORNE).max(BORNE))
+    }
+
     /// Whether the new version is worse beyond chance.
     pub fn is_bad(&self) -> bool {
-        let usual = self.old.rate(BORNE).max(BORNE);
-        self.new.bad >= LEAST_BAD && evidence(self.new, usual) > (1.0 / RISK).ln()
+        self.evidence() > ACCUSED
     }
 }
 
@@ -82,8 +95,10 @@
     pub ready: usize,
     /// Whether any trial found it bad.
     pub bad: bool,
-    /// Answers of the new version that this VM has seen.
+    /// Answers of the new version that were seen.
     pub seen: f64,
+    /// Evidence against it, as in [`ACCUSED`].
+    pub evidence: f64,
 }
 
 /// The next step.
@@ -97,13 +112,19 @@
         None if known.ready == 0 => Step::Hold,
         None => Step::Move(Phase::Running { share: first(known.exposure) }),
         Some(Phase::Running { share }) if share >= 1.0 => {
-            let done = left <= done_before && known.ready > 0;
-            if done { Step::Move(Phase::Completed) } else { Step::Hold }
+            match left <= done_before && known.ready > 0 {
+                true if known.evidence > DOUBTED => Step::Move(Phase::RolledBack),
+                true => Step::Move(Phase::Completed),
+                false => Step::Hold,
+            }
         }
         Some(Phase::Running { .. }) => {
-            let all = left <= all_before;
             let tried = known.seen >= SEEN && known.ready > 0;
-            if all && tried { Step::Move(Phase::Running { share: 1.0 }) } else { Step::Hold }
+            match left <= all_before && tried {
+                true if known.evidence > DOUBTED => Step::Move(Phase::RolledBack),
+                true => Step::Move(Phase::Running { share: 1.0 }),
+                false => Step::Hold,
+            }
         }
     }
 }
--- a/src/forward/choice.rs
+++ b/src/forward/choice.rs
@@ -230,8 +230,8 @@
     pub reads: Span,
     /// Requests that the server was thought to hold.
     pub load: f64,
-    /// Time until the whole prompt would be read if the server held none of it; none if the
-    /// request has no prompt.
+    /// Time until the prompt is read if the server holds only what this VM knows of; none if the request
+    /// has no prompt.
     pub expected: Option<Span>,
 }
 
@@ -254,7 +254,7 @@
     let tokens = prompt.parts.iter().map(|(_, tokens)| tokens).sum();
     let reads = vm.reading(model, unread);
     let waits = server.backlog.left(now);
-    let expected = Some(Span(waits.0 + vm.reading(model, tokens).0));
+    let expected = Some(Span(waits.0 + reads.0));
     server.backlog.add(reads, now);
     for (part, _) in prompt.parts {
         server.hold(part, now);
--- a/src/forward/drive.rs
+++ b/src/forward/drive.rs
@@ -114,8 +114,9 @@
     let begun = vm.now();
     let named = model.or(job.call.model.as_ref());
     let (sent, waiting) = job.send(replica, model);
-    let trial = Watched::new(job, replica, named, begun, sent.expected);
-    let outcome = attempt::run(job, replica, model, job.call.after_event, waiting, until).await;
+    let mut trial = Watched::new(job, replica, begun, sent.expected);
+    let attempt = attempt::run(job, replica, model, job.call.after_event, waiting, until);
+    let outcome = trial.wait(attempt).await;
     trial.ended(outcome.end);
     note_session(job, replica);
     if outcome.end == End::Good {
@@ -192,11 +193,9 @@
     }
 }
 
-/// An attempt as a roll-out's trial sees it. One that is dropped, since its caller left, still says
-/// how long the server had kept it waiting.
+/// An attempt as a roll-out's trial sees it.
 struct Watched<'a> {
     job: &'a Job,
-    kind: String,
     version: Version,
     begun: Moment,
     expected: Option<Span>,
@@ -204,21 +203,27 @@
 }
 
 impl<'a> Watched<'a> {
-    fn new(
-        job: &'a Job,
-        replica: &Replica,
-        model: Option<&Model>,
-        begun: Moment,
-        expected: Option<Span>,
-    ) -> Watched<'a> {
-        let kind = format!("{} {}", job.route.name, model.map_or("", |model| model.as_str()));
+    fn new(job: &'a Job, replica: &Replica, begun: Moment, expected: Option<Span>) -> Watched<'a> {
         let version = replica.version.clone();
-        Watched { job, kind, version, begun, expected, told: false }
+        Watched { job, version, begun, expected, told: false }
+    }
+
+    /// Waits for an attempt. One that takes too long is told as slow at that moment: its answer may
+    /// come seconds later, or its caller may leave, and a version that is slow is found by then.
+    async fn wait<T>(&mut self, attempt: impl Future<Output = T>) -> T {
+        let mut attempt = std::pin::pin!(attempt);
+        if let Some(limit) = self.expected.map(trial::slow_after) {
+            if let Ok(outcome) = tokio::time::timeout(limit.duration(), attempt.as_mut()).await {
+                return outcome;
+            }
+            self.tell(false);
+        }
+        attempt.await
     }
 
     fn ended(mut self, end: End) {
-        self.told = true;
         match end {
+            _ if self.told => {}
             End::Good | End::Late => self.tell(false),
             End::Failed => self.tell(true),
             // A connection that breaks and a server that is full say nothing about the version.
@@ -226,11 +231,12 @@
         }
     }
 
-    fn tell(&self, failed: bool) {
+    fn tell(&mut self, failed: bool) {
+        self.told = true;
         let vm = &self.job.vm;
         let time = (!failed).then(|| vm.now().since(self.begun));
         let sample = Sample {
-            route: &self.kind,
+            route: &self.job.route.name,
             version: &self.version,
             failed,
             time,
@@ -241,16 +247,6 @@
     }
 }
 
-impl Drop for Watched<'_> {
-    fn drop(&mut self) {
-        let waited = self.job.vm.now().since(self.begun);
-        // Callers that leave soon say nothing; those that waited long do.
-        if !self.told && self.expected.is_some_and(|time| trial::is_slow(waited, time)) {
-            self.tell(false);
-        }
-    }
-}
-
 fn deliver(
     job: &Job,
     replica: Replica,
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -59,8 +59,8 @@
         service: Service,
         /// The new version.
         version: Version,
-        /// Its counts.
-        totals: Totals,
+        /// Its counts, of routes where they changed.
+        routes: Vec<(String, Totals)>,
     },
 }
 
@@ -222,9 +222,9 @@
                 server.backlog.add(work, now);
             }
         }
-        Word::Seen { service, version, totals } => {
+        Word::Seen { service, version, routes } => {
             let mut trials = vm.trials.borrow_mut();
-            trials.entry(service).or_default().hear(&from, &version, totals);
+            trials.entry(service).or_default().hear(&from, &version, routes);
         }
     }
 }
--- a/src/forward/steps.rs
+++ b/src/forward/steps.rs
@@ -46,8 +46,8 @@
 /// Tells the others what this VM has seen, if there is more than they know.
 fn tell_news(vm: &Rc<Vm>, service: &Service) {
     let news = vm.trials.borrow_mut().get_mut(service).and_then(|trial| trial.news());
-    if let Some((version, totals)) = news {
-        peer::tell(vm, &peer::Word::Seen { service: service.clone(), version, totals });
+    if let Some((version, routes)) = news {
+        peer::tell(vm, &peer::Word::Seen { service: service.clone(), version, routes });
     }
 }
 
@@ -108,6 +108,7 @@
         ready,
         bad: trial.is_bad(),
         seen: trial.seen(),
+        evidence: trial.evidence(),
     };
     match canary::next(&known) {
         Step::Hold => None,
--- a/src/forward/trial.rs
+++ b/src/forward/trial.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::decide::canary::Trial;
+use crate::decide::canary::{self, Trial};
 use crate::decide::sequential::Count;
 use crate::unit::{Moment, Span, Version, Vm};
 
@@ -48,15 +48,15 @@
     }
 }
 
-/// Whether an answer whose prompt should have been read in `expected` took too long.
-pub fn is_slow(time: Span, expected: Span) -> bool {
-    time.0 as f64 > (expected.0 + ON_THE_WAY.0) as f64 * SLOW
+/// The longest time of an answer that is not slow, if its first event was due within `expected`.
+pub fn slow_after(expected: Span) -> Span {
+    Span(((expected.0 + ON_THE_WAY.0) as f64 * SLOW) as u64)
 }
 
 /// One answer, as a roll-out sees it.
 #[derive(Clone, Copy, Debug)]
 pub struct Sample<'a> {
-    /// The route and the model, whose answers are alike.
+    /// The route, whose answers are alike.
     pub route: &'a str,
     /// The version that answered.
     pub version: &'a Version,
@@ -64,12 +64,13 @@
     pub failed: bool,
     /// Time to the answer or to the first event, if it came.
     pub time: Option<Span>,
-    /// Time that the reading of its prompt should have taken at most, if it has one. A new version
-    /// that holds no prompt yet must not look slow beside one that holds many.
+    /// Time within which the first event was due if the server holds nothing that this VM did not
+    /// send it, if the request has a prompt. A new version that holds no prompt yet must not look slow
+    /// beside one that holds many.
     pub expected: Option<Span>,
 }
 
-/// What one VM has seen of both versions, on all routes together.
+/// What one VM has seen of both versions on one route.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Totals {
     /// Failures.
@@ -78,6 +79,21 @@
     pub slow: Trial,
 }
 
+impl Totals {
+    fn plus(self, other: Totals) -> Totals {
+        Totals { failures: self.failures.plus(other.failures), slow: self.slow.plus(other.slow) }
+    }
+
+    /// Evidence that the new version is worse, in the way that tells most.
+    fn evidence(&self) -> f64 {
+        self.failures.evidence().max(self.slow.evidence())
+    }
+}
+
+/// What was seen, by route. A version may be bad on one route only, and few of its answers lie
+/// there: what one VM sees of one route in a trial is some answers, what all see is enough.
+pub type Routes = HashMap<String, Totals>;
+
 /// Trials of one service.
 #[derive(Default)]
 pub struct Trials {
@@ -85,12 +101,12 @@
     version: Option<Version>,
     since: Moment,
     bad: bool,
-    failures: HashMap<String, Trial>,
-    slow: HashMap<String, Trial>,
+    own: Routes,
     medians: HashMap<String, Median>,
     /// What other VMs have seen.
-    others: HashMap<Vm, Totals>,
-    told: Totals,
+    others: HashMap<Vm, Routes>,
+    /// What the others were told.
+    told: Routes,
 }
 
 impl Trials {
@@ -109,65 +125,74 @@
     /// Notes an answer.
     pub fn note(&mut self, sample: &Sample) {
         let is_new = self.version.as_ref() == Some(sample.version);
-        let median = self.medians.entry(sample.route.to_owned()).or_default();
-        let time = sample.time.map(|time| time.0 as f64);
-        let slow = match (sample.time, sample.expected) {
-            (Some(time), Some(expected)) => is_slow(time, expected),
-            (Some(time), None) => median.is_slow(time.0 as f64),
-            (None, _) => false,
-        };
-        if let Some(time) = time.filter(|_| !is_new) {
-            median.note(time);
-        }
+        let slow = self.is_slow(sample, is_new);
         if self.version.is_none() {
             return;
         }
-        for (trials, bad) in [(&mut self.failures, sample.failed), (&mut self.slow, slow)] {
-            let trial = trials.entry(sample.route.to_owned()).or_default();
+        let totals = self.own.entry(sample.route.to_owned()).or_default();
+        for (trial, bad) in [(&mut totals.failures, sample.failed), (&mut totals.slow, slow)] {
             let count = if is_new { &mut trial.new } else { &mut trial.old };
             *count = count.plus(Count::of(1, u64::from(bad)));
         }
-        self.bad = self.bad || (is_new && self.is_worse(sample.route));
+        self.bad = self.bad || (is_new && self.evidence() > canary::ACCUSED);
     }
 
-    /// Whether the new version is worse on this route, or on all routes and VMs together, in
-    /// either way.
-    fn is_worse(&self, route: &str) -> bool {
-        let one = |trials: &HashMap<String, Trial>| trials.get(route).copied().unwrap_or_default();
-        let own = self.totals();
-        let all = self.others.values().fold(own, |sum, other| Totals {
-            failures: sum.failures.plus(other.failures),
-            slow: sum.slow.plus(other.slow),
-        });
-        let tests = [one(&self.failures), one(&self.slow), all.failures, all.slow];
-        tests.iter().any(Trial::is_bad)
+    /// Whether an answer was slow. Those of the old version teach what is usual for answers without
+    /// a prompt.
+    fn is_slow(&mut self, sample: &Sample, is_new: bool) -> bool {
+        let Some(time) = sample.time else { return false };
+        if let Some(expected) = sample.expected {
+            return time > slow_after(expected);
+        }
+        let median = self.medians.entry(sample.route.to_owned()).or_default();
+        let slow = median.is_slow(time.0 as f64);
+        if !is_new {
+            median.note(time.0 as f64);
+        }
+        slow
     }
 
-    /// What this VM has seen.
-    fn totals(&self) -> Totals {
-        let sum = |trials: &HashMap<String, Trial>| {
-            trials.values().fold(Trial::default(), |sum, one| sum.plus(*one))
-        };
-        Totals { failures: sum(&self.failures), slow: sum(&self.slow) }
+    /// What all VMs that were heard have seen, by route.
+    fn pooled(&self) -> Routes {
+        let mut pooled = self.own.clone();
+        for (route, totals) in self.others.values().flatten() {
+            let sum = pooled.entry(route.clone()).or_default();
+            *sum = sum.plus(*totals);
+        }
+        pooled
+    }
+
+    /// Evidence of all VMs that the new version is worse: on one route, or on all together. The
+    /// logarithm of a likelihood ratio.
+    pub fn evidence(&self) -> f64 {
+        let pooled = self.pooled();
+        let all = pooled.values().fold(Totals::default(), |sum, one| sum.plus(*one));
+        pooled.values().map(Totals::evidence).fold(all.evidence(), f64::max)
     }
 
-    /// Takes what another VM has seen of a version.
-    pub fn hear(&mut self, from: &Vm, version: &Version, totals: Totals) {
+    /// Takes what another VM has seen of a version; routes that it does not name stay as they were.
+    pub fn hear(&mut self, from: &Vm, version: &Version, routes: Vec<(String, Totals)>) {
         if self.version.as_ref() == Some(version) {
-            self.others.insert(from.clone(), totals);
-            self.bad = self.bad || self.is_worse("");
+            self.others.entry(from.clone()).or_default().extend(routes);
+            self.bad = self.bad || self.evidence() > canary::ACCUSED;
         }
     }
 
-    /// What the others should be told, if it has changed since they were.
-    pub fn news(&mut self) -> Option<(Version, Totals)> {
-        let totals = self.totals();
+    /// What the others should be told: routes where more of the new version was seen than they know.
+    pub fn news(&mut self) -> Option<(Version, Vec<(String, Totals)>)> {
         let version = self.version.clone()?;
-        if totals.failures.new == self.told.failures.new && totals.slow.new == self.told.slow.new {
-            return None;
-        }
-        self.told = totals;
-        Some((version, totals))
+        let is_news = |route: &String, totals: &Totals| {
+            let told = self.told.get(route).copied().unwrap_or_default();
+            totals.failures.new != told.failures.new || totals.slow.new != told.slow.new
+        };
+        let news: Vec<(String, Totals)> = self
+            .own
+            .iter()
+            .filter(|(route, totals)| is_news(route, totals))
+            .map(|(route, totals)| (route.clone(), *totals))
+            .collect();
+        self.told.extend(news.iter().cloned());
+        (!news.is_empty()).then_some((version, news))
     }
 
     /// Whether this VM found the version bad.
@@ -175,17 +200,9 @@
         self.bad
     }
 
-    /// Answers of the new version that were seen.
+    /// Answers of the new version that all VMs have seen.
     pub fn seen(&self) -> f64 {
-        self.failures.values().map(|trial| trial.new.all).sum()
-    }
-
-    /// Bad answers of the new version that were seen, in either way.
-    pub fn bad_seen(&self) -> f64 {
-        let bad = |trials: &HashMap<String, Trial>| {
-            trials.values().map(|trial| trial.new.bad).sum::<f64>()
-        };
-        bad(&self.failures) + bad(&self.slow)
+        self.pooled().values().map(|totals| totals.failures.new.all).sum()
     }
 
     /// Time since the order was seen.
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -140,7 +140,7 @@
         let (mut phase, mut exposed) = (None, 0.0);
         for ms in (0..within.0).step_by(10_000) {
             let known = Known {
-                phase, age: Span(ms), within, exposure, ready: 3, bad: false, seen: 100.0,
+                phase, age: Span(ms), within, exposure, ready: 3, bad: false, seen: 100.0, evidence: 0.0,
             };
             if let Step::Move(next) = canary::next(&known) {
                 phase = Some(next);
@@ -152,7 +152,7 @@
             } * 10_000.0;
         }
         let bad = Known {
-            phase, age: Span(0), within, exposure, ready: 3, bad: true, seen: 9.0,
+            phase, age: Span(0), within, exposure, ready: 3, bad: true, seen: 9.0, evidence: 9.0,
         };
         let goes_on = matches!(
             canary::next(&bad), Step::Move(Phase::Running { .. } | Phase::Completed));
@@ -289,19 +289,65 @@
     assert!(!beside_old(65), "it reads the whole prompt, as a new server must");
 }
 
+/// A version may be bad on one route alone: three VMs saw one failure each among nine answers there, and
+/// many good ones elsewhere.
+#[test]
+fn a_version_that_is_bad_on_one_route_is_found_from_what_all_vms_saw_of_it() {
+    let (old, new): (Version, Version) = ("v1".parse().unwrap(), "v2".parse().unwrap());
+    let of = |route, version, failed: bool| {
+        let time = (!failed).then_some(Span::millis(30));
+        Sample { route, version, failed, time, expected: Some(Span::millis(40)) }
+    };
+    let mut all: Vec<Trials> = (0..3).map(|_| Trials::default()).collect();
+    for trials in &mut all {
+        trials.follow(&new, Moment(1));
+        (0..200).for_each(|_| trials.note(&of("sound", &old, false)));
+        (0..50).for_each(|_| trials.note(&of("broken", &old, false)));
+        (0..40).for_each(|_| trials.note(&of("sound", &new, false)));
+        (0..3).for_each(|number| trials.note(&of("broken", &new, number < 2)));
+        assert!(!trials.is_bad(), "alone a VM has seen too little");
+    }
+    let news: Vec<_> = all.iter_mut().map(|trials| trials.news().expect("it saw answers")).collect();
+    for (number, (version, routes)) in news.into_iter().enumerate().skip(1) {
+        all[0].hear(&format!("vm{number}").parse().unwrap(), &version, routes);
+    }
+    assert!(all[0].is_bad());
+    assert_eq!(all[0].news(), None, "what was told is not told again");
+}
+
+/// At the end of the time a version that is in doubt goes back: once it has taken over, it cannot.
+#[test]
+fn a_version_in_doubt_does_not_take_over() {
+    let known = |phase, evidence| Known {
+        phase: Some(phase),
+        age: Span::millis(21_900),
+        within: Span::secs(22),
+        exposure: 0.15,
+        ready: 3,
+        bad: false,
+        seen: 30.0,
+        evidence,
+    };
+    for share in [0.06, 1.0] {
+        let running = Phase::Running { share };
+        assert_eq!(canary::next(&known(running, 3.0)), Step::Move(Phase::RolledBack));
+        assert_ne!(canary::next(&known(running, 0.0)), Step::Move(Phase::RolledBack));
+    }
+}
+
 #[test]
 fn what_other_vms_saw_counts_for_this_version_only() {
     let (old, new): (Version, Version) = ("v1".parse().unwrap(), "v2".parse().unwrap());
     let seen = |all, bad| Trial { new: Count::of(all, bad), old: Count::of(500, 2) };
-    let totals = Totals { failures: seen(4, 2), slow: seen(4, 0) };
+    let totals = vec![("r".to_owned(), Totals { failures: seen(4, 2), slow: seen(4, 0) })];
     let mut trials = Trials::default();
     trials.follow(&new, Moment(1));
     for number in 0..3 {
-        trials.hear(&format!("vm{number}").parse().unwrap(), &old, totals);
+        trials.hear(&format!("vm{number}").parse().unwrap(), &old, totals.clone());
     }
     assert!(!trials.is_bad());
     // No VM alone has seen enough, however often it says so; two together have.
-    (0..3).for_each(|_| trials.hear(&"vm1".parse().unwrap(), &new, totals));
+    (0..3).for_each(|_| trials.hear(&"vm1".parse().unwrap(), &new, totals.clone()));
     assert!(!trials.is_bad());
     trials.hear(&"vm2".parse().unwrap(), &new, totals);
     assert!(trials.is_bad());
