--- a/src/forward/drive.rs
+++ b/src/forward/drive.rs
@@ -18,9 +18,8 @@
 /// A repeat needs at least this much time.
 const LEAST: Span = Span::millis(30);
 
-/// Sends to servers that did not run a request, which the route's number does not count, at most. Where
-/// a third of the servers is gone and still listed, one request in a hundred meets four of them.
-const NOT_RUN: u32 = 4;
+/// Attempts without a byte sent, which the route's number does not count; for each model.
+const UNSENT: u32 = 4;
 
 /// A request that may be repeated is tried elsewhere after this many times the route's goal without
 /// an answer, if there is time for it.
@@ -59,10 +58,9 @@
 #[derive(Default)]
 struct Progress {
     tried: Vec<Id>,
-    /// Sends that certainly did not run, which the route's number does not count; in all, and since the
-    /// model changed.
-    not_run: u32,
-    not_run_of_model: u32,
+    /// Attempts without a byte sent; in all, and since the model changed.
+    unsent: u32,
+    unsent_of_model: u32,
     may_have_run: bool,
     /// A failure that a server gave, kept in case that nothing better comes.
     failure: Option<(ResponseHead, Bytes)>,
@@ -102,7 +100,7 @@
             progress.may_have_run = true;
             progress.tried.pop();
             progress.smaller = model.replace(larger);
-            progress.not_run_of_model = 0;
+            progress.unsent_of_model = 0;
             continue;
         }
         match ends::next(outcome.end, job.route.repeat) {
@@ -114,14 +112,14 @@
             Next::Unknown | Next::Elsewhere => {}
         }
         let end = outcome.end;
-        let not_run = u32::from(matches!(end, End::NotSent | End::NotRun));
-        progress.not_run += not_run;
-        progress.not_run_of_model += not_run;
+        let unsent = u32::from(end == End::NotSent);
+        progress.unsent += unsent;
+        progress.unsent_of_model += unsent;
         progress.may_have_run |= matches!(end, End::Broken | End::Failed | End::Late);
         if let (End::Failed, Some((head, _))) = (end, outcome.head) {
             progress.failure = Some((head, outcome.body));
         }
-        let falls_back = not_run == 0 && progress.smaller.is_some();
+        let falls_back = end != End::NotSent && progress.smaller.is_some();
         if !falls_back && may_try_again(job, &progress, end) {
             continue;
         }
@@ -139,7 +137,7 @@
     }
     *model = progress.smaller.take();
     progress.tried.clear();
-    progress.not_run_of_model = 0;
+    progress.unsent_of_model = 0;
     true
 }
 
@@ -238,7 +236,7 @@
 
 /// Sends that count as an attempt.
 fn sends(job: &Job, progress: &Progress) -> u32 {
-    job.record.attempts().saturating_sub(progress.not_run)
+    job.record.attempts().saturating_sub(progress.unsent)
 }
 
 /// Whether a request that may be repeated can still go elsewhere after its attempt's time was up.
@@ -250,7 +248,7 @@
 fn may_try_again(job: &Job, progress: &Progress, end: End) -> bool {
     let vm = &job.vm;
     let now = vm.now();
-    if job.left(now) < LEAST || progress.not_run_of_model >= NOT_RUN {
+    if job.left(now) < LEAST || progress.unsent_of_model >= UNSENT {
         return false;
     }
     if end == End::NotSent {
