--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -7,8 +7,8 @@
 const FAR: f64 = 0.15;
 
 /// A prompt goes to another data centre if that saves this many microseconds for each of its bytes: a
-/// briefing of 17 kB for 0.17 s. From 0 to 10 the price of the bytes between data centres falls from 0.047
-/// to 0.033 of the worth on the briefings' site, and no other site's mean worth by more than 0.01.
+/// briefing of 17 kB for 0.17 s. Beside 22 ms for any prompt, the bytes between data centres cost 0.033 of
+/// the worth on the briefings' site rather than 0.043, and no site's mean worth moves by more than 0.01.
 const CARRY: f64 = 10.0;
 
 /// Requests that run beside one another slow each other a little: a server that is full counts as
