One way to take an attempt; a backlog at the usual pace stands once

Found on reading the whole change; behaviour stays. The route's number and the budget were asked in two places alike; spend_attempt serves both. Seen and left: the pause after a refused write of a step delays news of evidence for up to 1.6 s and doubles follow's pause (it should be that one, for each service); Trial::is_bad is read by tests alone; a candidate's waits are worked out by subtraction; timers of slow answers run without a roll-out too.

--- a/src/decide/backlog.rs
+++ b/src/decide/backlog.rs
@@ -18,7 +18,7 @@
 impl Backlog {
     /// Adds work that was just sent, by this VM or another.
     pub fn add(&mut self, work: Span, now: Moment) {
-        self.left = Span(self.shrunk(now).0 + work.0);
+        self.left = Span(self.usual(now).0 + work.0);
         self.at = now;
     }
 
@@ -34,16 +34,12 @@
 
     /// What is left of it.
     pub fn left(&self, now: Moment) -> Span {
-        self.shrunk(now).max(Span((self.own.0 as f64 * SURE) as u64))
+        self.usual(now).max(Span((self.own.0 as f64 * SURE) as u64))
     }
 
     /// What would be left of it if the server had done its work at the usual pace, and none was its own
     /// fault.
     pub fn usual(&self, now: Moment) -> Span {
-        self.shrunk(now)
-    }
-
-    fn shrunk(&self, now: Moment) -> Span {
         Span(self.left.0.saturating_sub(now.since(self.at).0))
     }
 }
--- a/src/forward/drive.rs
+++ b/src/forward/drive.rs
@@ -134,8 +134,8 @@
 
 /// Goes back to the smaller model whose answer was dropped, if there is one and it may run again.
 fn fall_back(job: &Job, progress: &mut Progress, model: &mut Option<Model>, now: Moment) -> bool {
-    let may = job.left(now) >= LEAST && sends(job, progress) < job.route.attempts;
-    if !may || progress.smaller.is_none() || !job.vm.spend_repeat(&job.service, now) {
+    let may = job.left(now) >= LEAST && progress.smaller.is_some();
+    if !may || !spend_attempt(job, progress, now) {
         return false;
     }
     *model = progress.smaller.take();
@@ -251,15 +251,19 @@
 }
 
 fn may_try_again(job: &Job, progress: &Progress, end: End) -> bool {
-    let vm = &job.vm;
-    let now = vm.now();
+    let now = job.vm.now();
     if job.left(now) < LEAST || progress.unsent_of_model >= UNSENT {
         return false;
     }
     if end == End::NotSent {
         return true;
     }
-    sends(job, progress) < job.route.attempts && vm.spend_repeat(&job.service, now)
+    spend_attempt(job, progress, now)
+}
+
+/// Takes one more attempt, if the route's number and the budget of repeats leave one.
+fn spend_attempt(job: &Job, progress: &Progress, now: Moment) -> bool {
+    sends(job, progress) < job.route.attempts && job.vm.spend_repeat(&job.service, now)
 }
 
 /// Keeps the version that a session was sent to.
--- a/src/forward/steps.rs
+++ b/src/forward/steps.rs
@@ -122,6 +122,7 @@
     known: Known,
 }
 
+/// The step that is due for a service, if any.
 fn due(vm: &Vm, service: &Service) -> Option<Due> {
     let now = vm.now();
     let rollouts = vm.rollouts.borrow();
