Sight: whose list, which revision, how old a reader's servers were; why a request's version

Cause: logs could not tell the hypotheses of the incident apart. They did not say which revision of the store a list or an entry of servers stood for, who had read it, nor how old a reader's knowledge of servers was when it answered; and not which session a request belonged to or why its version was chosen. Change: these lines have it now; a reader's news tells how current each kind is. No decision changes.

--- a/src/forward/choice.rs
+++ b/src/forward/choice.rs
@@ -59,41 +59,82 @@
     hasher.finish()
 }
 
+/// A text that stands for another one in logs.
+pub fn short_hash(text: &str) -> String {
+    format!("{:08x}", stable_hash(&[text]) >> 32)
+}
+
 /// A point from 0 to 1 that follows from a text.
 pub fn point(parts: &[&str]) -> f64 {
     (stable_hash(parts) >> 11) as f64 / (1u64 << 53) as f64
 }
 
-/// The versions of a service that a request may be sent to now.
-pub fn versions(vm: &Vm, service: &Service, call: &Call, now: Moment) -> Versions {
+/// Why a request goes to a version.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Why {
+    /// No trial runs.
+    Settled,
+    /// This VM found the new version bad.
+    Bad,
+    /// Its session was sent there before.
+    Kept,
+    /// Its point, from 0 to 1, lies below the new version's share, or not.
+    Drawn {
+        /// The point.
+        point: f64,
+        /// The share.
+        share: f64,
+        /// Whether this VM had sent its session to a version before.
+        known: bool,
+    },
+    /// The version that it should go to has no server that takes it.
+    Elsewhere,
+}
+
+impl std::fmt::Display for Why {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Why::Settled => f.write_str("settled"),
+            Why::Bad => f.write_str("bad"),
+            Why::Kept => f.write_str("kept"),
+            Why::Drawn { point, share, known } => {
+                write!(f, "drawn {point:.3} of {share:.3}{}", if *known { " again" } else { "" })
+            }
+            Why::Elsewhere => f.write_str("no server of its version"),
+        }
+    }
+}
+
+/// The versions of a service that a request may be sent to now, and why these.
+pub fn versions(vm: &Vm, service: &Service, call: &Call, now: Moment) -> (Versions, Why) {
     let rollouts = vm.rollouts.borrow();
     let Some(rollout) = rollouts.get(service) else {
-        return match vm.fleet.borrow().usual(service) {
-            Some(usual) => Versions::Only(usual.clone()),
-            None => Versions::Any,
-        };
+        let usual = vm.fleet.borrow().usual(service).cloned();
+        return (usual.map_or(Versions::Any, Versions::Only), Why::Settled);
     };
     let old = Versions::Except(rollout.version.clone());
     let new = Versions::Only(rollout.version.clone());
     match rollout.phase {
-        None | Some(Phase::RolledBack) => old,
-        Some(Phase::Completed) => new,
+        None | Some(Phase::RolledBack) => (old, Why::Settled),
+        Some(Phase::Completed) => (new, Why::Settled),
         Some(Phase::Running { share }) => {
             let trials = vm.trials.borrow();
             let trial = trials.get(service);
             if trial.is_some_and(|trial| trial.is_bad()) {
-                return old;
+                return (old, Why::Bad);
             }
             let gap = vm.settings.bounds.session_gap;
             let name = call.session.as_deref().unwrap_or(&call.id);
             let sessions = vm.sessions.borrow();
             let last = call.session.as_deref().and_then(|one| sessions.version(one, gap, now));
             let first_half = trial.is_none_or(|trial| trial.age(now).0 * 2 < rollout.within.0);
+            let point = point(&[service.as_str(), rollout.version.as_str(), name]);
+            let drawn = Why::Drawn { point, share, known: last.is_some() };
             match last {
-                Some(last) if *last == rollout.version => new,
-                Some(_) if first_half => old,
-                _ if point(&[service.as_str(), rollout.version.as_str(), name]) < share => new,
-                _ => old,
+                Some(last) if *last == rollout.version => (new, Why::Kept),
+                Some(_) if first_half => (old, Why::Kept),
+                _ if point < share => (new, drawn),
+                _ => (old, drawn),
             }
         }
     }
@@ -108,12 +149,14 @@
     pub until_read: Span,
     /// The part of it that is the reading of this prompt.
     pub reads: Span,
+    /// Why its version.
+    pub why: Why,
 }
 
 /// The server for a request; none if none takes work.
 pub fn server(vm: &Vm, wish: &Wish, now: Moment) -> Option<Place> {
-    let versions = versions(vm, wish.service, wish.call, now);
-    let found = among(vm, wish, &versions, now);
+    let (versions, why) = versions(vm, wish.service, wish.call, now);
+    let found = among(vm, wish, &versions, why, now);
     // While a version is tried, the other serves on if it alone has servers.
     let running = matches!(
         vm.rollouts.borrow().get(wish.service).map(|one| one.phase),
@@ -121,16 +164,16 @@
     );
     match (found, versions) {
         (None, Versions::Only(version)) if running => {
-            among(vm, wish, &Versions::Except(version), now)
+            among(vm, wish, &Versions::Except(version), Why::Elsewhere, now)
         }
         (None, Versions::Only(_)) if !vm.rollouts.borrow().contains_key(wish.service) => {
-            among(vm, wish, &Versions::Any, now)
+            among(vm, wish, &Versions::Any, Why::Elsewhere, now)
         }
         (found, _) => found,
     }
 }
 
-fn among(vm: &Vm, wish: &Wish, versions: &Versions, now: Moment) -> Option<Place> {
+fn among(vm: &Vm, wish: &Wish, versions: &Versions, why: Why, now: Moment) -> Option<Place> {
     let fleet = vm.fleet.borrow();
     let of_version = || fleet.of(wish.service).filter(|one| versions.allow(&one.replica.version));
     let sound = |one: &&Server| !one.record.is_out(now);
@@ -159,6 +202,7 @@
         replica: servers[at].replica.clone(),
         until_read: candidates[at].until_read,
         reads: candidates[at].reads,
+        why,
     })
 }
 
--- a/src/forward/drive.rs
+++ b/src/forward/drive.rs
@@ -91,7 +91,7 @@
         let replica = &place.replica;
         vm.metrics.added.observe(now.since(job.arrived).as_secs());
         let outcome =
-            try_at(job, replica, model.as_ref(), patience(job, &progress, &place, now)).await;
+            try_at(job, &place, model.as_ref(), patience(job, &progress, &place, now)).await;
         progress.tried.push(replica.id.clone());
         let ended = vm.now();
         if outcome.end == End::Good
@@ -145,11 +145,12 @@
 }
 
 /// One attempt, and what this VM learns from it.
-async fn try_at(job: &Job, replica: &Replica, model: Option<&Model>, until: Moment) -> Outcome {
+async fn try_at(job: &Job, place: &Place, model: Option<&Model>, until: Moment) -> Outcome {
+    let replica = &place.replica;
     let vm = &job.vm;
     let begun = vm.now();
     let named = model.or(job.call.model.as_ref());
-    let (sent, waiting) = job.send(replica, model);
+    let (sent, waiting) = job.send(place, model);
     let mut trial = Watched::new(job, replica, begun, sent.expected);
     let attempt = attempt::run(job, replica, model, job.call.after_event, waiting, until);
     let outcome = trial.wait(attempt).await;
--- a/src/forward/feed.rs
+++ b/src/forward/feed.rs
@@ -9,7 +9,7 @@
 
 use super::follow::Kind;
 use crate::platform::object::Object;
-use crate::unit::Span;
+use crate::unit::{Moment, Span};
 
 /// Changes kept for followers; they ask a few times a second.
 const KEPT: usize = 2000;
@@ -21,6 +21,8 @@
     pub kind: Kind,
     /// Its name among its kind.
     pub name: String,
+    /// Revision of its last change that the reader knew.
+    pub revision: u64,
     /// The object in JSON; none if it is gone.
     pub object: Option<String>,
     /// Whether it may only have lapsed, since the store was away just before.
@@ -36,6 +38,26 @@
     pub upto: u64,
 }
 
+/// How current a VM's knowledge of a kind is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reading {
+    /// The store's revision that it stands for.
+    pub revision: u64,
+    /// When the read was sent that brought it; later changes may be missing.
+    pub sent: Moment,
+}
+
+/// The same as a reader tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// The kind.
+    pub kind: Kind,
+    /// The store's revision that it stands for.
+    pub revision: u64,
+    /// How old it is when this is told.
+    pub age: Span,
+}
+
 /// What a reader answers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct News {
@@ -47,6 +69,15 @@
     pub changes: Vec<Change>,
     /// How old the proof is that the configuration is the newest, when this is answered.
     pub proof_age: Option<Span>,
+    /// How current each kind is.
+    pub readings: Vec<Told>,
+}
+
+impl News {
+    /// How current a kind is, if the reader has read it.
+    pub fn reading(&self, kind: Kind) -> Option<&Told> {
+        self.readings.iter().find(|told| told.kind == kind)
+    }
 }
 
 /// The objects that a VM has read, and their last changes.
@@ -55,7 +86,7 @@
     place: Place,
     objects: BTreeMap<(Kind, String), Kept>,
     changes: VecDeque<Change>,
-    listed: Vec<Kind>,
+    readings: BTreeMap<Kind, Reading>,
 }
 
 struct Kept {
@@ -76,7 +107,19 @@
 
     /// Whether this kind was read in this spell.
     pub fn has_listed(&self, kind: Kind) -> bool {
-        self.listed.contains(&kind)
+        self.readings.contains_key(&kind)
+    }
+
+    /// How current this kind is, if it was read in this spell.
+    pub fn reading(&self, kind: Kind) -> Option<Reading> {
+        self.readings.get(&kind).copied()
+    }
+
+    /// A read of a kind that was sent at `sent` was answered, and what it brought was taken.
+    pub fn note_read(&mut self, kind: Kind, revision: u64, sent: Moment) {
+        let known = self.readings.entry(kind).or_insert(Reading { revision, sent });
+        known.revision = known.revision.max(revision);
+        known.sent = known.sent.max(sent);
     }
 
     /// Takes all objects of a kind; those that are missing are gone, or lapsed.
@@ -90,9 +133,6 @@
         for object in objects {
             self.put(kind, object);
         }
-        if !self.has_listed(kind) {
-            self.listed.push(kind);
-        }
     }
 
     /// Takes an object, unless a newer state of it is known.
@@ -104,13 +144,14 @@
         }
         let text = object.to_json();
         self.objects.insert((kind, name.clone()), Kept { revision, text: text.clone() });
-        self.note(Change { kind, name, object: Some(text), lapsed: false });
+        self.note(Change { kind, name, revision, object: Some(text), lapsed: false });
     }
 
     /// An object is gone, or lapsed.
     pub fn remove(&mut self, kind: Kind, name: &str, lapsed: bool) {
-        if self.objects.remove(&(kind, name.to_owned())).is_some() {
-            self.note(Change { kind, name: name.to_owned(), object: None, lapsed });
+        if let Some(known) = self.objects.remove(&(kind, name.to_owned())) {
+            let (name, revision) = (name.to_owned(), known.revision);
+            self.note(Change { kind, name, revision, object: None, lapsed });
         }
     }
 
@@ -123,7 +164,7 @@
     }
 
     /// What a follower at `place` lacks.
-    pub fn since(&self, place: Place, proof_age: Option<Span>) -> News {
+    pub fn since(&self, place: Place, proof_age: Option<Span>, now: Moment) -> News {
         let behind = self.place.upto.checked_sub(place.upto).filter(|behind| {
             place.epoch == self.place.epoch && *behind <= self.changes.len() as u64
         });
@@ -134,13 +175,24 @@
             }
             None => self.all(),
         };
-        News { place: self.place, whole: behind.is_none(), changes, proof_age }
+        let readings = self.told(now);
+        News { place: self.place, whole: behind.is_none(), changes, proof_age, readings }
+    }
+
+    fn told(&self, now: Moment) -> Vec<Told> {
+        let told = |(kind, reading): (&Kind, &Reading)| Told {
+            kind: *kind,
+            revision: reading.revision,
+            age: now.since(reading.sent),
+        };
+        self.readings.iter().map(told).collect()
     }
 
     fn all(&self) -> Vec<Change> {
         let change = |((kind, name), kept): (&(Kind, String), &Kept)| Change {
             kind: *kind,
             name: name.clone(),
+            revision: kept.revision,
             object: Some(kept.text.clone()),
             lapsed: false,
         };
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::learn;
+use super::learn::{self, Source};
 use super::roster::VMS;
 use super::vm::Vm;
 use crate::decide::reader::may_be_asked;
@@ -94,6 +94,7 @@
             let _ = follows.wait_for(Option::is_none).await;
             continue;
         }
+        let sent = vm.now();
         let result = match from {
             None => list(&vm, kind, &mut store).await,
             Some(_) if kind != Kind::Vms && may_find_reader(&vm) => {
@@ -105,6 +106,7 @@
                 tokio::select! {
                     watched = watched => watched.map(|events| {
                         note_events(&vm, kind, &events.events);
+                        vm.feed.borrow_mut().note_read(kind, events.store_revision, sent);
                         (events.store_revision, !events.events.is_empty())
                     }),
                     _ = follows.wait_for(|reader| reader.is_some()) => {
@@ -193,8 +195,13 @@
 
 /// Takes a list that was asked for at `sent`; one of the configuration proves that it is the newest.
 fn note_list(vm: &Vm, kind: Kind, listing: &Listing, sent: Moment) {
-    vm.feed.borrow_mut().replace(kind, &listing.items, vm.was_store_away(sent));
-    let reads = learn::take_all(vm, kind, &listing.items);
+    {
+        let mut feed = vm.feed.borrow_mut();
+        feed.replace(kind, &listing.items, vm.was_store_away(sent));
+        feed.note_read(kind, listing.store_revision, sent);
+    }
+    let source = Source { reader: None, revision: listing.store_revision };
+    let reads = learn::take_all(vm, kind, &listing.items, &source);
     match kind {
         Kind::Config if reads => learn::prove(vm, sent),
         Kind::Config => vm.proof.notify_waiters(),
@@ -205,16 +212,17 @@
 fn note_events(vm: &Vm, kind: Kind, events: &[Event]) {
     let lapsed = vm.was_store_away(vm.now());
     for event in events {
+        let source = Source { reader: None, revision: event.object.metadata.revision };
         let mut feed = vm.feed.borrow_mut();
         if event.deleted {
             let name = event.object.metadata.name.as_str();
             feed.remove(kind, name, lapsed);
             drop(feed);
-            learn::drop_object(vm, kind, name, lapsed);
+            learn::drop_object(vm, kind, name, lapsed, &source);
         } else {
             feed.put(kind, &event.object);
             drop(feed);
-            learn::take(vm, kind, &event.object);
+            learn::take(vm, kind, &event.object, &source);
         }
     }
 }
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -8,8 +8,7 @@
 use bytes::Bytes;
 
 use super::call::Call;
-use super::choice::{self, Sent, Wish};
-use super::replica::Replica;
+use super::choice::{self, Place, Sent, Why, Wish};
 use super::vm::Vm;
 use crate::config::{Holder, Route};
 use crate::decide::ends::End;
@@ -55,11 +54,12 @@
 
     /// Notes that it is about to be sent to a server, and what is expected of that. Its prompt
     /// counts as unread there until the second part is dropped.
-    pub fn send(&self, replica: &Replica, model: Option<&Model>) -> (Sent, Waiting) {
+    pub fn send(&self, place: &Place, model: Option<&Model>) -> (Sent, Waiting) {
+        let replica = &place.replica;
         let now = self.vm.now();
         let named = model.or(self.call.model.as_ref());
         let sent = choice::sent(&self.vm, replica, &self.call, named, now);
-        self.record.attempt(replica, named, &sent, now);
+        self.record.attempt(place, named, &sent, now);
         (sent, Waiting::new(&self.vm, &replica.id, sent.reads))
     }
 
@@ -75,6 +75,8 @@
 pub struct Record {
     vm: Rc<Vm>,
     id: String,
+    /// The session's hash, which tells sessions apart and names nobody.
+    session: Option<String>,
     route: String,
     arrived: Moment,
     revision: u64,
@@ -92,6 +94,7 @@
         vm.metrics.running.set(vm.running.get() as i64);
         Record {
             id: call.id.clone(),
+            session: call.session.as_deref().map(choice::short_hash),
             route: String::new(),
             arrived,
             revision: vm.routes().map_or(0, |table| table.revision.0),
@@ -115,7 +118,7 @@
     }
 
     /// A send to a server is about to begin, and what is expected of it.
-    pub fn attempt(&self, replica: &Replica, model: Option<&Model>, sent: &Sent, now: Moment) {
+    pub fn attempt(&self, place: &Place, model: Option<&Model>, sent: &Sent, now: Moment) {
         self.attempts.set(self.attempts.get() + 1);
         let mut trail = self.trail.borrow_mut();
         if !trail.is_empty() {
@@ -123,7 +126,10 @@
         }
         let after = now.since(self.arrived).0 / 1000;
         // Writing to a string cannot fail.
-        let _ = write!(trail, "{after}ms {}", replica.id);
+        let _ = write!(trail, "{after}ms {}", place.replica.id);
+        if place.why != Why::Settled {
+            let _ = write!(trail, " {} ({})", place.replica.version, place.why);
+        }
         if let Some(model) = model {
             let _ = write!(trail, " {model}");
         }
@@ -181,6 +187,7 @@
             "request",
             &[
                 ("id", self.id.as_str().into()),
+                ("session", self.session.as_deref().unwrap_or_default().into()),
                 ("route", self.route.as_str().into()),
                 ("outcome", outcome.as_str().into()),
                 ("attempts", self.attempts.get().into()),
--- a/src/forward/learn.rs
+++ b/src/forward/learn.rs
@@ -7,13 +7,29 @@
 use super::roster;
 use super::vm::Vm;
 use crate::platform::object::{self, CONFIG, MAIN, Object, ROLLOUTS, SERVERS};
-use crate::unit::Moment;
+use crate::unit::{Moment, Vm as Name};
+use crate::watch::line::Value;
+
+/// Who read what this VM learns, and the store's revision that it stands for.
+pub struct Source<'a> {
+    /// The VM that read it, if it was not this one.
+    pub reader: Option<&'a Name>,
+    /// Of an object its own revision, of a list the store's.
+    pub revision: u64,
+}
+
+impl Source<'_> {
+    fn fields(&self) -> [(&'static str, Value<'_>); 2] {
+        let from = self.reader.map_or("store", |name| name.as_str());
+        [("from", from.into()), ("store_revision", self.revision.into())]
+    }
+}
 
 /// Takes all objects of a kind. Whether the configuration is among them and reads.
-pub fn take_all(vm: &Vm, kind: Kind, objects: &[Object]) -> bool {
+pub fn take_all(vm: &Vm, kind: Kind, objects: &[Object], source: &Source) -> bool {
     match kind {
         Kind::Config => return take_config(vm, objects),
-        Kind::Servers => take_servers(vm, objects),
+        Kind::Servers => take_servers(vm, objects, source),
         Kind::Rollouts => take_rollouts(vm, objects),
         Kind::Vms => roster::take_entries(vm, objects),
     }
@@ -21,13 +37,13 @@
 }
 
 /// Takes an object as it changed.
-pub fn take(vm: &Vm, kind: Kind, object: &Object) {
+pub fn take(vm: &Vm, kind: Kind, object: &Object, source: &Source) {
     match kind {
         Kind::Config if object.metadata.name == MAIN => {
             put_table(vm, object);
         }
         Kind::Config => {}
-        Kind::Servers => put_server(vm, object),
+        Kind::Servers => put_server(vm, object, source),
         Kind::Rollouts => {
             if let Some(rollout) = read_rollout(vm, object) {
                 put_rollout(vm, rollout);
@@ -38,10 +54,12 @@
 }
 
 /// An object is gone; a backend server may only have lapsed while the store was away.
-pub fn drop_object(vm: &Vm, kind: Kind, name: &str, lapsed: bool) {
+pub fn drop_object(vm: &Vm, kind: Kind, name: &str, lapsed: bool, source: &Source) {
     match kind {
         Kind::Servers => {
-            vm.log("server gone", &[("server", name.into()), ("may_be_back", lapsed.into())]);
+            let [from, revision] = source.fields();
+            let fields = [("server", name.into()), ("may_be_back", lapsed.into()), from, revision];
+            vm.log("server gone", &fields);
             if let Ok(id) = name.parse() {
                 vm.fleet.borrow_mut().remove(&id, lapsed);
             }
@@ -90,7 +108,7 @@
     vm.log("object not read", &[("kind", kind.into()), ("name", name.into()), ("why", why.into())]);
 }
 
-fn take_servers(vm: &Vm, objects: &[Object]) {
+fn take_servers(vm: &Vm, objects: &[Object], source: &Source) {
     let mut replicas = Vec::with_capacity(objects.len());
     for object in objects {
         match object::replica(object) {
@@ -99,20 +117,24 @@
         }
     }
     let may_lapse = vm.listed.get().0 && vm.was_store_away(vm.now());
-    let fields = [("count", replicas.len().into()), ("missing_may_be_back", may_lapse.into())];
-    vm.log("servers listed", &fields);
+    let [from, revision] = source.fields();
+    let count = ("count", replicas.len().into());
+    vm.log("servers listed", &[count, ("missing_may_be_back", may_lapse.into()), from, revision]);
     vm.fleet.borrow_mut().replace(replicas, may_lapse);
     vm.listed.set((true, vm.listed.get().1));
 }
 
-fn put_server(vm: &Vm, object: &Object) {
+fn put_server(vm: &Vm, object: &Object, source: &Source) {
     match object::replica(object) {
         Ok(replica) => {
+            let [from, revision] = source.fields();
             let fields = [
                 ("server", object.metadata.name.as_str().into()),
                 ("service", replica.service.as_str().into()),
                 ("version", replica.version.as_str().into()),
                 ("ready", replica.ready.into()),
+                from,
+                revision,
             ];
             vm.log("server entry", &fields);
             vm.fleet.borrow_mut().put(replica);
--- a/src/forward/reader.rs
+++ b/src/forward/reader.rs
@@ -14,7 +14,7 @@
 
 use super::feed::{Change, News, Place};
 use super::follow::Kind;
-use super::learn;
+use super::learn::{self, Source};
 use super::vm::Vm;
 use crate::decide::reader::Asked;
 use crate::peer::wire::{decode, encode};
@@ -116,8 +116,8 @@
             Reply::News(news) => {
                 self.asked.answered(name);
                 self.place = news.place;
-                apply(&vm, asked, news);
-                follow(&vm, name);
+                apply(&vm, asked, name, &news);
+                follow(&vm, name, &news);
                 return true;
             }
             Reply::Declined => self.asked.declined(name, vm.now()),
@@ -173,19 +173,20 @@
     if let Some(longest) = vm.longest_proof_age() {
         age.filter(|age| *age < longest.part(STALE))?;
     }
-    Some(vm.feed.borrow().since(place, age))
+    Some(vm.feed.borrow().since(place, age, now))
 }
 
 /// Takes what a reader answered to a question of the moment `asked`.
-fn apply(vm: &Vm, asked: Moment, news: News) {
+fn apply(vm: &Vm, asked: Moment, reader: &Name, news: &News) {
     if news.whole {
         for kind in Kind::ALL {
             let of_kind = news.changes.iter().filter(|change| change.kind == kind);
             let objects: Vec<Object> = of_kind.filter_map(|change| read(vm, change)).collect();
-            learn::take_all(vm, kind, &objects);
+            let revision = news.reading(kind).map_or(0, |told| told.revision);
+            learn::take_all(vm, kind, &objects, &Source { reader: Some(reader), revision });
         }
     } else {
-        news.changes.iter().for_each(|change| apply_change(vm, change));
+        news.changes.iter().for_each(|change| apply_change(vm, reader, change));
     }
     // A proof from before this process began proves nothing that it can count.
     if let Some(at) = news.proof_age.and_then(|age| asked.0.checked_sub(age.0)) {
@@ -193,11 +194,13 @@
     }
 }
 
-fn apply_change(vm: &Vm, change: &Change) {
+fn apply_change(vm: &Vm, reader: &Name, change: &Change) {
     if change.object.is_none() {
-        learn::drop_object(vm, change.kind, &change.name, change.lapsed);
+        let source = Source { reader: Some(reader), revision: change.revision };
+        learn::drop_object(vm, change.kind, &change.name, change.lapsed, &source);
     } else if let Some(object) = read(vm, change) {
-        learn::take(vm, change.kind, &object);
+        let source = Source { reader: Some(reader), revision: object.metadata.revision };
+        learn::take(vm, change.kind, &object, &source);
     }
 }
 
@@ -213,11 +216,18 @@
     }
 }
 
-fn follow(vm: &Vm, reader: &Name) {
+fn follow(vm: &Vm, reader: &Name, news: &News) {
     if vm.reader.borrow().as_ref() == Some(reader) {
         return;
     }
-    vm.log("follows a reader", &[("reader", reader.as_str().into())]);
+    let servers = news.reading(Kind::Servers);
+    let fields = [
+        ("reader", reader.as_str().into()),
+        ("servers_age_ms", servers.map_or(-1.0, |told| told.age.as_millis()).into()),
+        ("servers_revision", servers.map_or(0, |told| told.revision).into()),
+        ("proof_age_ms", news.proof_age.map_or(-1.0, Span::as_millis).into()),
+    ];
+    vm.log("follows a reader", &fields);
     vm.feed.borrow_mut().begin(rand::random());
     vm.store_answered();
     vm.reader.send_replace(Some(reader.clone()));
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -5,7 +5,7 @@
 use futures_util::Stream as Pieces;
 
 use super::attempt;
-use super::choice::{self, Place};
+use super::choice;
 use super::connection::Fault;
 use super::drive::Begun;
 use super::event::Batch;
@@ -136,12 +136,13 @@
                 continue;
             }
             let wish = self.job.wish(self.begun.model.as_ref(), &self.begun.tried);
-            let Some(Place { replica, .. }) = choice::server(&vm, &wish, now) else {
+            let Some(place) = choice::server(&vm, &wish, now) else {
                 return Err(format!("{why}; no other server takes work"));
             };
             let model = self.begun.model.clone();
             let until = self.job.deadline;
-            let (_, waiting) = self.job.send(&replica, model.as_ref());
+            let (_, waiting) = self.job.send(&place, model.as_ref());
+            let replica = place.replica;
             let outcome =
                 attempt::run(&self.job, &replica, model.as_ref(), self.last, waiting, until).await;
             self.begun.tried.push(replica.id.clone());
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -45,7 +45,7 @@
 
 fn whole(feed: &Feed) -> BTreeMap<(Kind, String), String> {
     let mut fresh = Follower::default();
-    fresh.take(feed.since(Place::default(), None));
+    fresh.take(feed.since(Place::default(), None, Moment(0)));
     fresh.objects
 }
 
@@ -62,10 +62,10 @@
                 7..=9 => feed.remove(kind, &format!("o{}", name % 8), false),
                 10 => feed.replace(kind, &[object(name, revision), object(name + (name < 255) as u8, revision)], true),
                 11 => feed.begin(100 + revision),
-                _ => follower.take(feed.since(follower.place, None)),
+                _ => follower.take(feed.since(follower.place, None, Moment(0))),
             }
         }
-        follower.take(feed.since(follower.place, None));
+        follower.take(feed.since(follower.place, None, Moment(0)));
         follower.objects == whole(&feed)
     }
 
