--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -11,7 +11,7 @@
 pub mod feed;
 pub mod follow;
 pub mod job;
-mod learn;
+pub mod learn;
 mod metrics;
 pub mod peer;
 pub mod pool;
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -1,6 +1,9 @@
 //! Builder of a small site: the platform's store and backend servers as stand-ins, entry VMs as
 //! real processes, and callers that see every byte.
 
+// Each test program uses a part of it.
+#![allow(dead_code)]
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -14,6 +17,8 @@
 use kitepulley::standin::replica::Replica;
 use serde_json::{Value, json};
 
+pub mod way;
+
 /// A VM must be ready, and a change in force, within this; a busy machine is slow.
 const SOON: Duration = Duration::from_secs(10);
 
@@ -142,6 +147,11 @@
 
     /// Starts an entry VM that takes no new knowledge for granted.
     pub fn start(&self) -> Vm {
+        self.start_through(self.store_server.address)
+    }
+
+    /// The same, with the store at another address: a [`way::Way`] to it.
+    pub fn start_through(&self, store: SocketAddr) -> Vm {
         let number = SITES.fetch_add(1, Ordering::SeqCst);
         let name = format!("kitepulley-{}-{number}", std::process::id());
         let (callers, readiness, metrics) = (free(), free(), free());
@@ -152,7 +162,7 @@
             "listen": {"frontend": callers.to_string(), "readiness": readiness.to_string()},
             "port_range": [free().port(), 0],
             "bounds": self.bounds, "something_new": {"unknown": true},
-            "platform": {"address": self.store_server.address.to_string()},
+            "platform": {"address": store.to_string()},
         });
         std::fs::write(&settings, text.to_string()).unwrap();
         let out = std::fs::File::create(&log).unwrap();
