Knowledge of servers has an age, and a reader vouches for no more than it knows

Cause: a VM that reads the store for others answered them as long as its proof of the configuration was young, up to 3.6 s. Its servers came by a watch on a connection of its own that waits up to 6 s and proves nothing meanwhile; cut off or slowed, it hung while proofs went on, and VMs that nothing had befallen sent to servers 2.2 s after these had said that they leave. Questions to VMs that do not answer came one after the other, 0.45 s each, with nothing that bounded their sum. Ruled out: shorter waits of the watch (age still grows while it waits); the store's revision of a proof as proof for servers too (silent while history is dropped, a watch may claim a revision whose events it withholds). Change: whoever reads asks for changes of servers every 0.3 of the time that a leave allows, with 0.8 s for the answer; what it knows is dated to the question; past 0.45 of that time it gives no news; both VMs that a follower may ask are asked at once, and a follower whose knowledge reaches 0.8 of that time reads for itself. A VM that others rely on does not rest at its start.

--- a/src/decide/reader.rs
+++ b/src/decide/reader.rs
@@ -15,6 +15,31 @@
 /// One that answered that it has no news is asked again after this; it may soon have some.
 const DECLINED_FOR: Span = Span::millis(1500);
 
+/// Time for an answer.
+const ANSWER_WITHIN: Span = Span::millis(450);
+
+/// A reader whose knowledge of servers is older than this part of the time in which one that leaves may still get
+/// work gives no news.
+const STALE: f64 = 0.45;
+
+/// A follower whose knowledge of servers reaches this part of that time reads for itself, whoever may answer yet:
+/// its own list takes some milliseconds, and with two readers gone questions alone took 2.0 s in a row.
+const READS_AT: f64 = 0.8;
+
+/// Whether what a VM knows of servers is too old to be passed on. `leave_within` is the time in which a server that
+/// leaves may still get work.
+pub fn is_stale(servers_age: Span, leave_within: Span) -> bool {
+    servers_age > leave_within.part(STALE)
+}
+
+/// Time that a VM has for a question, if any. What a follower knows of servers dates from `known`; one that reads for
+/// itself has none, and all the time.
+pub fn time_to_ask(known: Option<Moment>, leave_within: Span, now: Moment) -> Option<Span> {
+    let Some(known) = known else { return Some(ANSWER_WITHIN) };
+    let left = (known + leave_within.part(READS_AT)).since(now);
+    (left > Span::default()).then(|| left.min(ANSWER_WITHIN))
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Avoided {
     /// Questions in a row that it did not answer.
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -10,20 +10,23 @@
 use super::vm::Vm;
 use crate::decide::reader::may_be_asked;
 use crate::platform::object::{CONFIG, ROLLOUTS, SERVERS};
-use crate::platform::objects::{Event, Listing, Objects, Trouble};
+use crate::platform::objects::{Event, Events, Listing, Objects, Trouble};
 use crate::unit::{Moment, Span};
 
 /// Longest wait of a watch. The store allows 30 s, but an answer may be lost without a word, and
 /// then nothing is heard for so long.
 const WAIT: Span = Span::secs(6);
 
-/// Pause after an event, so that those of one change come with one call. Entries of servers come
-/// in numbers, and a server that leaves may get work for two seconds.
+/// Pause after an event, so that those of one change come with one call.
 const GATHER: Duration = Duration::from_millis(250);
-const GATHER_SERVERS: Duration = Duration::from_millis(700);
 
-/// Until so long after its start a VM that may find a reader lives by its first lists; it is held to
-/// bounds only later.
+/// Servers are asked for so often, as a part of the time in which one that leaves may still get work. A watch that
+/// waits proves nothing while it waits: one that hung on a connection which a cut of 0.8 s had slowed kept
+/// an entry back for 2.0 s, while proofs of the configuration went on over a new one.
+const SERVERS_EVERY: f64 = 0.3;
+
+/// Until so long after its start a VM that may find a reader lives by its first lists, unless others rely on
+/// it already; it is held to bounds only later.
 const FIRST_WATCH: Span = Span::millis(2500);
 
 /// First pause after a failed call, and the longest; a random part keeps VMs apart. While the store is
@@ -102,7 +105,7 @@
                 continue;
             }
             Some(revision) => {
-                let watched = store.watch(kind.name(), revision, WAIT);
+                let watched = watch(&mut store, kind, revision);
                 tokio::select! {
                     watched = watched => watched.map(|events| {
                         note_events(&vm, kind, &events.events);
@@ -128,10 +131,13 @@
                 vm.store_answered();
                 from = Some(from.map_or(revision, |known| known.max(revision)));
                 pause = Pause::default();
-                if some {
-                    let servers = kind == Kind::Servers;
-                    tokio::time::sleep(if servers { GATHER_SERVERS } else { GATHER }).await;
-                }
+                let rest = match kind {
+                    Kind::Servers => servers_due(&vm, sent),
+                    _ if some => GATHER,
+                    _ => Duration::ZERO,
+                };
+                // The store's return ends the pause: what was missed meanwhile is asked for at once.
+                let _ = tokio::time::timeout(rest, regained.changed()).await;
             }
             Err(Trouble::HistoryGone) => {
                 vm.log("history lost", &[("kind", kind.name().into())]);
@@ -153,10 +159,26 @@
     }
 }
 
+/// Changes of a kind: of servers those that there are, of others as soon as there is one.
+async fn watch(store: &mut Objects, kind: Kind, revision: u64) -> Result<Events, Trouble> {
+    match kind {
+        Kind::Servers => store.changes(kind.name(), revision).await,
+        Kind::Config | Kind::Rollouts | Kind::Vms => store.watch(kind.name(), revision, WAIT).await,
+    }
+}
+
+/// Time until servers are to be asked for again, if the last question was sent at `sent`.
+fn servers_due(vm: &Vm, sent: Moment) -> Duration {
+    let due = sent + vm.settings.bounds.leave_within.part(SERVERS_EVERY);
+    due.since(vm.now()).duration()
+}
+
 /// Whether a VM that has just started may soon be told by another.
 fn may_find_reader(vm: &Vm) -> bool {
     let others_known = vm.feed.borrow().has_listed(Kind::Vms);
-    vm.now() < Moment(FIRST_WATCH.0) && (!others_known || is_any_before(vm))
+    let now = vm.now();
+    let is_young = now < Moment(FIRST_WATCH.0) && !vm.has_followers(now);
+    is_young && (!others_known || is_any_before(vm))
 }
 
 /// Whether there is a VM that this one may follow.
--- a/src/forward/reader.rs
+++ b/src/forward/reader.rs
@@ -8,26 +8,22 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
+use futures_util::future::join;
 use serde::{Deserialize, Serialize};
 
 use super::feed::{Change, News, Place};
 use super::follow::Kind;
 use super::learn::{self, Source};
 use super::vm::Vm;
-use crate::decide::reader::Asked;
+use crate::decide::reader::{Asked, is_stale, time_to_ask};
 use crate::peer::wire::{decode, encode};
 use crate::platform::object::Object;
 use crate::unit::{Moment, Span, Vm as Name};
 
-/// Time between two questions. With the times of two answers and a list it bounds how late a change is
-/// seen when the reader dies: 1.3 s, of the two that operators grant.
+/// Time between two questions.
 const ASK_EVERY: Span = Span::millis(350);
 
-/// Time for an answer.
-const ANSWER_WITHIN: Duration = Duration::from_millis(450);
-
 /// A reader whose own proof is older than this part of the longest age has lost touch.
 const STALE: f64 = 0.75;
 
@@ -48,7 +44,8 @@
 /// Follows a reader whenever there is one, until the process ends.
 pub async fn run(vm: Rc<Vm>) {
     vm.feed.borrow_mut().begin(rand::random());
-    let mut follower = Follower { vm, asked: Asked::default(), place: Place::default() };
+    let mut follower =
+        Follower { vm, asked: Asked::default(), place: Place::default(), known: None };
     loop {
         follower.look().await;
         let expected = follower.vm.now() + ASK_EVERY;
@@ -65,6 +62,8 @@
     vm: Rc<Vm>,
     asked: Asked,
     place: Place,
+    /// Of when its knowledge of servers is; none while it reads for itself.
+    known: Option<Moment>,
 }
 
 impl Follower {
@@ -74,23 +73,23 @@
         let group = self.vm.peers.borrow().group(&self.vm.settings.data_centre);
         let reader = self.vm.reader.borrow().clone();
         let better = |first: &Name| reader.as_ref().is_none_or(|reader| first < reader);
-        if let Some(first) = self.first(&group).filter(better)
-            && self.ask(&first, &group).await
-        {
-            return;
-        }
-        let Some(reader) = reader else { return };
-        if self.ask(&reader, &group).await {
-            return;
-        }
+        let first = self.first(&group).filter(better);
+        // Both at once: one that does not answer takes no time from the other.
+        let (of_first, of_reader) =
+            join(self.ask(first.as_ref(), &group), self.ask(reader.as_ref(), &group)).await;
+        let has_news = self.take(of_first) || self.take(of_reader);
+        let Some(reader) = reader.filter(|_| !has_news) else { return };
         // A reader that declines follows another now, which is asked before this VM reads.
         if let Some(next) = self.first(&group)
             && self.asked.has_declined(&reader)
-            && self.ask(&next, &group).await
         {
-            return;
+            let answer = self.ask(Some(&next), &group).await;
+            if self.take(answer) {
+                return;
+            }
         }
         self.place = Place::default();
+        self.known = None;
         read_for_itself(&self.vm, "its reader gives no news");
     }
 
@@ -99,34 +98,56 @@
         self.asked.next(&self.vm.settings.vm, group.keys(), self.vm.now()).cloned()
     }
 
-    /// Whether a VM gave news.
-    async fn ask(&mut self, name: &Name, group: &HashMap<Name, SocketAddr>) -> bool {
-        let vm = self.vm.clone();
+    /// Asks a VM, if there is one and time for it.
+    async fn ask(&self, name: Option<&Name>, group: &HashMap<Name, SocketAddr>) -> Option<Answer> {
+        let name = name?.clone();
+        let vm = &self.vm;
         let asked = vm.now();
-        let same = vm.reader.borrow().as_ref() == Some(name);
+        let within = time_to_ask(self.known, vm.settings.bounds.leave_within, asked)?;
+        let same = vm.reader.borrow().as_ref() == Some(&name);
         let place = if same { self.place } else { Place::default() };
-        let reply = match group.get(name) {
-            Some(address) => question(&vm, *address, place).await,
+        let reply = match group.get(&name) {
+            Some(address) => question(vm, *address, place, within).await,
             None => Reply::Silence,
         };
+        Some(Answer { name, asked, reply })
+    }
+
+    /// Takes what came of a question. Whether it was news.
+    fn take(&mut self, answer: Option<Answer>) -> bool {
+        let Some(Answer { name, asked, reply }) = answer else { return false };
+        let vm = self.vm.clone();
         if !matches!(reply, Reply::Silence) {
-            vm.peers.borrow_mut().heard(name, vm.now());
+            vm.peers.borrow_mut().heard(&name, vm.now());
         }
         match reply {
             Reply::News(news) => {
-                self.asked.answered(name);
+                self.asked.answered(&name);
                 self.place = news.place;
-                apply(&vm, asked, name, &news);
-                follow(&vm, name, &news);
+                self.known = dated(asked, news.reading(Kind::Servers).map(|told| told.age));
+                apply(&vm, asked, &name, &news);
+                follow(&vm, &name, &news);
                 return true;
             }
-            Reply::Declined => self.asked.declined(name, vm.now()),
-            Reply::Silence => self.asked.silent(name, vm.now()),
+            Reply::Declined => self.asked.declined(&name, vm.now()),
+            Reply::Silence => self.asked.silent(&name, vm.now()),
         }
         false
     }
 }
 
+/// What came of a question that was asked at a moment.
+struct Answer {
+    name: Name,
+    asked: Moment,
+    reply: Reply,
+}
+
+/// The moment of which knowledge dates that had an age when it was told, if it was asked for at `asked`.
+fn dated(asked: Moment, age: Option<Span>) -> Option<Moment> {
+    Some(Moment(asked.0.saturating_sub(age?.0)))
+}
+
 /// What came of a question.
 enum Reply {
     /// What changed.
@@ -137,10 +158,10 @@
     Silence,
 }
 
-async fn question(vm: &Vm, to: SocketAddr, place: Place) -> Reply {
+async fn question(vm: &Vm, to: SocketAddr, place: Place, within: Span) -> Reply {
     let Some(links) = vm.peers.borrow().links() else { return Reply::Silence };
     let question = encode(&Question { from: vm.settings.vm.clone(), place });
-    let answer = tokio::time::timeout(ANSWER_WITHIN, links.call(to, question)).await;
+    let answer = tokio::time::timeout(within.duration(), links.call(to, question)).await;
     match answer.ok().flatten().and_then(|bytes| decode::<Option<News>>(&bytes)) {
         Some(Some(news)) => Reply::News(news),
         Some(None) => Reply::Declined,
@@ -173,7 +194,13 @@
     if let Some(longest) = vm.longest_proof_age() {
         age.filter(|age| *age < longest.part(STALE))?;
     }
-    Some(vm.feed.borrow().since(place, age, now))
+    let feed = vm.feed.borrow();
+    // A proof of the configuration says nothing of servers: they have an age of their own.
+    let servers_age = now.since(feed.reading(Kind::Servers)?.sent);
+    if is_stale(servers_age, vm.settings.bounds.leave_within) {
+        return None;
+    }
+    Some(feed.since(place, age, now))
 }
 
 /// Takes what a reader answered to a question of the moment `asked`.
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -19,6 +19,10 @@
 /// Time for an answer; the store usually takes some milliseconds.
 const ANSWER_WITHIN: Span = Span::millis(1200);
 
+/// Time for the answer to a question that does not wait. Servers that leave are asked for so, and a connection that
+/// hangs must be noticed while there is time to ask anew.
+const ANSWER_AT_ONCE: Span = Span::millis(800);
+
 /// Largest answer: a list of about 1 MB, with room for its framing.
 const LARGEST: usize = 4 * 1024 * 1024;
 
@@ -135,6 +139,15 @@
         read(&self.call(Method::GET, &path, None, within).await?)
     }
 
+    /// Changes of a kind after a revision, as far as there are any now.
+    ///
+    /// # Errors
+    /// As [`Objects::watch`].
+    pub async fn changes(&mut self, kind: &str, from: u64) -> Result<Events, Trouble> {
+        let path = format!("/v1/objects/{kind}?watch={from}&wait_ms=0");
+        read(&self.call(Method::GET, &path, None, ANSWER_AT_ONCE).await?)
+    }
+
     /// One object, if there is one.
     ///
     /// # Errors
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -3,11 +3,11 @@
 
 use std::collections::BTreeMap;
 
-use kitepulley::decide::reader::Asked;
+use kitepulley::decide::reader::{Asked, is_stale, time_to_ask};
 use kitepulley::forward::feed::{Feed, News, Place};
 use kitepulley::forward::follow::Kind;
 use kitepulley::platform::object::Object;
-use kitepulley::unit::{Moment, Vm};
+use kitepulley::unit::{Moment, Span, Vm};
 use quickcheck::quickcheck;
 use serde_json::json;
 
@@ -115,3 +115,23 @@
     asked.answered(&group[0]);
     assert_eq!(asked.next(&vm("c"), group.iter(), Moment(5_500_000)), Some(&group[0]));
 }
+
+#[test]
+fn knowledge_of_servers_is_never_older_than_a_leave_allows() {
+    let leave_within = Span::secs(2);
+    // The oldest that a reader passes on, and the longest until its follower reads for itself: questions, one
+    // after the other, to as many VMs as do not answer.
+    let oldest = (0..2000).map(Span::millis).rfind(|age| !is_stale(*age, leave_within)).unwrap();
+    let known = Moment(10_000_000);
+    let mut now = Moment(known.0 + oldest.0);
+    let mut asked = 0;
+    while let Some(time) = time_to_ask(Some(known), leave_within, now) {
+        now = now + time;
+        asked += 1;
+        assert!(asked < 10, "each question takes time");
+    }
+    let read = now.since(known);
+    assert!(read <= Span::millis(1600), "{read} old when it reads for itself");
+    assert!(oldest >= Span::millis(800), "a reader that asks every 0.6 s is never stale");
+    assert!(time_to_ask(None, leave_within, now).is_some(), "one that reads for itself has time");
+}
