A test that fails: an older list replaces what a VM knows of servers

On the code as it is a list of revision 8 turns an entry of revision 9 that says leaving back into a ready one, drops an entry of revision 10, and brings back a server whose entry had gone.

--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -19,9 +19,17 @@
 
 mod site;
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use kitepulley::forward::follow::Kind;
+use kitepulley::forward::learn::{self, Source};
+use kitepulley::forward::{Bounds, Settings, Vm};
+use kitepulley::platform::object::Object;
 use kitepulley::standin::replica::Replica;
+use kitepulley::unit::Span;
+use kitepulley::vm::Clock;
+use kitepulley::watch::line::Lines;
 use serde_json::json;
 use site::way::Way;
 use site::{Site, ask, eventually, head};
@@ -83,3 +91,74 @@
         gets_nothing_new(&vms, &leaving, Instant::now());
     }
 }
+
+/// A VM without a process, which learns what it is told.
+fn vm() -> Rc<Vm> {
+    let address = "127.0.0.1:9".parse().unwrap();
+    let bounds = Bounds {
+        contact: Span::secs(3),
+        in_force: Span::secs(2),
+        leave_within: Span::secs(2),
+        key_staleness: None,
+        rollback: Span::secs(5),
+        stop_within: Span::secs(8),
+        session_gap: Span::secs(5),
+        retry_share: 0.9,
+        retry_extra: 54.0,
+        retry_window: Span::secs(10),
+        exposure: 0.15,
+    };
+    let settings = Settings {
+        vm: "vm-a".parse().unwrap(),
+        data_centre: "here".parse().unwrap(),
+        ip: "127.0.0.1".parse().unwrap(),
+        callers: address,
+        readiness: address,
+        links: None,
+        store: address,
+        metrics: None,
+        keep_confidence: 60.0,
+        bounds,
+    };
+    Rc::new(Vm::new(settings, Clock::default(), Lines::default()))
+}
+
+fn entry(name: &str, revision: u64, state: &str) -> Object {
+    let spec = json!({"service": "api", "address": "127.0.0.1:9", "zone": "here", "version": "v1",
+        "capacity": 8, "state": state, "sequence": 1});
+    let value = json!({"metadata": {"name": name, "revision": revision}, "spec": spec});
+    serde_json::from_value(value).unwrap()
+}
+
+fn takes_work(vm: &Vm, name: &str) -> bool {
+    let fleet = vm.fleet.borrow();
+    fleet.get(&name.parse().unwrap()).is_some_and(|server| server.takes_work())
+}
+
+fn own(revision: u64) -> Source<'static> {
+    Source { reader: None, revision }
+}
+
+#[test]
+fn an_older_list_does_not_replace_what_is_known() {
+    let vm = vm();
+    let list = |revision: u64, entries: &[Object]| {
+        learn::take_all(&vm, Kind::Servers, entries, &own(revision));
+    };
+    let both = [entry("r1", 3, "ready"), entry("r2", 4, "ready")];
+    list(4, &both);
+    learn::take(&vm, Kind::Servers, &entry("r1", 9, "draining"), &own(9));
+    learn::take(&vm, Kind::Servers, &entry("r3", 10, "ready"), &own(10));
+    // A reader that has been cut off since revision 8 answers with all that it knows.
+    list(8, &both);
+    assert!(!takes_work(&vm, "r1"), "it had said that it leaves");
+    assert!(takes_work(&vm, "r2"));
+    assert!(takes_work(&vm, "r3"), "it came after that list");
+    learn::drop_object(&vm, Kind::Servers, "r1", false, &own(9));
+    list(8, &both);
+    assert!(!takes_work(&vm, "r1"), "its entry had gone");
+    learn::take(&vm, Kind::Servers, &entry("r1", 14, "ready"), &own(14));
+    assert!(takes_work(&vm, "r1"), "it lapsed, lives and wrote itself anew");
+    list(16, &[entry("r2", 4, "ready")]);
+    assert!(!takes_work(&vm, "r1") && !takes_work(&vm, "r3"), "a newer list lacks them");
+}
