What is known of servers and VMs is ordered by the store's revision, not by when it is told

Class: knowledge merged without an order. Change: forward::known has for each object the revision at which it was known, and the newest at which objects of its kind were known to be gone; lists, entries and ends that are older are passed over, with a line in the log. It stands where all words come in, for servers and VMs; the configuration and roll-outs bear numbers of their own. Fleet::replace and roster::take_entries went. A property test (lists of any revisions in any order) found that a first try let an older list bring objects that the VM had never known; the newest revision of any end covers these now.

--- a/src/forward/feed.rs
+++ b/src/forward/feed.rs
@@ -21,8 +21,6 @@
     pub kind: Kind,
     /// Its name among its kind.
     pub name: String,
-    /// Revision of its last change that the reader knew.
-    pub revision: u64,
     /// The object in JSON; none if it is gone.
     pub object: Option<String>,
     /// Whether it may only have lapsed, since the store was away just before.
@@ -144,14 +142,13 @@
         }
         let text = object.to_json();
         self.objects.insert((kind, name.clone()), Kept { revision, text: text.clone() });
-        self.note(Change { kind, name, revision, object: Some(text), lapsed: false });
+        self.note(Change { kind, name, object: Some(text), lapsed: false });
     }
 
     /// An object is gone, or lapsed.
     pub fn remove(&mut self, kind: Kind, name: &str, lapsed: bool) {
-        if let Some(known) = self.objects.remove(&(kind, name.to_owned())) {
-            let (name, revision) = (name.to_owned(), known.revision);
-            self.note(Change { kind, name, revision, object: None, lapsed });
+        if self.objects.remove(&(kind, name.to_owned())).is_some() {
+            self.note(Change { kind, name: name.to_owned(), object: None, lapsed });
         }
     }
 
@@ -192,7 +189,6 @@
         let change = |((kind, name), kept): (&(Kind, String), &Kept)| Change {
             kind: *kind,
             name: name.clone(),
-            revision: kept.revision,
             object: Some(kept.text.clone()),
             lapsed: false,
         };
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -10,7 +10,7 @@
 use super::vm::Vm;
 use crate::decide::reader::may_be_asked;
 use crate::platform::object::{CONFIG, ROLLOUTS, SERVERS};
-use crate::platform::objects::{Event, Events, Listing, Objects, Trouble};
+use crate::platform::objects::{Events, Listing, Objects, Trouble};
 use crate::unit::{Moment, Span};
 
 /// Longest wait of a watch. The store allows 30 s, but an answer may be lost without a word, and
@@ -57,7 +57,7 @@
 const FIRST_PROOF: Span = Span::millis(300);
 
 /// What is followed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Kind {
     /// The configuration.
     Config,
@@ -73,7 +73,8 @@
     /// All of them.
     pub const ALL: [Kind; 4] = [Kind::Config, Kind::Servers, Kind::Rollouts, Kind::Vms];
 
-    fn name(self) -> &'static str {
+    /// Its name in the store.
+    pub fn name(self) -> &'static str {
         match self {
             Kind::Config => CONFIG,
             Kind::Servers => SERVERS,
@@ -108,7 +109,7 @@
                 let watched = watch(&mut store, kind, revision);
                 tokio::select! {
                     watched = watched => watched.map(|events| {
-                        note_events(&vm, kind, &events.events);
+                        note_events(&vm, kind, &events);
                         vm.feed.borrow_mut().note_read(kind, events.store_revision, sent);
                         (events.store_revision, !events.events.is_empty())
                     }),
@@ -222,7 +223,7 @@
         feed.replace(kind, &listing.items, vm.was_store_away(sent));
         feed.note_read(kind, listing.store_revision, sent);
     }
-    let source = Source { reader: None, revision: listing.store_revision };
+    let source = Source { reader: None, as_of: listing.store_revision };
     let reads = learn::take_all(vm, kind, &listing.items, &source);
     match kind {
         Kind::Config if reads => learn::prove(vm, sent),
@@ -231,10 +232,10 @@
     }
 }
 
-fn note_events(vm: &Vm, kind: Kind, events: &[Event]) {
+fn note_events(vm: &Vm, kind: Kind, events: &Events) {
     let lapsed = vm.was_store_away(vm.now());
-    for event in events {
-        let source = Source { reader: None, revision: event.object.metadata.revision };
+    let source = Source { reader: None, as_of: events.store_revision };
+    for event in &events.events {
         let mut feed = vm.feed.borrow_mut();
         if event.deleted {
             let name = event.object.metadata.name.as_str();
--- a/src/forward/learn.rs
+++ b/src/forward/learn.rs
@@ -10,40 +10,73 @@
 use crate::unit::{Moment, Vm as Name};
 use crate::watch::line::Value;
 
-/// Who read what this VM learns, and the store's revision that it stands for.
+/// Who read what this VM learns, and of when it is.
 pub struct Source<'a> {
     /// The VM that read it, if it was not this one.
     pub reader: Option<&'a Name>,
-    /// Of an object its own revision, of a list the store's.
-    pub revision: u64,
+    /// The store's revision at which it was so.
+    pub as_of: u64,
 }
 
 impl Source<'_> {
     fn fields(&self) -> [(&'static str, Value<'_>); 2] {
         let from = self.reader.map_or("store", |name| name.as_str());
-        [("from", from.into()), ("store_revision", self.revision.into())]
+        [("from", from.into()), ("as_of", self.as_of.into())]
     }
 }
 
 /// Takes all objects of a kind. Whether the configuration is among them and reads.
 pub fn take_all(vm: &Vm, kind: Kind, objects: &[Object], source: &Source) -> bool {
     match kind {
+        // These bear numbers of their own, which only rise.
         Kind::Config => return take_config(vm, objects),
-        Kind::Servers => take_servers(vm, objects, source),
         Kind::Rollouts => take_rollouts(vm, objects),
-        Kind::Vms => roster::take_entries(vm, objects),
+        Kind::Servers => {
+            list_servers(vm, objects, source);
+            replace(vm, kind, objects, source);
+            vm.listed.set((true, vm.listed.get().1));
+        }
+        Kind::Vms => replace(vm, kind, objects, source),
     }
     false
 }
 
-/// Takes an object as it changed.
-pub fn take(vm: &Vm, kind: Kind, object: &Object, source: &Source) {
+/// Takes a list, whose objects bear no order: what is known to be newer stays. A list of a reader that had been cut
+/// off brought back, for 0.7 s, servers that were known to leave.
+fn replace(vm: &Vm, kind: Kind, objects: &[Object], source: &Source) {
+    let listed: Vec<&str> = objects.iter().map(|one| one.metadata.name.as_str()).collect();
+    let missing = vm.known.borrow_mut().missing(kind, &listed, source.as_of);
+    let may_lapse = vm.listed.get().0 && vm.was_store_away(vm.now());
+    for name in missing {
+        drop_object(vm, kind, &name, may_lapse, source);
+    }
+    let (newest, older): (Vec<&Object>, Vec<&Object>) =
+        objects.iter().partition(|object| is_newest(vm, kind, object, source));
+    newest.into_iter().for_each(|object| put(vm, kind, object));
+    if !older.is_empty() {
+        tell_older(vm, kind, older.len(), source);
+    }
+}
+
+/// Notes an object, if it is as new as what is known. Whether it is.
+fn is_newest(vm: &Vm, kind: Kind, object: &Object, source: &Source) -> bool {
+    let metadata = &object.metadata;
+    vm.known.borrow_mut().put(kind, &metadata.name, metadata.revision, source.as_of)
+}
+
+fn tell_older(vm: &Vm, kind: Kind, count: usize, source: &Source) {
+    let [from, as_of] = source.fields();
+    let fields = [("kind", kind.name().into()), ("count", count.into()), from, as_of];
+    vm.log("older word passed over", &fields);
+}
+
+fn put(vm: &Vm, kind: Kind, object: &Object) {
     match kind {
         Kind::Config if object.metadata.name == MAIN => {
             put_table(vm, object);
         }
         Kind::Config => {}
-        Kind::Servers => put_server(vm, object, source),
+        Kind::Servers => put_server(vm, object),
         Kind::Rollouts => {
             if let Some(rollout) = read_rollout(vm, object) {
                 put_rollout(vm, rollout);
@@ -53,20 +86,37 @@
     }
 }
 
+/// Takes an object as it changed.
+pub fn take(vm: &Vm, kind: Kind, object: &Object, source: &Source) {
+    if matches!(kind, Kind::Config | Kind::Rollouts) {
+        put(vm, kind, object);
+    } else if !is_newest(vm, kind, object, source) {
+        tell_older(vm, kind, 1, source);
+    } else {
+        if kind == Kind::Servers {
+            tell_entry(vm, object, source);
+        }
+        put(vm, kind, object);
+    }
+}
+
 /// An object is gone; a backend server may only have lapsed while the store was away.
 pub fn drop_object(vm: &Vm, kind: Kind, name: &str, lapsed: bool, source: &Source) {
-    match kind {
-        Kind::Servers => {
-            let [from, revision] = source.fields();
-            let fields = [("server", name.into()), ("may_be_back", lapsed.into()), from, revision];
-            vm.log("server gone", &fields);
-            if let Ok(id) = name.parse() {
-                vm.fleet.borrow_mut().remove(&id, lapsed);
-            }
+    // The operator takes neither away; what stands last stays in force.
+    if matches!(kind, Kind::Config | Kind::Rollouts) {
+        return;
+    }
+    if !vm.known.borrow_mut().remove(kind, name, source.as_of) {
+        tell_older(vm, kind, 1, source);
+    } else if kind == Kind::Vms {
+        roster::drop_entry(vm, name);
+    } else {
+        let [from, as_of] = source.fields();
+        let fields = [("server", name.into()), ("may_be_back", lapsed.into()), from, as_of];
+        vm.log("server gone", &fields);
+        if let Ok(id) = name.parse() {
+            vm.fleet.borrow_mut().remove(&id, lapsed);
         }
-        Kind::Vms => roster::drop_entry(vm, name),
-        // The operator takes neither away; what stands last stays in force.
-        Kind::Config | Kind::Rollouts => {}
     }
 }
 
@@ -108,41 +158,35 @@
     vm.log("object not read", &[("kind", kind.into()), ("name", name.into()), ("why", why.into())]);
 }
 
-fn take_servers(vm: &Vm, objects: &[Object], source: &Source) {
-    let mut replicas = Vec::with_capacity(objects.len());
-    for object in objects {
-        match object::replica(object) {
-            Ok(replica) => replicas.push(replica),
-            Err(why) => unreadable(vm, SERVERS, object, &why),
-        }
-    }
+fn list_servers(vm: &Vm, objects: &[Object], source: &Source) {
+    let [from, as_of] = source.fields();
     let may_lapse = vm.listed.get().0 && vm.was_store_away(vm.now());
-    let [from, revision] = source.fields();
-    let count = ("count", replicas.len().into());
-    vm.log("servers listed", &[count, ("missing_may_be_back", may_lapse.into()), from, revision]);
-    vm.fleet.borrow_mut().replace(replicas, may_lapse);
-    vm.listed.set((true, vm.listed.get().1));
+    let count = ("count", objects.len().into());
+    vm.log("servers listed", &[count, ("missing_may_be_back", may_lapse.into()), from, as_of]);
 }
 
-fn put_server(vm: &Vm, object: &Object, source: &Source) {
+fn put_server(vm: &Vm, object: &Object) {
     match object::replica(object) {
-        Ok(replica) => {
-            let [from, revision] = source.fields();
-            let fields = [
-                ("server", object.metadata.name.as_str().into()),
-                ("service", replica.service.as_str().into()),
-                ("version", replica.version.as_str().into()),
-                ("ready", replica.ready.into()),
-                from,
-                revision,
-            ];
-            vm.log("server entry", &fields);
-            vm.fleet.borrow_mut().put(replica);
-        }
+        Ok(replica) => vm.fleet.borrow_mut().put(replica),
         Err(why) => unreadable(vm, SERVERS, object, &why),
     }
 }
 
+fn tell_entry(vm: &Vm, object: &Object, source: &Source) {
+    let Ok(replica) = object::replica(object) else { return };
+    let [from, as_of] = source.fields();
+    let fields = [
+        ("server", object.metadata.name.as_str().into()),
+        ("service", replica.service.as_str().into()),
+        ("version", replica.version.as_str().into()),
+        ("ready", replica.ready.into()),
+        ("revision", object.metadata.revision.into()),
+        from,
+        as_of,
+    ];
+    vm.log("server entry", &fields);
+}
+
 /// The roll-out of an object; one that does not read is counted and told.
 pub fn read_rollout(vm: &Vm, object: &Object) -> Option<Rollout> {
     match object::rollout(object) {
--- a/src/forward/reader.rs
+++ b/src/forward/reader.rs
@@ -209,11 +209,11 @@
         for kind in Kind::ALL {
             let of_kind = news.changes.iter().filter(|change| change.kind == kind);
             let objects: Vec<Object> = of_kind.filter_map(|change| read(vm, change)).collect();
-            let revision = news.reading(kind).map_or(0, |told| told.revision);
-            learn::take_all(vm, kind, &objects, &Source { reader: Some(reader), revision });
+            learn::take_all(vm, kind, &objects, &source(reader, news, kind));
         }
     } else {
-        news.changes.iter().for_each(|change| apply_change(vm, reader, change));
+        let source = |kind| source(reader, news, kind);
+        news.changes.iter().for_each(|change| apply_change(vm, &source(change.kind), change));
     }
     // A proof from before this process began proves nothing that it can count.
     if let Some(at) = news.proof_age.and_then(|age| asked.0.checked_sub(age.0)) {
@@ -221,13 +221,17 @@
     }
 }
 
-fn apply_change(vm: &Vm, reader: &Name, change: &Change) {
+/// News of a kind are what the reader knew when it had last read that kind.
+fn source<'a>(reader: &'a Name, news: &News, kind: Kind) -> Source<'a> {
+    let as_of = news.reading(kind).map_or(0, |told| told.revision);
+    Source { reader: Some(reader), as_of }
+}
+
+fn apply_change(vm: &Vm, source: &Source, change: &Change) {
     if change.object.is_none() {
-        let source = Source { reader: Some(reader), revision: change.revision };
-        learn::drop_object(vm, change.kind, &change.name, change.lapsed, &source);
+        learn::drop_object(vm, change.kind, &change.name, change.lapsed, source);
     } else if let Some(object) = read(vm, change) {
-        let source = Source { reader: Some(reader), revision: object.metadata.revision };
-        learn::take(vm, change.kind, &object, &source);
+        learn::take(vm, change.kind, &object, source);
     }
 }
 
--- a/src/forward/roster.rs
+++ b/src/forward/roster.rs
@@ -84,13 +84,6 @@
     }
 }
 
-/// Takes all VMs that the store names; those it no longer names, and that say nothing, are gone.
-pub fn take_entries(vm: &Vm, objects: &[Object]) {
-    let listed = |name: &Name| objects.iter().any(|one| one.metadata.name == name.as_str());
-    vm.peers.borrow_mut().keep(listed, vm.now());
-    objects.iter().for_each(|object| take_entry(vm, object));
-}
-
 /// Takes a VM that the store names.
 pub fn take_entry(vm: &Vm, object: &Object) {
     let entry: Result<Entry, _> = serde_json::from_value(object.spec.clone());
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -108,21 +108,6 @@
 }
 
 impl Fleet {
-    /// Takes a whole list. With `after_outage`, entries that are missing may have lapsed and are
-    /// kept a while.
-    pub fn replace(&mut self, replicas: Vec<Replica>, after_outage: bool) {
-        let listed: Vec<Id> = replicas.iter().map(|replica| replica.id.clone()).collect();
-        for server in self.servers.values_mut() {
-            server.lapsed |= !listed.contains(&server.replica.id);
-        }
-        if !after_outage {
-            self.servers.retain(|id, _| listed.contains(id));
-        }
-        for replica in replicas {
-            self.put(replica);
-        }
-    }
-
     /// Takes one entry.
     pub fn put(&mut self, replica: Replica) {
         self.usual.entry(replica.service.clone()).or_insert_with(|| replica.version.clone());
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -7,6 +7,7 @@
 use tokio::sync::Notify;
 
 use super::feed::Feed;
+use super::known::Known;
 use super::metrics::Metrics;
 use super::peer::Peers;
 use super::replica::Rollout;
@@ -41,6 +42,8 @@
     pub clock: Clock,
     /// Routes and keys in force; none before the first configuration was read.
     pub table: RefCell<Option<Rc<Table>>>,
+    /// How new what it knows of the platform's objects is.
+    pub known: RefCell<Known>,
     /// Backend servers.
     pub fleet: RefCell<Fleet>,
     /// Roll-outs by service.
@@ -93,6 +96,7 @@
             settings,
             clock,
             table: RefCell::default(),
+            known: RefCell::default(),
             fleet: RefCell::default(),
             rollouts: RefCell::default(),
             trials: RefCell::default(),
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -1,11 +1,12 @@
 //! What a reader of the store passes on: a follower that asks whenever it likes ends with the same
 //! objects, and whom a VM asks.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use kitepulley::decide::reader::{Asked, is_stale, time_to_ask};
 use kitepulley::forward::feed::{Feed, News, Place};
 use kitepulley::forward::follow::Kind;
+use kitepulley::forward::known::Known;
 use kitepulley::platform::object::Object;
 use kitepulley::unit::{Moment, Span, Vm};
 use quickcheck::quickcheck;
@@ -81,6 +82,46 @@
     }
 }
 
+/// A store's objects of one kind after each of its revisions: names and the revisions of their last changes.
+fn history(changes: &[(u8, bool)]) -> Vec<BTreeMap<String, u64>> {
+    let mut states = vec![BTreeMap::new()];
+    for (at, (name, there)) in changes.iter().enumerate() {
+        let (name, mut state) = (format!("o{}", name % 5), states[at].clone());
+        match there {
+            true => drop(state.insert(name, at as u64 + 1)),
+            false => drop(state.remove(&name)),
+        }
+        states.push(state);
+    }
+    states
+}
+
+quickcheck! {
+    /// Lists of any revisions, in any order and again, leave the objects of the newest of them.
+    fn the_newest_list_decides_whenever_it_comes(changes: Vec<(u8, bool)>, order: Vec<u8>) -> bool {
+        let states = history(&changes);
+        let mut known = Known::default();
+        let mut there = BTreeSet::new();
+        let revisions: Vec<usize> = order.iter().map(|at| *at as usize % states.len()).collect();
+        for revision in &revisions {
+            let (list, as_of) = (&states[*revision], *revision as u64);
+            let names: Vec<&str> = list.keys().map(String::as_str).collect();
+            for name in known.missing(Kind::Servers, &names, as_of) {
+                if known.remove(Kind::Servers, &name, as_of) {
+                    there.remove(&name);
+                }
+            }
+            for (name, changed) in list {
+                if known.put(Kind::Servers, name, *changed, as_of) {
+                    there.insert(name.clone());
+                }
+            }
+        }
+        let newest = revisions.iter().max().copied().unwrap_or(0);
+        there == states[newest].keys().cloned().collect()
+    }
+}
+
 #[test]
 fn an_older_state_of_an_object_changes_nothing() {
     let mut feed = Feed::default();
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -135,8 +135,8 @@
     fleet.get(&name.parse().unwrap()).is_some_and(|server| server.takes_work())
 }
 
-fn own(revision: u64) -> Source<'static> {
-    Source { reader: None, revision }
+fn own(as_of: u64) -> Source<'static> {
+    Source { reader: None, as_of }
 }
 
 #[test]
