VMs tell one another which sessions keep the old version while a trial is young

Change: forward::kept. Each VM tells its live sessions that the first share draws and that went to the old version, and the others keep them; among many VMs that goes on from neighbour to neighbour. The first sessions go to a new version 1.2 s after the order (6 in 100 of a short order's time), so that all have heard. A session is remembered to the end of its answers, not from their first event.

--- a/src/decide/canary.rs
+++ b/src/decide/canary.rs
@@ -25,6 +25,11 @@
 const DONE_BEFORE: f64 = 0.04;
 const DONE_BEFORE_LEAST: Span = Span::millis(700);
 
+/// The first sessions go to the new version so long after the order, and at most after this part of its time: VMs hear of
+/// an order within 0.8 s and then tell one another which sessions keep the old version.
+const HEARD_AFTER: Span = Span::millis(1200);
+const HEARD_AFTER_PART: f64 = 0.06;
+
 /// Answers of the new version that must have been seen before the share rises.
 const SEEN: f64 = 8.0;
 
@@ -111,7 +116,7 @@
     match known.phase {
         Some(Phase::Completed | Phase::RolledBack) => Step::Hold,
         _ if known.bad => Step::Move(Phase::RolledBack),
-        None if known.ready == 0 => Step::Hold,
+        None if known.ready == 0 || known.age < heard_after(known.within) => Step::Hold,
         None => Step::Move(Phase::Running { share: first(known.exposure) }),
         Some(Phase::Running { share }) if share >= 1.0 => {
             let done = left <= done_before && known.ready > 0;
@@ -125,6 +130,11 @@
     }
 }
 
+/// Time until all VMs have heard of an order, and of each other's sessions.
+fn heard_after(within: Span) -> Span {
+    HEARD_AFTER.min(within.part(HEARD_AFTER_PART))
+}
+
 /// A step towards the new version, or back if it is in doubt.
 fn unless_doubted(known: &Known, phase: Phase) -> Step {
     let doubted = known.evidence > DOUBTED;
@@ -138,6 +148,6 @@
 }
 
 /// The share that tries the new version first.
-fn first(exposure: f64) -> f64 {
+pub fn first(exposure: f64) -> f64 {
     (exposure * FIRST).min(FIRST_AT_MOST)
 }
--- a/src/forward/choice.rs
+++ b/src/forward/choice.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use super::call::Call;
+use super::kept::{self, Draw};
 use super::peer;
 use super::replica::{Phase, Replica};
 use super::server::Server;
@@ -64,9 +65,9 @@
     format!("{:08x}", stable_hash(&[text]) >> 32)
 }
 
-/// A point from 0 to 1 that follows from a text.
-pub fn point(parts: &[&str]) -> f64 {
-    (stable_hash(parts) >> 11) as f64 / (1u64 << 53) as f64
+/// A point from 0 to 1 that follows from a hash.
+pub fn point(hash: u64) -> f64 {
+    (hash >> 11) as f64 / (1u64 << 53) as f64
 }
 
 /// Why a request goes to a version.
@@ -78,6 +79,8 @@
     Bad,
     /// Its session was sent there before.
     Kept,
+    /// Another VM had sent its session there.
+    Heard,
     /// Its point, from 0 to 1, lies below the new version's share, or not.
     Drawn {
         /// The point.
@@ -97,6 +100,7 @@
             Why::Settled => f.write_str("settled"),
             Why::Bad => f.write_str("bad"),
             Why::Kept => f.write_str("kept"),
+            Why::Heard => f.write_str("kept, as another VM said"),
             Why::Drawn { point, share, known } => {
                 write!(f, "drawn {point:.3} of {share:.3}{}", if *known { " again" } else { "" })
             }
@@ -127,12 +131,14 @@
             let name = call.session.as_deref().unwrap_or(&call.id);
             let sessions = vm.sessions.borrow();
             let last = call.session.as_deref().and_then(|one| sessions.version(one, gap, now));
-            let first_half = trial.is_none_or(|trial| trial.age(now).0 * 2 < rollout.within.0);
-            let point = point(&[service.as_str(), rollout.version.as_str(), name]);
+            let is_young = kept::is_young(vm, rollout, now);
+            let draw = Draw::new(service, &rollout.version, name);
+            let point = draw.point();
             let drawn = Why::Drawn { point, share, known: last.is_some() };
             match last {
                 Some(last) if *last == rollout.version => (new, Why::Kept),
-                Some(_) if first_half => (old, Why::Kept),
+                Some(_) if is_young => (old, Why::Kept),
+                None if is_young && vm.kept.borrow().has(draw, gap, now) => (old, Why::Heard),
                 _ if point < share => (new, drawn),
                 _ => (old, drawn),
             }
--- a/src/forward/door.rs
+++ b/src/forward/door.rs
@@ -169,7 +169,7 @@
     let mut response = match admitted {
         Ok(Admitted { route, holder, body }) => {
             let deadline = arrived + call.patience.min(route.timeout);
-            let weight = choice::point(&[call.id.as_str()]);
+            let weight = choice::point(choice::stable_hash(&[call.id.as_str()]));
             match route.service(weight).cloned() {
                 Some(service) => {
                     let head = request.head().clone();
--- a/src/forward/drive.rs
+++ b/src/forward/drive.rs
@@ -155,7 +155,6 @@
     let attempt = attempt::run(job, replica, model, job.call.after_event, waiting, until);
     let outcome = trial.wait(attempt).await;
     trial.ended(outcome.end);
-    note_session(job, replica);
     if outcome.end == End::Good {
         let took = vm.now().since(begun);
         vm.learn_pace(named, sent.unread, took);
@@ -267,15 +266,6 @@
     sends(job, progress) < job.route.attempts && job.vm.spend_repeat(&job.service, now)
 }
 
-/// Keeps the version that a session was sent to.
-fn note_session(job: &Job, replica: &Replica) {
-    let vm = &job.vm;
-    if let Some(session) = &job.call.session {
-        let gap = vm.settings.bounds.session_gap;
-        vm.sessions.borrow_mut().note(session, &replica.version, gap, vm.now());
-    }
-}
-
 /// An attempt as a roll-out's trial sees it.
 struct Watched<'a> {
     job: &'a Job,
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -14,7 +14,7 @@
 use crate::decide::ends::End;
 use crate::decide::escalate;
 use crate::decide::rank;
-use crate::unit::{Model, Moment, Server as Id, Service, Span};
+use crate::unit::{Model, Moment, Server as Id, Service, Span, Version};
 
 /// A request that was admitted.
 pub struct Job {
@@ -75,8 +75,9 @@
 pub struct Record {
     vm: Rc<Vm>,
     id: String,
-    /// The session's hash, which tells sessions apart and names nobody.
     session: Option<String>,
+    /// The version that it was sent to last.
+    version: RefCell<Option<Version>>,
     route: String,
     arrived: Moment,
     revision: u64,
@@ -94,7 +95,8 @@
         vm.metrics.running.set(vm.running.get() as i64);
         Record {
             id: call.id.clone(),
-            session: call.session.as_deref().map(choice::short_hash),
+            session: call.session.clone(),
+            version: RefCell::default(),
             route: String::new(),
             arrived,
             revision: vm.routes().map_or(0, |table| table.revision.0),
@@ -120,6 +122,8 @@
     /// A send to a server is about to begin, and what is expected of it.
     pub fn attempt(&self, place: &Place, model: Option<&Model>, sent: &Sent, now: Moment) {
         self.attempts.set(self.attempts.get() + 1);
+        *self.version.borrow_mut() = Some(place.replica.version.clone());
+        self.note_session(now);
         let mut trail = self.trail.borrow_mut();
         if !trail.is_empty() {
             trail.push_str("; ");
@@ -141,6 +145,15 @@
         let _ = write!(trail, " load {:.0}", sent.load);
     }
 
+    /// Its session, if it belongs to one, is on the version that it was sent to.
+    fn note_session(&self, now: Moment) {
+        let version = self.version.borrow();
+        if let (Some(session), Some(version)) = (&self.session, version.as_ref()) {
+            let gap = self.vm.settings.bounds.session_gap;
+            self.vm.sessions.borrow_mut().note(session, version, gap, now);
+        }
+    }
+
     /// It was weighed whether a small model's answer gives way.
     pub fn weighed(&self, known: &escalate::Known) {
         let mut trail = self.trail.borrow_mut();
@@ -182,12 +195,16 @@
             let histogram = vm.metrics.answer.with_label_values(&[self.route.as_str()]);
             histogram.observe(first.as_secs());
         }
+        // The session lives on from the end of the answer.
+        self.note_session(vm.now());
         let took = vm.now().since(self.arrived);
+        // A hash tells sessions apart and names nobody.
+        let session = self.session.as_deref().map(choice::short_hash).unwrap_or_default();
         vm.log(
             "request",
             &[
                 ("id", self.id.as_str().into()),
-                ("session", self.session.as_deref().unwrap_or_default().into()),
+                ("session", session.as_str().into()),
                 ("route", self.route.as_str().into()),
                 ("outcome", outcome.as_str().into()),
                 ("attempts", self.attempts.get().into()),
--- /dev/null
+++ b/src/forward/kept.rs
@@ -0,0 +1,120 @@
+//! Sessions that keep the old version while the trial of a new one is young.
+//!
+//! The requests of a session come to several VMs, and one that has not seen it cannot tell whether it begins
+//! just now. So each VM tells the others which of its live sessions went to the old version although their point
+//! draws them to the new one. Without it four sessions of a quiet day with a roll-out changed their version.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::choice;
+use super::peer::{self, Word};
+use super::replica::{Phase, Rollout};
+use super::vm::Vm;
+use crate::decide::canary;
+use crate::unit::{Moment, Service, Span, Version};
+
+/// Time between two looks. The first sessions go to a new version a second after the order at the earliest.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// What was told counts for this many gaps between the requests of a session, and is told again after one.
+const COUNTS_FOR: u64 = 2;
+
+/// Sessions told at once.
+const MOST: usize = 500;
+
+/// The draw of a session, or of a request without one, for a version of a service: the same on all VMs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+pub struct Draw(u64);
+
+impl Draw {
+    /// The draw of a name.
+    pub fn new(service: &Service, version: &Version, name: &str) -> Draw {
+        Draw(choice::stable_hash(&[service.as_str(), version.as_str(), name]))
+    }
+
+    /// It as a point from 0 to 1.
+    pub fn point(self) -> f64 {
+        choice::point(self.0)
+    }
+}
+
+/// Draws of sessions that keep the old version, and when they were told or heard last.
+#[derive(Default)]
+pub struct Kept {
+    heard: HashMap<Draw, Moment>,
+    swept: Moment,
+}
+
+impl Kept {
+    /// Whether a VM said that a session keeps the old version.
+    pub fn has(&self, draw: Draw, gap: Span, now: Moment) -> bool {
+        self.heard.get(&draw).is_some_and(|at| now.since(*at) < Span(gap.0 * COUNTS_FOR))
+    }
+
+    /// Takes draws that are told or heard. Those that were not within the last gap.
+    pub fn note(&mut self, draws: impl Iterator<Item = Draw>, gap: Span, now: Moment) -> Vec<Draw> {
+        if now.since(self.swept) > gap {
+            self.swept = now;
+            self.heard.retain(|_, at| now.since(*at) < Span(gap.0 * COUNTS_FOR));
+        }
+        let is_new = |draw: &Draw| self.heard.get(draw).is_none_or(|at| now.since(*at) >= gap);
+        let new: Vec<Draw> = draws.filter(is_new).collect();
+        self.heard.extend(new.iter().map(|draw| (*draw, now)));
+        new
+    }
+}
+
+/// Tells the others what they should know until the process ends.
+pub async fn run(vm: Rc<Vm>) {
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let now = vm.now();
+        let young: Vec<Rollout> = {
+            let rollouts = vm.rollouts.borrow();
+            rollouts.values().filter(|rollout| is_young(&vm, rollout, now)).cloned().collect()
+        };
+        for rollout in young {
+            let own = own(&vm, &rollout, now);
+            take(&vm, &rollout.service, &rollout.version, own, now);
+        }
+    }
+}
+
+/// Takes what another VM told. Among many VMs it goes on to the neighbours of this one.
+pub fn hear(vm: &Rc<Vm>, service: &Service, version: &Version, draws: Vec<Draw>) {
+    if vm.peers.borrow().are_few() {
+        vm.kept.borrow_mut().note(draws.into_iter(), vm.settings.bounds.session_gap, vm.now());
+    } else {
+        take(vm, service, version, draws, vm.now());
+    }
+}
+
+/// Whether sessions keep their version for now: in the first half of a roll-out's time.
+pub fn is_young(vm: &Vm, rollout: &Rollout, now: Moment) -> bool {
+    let trials = vm.trials.borrow();
+    let trial = trials.get(&rollout.service);
+    let first_half = trial.is_none_or(|trial| trial.age(now).0 * 2 < rollout.within.0);
+    first_half && matches!(rollout.phase, None | Some(Phase::Running { .. }))
+}
+
+/// Draws of this VM's live sessions that went to the old version, though the first share has them.
+fn own(vm: &Vm, rollout: &Rollout, now: Moment) -> Vec<Draw> {
+    let share = canary::first(vm.settings.bounds.exposure);
+    let sessions = vm.sessions.borrow();
+    let live = sessions.live(vm.settings.bounds.session_gap, now);
+    let old = live.filter(|(_, version)| **version != rollout.version);
+    let draws = old.map(|(name, _)| Draw::new(&rollout.service, &rollout.version, name));
+    draws.filter(|draw| draw.point() < share).collect()
+}
+
+/// Notes draws, and tells those that are news.
+fn take(vm: &Rc<Vm>, service: &Service, version: &Version, draws: Vec<Draw>, now: Moment) {
+    let gap = vm.settings.bounds.session_gap;
+    let new = vm.kept.borrow_mut().note(draws.into_iter(), gap, now);
+    for some in new.chunks(MOST) {
+        let (service, version) = (service.clone(), version.clone());
+        peer::tell(vm, &Word::Kept { service, version, draws: some.to_vec() });
+    }
+}
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -11,6 +11,7 @@
 pub mod feed;
 pub mod follow;
 pub mod job;
+pub mod kept;
 pub mod known;
 pub mod learn;
 mod metrics;
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
+use super::kept::{self, Draw};
 use super::reader;
 use super::roster;
 use super::trial::Totals;
@@ -62,6 +63,15 @@
         /// Its counts, of routes where they changed.
         routes: Vec<(String, Totals)>,
     },
+    /// Sessions that keep the old version while a new one's trial is young.
+    Kept {
+        /// The service.
+        service: Service,
+        /// The new version.
+        version: Version,
+        /// Their draws.
+        draws: Vec<Draw>,
+    },
 }
 
 /// A word, who says it, and where to answer.
@@ -226,6 +236,7 @@
             let mut trials = vm.trials.borrow_mut();
             trials.entry(service).or_default().hear(&from, &version, routes);
         }
+        Word::Kept { service, version, draws } => kept::hear(vm, &service, &version, draws),
     }
 }
 
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -9,7 +9,7 @@
 use super::follow::{self, Kind};
 use super::settings::Settings;
 use super::vm::Vm;
-use super::{door, peer, reader, steps};
+use super::{door, kept, peer, reader, steps};
 use crate::error::Error;
 use crate::platform;
 use crate::unit::Span;
@@ -45,6 +45,7 @@
     spawn(follow::prove(vm.clone()));
     spawn(follow::expire(vm.clone()));
     spawn(steps::run(vm.clone()));
+    spawn(kept::run(vm.clone()));
     spawn(peer::run(vm.clone()));
     spawn(reader::run(vm.clone()));
     spawn(door::serve_callers(vm.clone(), callers));
--- a/src/forward/session.rs
+++ b/src/forward/session.rs
@@ -15,6 +15,10 @@
     last: Moment,
 }
 
+fn is_live(seen: &Seen, gap: Span, now: Moment) -> bool {
+    now.since(seen.last) < Span(gap.0 * LONGER)
+}
+
 /// The sessions.
 #[derive(Default)]
 pub struct Sessions {
@@ -26,14 +30,20 @@
     /// The version that a live session was sent to last.
     pub fn version(&self, session: &str, gap: Span, now: Moment) -> Option<&Version> {
         let seen = self.seen.get(session)?;
-        (now.since(seen.last) < Span(gap.0 * LONGER)).then_some(&seen.version)
+        is_live(seen, gap, now).then_some(&seen.version)
+    }
+
+    /// The sessions that live, and the version that each was sent to last.
+    pub fn live(&self, gap: Span, now: Moment) -> impl Iterator<Item = (&str, &Version)> {
+        let live = self.seen.iter().filter(move |(_, seen)| is_live(seen, gap, now));
+        live.map(|(name, seen)| (name.as_str(), &seen.version))
     }
 
     /// Notes that a request of a session was sent to a version, or that its answer ended.
     pub fn note(&mut self, session: &str, version: &Version, gap: Span, now: Moment) {
         if now.since(self.swept) > gap || self.seen.len() >= MOST {
             self.swept = now;
-            self.seen.retain(|_, seen| now.since(seen.last) < Span(gap.0 * LONGER));
+            self.seen.retain(|_, seen| is_live(seen, gap, now));
         }
         if let Some(seen) = self.seen.get_mut(session) {
             seen.last = now;
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -7,6 +7,7 @@
 use tokio::sync::Notify;
 
 use super::feed::Feed;
+use super::kept::Kept;
 use super::known::Known;
 use super::metrics::Metrics;
 use super::peer::Peers;
@@ -52,6 +53,8 @@
     pub trials: RefCell<HashMap<Service, Trials>>,
     /// Sessions seen of late.
     pub sessions: RefCell<Sessions>,
+    /// Sessions that keep the old version, as other VMs say.
+    pub kept: RefCell<Kept>,
     /// When the last read that proved the configuration the newest was sent.
     pub proved: Cell<Option<Moment>>,
     /// Whether the last proof failed.
@@ -101,6 +104,7 @@
             rollouts: RefCell::default(),
             trials: RefCell::default(),
             sessions: RefCell::default(),
+            kept: RefCell::default(),
             proved: Cell::new(None),
             store_lost: Cell::new(false),
             store_back: Cell::new(None),
