--- a/src/standin/platform/mod.rs
+++ b/src/standin/platform/mod.rs
@@ -168,6 +168,12 @@
         object.map(|object| object.status.clone()).unwrap_or_default()
     }
 
+    /// Writes the status of an object, whatever the switches.
+    pub fn set_status(&self, kind: &str, name: &str, status: Value) {
+        self.lock().write(kind, name, |object| object.status = status);
+        self.changed.notify_waiters();
+    }
+
     /// Forgets all changes so far, so that watches from before them are answered 410.
     pub fn forget(&self) {
         let mut state = self.lock();
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -201,3 +201,29 @@
     }
     assert!(!new.seen().is_empty(), "sessions that begin now are drawn");
 }
+
+/// A version that was found bad is out of use after this.
+const ROLLED_BACK_WITHIN: Duration = Duration::from_secs(5);
+
+#[test]
+fn a_way_to_the_roll_outs_that_hangs_is_noticed() {
+    // The same cause, one kind further: what vouches for roll-outs is a proof of the configuration too.
+    let mut site = site();
+    site.bounds["rollback_ms"] = json!(ROLLED_BACK_WITHIN.as_millis());
+    site.publish();
+    site.replica("r1", "v1");
+    let order = json!({"service": "api", "target_version": "v2", "duration_s": 60.0});
+    site.store.put("rollouts", "api", order);
+    let way = Way::to(site.store_server.address);
+    let vm = site.start_through(way.address);
+    eventually("it is ready", || vm.is_ready());
+    eventually("its way hangs", || way.silence("objects/rollouts?watch") > 0);
+    let status = json!({"target_version": "v2", "state": "rolled_back"});
+    site.store.set_status("rollouts", "api", status);
+    let moved = Instant::now();
+    let knows = || vm.lines().iter().any(|line| line["phase"] == "Some(RolledBack)");
+    while !knows() && moved.elapsed() < 2 * ROLLED_BACK_WITHIN {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(moved.elapsed() < ROLLED_BACK_WITHIN, "heard after {:?}", moved.elapsed());
+}
