--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -487,3 +487,25 @@
     trials.follow(&"v3".parse().unwrap(), Moment(2));
     assert!(!trials.is_bad(), "another order begins anew");
 }
+
+/// VMs hear of an order and of each other's sessions first; a short order does not wait as long.
+#[test]
+fn the_first_sessions_try_a_version_when_all_vms_have_heard_of_it() {
+    let first = |age, within| {
+        let (age, within) = (Span::millis(age), Span::secs(within));
+        let known = Known {
+            phase: None,
+            age,
+            within,
+            exposure: 0.15,
+            ready: 3,
+            bad: false,
+            seen: 0.0,
+            evidence: 0.0,
+        };
+        canary::next(&known)
+    };
+    let begins = Step::Move(Phase::Running { share: canary::first(0.15) });
+    assert_eq!((first(1150, 24), first(1250, 24)), (Step::Hold, begins));
+    assert_eq!((first(250, 5), first(350, 5)), (Step::Hold, begins));
+}
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -27,10 +27,11 @@
 use std::time::{Duration, Instant};
 
 use kitepulley::forward::follow::Kind;
+use kitepulley::forward::kept::Draw;
 use kitepulley::forward::learn::{self, Source};
 use kitepulley::forward::{Bounds, Settings, Vm};
 use kitepulley::platform::object::Object;
-use kitepulley::standin::replica::Replica;
+use kitepulley::standin::replica::{Act, Replica};
 use kitepulley::unit::Span;
 use kitepulley::vm::Clock;
 use kitepulley::watch::line::Lines;
@@ -76,24 +77,57 @@
     }
 }
 
+/// What befalls the VM that reads the store, for itself or for others.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Trouble {
+    /// Its connection to the servers' entries hangs; proofs go over another one, which stays sound.
+    Hangs,
+    /// Nothing passes between it and the store.
+    IsCut,
+    /// It stands still.
+    IsStopped,
+}
+
+/// A server leaves while trouble befalls the VM that reads the store, of so many VMs. Those that nothing
+/// has befallen, and the one whose connection hangs, send it nothing two seconds later.
+fn a_server_leaves(trouble: Trouble, vms: usize) {
+    let mut site = site();
+    site.publish();
+    let leaving = site.replica("r1", "v1");
+    site.replica("r2", "v1");
+    let ways: Vec<Way> = (0..vms).map(|_| Way::to(site.store_server.address)).collect();
+    let mut vms: Vec<site::Vm> = ways.iter().map(|way| site.start_through(way.address)).collect();
+    eventually("all are ready", || vms.iter().all(site::Vm::is_ready));
+    eventually("all but one follow", || vms.iter().filter(|vm| !follows(vm)).count() == 1);
+    let reader = vms.iter().position(|vm| !follows(vm)).expect("one reads");
+    match trouble {
+        Trouble::Hangs => {
+            eventually("its way hangs", || ways[reader].silence("objects/servers") > 0);
+        }
+        Trouble::IsCut => ways[reader].cut(),
+        Trouble::IsStopped => vms[reader].signal(libc::SIGSTOP),
+    }
+    site.list("r1", "v1", "draining", leaving.address);
+    let left = Instant::now();
+    let befallen = (trouble != Trouble::Hangs).then(|| vms.remove(reader));
+    gets_nothing_new(&vms, &leaving, left);
+    drop(befallen);
+}
+
 #[test]
 fn a_way_to_the_servers_that_hangs_is_noticed() {
-    // Alone a VM waits for changes of servers itself; of two, one does for both. Proofs that the
-    // configuration is the newest go over another connection, which stays sound.
-    for vms in [1, 2] {
-        let mut site = site();
-        site.publish();
-        let leaving = site.replica("r1", "v1");
-        site.replica("r2", "v1");
-        let ways: Vec<Way> = (0..vms).map(|_| Way::to(site.store_server.address)).collect();
-        let vms: Vec<site::Vm> = ways.iter().map(|way| site.start_through(way.address)).collect();
-        eventually("all are ready", || vms.iter().all(site::Vm::is_ready));
-        eventually("all but one follow", || vms.iter().filter(|vm| !follows(vm)).count() == 1);
-        let reader = vms.iter().position(|vm| !follows(vm)).expect("one reads");
-        eventually("its way hangs", || ways[reader].silence("objects/servers") > 0);
-        site.list("r1", "v1", "draining", leaving.address);
-        gets_nothing_new(&vms, &leaving, Instant::now());
-    }
+    // Alone a VM asks for servers itself; of two, one does for both.
+    [1, 2].map(|vms| a_server_leaves(Trouble::Hangs, vms));
+}
+
+#[test]
+fn a_reader_that_is_cut_off_is_not_believed() {
+    [2, 4].map(|vms| a_server_leaves(Trouble::IsCut, vms));
+}
+
+#[test]
+fn a_reader_that_stands_still_keeps_nobody_waiting() {
+    [2, 4].map(|vms| a_server_leaves(Trouble::IsStopped, vms));
 }
 
 /// A VM without a process, which learns what it is told.
@@ -158,6 +192,8 @@
     assert!(!takes_work(&vm, "r1"), "it had said that it leaves");
     assert!(takes_work(&vm, "r2"));
     assert!(takes_work(&vm, "r3"), "it came after that list");
+    learn::drop_object(&vm, Kind::Servers, "r2", false, &own(2));
+    assert!(takes_work(&vm, "r2"), "its end is older than its entry");
     learn::drop_object(&vm, Kind::Servers, "r1", false, &own(9));
     list(8, &both);
     assert!(!takes_work(&vm, "r1"), "its entry had gone");
@@ -167,6 +203,43 @@
     assert!(!takes_work(&vm, "r1") && !takes_work(&vm, "r3"), "a newer list lacks them");
 }
 
+/// Sessions that the first share of the trial of `v2` draws, in a site that grants a tenth.
+fn drawn() -> impl Iterator<Item = String> {
+    let (service, version) = ("api".parse().unwrap(), "v2".parse().unwrap());
+    let names = (0..).map(|number| format!("s{number}"));
+    names.filter(move |name| Draw::new(&service, &version, name).point() < 0.1)
+}
+
+#[test]
+fn a_session_keeps_its_version_from_the_end_of_its_answer() {
+    // Sessions pause for a second here; the answer takes four, as those of large models do.
+    let mut site = site().route("talk", "streaming", json!({"timeout_ms": 9000}));
+    let old = site.replica("r1", "v1");
+    let pause = Duration::from_millis(1000);
+    old.usually(Act::Events { last: 5, cut_after: None, confidence: None, pause });
+    let vm = site.start_ready();
+    let sessions: Vec<String> = drawn().take(4).collect();
+    let send = |session: &str| {
+        let line = head("GET /talk/x", session, &format!("Session: {session}\r\n"));
+        ask(vm.callers, &line.replace("X-Deadline-Ms: 2500", "X-Deadline-Ms: 9000"), b"")
+    };
+    let new = std::thread::scope(|scope| {
+        for session in &sessions {
+            scope.spawn(move || assert!(send(session).whole));
+        }
+        eventually("all have come", || old.seen().len() == sessions.len());
+        let order = json!({"service": "api", "target_version": "v2", "duration_s": 60.0});
+        site.store.put("rollouts", "api", order);
+        site.replica("r2", "v2")
+    });
+    let state = site.store.status("rollouts", "api")["state"].clone();
+    assert_eq!(state, "in_progress", "the trial began while they were answered");
+    std::thread::scope(|scope| {
+        sessions.iter().for_each(|session| drop(scope.spawn(move || send(session))));
+    });
+    assert_eq!(new.seen().len(), 0, "their answers ended a moment ago");
+}
+
 #[test]
 fn a_session_of_another_vm_stays_on_its_version_while_the_trial_is_young() {
     let mut site = site();
--- a/tests/site/way.rs
+++ b/tests/site/way.rs
@@ -1,8 +1,9 @@
-//! A VM's way to the store: a loopback proxy, some of whose connections can go silent for good
-//! without being closed, while new ones work.
+//! A VM's way to the store: a loopback proxy, whose connections can go silent for good without being
+//! closed: some of them while new ones work, or all, new ones too.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -23,6 +24,7 @@
 pub struct Way {
     pub address: SocketAddr,
     lines: Lines,
+    cut: Arc<AtomicBool>,
 }
 
 impl Way {
@@ -32,15 +34,24 @@
         let address = listener.local_addr().unwrap();
         let lines = Lines::default();
         let known = lines.clone();
+        let cut = Arc::new(AtomicBool::new(false));
+        let is_cut = cut.clone();
         std::thread::spawn(move || {
             for vm in listener.incoming().map_while(Result::ok) {
                 let Ok(store) = TcpStream::connect(store) else { continue };
-                let line = Arc::new(Mutex::new(Line::default()));
+                let silent = is_cut.load(Ordering::SeqCst);
+                let line = Arc::new(Mutex::new(Line { silent, ..Line::default() }));
                 known.lock().unwrap().push(line.clone());
                 join(vm, store, line);
             }
         });
-        Way { address, lines }
+        Way { address, lines, cut }
+    }
+
+    /// Nothing passes any more.
+    pub fn cut(&self) {
+        self.cut.store(true, Ordering::SeqCst);
+        self.silence("");
     }
 
     /// Every open connection whose last request contains `part` says nothing more. How many those are.
