A reader tells in its log why it gives no news, when that changes

Sight: a follower's line says that its reader gives no news; the reader's own said nothing, and which of six reasons it was had to be worked out from other lines. One line at each change, with the ages that decided. A question that does not read has a line too.

--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -19,7 +19,7 @@
 pub mod peer;
 pub mod pool;
 mod proof;
-mod reader;
+pub mod reader;
 mod relay;
 pub mod replica;
 mod roster;
--- a/src/forward/reader.rs
+++ b/src/forward/reader.rs
@@ -74,7 +74,7 @@
         let reader = self.vm.reader.borrow().clone();
         let better = |first: &Name| reader.as_ref().is_none_or(|reader| first < reader);
         let first = self.first(&group).filter(better);
-        // Both at once: one that does not answer takes no time from the other.
+        // Both at once: two that do not answer take the time of one.
         let (of_first, of_reader) =
             join(self.ask(first.as_ref(), &group), self.ask(reader.as_ref(), &group)).await;
         let has_news = self.take(of_first) || self.take(of_reader);
@@ -169,21 +169,64 @@
     }
 }
 
+/// Why a VM gives no news.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decline {
+    /// Another VM reads for it, or it has not read all kinds yet.
+    DoesNotRead,
+    /// It stood still a moment ago, so what it believes may be of before.
+    HeldUp,
+    /// It has lost the store.
+    StoreLost,
+    /// It stops.
+    Stops,
+    /// Its proof of the configuration is too old.
+    OldProof,
+    /// What it knows of servers is too old.
+    OldServers,
+}
+
 /// What a follower that asks is told; nothing if this VM does not read, or not well.
 pub fn answer(vm: &Vm, question: &[u8]) -> Vec<u8> {
-    let news = decode::<Question>(question).and_then(|question| {
-        vm.peers.borrow_mut().heard(&question.from, vm.now());
-        news(vm, question.place)
-    });
-    encode(&news)
+    let Some(Question { from, place }) = decode::<Question>(question) else {
+        vm.log("question of a peer not read", &[("bytes", question.len().into())]);
+        return encode(&None::<News>);
+    };
+    let now = vm.now();
+    vm.peers.borrow_mut().heard(&from, now);
+    let news = news(vm, place, now);
+    tell_decline(vm, news.as_ref().err().copied(), now);
+    encode(&news.ok())
 }
 
-fn news(vm: &Vm, place: Place) -> Option<News> {
-    let now = vm.now();
-    let reads = vm.reader.borrow().is_none() && vm.feed.borrow().is_whole();
-    let held_up = vm.held_up.get().is_some_and(|at| now.since(at) < HELD_UP_FOR);
-    if !reads || held_up || vm.store_lost.get() || vm.is_stopping() {
-        return None;
+/// Notes why this VM gives no news, when that changes.
+fn tell_decline(vm: &Vm, why: Option<Decline>, now: Moment) {
+    if vm.declined.replace(why) == why {
+        return;
+    }
+    let why = why.map_or_else(|| "none".to_owned(), |why| format!("{why:?}"));
+    let servers = vm.feed.borrow().reading(Kind::Servers);
+    let servers_age = servers.map(|reading| now.since(reading.sent));
+    let fields = [
+        ("declined", why.as_str().into()),
+        ("servers_age_ms", servers_age.map_or(-1.0, Span::as_millis).into()),
+        ("proof_age_ms", vm.proof_age(now).map_or(-1.0, Span::as_millis).into()),
+    ];
+    vm.log("news for followers", &fields);
+}
+
+fn news(vm: &Vm, place: Place, now: Moment) -> Result<News, Decline> {
+    if vm.reader.borrow().is_some() || !vm.feed.borrow().is_whole() {
+        return Err(Decline::DoesNotRead);
+    }
+    if vm.held_up.get().is_some_and(|at| now.since(at) < HELD_UP_FOR) {
+        return Err(Decline::HeldUp);
+    }
+    if vm.store_lost.get() {
+        return Err(Decline::StoreLost);
+    }
+    if vm.is_stopping() {
+        return Err(Decline::Stops);
     }
     if !vm.has_followers(now) {
         // From now on proofs are due earlier.
@@ -192,15 +235,15 @@
     vm.asked.set(Some(now));
     let age = vm.proof_age(now);
     if let Some(longest) = vm.longest_proof_age() {
-        age.filter(|age| *age < longest.part(STALE))?;
+        age.filter(|age| *age < longest.part(STALE)).ok_or(Decline::OldProof)?;
     }
     let feed = vm.feed.borrow();
     // A proof of the configuration says nothing of servers: they have an age of their own.
-    let servers_age = now.since(feed.reading(Kind::Servers)?.sent);
-    if is_stale(servers_age, vm.settings.bounds.leave_within) {
-        return None;
+    let servers = feed.reading(Kind::Servers).ok_or(Decline::DoesNotRead)?;
+    if is_stale(now.since(servers.sent), vm.settings.bounds.leave_within) {
+        return Err(Decline::OldServers);
     }
-    Some(feed.since(place, age, now))
+    Ok(feed.since(place, age, now))
 }
 
 /// Takes what a reader answered to a question of the moment `asked`.
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -11,6 +11,7 @@
 use super::known::Known;
 use super::metrics::Metrics;
 use super::peer::Peers;
+use super::reader::Decline;
 use super::replica::Rollout;
 use super::server::{Fleet, LAPSED_FOR};
 use super::session::Sessions;
@@ -65,6 +66,8 @@
     pub reader: tokio::sync::watch::Sender<Option<Name>>,
     /// What this VM has read, for those that ask it.
     pub feed: RefCell<Feed>,
+    /// Why the last that asked for news got none.
+    pub declined: Cell<Option<Decline>>,
     /// When this process noticed that it had been held up.
     pub held_up: Cell<Option<Moment>>,
     /// When a follower asked last.
@@ -110,6 +113,7 @@
             store_back: Cell::new(None),
             reader: tokio::sync::watch::Sender::new(None),
             feed: RefCell::default(),
+            declined: Cell::new(None),
             held_up: Cell::new(None),
             asked: Cell::new(None),
             prove: Notify::new(),
