A region cut that breaks an answer tells which; the demo's callers give up resting connections before VMs close them

Its message has the run's faults and the history of each broken answer now: the one traced was a request without any answer, 7 ms after it was sent on a connection to vm3, never heard of there. VMs close connections that rest for 5 s; the client library keeps them for 15 s. Ruled out: a wait that ran out (40 s); an answer that broke off midway (no byte came). Change: callers keep a resting connection for 4 s, as callers of the users do (four fifths). Before 2 of 63, after 0 of 70 under the same load: not proof (one in ten by luck), so the test stays listed. An attempt to meet the close on purpose (1,080 connections, 5 ms apart) met none.

--- a/src/demo/client.rs
+++ b/src/demo/client.rs
@@ -18,6 +18,11 @@
 /// A caller that waits longer counts the answer as broken.
 const WITHIN: Duration = Duration::from_secs(40);
 
+/// A connection that rested longer is not used again: VMs close those that rest for five seconds, and a request that meets
+/// the close is cut off unread. In a region cut one answer broke in 2 of 63 runs with the client library's 15 s and in
+/// none of 70 with this, four runs at once beside other load.
+const RESTS: Duration = Duration::from_secs(4);
+
 /// A caller of one workspace.
 #[derive(Clone)]
 pub struct Client {
@@ -71,7 +76,10 @@
         Client {
             workspace: workspace.parse().expect("a name of the demo"),
             key: super::key(workspace),
-            http: awc::Client::builder().disable_timeout().finish(),
+            http: awc::Client::builder()
+                .connector(awc::Connector::new().conn_keep_alive(RESTS))
+                .disable_timeout()
+                .finish(),
             history,
         }
     }
--- a/tests/runs.rs
+++ b/tests/runs.rs
@@ -1,6 +1,7 @@
 //! Seeded runs on real sockets under faults, judged from their histories.
 
 use kitepulley::demo::{Fault, Outcome, Scenario, Shape, run};
+use kitepulley::history::{Event, Line};
 
 /// Requests of a run; enough that each fault meets work of every kind.
 const REQUESTS: usize = 2500;
@@ -18,6 +19,29 @@
     outcome
 }
 
+/// What happened in a run, and the history of each answer that broke off or never came.
+fn broken(outcome: &Outcome) -> String {
+    let lines = outcome.world.history.lines();
+    let text = |line: &Line| serde_json::to_string(line).unwrap_or_default();
+    let mut told = vec!["answers broken".to_owned(), outcome.told.join("\n")];
+    for line in &lines {
+        let Event::Answered { ask, request, status, ran, whole: false, .. } = &line.event else {
+            continue;
+        };
+        if ran.is_some() && *status >= 300 {
+            continue;
+        }
+        let asked = format!("\"ask\":{ask},");
+        let request = request.as_ref().map(ToString::to_string);
+        let mut about: Vec<String> = lines.iter().map(text).collect();
+        about.retain(|one| {
+            one.contains(&asked) || request.as_ref().is_some_and(|request| one.contains(request))
+        });
+        told.extend(about);
+    }
+    told.join("\n")
+}
+
 #[test]
 fn promises_hold_when_the_store_fails_in_each_way_while_vms_are_replaced() {
     let faults: [&[Fault]; 3] = [
@@ -40,7 +64,7 @@
 fn a_region_cut_breaks_no_answer_even_without_the_store() {
     let cut: &[Fault] = &[Fault::RegionCut, Fault::StoreDown];
     let outcome = holds(14, 6, &[&[Fault::RegionCut], cut]);
-    assert_eq!(outcome.counts.2, 0, "answers broken");
+    assert_eq!(outcome.counts.2, 0, "{}", broken(&outcome));
 }
 
 #[test]
