A reader passes on what it knows of servers up to 0.65 of the time that a leave allows, not 0.45

Change: the limit of a reader alone. What bounds a follower is when it reads for itself (0.8 of that time), which stands.

--- a/src/decide/reader.rs
+++ b/src/decide/reader.rs
@@ -19,12 +19,13 @@
 const ANSWER_WITHIN: Span = Span::millis(450);
 
 /// A reader whose knowledge of servers is older than this part of the time in which one that leaves may still get
-/// work gives no news.
-const STALE: f64 = 0.45;
+/// work gives no news. At 0.45 a store that kept questions for a second made all 88 followers of a large site read for
+/// themselves at once: 3,368 calls on that day. A follower is not held to it: [`READS_AT`] bounds what it knows.
+const STALE: f64 = 0.65;
 
 /// A follower whose knowledge of servers reaches this part of that time reads for itself, whoever may answer yet:
 /// its own list takes some milliseconds. Without it the times of a look (0.35 s), of two answers that do not come and of
-/// the oldest knowledge that is passed on add up to 2.15 s of 2 s.
+/// the oldest knowledge that is passed on add up to 2.55 s of 2 s.
 const READS_AT: f64 = 0.8;
 
 /// Whether what a VM knows of servers is too old to be passed on. `leave_within` is the time in which a server that
