A request that comes to a VM which has just started waits for what it does not know yet

Ruled out: each VM listing for itself again (three more calls for each start; 0.1 s earlier). Change: such a request waits until the VM knows all, or is 1.2 s old; then it is refused as before. A VM that knows nothing yet gives another 0.25 s to answer, not 0.45 s, and asks it again 0.3 s later. The test failed before (503).

--- a/src/decide/reader.rs
+++ b/src/decide/reader.rs
@@ -30,8 +30,13 @@
 /// One that does not know all yet, since it began a moment ago, is asked again after this.
 const UNREADY_FOR: Span = Span::millis(80);
 
-/// Time for an answer.
+/// One that does not answer a VM that has just started may have started too, and is asked again after this.
+const UNHEARD_FOR: Span = Span::millis(300);
+
+/// Time for an answer, and that of a VM that knows nothing yet: when all start again, 450 ms for each that is not there
+/// yet made the last ready 0.7 s after their start.
 const ANSWER_WITHIN: Span = Span::millis(450);
+const FIRST_ANSWER_WITHIN: Span = Span::millis(250);
 
 /// Knowledge of servers that is older than this part of the time in which one that leaves may still get work is not
 /// passed on. At 0.45 a store that kept questions for a second made 85 of 91 VMs read for themselves at
@@ -82,6 +87,11 @@
     (left > Span::default()).then(|| left.min(ANSWER_WITHIN))
 }
 
+/// Time that a VM has for a question that knows nothing yet.
+pub fn first_time_to_ask() -> Span {
+    FIRST_ANSWER_WITHIN
+}
+
 /// Why a VM is not asked for now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Why {
@@ -149,6 +159,11 @@
         self.avoid(vm, Why::Silent(before + 1), now + doubled);
     }
 
+    /// A VM did not answer this one, which has just started.
+    pub fn unheard(&mut self, vm: &Vm, now: Moment) {
+        self.avoid(vm, Why::Silent(0), now + UNHEARD_FOR);
+    }
+
     fn avoid(&mut self, vm: &Vm, why: Why, until: Moment) {
         self.avoided.insert(vm.clone(), Avoided { why, until });
     }
--- a/src/forward/door.rs
+++ b/src/forward/door.rs
@@ -41,6 +41,9 @@
 /// which a change must be in force.
 const DENIAL_PROOF: f64 = 0.75;
 
+/// A VM that started longer ago than this, and still knows too little, refuses at once.
+const KNOWS_WITHIN: Span = Span::millis(1200);
+
 /// Longest wait for a proof of freshness.
 const PROOF_WITHIN: Span = Span::millis(900);
 
@@ -221,6 +224,7 @@
     payload: Payload,
     record: &mut Record,
 ) -> Result<Admitted, Refusal> {
+    catch_up(vm).await;
     let table = vm.routes().ok_or_else(|| Refusal::new(Kind::Behind))?;
     let most = table.limits.body;
     let body = read(payload, most);
@@ -253,6 +257,17 @@
     Ok(Admitted { route, holder, body })
 }
 
+/// Waits for what a VM that has just started does not know yet. It comes some tenths of a second after the start, and a
+/// request that waits is served where one that is refused comes back to another VM that has just started: when all of
+/// 23 VMs started again, 108 tries of a few hundred were refused.
+async fn catch_up(vm: &Rc<Vm>) {
+    let until = vm.started + KNOWS_WITHIN;
+    while !vm.knows_all() && vm.now() < until {
+        let left = until.since(vm.now()).duration();
+        let _ = tokio::time::timeout(left, vm.proof.notified()).await;
+    }
+}
+
 /// The route of a request, and who holds its key.
 fn allowed(table: &Table, call: &Call) -> Result<(Rc<Route>, Option<Rc<Holder>>), Refusal> {
     let route = table.route(&call.host, &call.path);
--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -14,7 +14,9 @@
 use super::tally::{self, Seen, Tally};
 use super::trial::Trials;
 use super::vm::Vm;
-use crate::decide::reader::{self as decide, Asked, Rank, Without, may_be_taken, time_to_ask};
+use crate::decide::reader::{
+    self as decide, Asked, Rank, Without, first_time_to_ask, may_be_taken, time_to_ask,
+};
 use crate::platform::object::Object;
 use crate::unit::{Moment, Span, Vm as Name};
 
@@ -124,6 +126,15 @@
         worth == Worth::News || self.go_without(worth == Worth::Old, &circle)
     }
 
+    /// Whether this VM has just started and had no news yet.
+    fn is_new(&self) -> bool {
+        self.known.is_none() && self.is_young()
+    }
+
+    fn is_young(&self) -> bool {
+        self.vm.now().since(self.begun) < YOUNG_FOR
+    }
+
     fn circle(&self) -> Circle {
         let vm = &self.vm;
         let own = vm.rank();
@@ -163,7 +174,10 @@
         let (name, vm) = (name?, &self.vm);
         let asked = vm.now();
         let known = self.known.filter(|_| !vm.told_lost.get());
-        let within = time_to_ask(known, vm.settings.bounds.leave_within, asked)?;
+        let within = match self.is_new() {
+            true => first_time_to_ask(),
+            false => time_to_ask(known, vm.settings.bounds.leave_within, asked)?,
+        };
         let place = self.places.get(&name).copied().unwrap_or_default();
         let is_first = vm.first_since.get().is_some();
         let seen = self.tally.news(vm, &name, is_first);
@@ -186,6 +200,7 @@
             Reply::News(news) => return self.take_news(&name, asked, &news),
             Reply::Declined(Decline::KnowsTooLittle) => self.asked.unready(&name, now),
             Reply::Declined(_) => self.asked.declined(&name, now),
+            Reply::Silence if self.is_new() => self.asked.unheard(&name, now),
             Reply::Silence => self.asked.silent(&name, now),
         }
         Worth::None
@@ -246,7 +261,7 @@
             may_ask: self.next(circle).is_some(),
             lost: self.asked.is_told_lost(&circle.own, circle.group.iter(), now),
             knows: self.known.is_some(),
-            is_young: now.since(self.begun) < YOUNG_FOR,
+            is_young: self.is_young(),
             overdue: time_to_ask(self.known, bound, now).is_none(),
         };
         if decide::reads(&without) {
--- a/src/forward/learn.rs
+++ b/src/forward/learn.rs
@@ -28,6 +28,13 @@
 
 /// Takes all objects of a kind. Whether the configuration is among them and reads.
 pub fn take_all(vm: &Vm, kind: Kind, objects: &[Object], source: &Source) -> bool {
+    let proves = take_kind(vm, kind, objects, source);
+    // Requests may wait for a VM that has just started to know all.
+    vm.proof.notify_waiters();
+    proves
+}
+
+fn take_kind(vm: &Vm, kind: Kind, objects: &[Object], source: &Source) -> bool {
     match kind {
         // These bear numbers of their own, which only rise.
         Kind::Config => return take_config(vm, objects),
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -44,6 +44,8 @@
     pub settings: Settings,
     /// Its clocks.
     pub clock: Clock,
+    /// When it began.
+    pub started: Moment,
     /// Routes and keys in force; none before the first configuration was read.
     pub table: RefCell<Option<Rc<Table>>>,
     /// How new what it knows of the platform's objects is.
@@ -116,6 +118,7 @@
     pub fn new(settings: Settings, clock: Clock, lines: Lines) -> Vm {
         Vm {
             settings,
+            started: clock.now(),
             clock,
             table: RefCell::default(),
             known: RefCell::default(),
@@ -262,10 +265,14 @@
         }
     }
 
+    /// Whether it knows routes, backend servers and roll-outs.
+    pub fn knows_all(&self) -> bool {
+        self.table.borrow().is_some() && self.listed.get() == (true, true)
+    }
+
     /// Whether the balancer may send new connections.
     pub fn is_ready(&self, now: Moment) -> bool {
-        let known = self.table.borrow().is_some() && self.listed.get() == (true, true);
-        known && !self.is_stopping() && self.may_use_keys(now)
+        self.knows_all() && !self.is_stopping() && self.may_use_keys(now)
     }
 
     /// Whether a planned stop has begun.
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -10,7 +10,7 @@
 use kitepulley::standin::platform::Switches;
 use kitepulley::standin::replica::Act;
 use serde_json::json;
-use site::{Site, ask, eventually, follows, head};
+use site::{Site, ask, eventually, follows, head, try_ask};
 
 /// Kinds of routes in the platform's words.
 const SAFE: &str = "idempotent";
@@ -613,6 +613,26 @@
     assert!(two.process.wait().unwrap().success());
 }
 
+#[test]
+fn a_request_that_comes_just_after_a_start_is_served() {
+    // The balancer uses all VMs of a data centre where most are not ready, as when all start again.
+    let mut site = site().workspace("roasters", &["key"]);
+    site.replica("r1", "v1");
+    let mut vms = vec![site.start_ready(), site.start_ready()];
+    vms.iter_mut().for_each(site::Vm::kill);
+    vms.iter_mut().for_each(site::Vm::start_again);
+    let request = head("GET /safe/x", "id", "Authorization: Token key\r\n");
+    for vm in &vms {
+        let mut answer = None;
+        eventually("its door is open", || {
+            answer = try_ask(vm.callers, &request, b"");
+            answer.is_some()
+        });
+        let answer = answer.expect("there is one");
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+}
+
 fn store_calls(vm: &site::Vm) -> usize {
     let page = ask(vm.metrics, "GET /metrics HTTP/1.1\r\nHost: x\r\n", b"");
     let text = page.text();
