An emulation of the control path at up to a thousand VMs, and tests of who reads

`kitepulley experiment reading`: the server's decisions in virtual time beside the way before. No plot yet: the table has a row for each number of VMs.

--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -6,6 +6,7 @@
 mod overload;
 mod path;
 mod probe;
+mod reading;
 mod replica;
 mod rollout;
 mod slopes;
@@ -18,7 +19,7 @@
 use crate::error::Error;
 
 /// The experiments by name.
-pub const NAMES: &str = "cascade, rollout, replica, overload, spread, path, once, slopes";
+pub const NAMES: &str = "cascade, rollout, replica, overload, spread, reading, path, once, slopes";
 
 /// Runs an experiment.
 ///
@@ -31,6 +32,7 @@
         "replica" => Ok(replica::run(options)),
         "overload" => Ok(overload::run(options)),
         "spread" => Ok(spread::run(options)),
+        "reading" => Ok(reading::run(options)),
         "path" => path::run(options),
         "once" => once::run(options),
         "slopes" => slopes::run(options),
--- /dev/null
+++ b/src/experiment/reading.rs
@@ -0,0 +1,492 @@
+//! The control path at many VMs: calls to the platform's store and bytes between VMs, the server's decisions in virtual
+//! time.
+//!
+//! A run has a start of all, a calm time, a store that is away for eight seconds, the fall of the VM that reads, and the
+//! death and start of all. Beside the way of the server runs the one before it, in which a VM without news reads for
+//! itself at once. Both are worked out from times of calls and questions; packets are counted, not sent.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::options::Options;
+use super::table::{Row, Table, quantile};
+use crate::decide::reader::{Asked, Place, Rank, Without, may_be_taken, reads, time_to_ask};
+use crate::forward::feed::Change;
+use crate::forward::follow::Kind;
+use crate::forward::pack::Packed;
+use crate::unit::{Millicores, Moment, Span, Vm as Name};
+
+/// Data centres, and the large VMs of each, as on the users' largest site.
+const DATA_CENTRES: usize = 6;
+const LARGE: usize = 3;
+
+/// Backend servers whose entries are passed on.
+const SERVERS: usize = 166;
+
+/// Time that a leaving server may still get work, on that site.
+const LEAVE_WITHIN: Span = Span::secs(4);
+
+/// Times of a run: the store is away, the reader falls, all die and start again, the end.
+const AWAY: Span = Span::secs(20);
+const BACK: Span = Span::secs(28);
+const FALLS: Span = Span::secs(40);
+const DIES: Span = Span::secs(50);
+const AGAIN: Span = Span::secs(51);
+const END: Span = Span::secs(60);
+
+/// The calm time that is counted.
+const CALM: Span = Span::secs(10);
+
+/// All start within this.
+const APART: Span = Span::millis(300);
+
+/// Times of the server: between two questions, and while it has no news; a VM that is new waits so long.
+const ASK_EVERY: Span = Span::millis(350);
+const ASK_SOON: Span = Span::millis(100);
+const YOUNG_FOR: Span = Span::millis(2000);
+const SETTLED: Span = Span::millis(1500);
+
+/// A question between data centres and back, and one that is not answered.
+const QUESTION: Span = Span::millis(4);
+const NO_ANSWER: Span = Span::millis(450);
+const NO_FIRST_ANSWER: Span = Span::millis(250);
+
+/// Calls of a VM that reads: servers every 1.2 s, proofs every 1.66 s, roll-outs every 2 s, two more every 6 s.
+const CALL_EVERY: Span = Span::millis(440);
+
+/// Calls as it begins to read, and a try while the store is away: a mean pause of many.
+const CALLS_TO_BEGIN: f64 = 4.0;
+const TRY_EVERY: Span = Span::millis(450);
+
+/// Price of a try: a read that may be old.
+const TRY: f64 = 0.1;
+
+/// A start: the key and the names, which may be old; and the first time the key and the entry are written.
+const A_START: f64 = 0.2;
+const A_FIRST_START: f64 = 2.2;
+
+/// The same in the way before: key, entry, names, four lists, and a watch of the names or two.
+const A_START_BEFORE: f64 = 9.0;
+
+/// A try in the way before, at the price of a call.
+const TRY_BEFORE: f64 = 1.0;
+
+/// Bytes of a question and an answer without changes, their packets and acknowledgements with them.
+const QUESTION_BYTES: u64 = 420;
+
+/// Which way is played.
+#[derive(Clone, Copy, PartialEq)]
+enum Way {
+    /// That of the server.
+    Passed,
+    /// A VM without news reads for itself.
+    Itself,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Role {
+    Joins,
+    Reads,
+    Follows(usize),
+}
+
+struct Node {
+    rank: Rank,
+    up: bool,
+    life: u32,
+    began: Moment,
+    role: Role,
+    asked: Asked,
+    /// Of when what it knows is.
+    known: Option<Moment>,
+    origin: (usize, u8),
+    lost: bool,
+    lost_since: Option<Moment>,
+    /// When it knew that the store was back, and when it first knew all in this life.
+    back: Option<Moment>,
+    ready: Option<Moment>,
+    whole_from: HashMap<usize, u32>,
+    bytes: u64,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Start(usize),
+    Look(usize, u32),
+    Call(usize, u32),
+    Dies(usize),
+}
+
+struct World {
+    way: Way,
+    nodes: Vec<Node>,
+    queue: BinaryHeap<Reverse<(Moment, Event)>>,
+    now: Moment,
+    calls: Vec<(Moment, f64)>,
+    reads: Vec<(Moment, usize)>,
+    index: HashMap<Name, usize>,
+    whole: u64,
+}
+
+impl World {
+    fn new(way: Way, vms: usize, rng: &mut SmallRng) -> World {
+        let nodes: Vec<Node> = (0..vms).map(node).collect();
+        let index = nodes.iter().enumerate().map(|(at, node)| (node.rank.vm.clone(), at));
+        let index = index.collect();
+        let (queue, whole) = (BinaryHeap::new(), whole_news(vms));
+        let now = Moment(0);
+        let (calls, reads) = (Vec::new(), Vec::new());
+        let mut world = World { way, nodes, queue, now, calls, reads, index, whole };
+        for at in 0..vms {
+            let apart = |rng: &mut SmallRng| Span(rng.random_range(0..APART.0));
+            world.push(Moment(0) + apart(rng), Event::Start(at));
+            world.push(Moment(0) + DIES, Event::Dies(at));
+            world.push(Moment(0) + AGAIN + apart(rng), Event::Start(at));
+        }
+        world
+    }
+
+    fn push(&mut self, at: Moment, event: Event) {
+        self.queue.push(Reverse((at, event)));
+    }
+
+    fn is_away(&self) -> bool {
+        (Moment(0) + AWAY..Moment(0) + BACK).contains(&self.now)
+    }
+
+    fn call(&mut self, price: f64) {
+        self.calls.push((self.now, price));
+    }
+
+    fn run(&mut self) {
+        let mut fallen = false;
+        while let Some(Reverse((at, event))) = self.queue.pop() {
+            if at > Moment(0) + END {
+                return;
+            }
+            self.now = at;
+            if !fallen && at >= Moment(0) + FALLS {
+                fallen = true;
+                let reader = self.nodes.iter().position(|node| node.role == Role::Reads);
+                reader.into_iter().for_each(|reader| self.die(reader));
+            }
+            match event {
+                Event::Start(at) => self.start(at),
+                Event::Dies(at) => self.die(at),
+                Event::Look(at, life) if self.is_alive(at, life) => self.look(at),
+                Event::Call(at, life) if self.is_alive(at, life) => self.read(at),
+                Event::Look(..) | Event::Call(..) => {}
+            }
+        }
+    }
+
+    fn is_alive(&self, at: usize, life: u32) -> bool {
+        self.nodes[at].up && self.nodes[at].life == life
+    }
+
+    fn die(&mut self, at: usize) {
+        let fresh = node(at);
+        let node = &mut self.nodes[at];
+        let (life, bytes) = (node.life + 1, node.bytes);
+        *node = Node { life, bytes, ..fresh };
+    }
+
+    fn start(&mut self, at: usize) {
+        let first = self.now < Moment(0) + DIES;
+        let price = match (self.way, first) {
+            (Way::Itself, _) => A_START_BEFORE,
+            (Way::Passed, true) => A_FIRST_START,
+            (Way::Passed, false) => A_START,
+        };
+        self.call(price);
+        let node = &mut self.nodes[at];
+        (node.up, node.began) = (true, self.now);
+        if self.way == Way::Itself {
+            // It has listed all, and looks for a reader after that.
+            (node.known, node.ready) = (Some(self.now), Some(self.now));
+        }
+        self.push(self.now + QUESTION, Event::Look(at, self.nodes[at].life));
+    }
+
+    /// What a VM that reads does: a call, or a try while the store is away.
+    fn read(&mut self, at: usize) {
+        let life = self.nodes[at].life;
+        if self.nodes[at].role != Role::Reads {
+            return;
+        }
+        let away = self.is_away();
+        let price = match (away, self.way) {
+            (false, _) => 1.0,
+            (true, Way::Passed) => TRY,
+            (true, Way::Itself) => TRY_BEFORE,
+        };
+        self.call(price);
+        let now = self.now;
+        let node = &mut self.nodes[at];
+        if !away {
+            node.known = Some(now);
+            node.ready = node.ready.or(Some(now));
+            if std::mem::take(&mut node.lost) {
+                node.back = node.back.or(Some(now));
+            }
+        }
+        node.lost = away;
+        let pause = if away { TRY_EVERY } else { CALL_EVERY };
+        self.push(now + pause, Event::Call(at, life));
+    }
+
+    fn group(&self, at: usize) -> impl Iterator<Item = &Rank> {
+        let own = at % DATA_CENTRES;
+        let of_group = move |other: &usize| other % DATA_CENTRES == own && *other != at;
+        (0..self.nodes.len()).filter(of_group).map(|other| &self.nodes[other].rank)
+    }
+
+    /// The first of each other data centre.
+    fn firsts(&self, at: usize) -> Vec<&Rank> {
+        let others = (0..DATA_CENTRES).filter(|other| *other != at % DATA_CENTRES);
+        let of = |other: usize| (other..self.nodes.len()).step_by(DATA_CENTRES);
+        let asked = &self.nodes[at].asked;
+        let first = |other| asked.first(of(other).map(|one| &self.nodes[one].rank), self.now);
+        others.filter_map(first).collect()
+    }
+
+    fn place(&self, at: usize) -> Place {
+        let node = &self.nodes[at];
+        node.asked.place(&node.rank, self.group(at), self.now)
+    }
+
+    fn next(&self, at: usize) -> Option<usize> {
+        let node = &self.nodes[at];
+        let next = match (self.place(at), self.way) {
+            (Place::First, Way::Itself) => None,
+            (Place::First, Way::Passed) if node.lost => {
+                node.asked.any(self.firsts(at).into_iter(), self.now)
+            }
+            (Place::First, Way::Passed) => {
+                node.asked.next(&node.rank, self.firsts(at).into_iter(), self.now)
+            }
+            (Place::Next | Place::Behind, _) => {
+                node.asked.next(&node.rank, self.group(at), self.now)
+            }
+        };
+        next.map(|name| self.index[name])
+    }
+
+    fn look(&mut self, at: usize) {
+        let followed = match self.nodes[at].role {
+            Role::Follows(other) => Some(other),
+            Role::Joins | Role::Reads => None,
+        };
+        let next = self.next(at).filter(|next| Some(*next) != followed);
+        let asked: Vec<usize> = next.into_iter().chain(followed).collect();
+        let answered = asked.iter().all(|other| self.nodes[*other].up);
+        let told: Vec<Option<bool>> = asked.iter().map(|other| self.ask(at, *other)).collect();
+        let has_news = told.contains(&Some(true));
+        let settled = has_news || self.go_without(at, told.contains(&Some(false)));
+        let waited = match (answered, self.nodes[at].known) {
+            (true, _) => QUESTION,
+            (false, None) => NO_FIRST_ANSWER,
+            (false, Some(_)) => NO_ANSWER,
+        };
+        let pause = if settled { ASK_EVERY } else { ASK_SOON };
+        let life = self.nodes[at].life;
+        self.push(self.now + waited + pause, Event::Look(at, life));
+    }
+
+    /// Asks a VM. Whether it had news; false if it said that the store is lost.
+    fn ask(&mut self, at: usize, other: usize) -> Option<bool> {
+        let now = self.now;
+        let name = self.nodes[other].rank.vm.clone();
+        if !self.nodes[other].up {
+            let new = self.nodes[at].known.is_none();
+            let asked = &mut self.nodes[at].asked;
+            if new {
+                asked.unheard(&name, now)
+            } else {
+                asked.silent(&name, now)
+            }
+            return None;
+        }
+        let teller = &self.nodes[other];
+        let (known, lost, life) = (teller.known, teller.lost, teller.life);
+        let (reader, hops) = if teller.role == Role::Reads { (other, 0) } else { teller.origin };
+        let reads_itself = teller.role == Role::Reads || self.way == Way::Passed;
+        let reader_name = self.nodes[reader].rank.vm.clone();
+        let node = &mut self.nodes[at];
+        let Some(known) = known.filter(|_| reads_itself) else {
+            node.asked.unready(&name, now);
+            return None;
+        };
+        if !may_be_taken(&reader_name, hops, &node.rank.vm) || (lost && node.role == Role::Reads) {
+            node.asked.declined(&name, now);
+            return None;
+        }
+        if lost && self.way == Way::Itself {
+            node.asked.declined(&name, now);
+            return None;
+        }
+        let whole = node.whole_from.insert(other, life) != Some(life);
+        let bytes = QUESTION_BYTES + if whole { self.whole } else { 0 };
+        node.known = node.known.max(Some(known));
+        node.origin = (reader, hops + 1);
+        if lost {
+            node.asked.lost(&name, now);
+            node.lost_since = node.lost_since.or(Some(now));
+            node.lost = true;
+        } else {
+            node.asked.answered(&name);
+            node.role = Role::Follows(other);
+            node.lost_since = None;
+            node.ready = node.ready.or(Some(now + QUESTION));
+            if std::mem::take(&mut node.lost) {
+                node.back = node.back.or(Some(now + QUESTION));
+            }
+        }
+        node.bytes += bytes;
+        self.nodes[other].bytes += bytes;
+        Some(!lost)
+    }
+
+    /// What a VM without news does. Whether it has what it needs for now.
+    fn go_without(&mut self, at: usize, is_told: bool) -> bool {
+        let node = &self.nodes[at];
+        if node.role == Role::Reads {
+            return true;
+        }
+        let without = Without {
+            place: self.place(at),
+            others: self.way == Way::Passed,
+            may_ask: self.next(at).is_some(),
+            lost: node.asked.is_told_lost(&node.rank, self.group(at), self.now),
+            knows: node.known.is_some(),
+            is_young: self.now.since(node.began) < YOUNG_FOR,
+            overdue: time_to_ask(node.known, LEAVE_WITHIN, self.now).is_none(),
+        };
+        let itself = match self.way {
+            Way::Passed => reads(&without),
+            Way::Itself => !without.may_ask,
+        };
+        if itself {
+            self.begin_to_read(at, without.lost);
+            return true;
+        }
+        let since = self.nodes[at].lost_since;
+        is_told && since.is_some_and(|since| self.now.since(since) >= SETTLED)
+    }
+
+    fn begin_to_read(&mut self, at: usize, told_lost: bool) {
+        self.reads.push((self.now, at));
+        if !told_lost {
+            self.call(CALLS_TO_BEGIN);
+        }
+        let node = &mut self.nodes[at];
+        node.role = Role::Reads;
+        let life = node.life;
+        self.push(self.now, Event::Call(at, life));
+    }
+
+    fn price(&self, from: Span, to: Span) -> f64 {
+        let (from, to) = (Moment(0) + from, Moment(0) + to);
+        let within = self.calls.iter().filter(|(at, _)| (from..to).contains(at));
+        within.map(|(_, price)| price).sum()
+    }
+}
+
+fn node(at: usize) -> Node {
+    let share = if at / DATA_CENTRES < LARGE { 500 } else { 120 };
+    Node {
+        rank: Rank::new(Millicores(share), format!("vm{at:04}").parse().expect("a name")),
+        up: false,
+        life: 0,
+        began: Moment(0),
+        role: Role::Joins,
+        asked: Asked::default(),
+        known: None,
+        origin: (at, 0),
+        lost: false,
+        lost_since: None,
+        back: None,
+        ready: None,
+        whole_from: HashMap::new(),
+        bytes: 0,
+    }
+}
+
+/// Bytes of everything that a VM which has just started is told.
+fn whole_news(vms: usize) -> u64 {
+    let change = |kind, at: usize, text: String| Change {
+        kind,
+        name: format!("i-{:016x}", at * 0x9e37_79b9),
+        object: Some(text),
+        lapsed: false,
+    };
+    let server = |at: usize| {
+        let text = format!(
+            "{{\"metadata\":{{\"name\":\"i-{:016x}\",\"revision\":{at}}},\"spec\":{{\"service\":\"api\",\
+             \"address\":\"10.0.{}.{}:8000\",\"zone\":\"a\",\"version\":\"v1\",\"capacity\":24,\
+             \"state\":\"ready\",\"sequence\":1}}}}",
+            at * 0x9e37_79b9,
+            at / 250,
+            at % 250
+        );
+        change(Kind::Servers, at, text)
+    };
+    let vm = |at: usize| {
+        let text = format!(
+            "{{\"metadata\":{{\"name\":\"vm{at:04}\",\"revision\":{at}}},\"spec\":{{\"address\":\
+             \"10.1.{}.{}:7340\",\"data_centre\":\"a\",\"share\":120}}}}",
+            at / 250,
+            at % 250
+        );
+        change(Kind::Vms, at, text)
+    };
+    let all: Vec<Change> = (0..SERVERS).map(server).chain((0..vms).map(vm)).collect();
+    Packed::new(&all).size() as u64
+}
+
+fn row(way: Way, vms: usize, seed: u64) -> Row {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut world = World::new(way, vms, &mut rng);
+    world.run();
+    let each = |price: f64| price / vms as f64;
+    let calm = world.price(Span(AWAY.0 - CALM.0), AWAY);
+    let away = world.price(AWAY, BACK);
+    let returned = world.price(BACK, Span(BACK.0 + CALM.0));
+    let fell = (Moment(0) + FALLS..Moment(0) + DIES, Moment(0) + BACK, Moment(0) + AGAIN);
+    let fall = world.reads.iter().filter(|(at, _)| fell.0.contains(at)).count();
+    let known = |node: &Node| node.ready.map(|at| at.since(node.began).as_millis());
+    let mut ready: Vec<f64> = world.nodes.iter().filter_map(known).collect();
+    let seconds = END.as_secs();
+    let largest = world.nodes.iter().map(|node| node.bytes).max().unwrap_or(0);
+    let mean = world.nodes.iter().map(|node| node.bytes).sum::<u64>() as f64 / vms as f64;
+    Row::named("way", if way == Way::Passed { "passed on" } else { "each itself" })
+        .with("vms", vms)
+        .number("start, calls a VM", each(world.price(Span(0), Span::secs(5))), 2)
+        .number("calm, calls/s", calm / CALM.as_secs(), 2)
+        .number("away 8 s, calls", away, 0)
+        .number("return 10 s, calls", returned, 0)
+        .with("fall, VMs that read", fall)
+        .number("again, calls a VM", each(world.price(AGAIN, END)), 2)
+        .number("ready after p99 ms", quantile(&mut ready, 0.99), 0)
+        .number("bytes/s a VM", mean / seconds, 0)
+        .number("bytes/s largest", largest as f64 / seconds, 0)
+}
+
+/// Numbers of VMs that are played if none are given.
+const VMS: [usize; 5] = [10, 23, 60, 300, 1000];
+
+/// Runs it.
+pub fn run(options: &Options) -> Table {
+    let vms = if options.vms.is_empty() { VMS.to_vec() } else { options.vms.clone() };
+    let ways = [Way::Passed, Way::Itself];
+    let rows = vms.iter().flat_map(|vms| ways.map(|way| row(way, *vms, options.seed)));
+    let rows: Vec<Row> = rows.collect();
+    let notes = vec![
+        "Calls by their price: a read that may be some seconds old costs a tenth.".to_owned(),
+        "Bytes are those that a VM sends and hears for control, over the whole run.".to_owned(),
+    ];
+    Table { rows, notes }
+}
--- /dev/null
+++ b/tests/reading.rs
@@ -0,0 +1,204 @@
+//! Who reads the store, and whom a VM asks, decided without a network: fleets of up to a thousand VMs in six data
+//! centres, with VMs that are silent, decline, or say that the store is lost.
+
+use std::collections::BTreeMap;
+
+use kitepulley::decide::reader::{Asked, Place, Rank, Without, may_be_taken, reads};
+use kitepulley::forward::tally::Source;
+use kitepulley::forward::trial::{Sample, Trials, Verdict};
+use kitepulley::unit::{Millicores, Moment, Span, Version, Vm};
+use quickcheck::quickcheck;
+
+const DATA_CENTRES: usize = 6;
+
+fn rank(number: usize) -> Rank {
+    // Of each data centre the first three are large, as on the users' site.
+    let share = if number / DATA_CENTRES < 3 { 500 } else { 120 };
+    Rank::new(Millicores(share), format!("vm{number:04}").parse().unwrap())
+}
+
+/// A fleet: the ranks of each data centre.
+fn fleet(vms: usize) -> Vec<Vec<Rank>> {
+    let of = |at: usize| (0..vms).filter(move |number| number % DATA_CENTRES == at).map(rank);
+    (0..DATA_CENTRES).map(|at| of(at).collect()).collect()
+}
+
+/// How a VM that hears nothing new stands, as it would find by itself.
+fn without(asked: &Asked, groups: &[Vec<Rank>], at: usize, own: &Rank) -> Without {
+    let now = Moment(1);
+    let place = asked.place(own, groups[at].iter(), now);
+    let others = groups.iter().enumerate().filter(|(group, _)| *group != at);
+    let firsts: Vec<&Rank> =
+        others.filter_map(|(_, group)| asked.first(group.iter(), now)).collect();
+    let next = match place {
+        Place::First => asked.next(own, firsts.iter().copied(), now),
+        Place::Next | Place::Behind => asked.next(own, groups[at].iter(), now),
+    };
+    Without {
+        place,
+        others: !firsts.is_empty(),
+        may_ask: next.is_some(),
+        lost: asked.is_told_lost(own, groups[at].iter(), now),
+        knows: true,
+        is_young: false,
+        overdue: false,
+    }
+}
+
+/// How many of a fleet read for themselves, if each remembers `met` of those that it may ask.
+fn readers(vms: usize, met: impl Fn(&mut Asked, &Vm)) -> usize {
+    let groups = fleet(vms);
+    let mut readers = 0;
+    for (at, group) in groups.iter().enumerate() {
+        for own in group {
+            let mut asked = Asked::default();
+            groups
+                .iter()
+                .flatten()
+                .filter(|other| *other != own)
+                .for_each(|other| met(&mut asked, &other.vm));
+            readers += usize::from(reads(&without(&asked, &groups, at, own)));
+        }
+    }
+    readers
+}
+
+#[test]
+fn one_vm_of_a_fleet_reads_in_calm_whatever_its_size() {
+    for vms in [10, 60, 300, 1000] {
+        assert_eq!(readers(vms, |_, _| {}), 1, "of {vms}");
+    }
+}
+
+#[test]
+fn while_the_store_is_lost_the_first_of_each_data_centre_tries() {
+    for vms in [60, 300, 1000] {
+        let tried = readers(vms, |asked, vm| asked.lost(vm, Moment(0)));
+        assert_eq!(tried, DATA_CENTRES, "of {vms}");
+    }
+}
+
+#[test]
+fn when_all_decline_those_next_to_the_first_read_and_nobody_behind() {
+    for vms in [60, 300, 1000] {
+        let read = readers(vms, |asked, vm| asked.declined(vm, Moment(0)));
+        assert_eq!(read, 3 * DATA_CENTRES, "of {vms}");
+    }
+}
+
+#[test]
+fn a_vm_that_answers_nobody_is_passed_over() {
+    let first = rank(0).vm;
+    let silent = |asked: &mut Asked, vm: &Vm| {
+        if *vm == first {
+            asked.silent(vm, Moment(0));
+        }
+    };
+    // The first of all is still up and reads; the next in its data centre asks the first of the others, and of those
+    // the first reads.
+    assert_eq!(readers(300, silent), 2);
+}
+
+#[test]
+fn what_is_too_old_is_read_unless_the_store_is_lost() {
+    let behind = Without {
+        place: Place::Behind,
+        others: true,
+        may_ask: true,
+        lost: false,
+        knows: true,
+        is_young: false,
+        overdue: true,
+    };
+    assert!(reads(&behind), "servers that leave must not get work for longer than is granted");
+    assert!(!reads(&Without { lost: true, ..behind }), "those that try will tell");
+    let young = Without { knows: false, is_young: true, overdue: false, may_ask: false, ..behind };
+    assert!(!reads(&young), "its first news may come yet");
+    assert!(reads(&Without { is_young: false, ..young }), "they did not come");
+}
+
+#[test]
+fn what_a_vm_read_itself_is_no_news_to_it() {
+    let (own, other) = (rank(1).vm, rank(2).vm);
+    assert!(!may_be_taken(&own, 1, &own));
+    assert!(may_be_taken(&other, 2, &own));
+    assert!(!may_be_taken(&other, 9, &own), "it went round");
+}
+
+/// What VMs saw of a version, told upwards again and again, after starts anew and by another first of the group.
+fn verdict_of(told: &[(u8, u8)]) -> (f64, f64) {
+    let (old, new): (Version, Version) = ("v1".parse().unwrap(), "v2".parse().unwrap());
+    let mut first = Trials::default();
+    first.follow(&new, Moment(0));
+    let mut vms: BTreeMap<u8, Trials> = BTreeMap::new();
+    let mut seen: BTreeMap<u8, f64> = BTreeMap::new();
+    for (vm, act) in told {
+        let name: Vm = format!("vm{}", vm % 7).parse().unwrap();
+        let vm = vm % 7;
+        if act % 5 == 0 {
+            // It starts anew.
+            vms.remove(&vm);
+            seen.remove(&vm);
+        }
+        let trials = vms.entry(vm).or_default();
+        trials.follow(&new, Moment(0));
+        for version in [&old, &new] {
+            let time = Some(Span::millis(20));
+            let sample =
+                Sample { route: "r", version, failed: false, time, known_slow: 0, expected: time };
+            trials.note(&sample);
+        }
+        *seen.entry(vm).or_default() += 1.0;
+        first.hear(Source::Vm(name), &new, trials.own().clone());
+    }
+    // Those that started anew and were not heard since still count as they were told; each was heard at its last step.
+    (first.verdict().seen, seen.values().sum())
+}
+
+quickcheck! {
+    fn nothing_counts_twice(told: Vec<(u8, u8)>) -> bool {
+        let (counted, seen) = verdict_of(&told);
+        counted == seen
+    }
+}
+
+#[test]
+fn of_two_verdicts_that_counts_which_rests_on_more_answers() {
+    let new: Version = "v2".parse().unwrap();
+    let mut trials = Trials::default();
+    trials.follow(&new, Moment(0));
+    trials.hear_verdict(&new, Verdict { seen: 50.0, evidence: 0.5 });
+    assert_eq!(trials.verdict(), Verdict { seen: 50.0, evidence: 0.5 });
+    trials.hear_verdict(&"v3".parse().unwrap(), Verdict { seen: 90.0, evidence: 9.0 });
+    assert_eq!(trials.verdict().seen, 50.0, "that is of another version");
+    trials.hear_verdict(&new, Verdict { seen: 60.0, evidence: 9.0 });
+    assert!(trials.is_bad(), "the fleet found it bad");
+    trials.forget_verdict();
+    assert_eq!(trials.verdict().seen, 0.0);
+}
+
+/// The rows of the emulation, by way and number of VMs.
+fn emulated(vms: &str) -> Vec<serde_json::Value> {
+    let program = env!("CARGO_BIN_EXE_kitepulley");
+    let played = std::process::Command::new(program)
+        .args(["experiment", "reading", "--json", "--seed", "1", "--vms", vms])
+        .output()
+        .expect("the program runs");
+    assert!(played.status.success(), "{}", String::from_utf8_lossy(&played.stderr));
+    let table: serde_json::Value = serde_json::from_slice(&played.stdout).expect("it prints JSON");
+    table["rows"].as_array().expect("there are rows").clone()
+}
+
+#[test]
+fn calls_to_the_store_grow_with_starts_and_not_with_vms() {
+    for row in emulated("23,60,300").iter().filter(|row| row["way"] == "passed on") {
+        let figure = |name: &str| row[name].as_f64().expect("a number");
+        assert!(figure("start, calls a VM") <= 4.0, "{row}");
+        assert!(figure("again, calls a VM") <= 4.0, "{row}");
+        assert!(figure("calm, calls/s") <= 3.0, "{row}");
+        assert!(figure("away 8 s, calls") <= 3.0 * 8.0 * figure("calm, calls/s"), "{row}");
+        assert!(figure("return 10 s, calls") <= 3.0 * 10.0 * figure("calm, calls/s"), "{row}");
+        assert!(figure("fall, VMs that read") <= 3.0, "{row}");
+        assert!(figure("ready after p99 ms") <= 1000.0, "{row}");
+    }
+}
