--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -38,7 +38,7 @@
 use kitepulley::watch::line::Lines;
 use serde_json::json;
 use site::way::Way;
-use site::{Site, ask, eventually, follows, head};
+use site::{Site, are_ready, ask, eventually, follows, head};
 
 /// A leaving server gets nothing new after this.
 const LEAVES_WITHIN: Duration = Duration::from_secs(2);
@@ -96,7 +96,7 @@
     site.replica("r2", "v1");
     let ways: Vec<Way> = (0..vms).map(|_| Way::to(site.store_server.address)).collect();
     let mut vms: Vec<site::Vm> = ways.iter().map(|way| site.start_through(way.address)).collect();
-    eventually("all are ready", || vms.iter().all(site::Vm::is_ready));
+    are_ready(&vms);
     eventually("all but one follow", || vms.iter().filter(|vm| !follows(vm)).count() == 1);
     let reader = vms.iter().position(|vm| !follows(vm)).expect("one reads");
     match trouble {
@@ -140,7 +140,7 @@
     site.replica("r2", "v1");
     let ways: Vec<Way> = (0..6).map(|_| Way::to(site.store_server.address)).collect();
     let mut vms: Vec<site::Vm> = ways.iter().map(|way| site.start_through(way.address)).collect();
-    eventually("all are ready", || vms.iter().all(site::Vm::is_ready));
+    are_ready(&vms);
     eventually("all but the first follow", || !follows(&vms[0]) && vms[1..].iter().all(follows));
     ways[..=next].iter().for_each(Way::cut);
     std::thread::sleep(Duration::from_millis(900));
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -12,7 +12,7 @@
 
 use kitepulley::standin::platform::{Calls, Switches};
 use serde_json::json;
-use site::{Site, eventually, follows};
+use site::{Site, are_ready, eventually, follows};
 
 /// Beyond twelve others VMs group by data centre.
 const VMS: usize = 16;
@@ -50,10 +50,6 @@
     vms
 }
 
-fn are_ready(vms: &[site::Vm]) {
-    eventually("all are ready", || vms.iter().all(site::Vm::is_ready));
-}
-
 #[test]
 fn a_start_of_many_costs_each_few_calls() {
     let site = site();
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -260,6 +260,16 @@
     last.is_some_and(|line| line["event"] == told[0])
 }
 
+/// Waits until all VMs call themselves ready; if one does not, the message has the logs of all.
+pub fn are_ready(vms: &[Vm]) {
+    let begun = Instant::now();
+    while !vms.iter().all(Vm::is_ready) {
+        let logs = || vms.iter().map(Vm::log_end).collect::<String>();
+        assert!(begun.elapsed() < SOON, "not ready within {SOON:?}\n{}", logs());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// Waits until something holds.
 pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
     let begun = Instant::now();
