--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -133,6 +133,9 @@
     }
     let unread = NODE.replace("127.0.0.1:2", "localhost");
     says(&entry("b", &unread), 2, &["listen.readiness", "`localhost`"]);
+    let negative = NODE.trim_end().strip_suffix('}').expect("an object").to_owned();
+    let negative = format!("{negative}, \"limits\": {{\"cpu_quota\": -1}}}}");
+    says(&entry("g", &negative), 2, &["limits.cpu_quota", "`-1`", "share of a core"]);
 }
 
 #[test]
