Tidied after reading the whole change: one type of where a VM is, one rule of which roll-outs are open, one address looked up

The store's entry of a VM and its place in a word were the same three fields; three places decided whether a roll-out has ended; each question cloned the addresses of all VMs; counters and a rate were worked out twice. Behaviour is unchanged.

--- a/src/decide/canary.rs
+++ b/src/decide/canary.rs
@@ -84,7 +84,7 @@
         if self.new.bad < LEAST_BAD || harm < NO_HARM.max(old * NO_HARM_PART) {
             return 0.0;
         }
-        evidence(self.new, self.old.rate(BORNE).max(BORNE))
+        evidence(self.new, old.max(BORNE))
     }
 
     /// Whether the new version is worse beyond chance.
--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -1,7 +1,6 @@
 //! A VM's search for one that has news, as [`crate::decide::reader`] says, and what it does without.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use futures_util::future::join;
@@ -85,7 +84,6 @@
     group: Vec<Rank>,
     /// The first of each other group.
     firsts: Vec<Rank>,
-    addresses: HashMap<Name, SocketAddr>,
 }
 
 /// What came of a question that was asked at a moment.
@@ -159,7 +157,7 @@
         let firsts = others.into_values();
         let firsts = firsts.filter_map(|group| self.asked.first(group.iter(), now).cloned());
         let firsts = firsts.collect();
-        Circle { own, group, firsts, addresses: peers.addresses() }
+        Circle { own, group, firsts }
     }
 
     fn place(&self, circle: &Circle) -> decide::Place {
@@ -195,8 +193,9 @@
         let place = self.places.get(&name).copied().unwrap_or_default();
         let is_first = vm.first_since.get().is_some();
         let seen = self.tally.news(vm, &name, is_first);
-        let reply = match circle.addresses.get(&name) {
-            Some(address) => reader::ask(vm, *address, place, &seen, within).await,
+        let address = vm.peers.borrow().address(&name);
+        let reply = match address {
+            Some(address) => reader::ask(vm, address, place, &seen, within).await,
             None => Reply::Silence,
         };
         Some(Answer { name, asked, seen, reply })
--- a/src/forward/kept.rs
+++ b/src/forward/kept.rs
@@ -10,7 +10,7 @@
 
 use super::choice;
 use super::peer::{self, Word};
-use super::replica::{Phase, Rollout};
+use super::replica::Rollout;
 use super::vm::Vm;
 use crate::decide::canary;
 use crate::unit::{Moment, Service, Span, Version};
@@ -96,7 +96,7 @@
     let trials = vm.trials.borrow();
     let trial = trials.get(&rollout.service);
     let first_half = trial.is_none_or(|trial| trial.age(now).0 * 2 < rollout.within.0);
-    first_half && matches!(rollout.phase, None | Some(Phase::Running { .. }))
+    first_half && rollout.is_open()
 }
 
 /// Draws of this VM's live sessions that went to the old version, though the first share has them.
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -13,6 +13,7 @@
 use super::kept::{self, Draw};
 use super::reader::{self, Role};
 use super::roster;
+use super::settings::Settings;
 use super::tally::Source;
 use super::trial::Totals;
 use super::vm::Vm;
@@ -84,7 +85,7 @@
     word: Word,
 }
 
-/// Where a VM is, and how large.
+/// Where a VM is, and how large; the store's entry of it says the same.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Place {
     /// Where other VMs reach it.
@@ -92,9 +93,17 @@
     /// Its data centre.
     pub data_centre: DataCentre,
     /// Its share of a core.
+    #[serde(default)]
     pub share: Millicores,
 }
 
+impl Place {
+    /// The place of a VM with these settings, whose links are at `address`.
+    pub fn of(settings: &Settings, address: SocketAddr) -> Place {
+        Place { address, data_centre: settings.data_centre.clone(), share: settings.share }
+    }
+}
+
 struct Peer {
     place: Place,
     /// When it was first named, heard last, and told something last.
@@ -154,9 +163,9 @@
         (own, others)
     }
 
-    /// Where each of the others is reached.
-    pub fn addresses(&self) -> HashMap<Name, SocketAddr> {
-        self.known.iter().map(|(name, peer)| (name.clone(), peer.place.address)).collect()
+    /// Where another VM is reached.
+    pub fn address(&self, name: &Name) -> Option<SocketAddr> {
+        self.known.get(name).map(|peer| peer.place.address)
     }
 
     /// The store names a VM. Until it is heard it does not count as present among few.
@@ -330,8 +339,7 @@
         return;
     };
     let from = vm.settings.vm.clone();
-    let data_centre = vm.settings.data_centre.clone();
-    let place = Place { address, data_centre, share: vm.settings.share };
+    let place = Place::of(&vm.settings, address);
     let envelope = Envelope { from, place, word };
     // A word that does not arrive is told anew or does not matter.
     spawn(async move { links.send(to, encode(&envelope)).await });
--- a/src/forward/replica.rs
+++ b/src/forward/replica.rs
@@ -51,3 +51,10 @@
     /// The object's revision, for a conditional update.
     pub revision: u64,
 }
+
+impl Rollout {
+    /// Whether it has not ended, in either way.
+    pub fn is_open(&self) -> bool {
+        !matches!(self.phase, Some(Phase::Completed | Phase::RolledBack))
+    }
+}
--- a/src/forward/roster.rs
+++ b/src/forward/roster.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
 use super::follow::Kind;
@@ -13,7 +12,7 @@
 use super::vm::Vm;
 use crate::platform::object::Object;
 use crate::platform::objects::{Objects, Trouble};
-use crate::unit::{DataCentre, Millicores, Span, Vm as Name};
+use crate::unit::{Span, Vm as Name};
 
 /// The kind and name of the object that holds the key of the links between VMs. The deploy file
 /// is public, so the first VM makes a key and all take it from there.
@@ -35,15 +34,6 @@
 /// Times that it asks so what may be some seconds old, which costs a tenth.
 const STALE_ASKED: u32 = 4;
 
-/// What the store says of a VM.
-#[derive(PartialEq, Serialize, Deserialize)]
-struct Entry {
-    address: SocketAddr,
-    data_centre: DataCentre,
-    #[serde(default)]
-    share: Millicores,
-}
-
 /// The key of the links: made by whichever VM is first. It never changes, so that an old word of it is as good.
 pub async fn shared_key(vm: &Vm, store: &mut Objects) -> String {
     let mut pause = Pause::default();
@@ -92,8 +82,7 @@
 
 /// Learns the VMs that the store names, and writes this one's entry if it is not among them.
 pub async fn join(vm: &Vm, store: &mut Objects, address: SocketAddr) {
-    let data_centre = vm.settings.data_centre.clone();
-    let entry = Entry { address, data_centre, share: vm.settings.share };
+    let entry = Place::of(&vm.settings, address);
     if names(vm, store, &entry, Read::Stale).await {
         return;
     }
@@ -118,7 +107,7 @@
 }
 
 /// Takes the VMs that the store names. Whether this one's entry is among them.
-async fn names(vm: &Vm, store: &mut Objects, entry: &Entry, read: Read) -> bool {
+async fn names(vm: &Vm, store: &mut Objects, entry: &Place, read: Read) -> bool {
     let (call, listed) = match read {
         Read::Newest => ("list-vms", store.list(VMS).await),
         Read::Stale => ("list-vms-stale", store.list_stale(VMS).await),
@@ -175,7 +164,7 @@
 
 /// Takes a VM that the store names.
 pub fn take_entry(vm: &Vm, object: &Object) {
-    let entry: Result<Entry, _> = serde_json::from_value(object.spec.clone());
+    let entry: Result<Place, _> = serde_json::from_value(object.spec.clone());
     let (Ok(entry), Ok(name)) = (entry, object.metadata.name.parse::<Name>()) else {
         vm.log("entry of a VM not read", &[("name", object.metadata.name.as_str().into())]);
         return;
@@ -183,9 +172,7 @@
     if name == vm.settings.vm {
         return;
     }
-    let place =
-        Place { address: entry.address, data_centre: entry.data_centre, share: entry.share };
-    vm.peers.borrow_mut().name(name, place, vm.now());
+    vm.peers.borrow_mut().name(name, entry, vm.now());
 }
 
 /// The store no longer names a VM.
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -82,16 +82,16 @@
     let mut told = 0;
     loop {
         tokio::time::sleep(CALLS_TOLD).await;
-        let all = vm.metrics.calls().iter().map(|(_, count)| count).sum();
+        let calls = vm.metrics.calls();
+        let all = calls.iter().map(|(_, count)| count).sum();
         if all != told {
             told = all;
-            log_calls(&vm);
+            log_calls(&vm, &calls);
         }
     }
 }
 
-fn log_calls(vm: &Vm) {
-    let calls = vm.metrics.calls();
+fn log_calls(vm: &Vm, calls: &[(String, u64)]) {
     let fields: Vec<(&str, Value)> =
         calls.iter().map(|(name, count)| (name.as_str(), (*count).into())).collect();
     vm.log("calls to the store", &fields);
@@ -156,7 +156,7 @@
         tokio::time::sleep(LOOK).await;
     }
     let took = vm.now().since(begun).as_millis();
-    log_calls(vm);
+    log_calls(vm, &vm.metrics.calls());
     vm.log("stop", &[("cut_off", vm.running.get().into()), ("took_ms", took.into())]);
     vm.lines.flush();
 }
--- a/src/forward/steps.rs
+++ b/src/forward/steps.rs
@@ -45,11 +45,9 @@
     let mut retries: HashMap<Service, Retry> = HashMap::new();
     loop {
         tokio::time::sleep(LOOK).await;
-        let running =
-            |one: &&Rollout| !matches!(one.phase, Some(Phase::Completed | Phase::RolledBack));
         let open: Vec<Service> = {
             let rollouts = vm.rollouts.borrow();
-            rollouts.values().filter(running).map(|one| one.service.clone()).collect()
+            rollouts.values().filter(|one| one.is_open()).map(|one| one.service.clone()).collect()
         };
         for service in open {
             tell_news(&vm, &service);
--- a/src/forward/tally.rs
+++ b/src/forward/tally.rs
@@ -11,7 +11,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::replica::Phase;
 use super::trial::{Routes, Verdict};
 use super::vm::Vm;
 use crate::unit::{DataCentre, Service, Version, Vm as Name};
@@ -94,8 +93,7 @@
 /// Services whose roll-outs run, and their new versions.
 fn running(vm: &Vm) -> Vec<(Service, Version)> {
     let rollouts = vm.rollouts.borrow();
-    let ended = |phase| matches!(phase, Some(Phase::Completed | Phase::RolledBack));
-    let running = rollouts.values().filter(|rollout| !ended(rollout.phase));
+    let running = rollouts.values().filter(|rollout| rollout.is_open());
     running.map(|rollout| (rollout.service.clone(), rollout.version.clone())).collect()
 }
 
