Tidied after reading the whole change: the emulation uses the server's own times, a read says how new it must be, a search changes nothing

The emulation had copies of six of the server's times, which a change of those would have left behind; they stand in decide::reader now and both use them. `list` and `get` of the store take how new the answer must be, in place of twins of each and two enums. What a VM notes of its place is apart from the search for the next to ask.

--- a/src/decide/reader.rs
+++ b/src/decide/reader.rs
@@ -15,6 +15,20 @@
 
 use crate::unit::{Millicores, Moment, Span, Vm};
 
+/// Time between two questions.
+pub const ASK_EVERY: Span = Span::millis(350);
+
+/// The same while nobody has news: another VM may have some in a moment.
+pub const ASK_SOON: Span = Span::millis(100);
+
+/// While the store is lost for a shorter time than this, those that try it may yet find that it is not: they are asked
+/// soon again, and one that has just started waits for what they find.
+pub const SETTLED: Span = Span::millis(1500);
+
+/// A VM that has just started waits so long for its first news before it reads for itself. When hundreds start at
+/// once, the first of a group needs some tenths of a second to know all.
+pub const YOUNG_FOR: Span = Span::millis(2000);
+
 /// VMs of a group that a VM asks, those that do not answer apart: the first, and two that stand next to it. Those
 /// behind never need to be asked, since any of the three has what the first had.
 const ASKED: usize = 3;
@@ -36,10 +50,12 @@
 /// One that does not answer a VM that has just started may have started too, and is asked again after this.
 const UNHEARD_FOR: Span = Span::millis(300);
 
-/// Time for an answer, and that of a VM that knows nothing yet: when all start again, 450 ms for each that is not there
-/// yet made the last ready 0.7 s after their start.
-const ANSWER_WITHIN: Span = Span::millis(450);
-const FIRST_ANSWER_WITHIN: Span = Span::millis(250);
+/// Time for an answer.
+pub const ANSWER_WITHIN: Span = Span::millis(450);
+
+/// The same for a VM that knows nothing yet: when all start again, 450 ms for each that is not there yet made the last
+/// ready 0.7 s after their start.
+pub const FIRST_ANSWER_WITHIN: Span = Span::millis(250);
 
 /// Knowledge of servers that is older than this part of the time in which one that leaves may still get work is not
 /// passed on. At 0.45 a store that kept questions for a second made 85 of 91 VMs read for themselves at
@@ -90,11 +106,6 @@
     (left > Span::default()).then(|| left.min(ANSWER_WITHIN))
 }
 
-/// Time that a VM has for a question that knows nothing yet.
-pub fn first_time_to_ask() -> Span {
-    FIRST_ANSWER_WITHIN
-}
-
 /// Why a VM is not asked for now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Why {
--- /dev/null
+++ b/src/experiment/reading/news.rs
@@ -0,0 +1,40 @@
+//! What a VM that has just started is told.
+
+use crate::forward::feed::Change;
+use crate::forward::follow::Kind;
+use crate::forward::pack::Packed;
+
+/// Backend servers whose entries are passed on.
+const SERVERS: usize = 166;
+
+/// Bytes of everything that a VM which has just started is told.
+pub fn whole_news(vms: usize) -> u64 {
+    let change = |kind, at: usize, text: String| Change {
+        kind,
+        name: format!("i-{:016x}", at * 0x9e37_79b9),
+        object: Some(text),
+        lapsed: false,
+    };
+    let server = |at: usize| {
+        let text = format!(
+            "{{\"metadata\":{{\"name\":\"i-{:016x}\",\"revision\":{at}}},\"spec\":{{\"service\":\"api\",\
+             \"address\":\"10.0.{}.{}:8000\",\"zone\":\"a\",\"version\":\"v1\",\"capacity\":24,\
+             \"state\":\"ready\",\"sequence\":1}}}}",
+            at * 0x9e37_79b9,
+            at / 250,
+            at % 250
+        );
+        change(Kind::Servers, at, text)
+    };
+    let vm = |at: usize| {
+        let text = format!(
+            "{{\"metadata\":{{\"name\":\"vm{at:04}\",\"revision\":{at}}},\"spec\":{{\"address\":\
+             \"10.1.{}.{}:7340\",\"data_centre\":\"a\",\"share\":120}}}}",
+            at / 250,
+            at % 250
+        );
+        change(Kind::Vms, at, text)
+    };
+    let all: Vec<Change> = (0..SERVERS).map(server).chain((0..vms).map(vm)).collect();
+    Packed::new(&all).size() as u64
+}
--- a/src/experiment/reading.rs
+++ b/src/experiment/reading/world.rs
@@ -1,58 +1,36 @@
-//! The control path at many VMs: calls to the platform's store and bytes between VMs, the server's decisions in virtual
-//! time.
-//!
-//! A run has a start of all, a calm time, a store that is away for eight seconds, the fall of the VM that reads, and the
-//! death and start of all. Beside the way of the server runs the one before it, in which a VM without news reads for
-//! itself at once. Both are worked out from times of calls and questions; packets are counted, not sent.
+//! A fleet of VMs in virtual time.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 
+use rand::Rng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 
-use super::options::Options;
-use super::table::{Row, Table, quantile};
-use crate::decide::reader::{Asked, Place, Rank, Without, may_be_taken, reads, time_to_ask};
-use crate::forward::feed::Change;
-use crate::forward::follow::Kind;
-use crate::forward::pack::Packed;
-use crate::unit::{Millicores, Moment, Span, Vm as Name};
+use super::news::whole_news;
+use super::node::{DATA_CENTRES, Node, Role};
 
-/// Data centres, and the large VMs of each, as on the users' largest site.
-const DATA_CENTRES: usize = 6;
-const LARGE: usize = 3;
-
-/// Backend servers whose entries are passed on.
-const SERVERS: usize = 166;
+use crate::decide::reader::{
+    ANSWER_WITHIN, ASK_EVERY, ASK_SOON, FIRST_ANSWER_WITHIN, Place, Rank, SETTLED, Without,
+    YOUNG_FOR, may_be_taken, reads, time_to_ask,
+};
+use crate::unit::{Moment, Span, Vm as Name};
 
 /// Time that a leaving server may still get work, on that site.
 const LEAVE_WITHIN: Span = Span::secs(4);
 
 /// Times of a run: the store is away, the reader falls, all die and start again, the end.
-const AWAY: Span = Span::secs(20);
-const BACK: Span = Span::secs(28);
-const FALLS: Span = Span::secs(40);
-const DIES: Span = Span::secs(50);
-const AGAIN: Span = Span::secs(51);
-const END: Span = Span::secs(60);
-
-/// The calm time that is counted.
-const CALM: Span = Span::secs(10);
+pub const AWAY: Span = Span::secs(20);
+pub const BACK: Span = Span::secs(28);
+pub const FALLS: Span = Span::secs(40);
+pub const DIES: Span = Span::secs(50);
+pub const AGAIN: Span = Span::secs(51);
+pub const END: Span = Span::secs(60);
 
 /// All start within this.
 const APART: Span = Span::millis(300);
 
-/// Times of the server: between two questions, and while it has no news; a VM that is new waits so long.
-const ASK_EVERY: Span = Span::millis(350);
-const ASK_SOON: Span = Span::millis(100);
-const YOUNG_FOR: Span = Span::millis(2000);
-const SETTLED: Span = Span::millis(1500);
-
-/// A question between data centres and back, and one that is not answered.
+/// A question between data centres and back.
 const QUESTION: Span = Span::millis(4);
-const NO_ANSWER: Span = Span::millis(450);
-const NO_FIRST_ANSWER: Span = Span::millis(250);
 
 /// Calls of a VM that reads: servers every 1.2 s, proofs every 1.66 s, roll-outs every 2 s, two more every 6 s.
 const CALL_EVERY: Span = Span::millis(440);
@@ -79,39 +57,13 @@
 
 /// Which way is played.
 #[derive(Clone, Copy, PartialEq)]
-enum Way {
+pub enum Way {
     /// That of the server.
     Passed,
     /// A VM without news reads for itself.
     Itself,
 }
 
-#[derive(Clone, Copy, PartialEq)]
-enum Role {
-    Joins,
-    Reads,
-    Follows(usize),
-}
-
-struct Node {
-    rank: Rank,
-    up: bool,
-    life: u32,
-    began: Moment,
-    role: Role,
-    asked: Asked,
-    /// Of when what it knows is.
-    known: Option<Moment>,
-    origin: (usize, u8),
-    lost: bool,
-    lost_since: Option<Moment>,
-    /// When it knew that the store was back, and when it first knew all in this life.
-    back: Option<Moment>,
-    ready: Option<Moment>,
-    whole_from: HashMap<usize, u32>,
-    bytes: u64,
-}
-
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Start(usize),
@@ -120,20 +72,23 @@
     Dies(usize),
 }
 
-struct World {
+pub struct World {
     way: Way,
-    nodes: Vec<Node>,
+    /// The VMs.
+    pub nodes: Vec<Node>,
     queue: BinaryHeap<Reverse<(Moment, Event)>>,
     now: Moment,
     calls: Vec<(Moment, f64)>,
-    reads: Vec<(Moment, usize)>,
+    /// When VMs began to read for themselves.
+    pub reads: Vec<(Moment, usize)>,
     index: HashMap<Name, usize>,
     whole: u64,
 }
 
 impl World {
-    fn new(way: Way, vms: usize, rng: &mut SmallRng) -> World {
-        let nodes: Vec<Node> = (0..vms).map(node).collect();
+    /// All VMs of a fleet before their start.
+    pub fn new(way: Way, vms: usize, rng: &mut SmallRng) -> World {
+        let nodes: Vec<Node> = (0..vms).map(Node::new).collect();
         let index = nodes.iter().enumerate().map(|(at, node)| (node.rank.vm.clone(), at));
         let index = index.collect();
         let (queue, whole) = (BinaryHeap::new(), whole_news(vms));
@@ -161,7 +116,8 @@
         self.calls.push((self.now, price));
     }
 
-    fn run(&mut self) {
+    /// Plays the run.
+    pub fn run(&mut self) {
         let mut fallen = false;
         while let Some(Reverse((at, event))) = self.queue.pop() {
             if at > Moment(0) + END {
@@ -188,7 +144,7 @@
     }
 
     fn die(&mut self, at: usize) {
-        let fresh = node(at);
+        let fresh = Node::new(at);
         let node = &mut self.nodes[at];
         let (life, bytes) = (node.life + 1, node.bytes);
         *node = Node { life, bytes, ..fresh };
@@ -288,8 +244,8 @@
         let settled = has_news || self.go_without(at, told.contains(&Some(false)));
         let waited = match (answered, self.nodes[at].known) {
             (true, _) => QUESTION,
-            (false, None) => NO_FIRST_ANSWER,
-            (false, Some(_)) => NO_ANSWER,
+            (false, None) => FIRST_ANSWER_WITHIN,
+            (false, Some(_)) => ANSWER_WITHIN,
         };
         let pause = if settled { ASK_EVERY } else { ASK_SOON };
         let life = self.nodes[at].life;
@@ -388,105 +344,10 @@
         self.push(self.now, Event::Call(at, life));
     }
 
-    fn price(&self, from: Span, to: Span) -> f64 {
+    /// Price of the calls between two times of the run.
+    pub fn price(&self, from: Span, to: Span) -> f64 {
         let (from, to) = (Moment(0) + from, Moment(0) + to);
         let within = self.calls.iter().filter(|(at, _)| (from..to).contains(at));
         within.map(|(_, price)| price).sum()
     }
 }
-
-fn node(at: usize) -> Node {
-    let share = if at / DATA_CENTRES < LARGE { 500 } else { 120 };
-    Node {
-        rank: Rank::new(Millicores(share), format!("vm{at:04}").parse().expect("a name")),
-        up: false,
-        life: 0,
-        began: Moment(0),
-        role: Role::Joins,
-        asked: Asked::default(),
-        known: None,
-        origin: (at, 0),
-        lost: false,
-        lost_since: None,
-        back: None,
-        ready: None,
-        whole_from: HashMap::new(),
-        bytes: 0,
-    }
-}
-
-/// Bytes of everything that a VM which has just started is told.
-fn whole_news(vms: usize) -> u64 {
-    let change = |kind, at: usize, text: String| Change {
-        kind,
-        name: format!("i-{:016x}", at * 0x9e37_79b9),
-        object: Some(text),
-        lapsed: false,
-    };
-    let server = |at: usize| {
-        let text = format!(
-            "{{\"metadata\":{{\"name\":\"i-{:016x}\",\"revision\":{at}}},\"spec\":{{\"service\":\"api\",\
-             \"address\":\"10.0.{}.{}:8000\",\"zone\":\"a\",\"version\":\"v1\",\"capacity\":24,\
-             \"state\":\"ready\",\"sequence\":1}}}}",
-            at * 0x9e37_79b9,
-            at / 250,
-            at % 250
-        );
-        change(Kind::Servers, at, text)
-    };
-    let vm = |at: usize| {
-        let text = format!(
-            "{{\"metadata\":{{\"name\":\"vm{at:04}\",\"revision\":{at}}},\"spec\":{{\"address\":\
-             \"10.1.{}.{}:7340\",\"data_centre\":\"a\",\"share\":120}}}}",
-            at / 250,
-            at % 250
-        );
-        change(Kind::Vms, at, text)
-    };
-    let all: Vec<Change> = (0..SERVERS).map(server).chain((0..vms).map(vm)).collect();
-    Packed::new(&all).size() as u64
-}
-
-fn row(way: Way, vms: usize, seed: u64) -> Row {
-    let mut rng = SmallRng::seed_from_u64(seed);
-    let mut world = World::new(way, vms, &mut rng);
-    world.run();
-    let each = |price: f64| price / vms as f64;
-    let calm = world.price(Span(AWAY.0 - CALM.0), AWAY);
-    let away = world.price(AWAY, BACK);
-    let returned = world.price(BACK, Span(BACK.0 + CALM.0));
-    let fell = (Moment(0) + FALLS..Moment(0) + DIES, Moment(0) + BACK, Moment(0) + AGAIN);
-    let fall = world.reads.iter().filter(|(at, _)| fell.0.contains(at)).count();
-    let known = |node: &Node| node.ready.map(|at| at.since(node.began).as_millis());
-    let mut ready: Vec<f64> = world.nodes.iter().filter_map(known).collect();
-    let seconds = END.as_secs();
-    let largest = world.nodes.iter().map(|node| node.bytes).max().unwrap_or(0);
-    let mean = world.nodes.iter().map(|node| node.bytes).sum::<u64>() as f64 / vms as f64;
-    Row::named("way", if way == Way::Passed { "passed on" } else { "each itself" })
-        .with("vms", vms)
-        .number("start, calls a VM", each(world.price(Span(0), Span::secs(5))), 2)
-        .number("calm, calls/s", calm / CALM.as_secs(), 2)
-        .number("away 8 s, calls", away, 0)
-        .number("return 10 s, calls", returned, 0)
-        .with("fall, VMs that read", fall)
-        .number("again, calls a VM", each(world.price(AGAIN, END)), 2)
-        .number("ready after p99 ms", quantile(&mut ready, 0.99), 0)
-        .number("bytes/s a VM", mean / seconds, 0)
-        .number("bytes/s largest", largest as f64 / seconds, 0)
-}
-
-/// Numbers of VMs that are played if none are given.
-const VMS: [usize; 5] = [10, 23, 60, 300, 1000];
-
-/// Runs it.
-pub fn run(options: &Options) -> Table {
-    let vms = if options.vms.is_empty() { VMS.to_vec() } else { options.vms.clone() };
-    let ways = [Way::Passed, Way::Itself];
-    let rows = vms.iter().flat_map(|vms| ways.map(|way| row(way, *vms, options.seed)));
-    let rows: Vec<Row> = rows.collect();
-    let notes = vec![
-        "Calls by their price: a read that may be some seconds old costs a tenth.".to_owned(),
-        "Bytes are those that a VM sends and hears for control, over the whole run.".to_owned(),
-    ];
-    Table { rows, notes }
-}
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -11,7 +11,9 @@
 use super::roster::VMS;
 use super::vm::Vm;
 use crate::platform::object::{CONFIG, ROLLOUTS, SERVERS};
-use crate::platform::objects::{ANSWER_SOON, ANSWER_WITHIN, Events, Listing, Objects, Trouble};
+use crate::platform::objects::{
+    ANSWER_SOON, ANSWER_WITHIN, Events, Listing, Objects, Read, Trouble,
+};
 use crate::unit::{Moment, Span};
 
 /// Longest wait of a watch. The store allows 30 s, but an answer may be lost without a word, and
@@ -213,7 +215,7 @@
 
 async fn list(vm: &Vm, kind: Kind, store: &mut Objects) -> Result<(u64, bool), Trouble> {
     let sent = vm.now();
-    let listing = store.list(kind.name()).await?;
+    let listing = store.list(kind.name(), Read::Newest).await?;
     note_list(vm, kind, &listing, sent);
     Ok((listing.store_revision, false))
 }
--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -14,25 +14,12 @@
 use super::trial::Trials;
 use super::vm::Vm;
 use crate::decide::reader::{
-    self as decide, Asked, Rank, Without, first_time_to_ask, may_be_taken, time_to_ask,
+    self as decide, ASK_EVERY, ASK_SOON, Asked, FIRST_ANSWER_WITHIN, Rank, SETTLED, Without,
+    YOUNG_FOR, may_be_taken, time_to_ask,
 };
 use crate::platform::object::Object;
 use crate::unit::{Moment, Span, Vm as Name};
 
-/// Time between two questions.
-const ASK_EVERY: Span = Span::millis(350);
-
-/// The same while nobody has news: another VM may have some in a moment.
-const ASK_SOON: Span = Span::millis(100);
-
-/// While the store is lost for a shorter time than this, those that try it may yet find that it is not: they are asked
-/// soon again, and one that has just started waits for what they find.
-const SETTLED: Span = Span::millis(1500);
-
-/// A VM that has just started waits so long for its first news before it reads for itself. When hundreds start at
-/// once, the first of a group needs some tenths of a second to know all.
-const YOUNG_FOR: Span = Span::millis(2000);
-
 /// Follows another VM whenever one has news, until the process ends.
 pub async fn run(vm: Rc<Vm>) {
     if vm.settings.links.is_none() {
@@ -115,6 +102,7 @@
             Role::Follows(name) => Some(name.clone()),
             Role::Joins | Role::Reads => None,
         };
+        self.note_place(&circle);
         let next = self.next(&circle).filter(|next| Some(next) != followed.as_ref());
         // Both at once: two that do not answer take the time of one.
         let (of_next, of_followed) =
@@ -164,15 +152,20 @@
         self.asked.place(&circle.own, circle.group.iter(), self.vm.now())
     }
 
-    /// The next VM to ask: one before this one in its group; for the first of a group, the first of another.
-    fn next(&self, circle: &Circle) -> Option<Name> {
+    /// Notes since when this VM is the first of its group, and whether enough other firsts come before it.
+    fn note_place(&self, circle: &Circle) {
         let now = self.vm.now();
         let is_first = self.place(circle) == decide::Place::First;
         let since = self.vm.first_since.get();
         self.vm.first_since.set(is_first.then(|| since.unwrap_or(now)));
         let among = self.asked.place(&circle.own, circle.firsts.iter(), now);
         self.vm.tries_rarely.set(among == decide::Place::Behind);
-        let next = if !is_first {
+    }
+
+    /// The next VM to ask: one before this one in its group; for the first of a group, the first of another.
+    fn next(&self, circle: &Circle) -> Option<Name> {
+        let now = self.vm.now();
+        let next = if self.place(circle) != decide::Place::First {
             self.asked.next(&circle.own, circle.group.iter(), now)
         } else if self.vm.store_lost.get() || self.vm.doubts_store.get() {
             self.asked.any(circle.firsts.iter(), now)
@@ -187,7 +180,7 @@
         let (name, vm) = (name?, &self.vm);
         let asked = vm.now();
         let within = match self.is_new() {
-            true => first_time_to_ask(),
+            true => FIRST_ANSWER_WITHIN,
             false => self.time_to_ask(circle)?,
         };
         let place = self.places.get(&name).copied().unwrap_or_default();
@@ -268,6 +261,7 @@
         if vm.reads() {
             return !vm.doubts_store.get();
         }
+        self.note_place(circle);
         let now = vm.now();
         let bound = vm.settings.bounds.leave_within;
         let without = Without {
--- a/src/forward/proof.rs
+++ b/src/forward/proof.rs
@@ -9,7 +9,7 @@
 use super::roster;
 use super::vm::Vm;
 use crate::platform::object::CONFIG;
-use crate::platform::objects::{Objects, Trouble};
+use crate::platform::objects::{Objects, Read, Trouble};
 use crate::unit::Span;
 
 /// A proof is renewed once this part of its longest age has passed: the rest is for a store that
@@ -55,7 +55,7 @@
             continue;
         }
         let sent = vm.now();
-        let result = store.list(CONFIG).await;
+        let result = store.list(CONFIG, Read::Newest).await;
         vm.count_call("prove", &result);
         vm.unsure.set(false);
         match result {
--- a/src/forward/roster.rs
+++ b/src/forward/roster.rs
@@ -11,7 +11,7 @@
 use super::peer::Place;
 use super::vm::Vm;
 use crate::platform::object::Object;
-use crate::platform::objects::{Objects, Trouble};
+use crate::platform::objects::{Objects, Read, Trouble};
 use crate::unit::{Span, Vm as Name};
 
 /// The kind and name of the object that holds the key of the links between VMs. The deploy file
@@ -57,7 +57,7 @@
 
 /// The key as the store has it, or as it is made now.
 async fn known_key(vm: &Vm, store: &mut Objects) -> Result<Option<Object>, Trouble> {
-    let known = store.get_stale(KEYS, LINKS).await;
+    let known = store.get(KEYS, LINKS, Read::Stale).await;
     vm.count_call("key-stale", &known);
     if let Some(object) = known? {
         return Ok(Some(object));
@@ -77,7 +77,7 @@
 /// # Errors
 /// If the store refuses or does not answer.
 pub async fn probe(store: &mut Objects) -> Result<(), Trouble> {
-    store.get_stale(KEYS, LINKS).await.map(drop)
+    store.get(KEYS, LINKS, Read::Stale).await.map(drop)
 }
 
 /// Learns the VMs that the store names, and writes this one's entry if it is not among them.
@@ -99,19 +99,10 @@
     names(vm, store, &entry, Read::Newest).await;
 }
 
-/// How new a list must be.
-#[derive(Clone, Copy, PartialEq)]
-enum Read {
-    Newest,
-    Stale,
-}
-
 /// Takes the VMs that the store names. Whether this one's entry is among them.
 async fn names(vm: &Vm, store: &mut Objects, entry: &Place, read: Read) -> bool {
-    let (call, listed) = match read {
-        Read::Newest => ("list-vms", store.list(VMS).await),
-        Read::Stale => ("list-vms-stale", store.list_stale(VMS).await),
-    };
+    let call = if read == Read::Newest { "list-vms" } else { "list-vms-stale" };
+    let listed = store.list(VMS, read).await;
     vm.count_call(call, &listed);
     match listed {
         Ok(listing) => {
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -29,11 +29,11 @@
 const STALE: &str = "stale_ok=1";
 
 /// How new an answer must be.
-#[derive(Clone, Copy)]
-enum Read {
+#[derive(Clone, Copy, PartialEq)]
+pub enum Read {
     /// As new as any acknowledged write.
     Newest,
-    /// Some seconds old at most.
+    /// Some seconds old at most; it costs a tenth.
     Stale,
 }
 
@@ -123,19 +123,7 @@
     ///
     /// # Errors
     /// If the store refuses or does not answer.
-    pub async fn list(&mut self, kind: &str) -> Result<Listing, Trouble> {
-        self.pages(kind, Read::Newest).await
-    }
-
-    /// The same as it stood some seconds ago at most, which costs a tenth.
-    ///
-    /// # Errors
-    /// If the store refuses or does not answer.
-    pub async fn list_stale(&mut self, kind: &str) -> Result<Listing, Trouble> {
-        self.pages(kind, Read::Stale).await
-    }
-
-    async fn pages(&mut self, kind: &str, read_as: Read) -> Result<Listing, Trouble> {
+    pub async fn list(&mut self, kind: &str, read_as: Read) -> Result<Listing, Trouble> {
         let mut whole: Option<Listing> = None;
         loop {
             let after = whole.as_ref().and_then(|list| list.items.last());
@@ -189,19 +177,14 @@
     ///
     /// # Errors
     /// If the store refuses or does not answer.
-    pub async fn get(&mut self, kind: &str, name: &str) -> Result<Option<Object>, Trouble> {
-        self.object(format!("/v1/objects/{kind}/{name}")).await
-    }
-
-    /// The same as it stood some seconds ago at most, which costs a tenth.
-    ///
-    /// # Errors
-    /// If the store refuses or does not answer.
-    pub async fn get_stale(&mut self, kind: &str, name: &str) -> Result<Option<Object>, Trouble> {
-        self.object(format!("/v1/objects/{kind}/{name}?{STALE}")).await
-    }
-
-    async fn object(&mut self, path: String) -> Result<Option<Object>, Trouble> {
+    pub async fn get(
+        &mut self,
+        kind: &str,
+        name: &str,
+        read_as: Read,
+    ) -> Result<Option<Object>, Trouble> {
+        let query = read_as.query().map(|query| format!("?{query}")).unwrap_or_default();
+        let path = format!("/v1/objects/{kind}/{name}{query}");
         match self.call(Method::GET, &path, None, ANSWER_WITHIN).await {
             Ok(body) => Ok(Some(read(&body)?)),
             Err(Trouble::Refused(status)) if status == StatusCode::NOT_FOUND.as_u16() => Ok(None),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -9,7 +9,7 @@
 use serde_json::Value;
 
 use super::object::Object as Raw;
-use super::objects::{Objects, Trouble};
+use super::objects::{Objects, Read, Trouble};
 use crate::error::Error;
 use crate::standin::platform::Listed;
 use crate::unit::Span;
@@ -61,7 +61,7 @@
     pub async fn get(&self, key: &str) -> Result<Option<Object>, Error> {
         let (kind, name) = parts(key);
         let mut client = self.take();
-        let answer = client.get(kind, &name).await;
+        let answer = client.get(kind, &name, Read::Newest).await;
         self.rest(client);
         Ok(answer.map_err(failed)?.map(|object| shown(&object)))
     }
@@ -139,7 +139,7 @@
 
     async fn all(&self, kind: &str) -> Result<Vec<Raw>, Error> {
         let mut client = self.take();
-        let listed = client.list(kind).await;
+        let listed = client.list(kind, Read::Newest).await;
         self.rest(client);
         Ok(listed.map_err(failed)?.items)
     }
