Orders that empty a data centre reach every VM and are kept

Ruled out: a list beside the servers' questions every 0.9 s, which costs a call each time where a waiting watch tells at once.

Change: one more kind of objects goes the way of the others: read by a reader, passed on with its revision, never taken back by older news. A VM serves nothing before it has listed them. Servers of an emptied data centre take no work: first sends, repeats, second runs and streams that go on all choose among those that do. What runs goes on. Told by a log line and a counter by data centre.

--- a/src/forward/door.rs
+++ b/src/forward/door.rs
@@ -248,7 +248,7 @@
     if table.keyed && !route.public && !fresh(vm).await {
         return Err(Refusal::new(Kind::CutOff));
     }
-    if vm.listed.get() != (true, true) {
+    if !vm.knows_all() {
         return Err(Refusal::new(Kind::Behind));
     }
     // A key may have been taken away while the proof was awaited.
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -10,7 +10,7 @@
 use super::reader::Role;
 use super::roster::VMS;
 use super::vm::Vm;
-use crate::platform::object::{CONFIG, ROLLOUTS, SERVERS};
+use crate::platform::object::{CONFIG, EVACUATIONS, ROLLOUTS, SERVERS};
 use crate::platform::objects::{
     ANSWER_SOON, ANSWER_WITHIN, Events, Listing, Objects, Read, Trouble,
 };
@@ -24,6 +24,10 @@
 /// hangs is asked anew 3.4 s of 5 s after the change at the latest, 7.4 s with the wait above.
 const ROLLOUTS_WAIT: f64 = 0.4;
 
+/// The same for orders to empty a data centre, as a part of the time in which they are due: a watch that hangs is asked
+/// anew 3.2 s of 5 s after the order at the latest.
+const EVACUATIONS_WAIT: f64 = 0.4;
+
 /// Pause after an event, so that those of one change come with one call.
 const GATHER: Duration = Duration::from_millis(250);
 
@@ -59,13 +63,16 @@
     Servers,
     /// Orders to roll versions out.
     Rollouts,
+    /// Orders to empty a data centre.
+    Evacuations,
     /// The entry VMs themselves.
     Vms,
 }
 
 impl Kind {
     /// All of them.
-    pub const ALL: [Kind; 4] = [Kind::Config, Kind::Servers, Kind::Rollouts, Kind::Vms];
+    pub const ALL: [Kind; 5] =
+        [Kind::Config, Kind::Servers, Kind::Rollouts, Kind::Evacuations, Kind::Vms];
 
     /// Its name in the store.
     pub fn name(self) -> &'static str {
@@ -73,6 +80,7 @@
             Kind::Config => CONFIG,
             Kind::Servers => SERVERS,
             Kind::Rollouts => ROLLOUTS,
+            Kind::Evacuations => EVACUATIONS,
             Kind::Vms => VMS,
         }
     }
@@ -191,6 +199,7 @@
             return doubting(vm, changes).await;
         }
         Kind::Rollouts => WAIT.min(vm.settings.bounds.rollback.part(ROLLOUTS_WAIT)),
+        Kind::Evacuations => WAIT.min(vm.settings.bounds.empty_within.part(EVACUATIONS_WAIT)),
         // The proof reads the configuration itself, and nothing is due of VMs.
         Kind::Config | Kind::Vms => WAIT,
     };
@@ -228,7 +237,7 @@
     match kind {
         Kind::Config if reads => learn::prove(vm, sent),
         Kind::Config => vm.proof.notify_waiters(),
-        Kind::Servers | Kind::Rollouts | Kind::Vms => {}
+        Kind::Servers | Kind::Rollouts | Kind::Evacuations | Kind::Vms => {}
     }
 }
 
--- a/src/forward/learn.rs
+++ b/src/forward/learn.rs
@@ -7,7 +7,7 @@
 use super::replica::{Phase, Replica, Rollout};
 use super::roster;
 use super::vm::Vm;
-use crate::platform::object::{self, CONFIG, MAIN, Object, ROLLOUTS, SERVERS};
+use crate::platform::object::{self, CONFIG, EVACUATIONS, MAIN, Object, ROLLOUTS, SERVERS};
 use crate::unit::{Moment, Vm as Name};
 use crate::watch::line::Value;
 
@@ -40,13 +40,13 @@
         Kind::Config => return take_config(vm, objects),
         Kind::Rollouts => take_rollouts(vm, objects),
         Kind::Servers => {
-            let may_lapse = vm.listed.get().0 && vm.was_store_away(vm.now());
+            let may_lapse = vm.has_listed(kind) && vm.was_store_away(vm.now());
             tell_list(vm, objects.len(), may_lapse, source);
             replace(vm, kind, objects, may_lapse, source);
-            vm.listed.set((true, vm.listed.get().1));
         }
-        Kind::Vms => replace(vm, kind, objects, false, source),
+        Kind::Evacuations | Kind::Vms => replace(vm, kind, objects, false, source),
     }
+    vm.listed.borrow_mut().insert(kind);
     false
 }
 
@@ -92,10 +92,37 @@
                 put_rollout(vm, rollout);
             }
         }
+        Kind::Evacuations => empty(vm, object),
         Kind::Vms => roster::take_entry(vm, object),
     }
 }
 
+/// Takes an order to empty a data centre.
+fn empty(vm: &Vm, object: &Object) {
+    match object::emptied(object) {
+        Ok(data_centre) => {
+            if vm.fleet.borrow_mut().empty(&data_centre) {
+                let revision = object.metadata.revision;
+                let fields =
+                    [("data_centre", data_centre.as_str().into()), ("revision", revision.into())];
+                vm.log("data centre emptied", &fields);
+                vm.metrics.emptied.with_label_values(&[data_centre.as_str()]).set(1);
+            }
+        }
+        Err(why) => unreadable(vm, EVACUATIONS, object, &why),
+    }
+}
+
+/// An order to empty a data centre was withdrawn.
+fn take_back(vm: &Vm, name: &str, source: &Source) {
+    let Ok(data_centre) = name.parse() else { return };
+    if vm.fleet.borrow_mut().take_back(&data_centre) {
+        let [from, as_of] = source.fields();
+        vm.log("data centre taken back", &[("data_centre", name.into()), from, as_of]);
+        vm.metrics.emptied.with_label_values(&[name]).set(0);
+    }
+}
+
 /// Takes an object as it changed.
 pub fn take(vm: &Vm, kind: Kind, object: &Object, source: &Source) {
     if matches!(kind, Kind::Config | Kind::Rollouts) {
@@ -118,14 +145,16 @@
         return;
     }
     vm.feed.borrow_mut().remove(kind, name, lapsed);
-    if kind == Kind::Vms {
-        roster::drop_entry(vm, name);
-    } else {
-        let [from, as_of] = source.fields();
-        let fields = [("server", name.into()), ("may_be_back", lapsed.into()), from, as_of];
-        vm.log("server gone", &fields);
-        if let Ok(id) = name.parse() {
-            vm.fleet.borrow_mut().remove(&id, lapsed);
+    match kind {
+        Kind::Vms => roster::drop_entry(vm, name),
+        Kind::Evacuations => take_back(vm, name, source),
+        Kind::Servers | Kind::Config | Kind::Rollouts => {
+            let [from, as_of] = source.fields();
+            let fields = [("server", name.into()), ("may_be_back", lapsed.into()), from, as_of];
+            vm.log("server gone", &fields);
+            if let Ok(id) = name.parse() {
+                vm.fleet.borrow_mut().remove(&id, lapsed);
+            }
         }
     }
 }
@@ -216,7 +245,6 @@
 
 fn take_rollouts(vm: &Vm, objects: &[Object]) {
     objects.iter().for_each(|object| put(vm, Kind::Rollouts, object, None));
-    vm.listed.set((vm.listed.get().0, true));
 }
 
 /// Takes an order, unless a newer state of it is known.
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -2,8 +2,8 @@
 
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
 /// Bounds of the latency histograms, in seconds.
@@ -26,6 +26,8 @@
     pub unreadable: IntCounterVec,
     /// Requests in flight.
     pub running: IntGauge,
+    /// 1 for a data centre that gets nothing new by an order.
+    pub emptied: IntGaugeVec,
     /// Revision of the configuration in force.
     pub revision: IntGauge,
     /// Age of the last proof that the configuration is the newest, in seconds.
@@ -45,6 +47,8 @@
         let answer = histogram("kitepulley_answer_seconds", "Time to the answer or first event.");
         let added = histogram("kitepulley_added_seconds", "Time before a request was sent on.");
         let running = IntGauge::new("kitepulley_running", "Requests in flight.");
+        let emptied = Opts::new("kitepulley_emptied", "Whether an order empties a data centre.");
+        let emptied = IntGaugeVec::new(emptied, &["data_centre"]);
         let revision = IntGauge::new("kitepulley_revision", "Revision in force.");
         let proof = Gauge::new("kitepulley_proof_age_seconds", "Age of the proof of freshness.");
         Metrics {
@@ -58,6 +62,7 @@
             ),
             added: register(&registry, Histogram::with_opts(added).expect("a well formed name")),
             running: register(&registry, running.expect("the name is well formed")),
+            emptied: register(&registry, emptied.expect("the name is well formed")),
             revision: register(&registry, revision.expect("the name is well formed")),
             proof_age: register(&registry, proof.expect("the name is well formed")),
             registry,
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -1,13 +1,13 @@
 //! What one VM knows of one backend server beyond its entry.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use super::call::Load;
 use super::pool::Pool;
 use super::replica::Replica;
 use crate::decide::backlog::Backlog;
 use crate::decide::outlier::Record;
-use crate::unit::{Moment, Server as Id, Service, Span, Version};
+use crate::unit::{DataCentre, Moment, Server as Id, Service, Span, Version};
 
 /// A told load counts for this long; then only what this VM has open there does.
 const TOLD_FOR: Span = Span::secs(4);
@@ -103,6 +103,8 @@
 #[derive(Default)]
 pub struct Fleet {
     servers: HashMap<Id, Server>,
+    /// Data centres whose servers get nothing new.
+    emptied: HashSet<DataCentre>,
     /// The version of a service that is in use when no roll-out says otherwise.
     usual: HashMap<Service, Version>,
 }
@@ -151,10 +153,21 @@
         self.servers.get_mut(id)
     }
 
-    /// The servers of a service that take work.
+    /// Takes an order to empty a data centre. Whether it is news.
+    pub fn empty(&mut self, data_centre: &DataCentre) -> bool {
+        self.emptied.insert(data_centre.clone())
+    }
+
+    /// The order to empty a data centre is withdrawn. Whether there was one.
+    pub fn take_back(&mut self, data_centre: &DataCentre) -> bool {
+        self.emptied.remove(data_centre)
+    }
+
+    /// The servers of a service that take work: those that do not leave, where no order forbids it.
     pub fn of<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = &'a Server> {
         let of_service = self.servers.values().filter(move |one| one.replica.service == *service);
-        of_service.filter(|server| server.takes_work())
+        let stays = |one: &&Server| !self.emptied.contains(&one.replica.data_centre);
+        of_service.filter(|server| server.takes_work()).filter(stays)
     }
 
     /// The version of a service that is in use when no roll-out says otherwise.
--- a/src/forward/settings.rs
+++ b/src/forward/settings.rs
@@ -41,6 +41,8 @@
     pub in_force: Span,
     /// A backend server that says that it leaves gets nothing new after this.
     pub leave_within: Span,
+    /// A data centre that is to be emptied gets nothing new after this.
+    pub empty_within: Span,
     /// A key that was taken away is refused everywhere after this; none if it may lag.
     pub key_staleness: Option<Span>,
     /// A version is out of use this long after it was found bad.
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -1,12 +1,13 @@
 //! The state of one entry VM. All of it lives on one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
 use tokio::sync::Notify;
 
 use super::feed::{Feed, Origin, Store};
+use super::follow::Kind;
 use super::kept::Kept;
 use super::known::Known;
 use super::metrics::Metrics;
@@ -38,6 +39,9 @@
 /// A VM that was asked for news within this has followers; they ask a few times a second.
 const FOLLOWED_FOR: Span = Span::secs(2);
 
+/// What a VM must have listed beside the configuration before it sends anything on.
+const NEEDED: [Kind; 3] = [Kind::Servers, Kind::Rollouts, Kind::Evacuations];
+
 /// One entry VM.
 pub struct Vm {
     /// Its settings.
@@ -96,8 +100,8 @@
     pub proof: Notify,
     /// Tells followers that the way to the store is back.
     pub regained: tokio::sync::watch::Sender<u64>,
-    /// Whether backend servers and roll-outs have been listed.
-    pub listed: Cell<(bool, bool)>,
+    /// Kinds of which all objects have been listed.
+    pub listed: RefCell<HashSet<Kind>>,
     /// When a planned stop began.
     pub stop: tokio::sync::watch::Sender<Option<Moment>>,
     /// Requests in flight.
@@ -145,7 +149,7 @@
             prove: Notify::new(),
             proof: Notify::new(),
             regained: tokio::sync::watch::Sender::new(0),
-            listed: Cell::new((false, false)),
+            listed: RefCell::default(),
             stop: tokio::sync::watch::Sender::new(None),
             running: Cell::new(0),
             peers: RefCell::default(),
@@ -265,9 +269,14 @@
         }
     }
 
-    /// Whether it knows routes, backend servers and roll-outs.
+    /// Whether all objects of a kind have been listed.
+    pub fn has_listed(&self, kind: Kind) -> bool {
+        self.listed.borrow().contains(&kind)
+    }
+
+    /// Whether it knows routes, backend servers and the orders that bind them.
     pub fn knows_all(&self) -> bool {
-        self.table.borrow().is_some() && self.listed.get() == (true, true)
+        self.table.borrow().is_some() && NEEDED.iter().all(|kind| self.has_listed(*kind))
     }
 
     /// Whether the balancer may send new connections.
--- a/src/platform/object.rs
+++ b/src/platform/object.rs
@@ -7,7 +7,7 @@
 
 use crate::config::{Holder, Limits, Part, Pool, Repeat, Route, Table};
 use crate::forward::replica::{Phase, Replica, Rollout};
-use crate::unit::{Model, Revision, Service, Span};
+use crate::unit::{DataCentre, Model, Revision, Service, Span};
 
 /// Kinds of objects, and the name of the operator's configuration.
 pub const CONFIG: &str = "config";
@@ -15,6 +15,8 @@
 pub const MAIN: &str = "main";
 /// Entries of backend servers.
 pub const SERVERS: &str = "servers";
+/// Orders to empty a data centre of new work; each is named after it.
+pub const EVACUATIONS: &str = "evacuations";
 /// Orders to roll a version out.
 pub const ROLLOUTS: &str = "rollouts";
 
@@ -201,7 +203,7 @@
 struct Entry {
     service: Service,
     address: String,
-    zone: crate::unit::DataCentre,
+    zone: DataCentre,
     version: Option<crate::unit::Version>,
     capacity: Option<u32>,
     state: Option<String>,
@@ -226,6 +228,14 @@
     })
 }
 
+/// The data centre that an order asks to empty. The name alone says it; the order stands while the object is there.
+///
+/// # Errors
+/// Why it does not read.
+pub fn emptied(object: &Object) -> Result<DataCentre, String> {
+    object.metadata.name.parse().map_err(|fault| format!("{fault}"))
+}
+
 #[derive(Deserialize)]
 struct Order {
     service: Service,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -18,6 +18,7 @@
 const CONTACT_MS: f64 = 3000.0;
 const CONFIG_APPLY_MS: f64 = 2000.0;
 const DRAIN_MS: f64 = 2000.0;
+const EVACUATE_MS: f64 = 5000.0;
 const REVOKE_MS: f64 = 5000.0;
 const ROLLBACK_MS: f64 = 5000.0;
 const GRACE_S: f64 = 8.0;
@@ -155,6 +156,7 @@
         contact: millis(number("contact_ms", CONTACT_MS)),
         in_force: millis(number("config_apply_ms", CONFIG_APPLY_MS)),
         leave_within: millis(number("drain_ms", DRAIN_MS)),
+        empty_within: millis(number("evacuate_ms", EVACUATE_MS)),
         key_staleness: strict.then(|| millis(number("revoke_ms", REVOKE_MS))),
         rollback: millis(number("rollback_ms", ROLLBACK_MS)),
         stop_within: millis(number("grace_s", GRACE_S) * 1000.0),
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -185,6 +185,7 @@
         contact: Span::secs(3),
         in_force: Span::secs(2),
         leave_within: Span::secs(2),
+        empty_within: Span::secs(5),
         key_staleness: None,
         rollback: Span::secs(5),
         stop_within: Span::secs(8),
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -164,8 +164,22 @@
 
     /// Writes the entry of a backend server.
     pub fn list(&self, id: &str, version: &str, state: &str, address: SocketAddr) {
-        let entry = json!({"service": "api", "address": address.to_string(),
-            "zone": "here", "version": version, "capacity": 8, "state": state, "sequence": 1});
+        self.list_with(id, address, json!({"version": version, "state": state}));
+    }
+
+    /// Starts a backend server of `api` and lists it with these fields of its entry.
+    pub fn replica_with(&self, id: &str, fields: Value) -> Replica {
+        let replica = Replica::launch().unwrap();
+        self.list_with(id, replica.address, fields);
+        replica
+    }
+
+    /// Writes the entry of a backend server: a sound one, but for these fields.
+    pub fn list_with(&self, id: &str, address: SocketAddr, fields: Value) {
+        let mut entry = json!({"service": "api", "address": address.to_string(), "zone": "here",
+            "version": "v1", "capacity": 8, "state": "ready", "cold_remaining_ms": 0,
+            "sequence": 1});
+        merge(&mut entry, fields);
         self.store.put("servers", id, entry);
     }
 
