Cold backend servers are sent requests by a few VMs in turns

Ruled out: an even part for each VM with a burst of one: 84 VMs that send one each break the bound; nothing until warm: then a service whose servers all start is refused for seconds, and a data centre that comes back is lost for as long.

Change: the service's declared rate and time of cold servers are read; the entry says how long a server is cold. The VMs with the highest rendezvous weights for a server may send to it, as many as it bears requests a second, each in turns 1.05 s apart: all VMs together stay within the rate, with room for VMs that know unlike things. A VM that has just started does not count itself in. A request that nothing else takes waits for a turn that comes in time, or is refused at once. Servers of a data centre that is taken back count as cold for that time. A roll-out begins when a server of its version is warm.

Tests: tests/cold.rs; quickcheck of the sum over VMs, also of VMs that know a tenth of each other less.

--- a/src/config/route.rs
+++ b/src/config/route.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use crate::decide::cold::Bound;
 use crate::unit::{Model, Revision, Service, Span, Workspace};
 
 /// What a route allows a request to do.
@@ -80,6 +81,8 @@
 pub struct Pool {
     /// Connections that one server takes from all VMs together.
     pub connections: u32,
+    /// What a server bears that has just started; none if it bears all at once.
+    pub cold: Option<Bound>,
 }
 
 /// What a caller may send.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,6 +5,7 @@
 pub mod budget;
 pub mod canary;
 pub mod cascade;
+pub mod cold;
 pub mod ends;
 pub mod escalate;
 pub mod fair;
--- a/src/forward/choice.rs
+++ b/src/forward/choice.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use super::call::Call;
+use super::cold::Gate;
 use super::kept::{self, Draw};
 use super::peer;
 use super::replica::{Phase, Replica};
@@ -157,6 +158,52 @@
     pub reads: Span,
     /// Why its version.
     pub why: Why,
+    /// Whether its turn at a cold server was taken when it began to wait for it.
+    pub has_turn: bool,
+}
+
+/// A turn at a cold server that a request waits for.
+pub struct Turn {
+    /// The server.
+    pub server: Id,
+    /// When it is.
+    pub at: Moment,
+}
+
+/// Takes the next turn at a cold server, if it comes by `until`; for a request that no server takes at once.
+pub fn turn(vm: &Vm, wish: &Wish, until: Moment, now: Moment) -> Option<Turn> {
+    let (versions, _) = versions(vm, wish.service, wish.call, now);
+    let gate = Gate::new(vm, wish.service, now);
+    let part = gate.part()?;
+    let mut fleet = vm.fleet.borrow_mut();
+    let cold = fleet.of(wish.service).filter(|one| {
+        let replica = &one.replica;
+        gate.is_cold(one) && versions.allow(&replica.version) && !wish.tried.contains(&replica.id)
+    });
+    let turns = cold.filter_map(|one| Some((gate.turn(one)?, one.replica.id.clone())));
+    let (at, server) = turns.min().filter(|(at, _)| *at <= until)?;
+    fleet.get_mut(&server)?.turns.take(&part, now);
+    Some(Turn { server, at })
+}
+
+/// The server whose turn a request has waited for, if it still takes work.
+pub fn at_turn(vm: &Vm, wish: &Wish, turn: &Turn, now: Moment) -> Option<Place> {
+    let (versions, why) = versions(vm, wish.service, wish.call, now);
+    let fleet = vm.fleet.borrow();
+    let server = fleet.of(wish.service).find(|one| one.replica.id == turn.server)?;
+    if !versions.allow(&server.replica.version) || server.record.is_out(now) {
+        return None;
+    }
+    let prompt = Prompt::new(wish, &[server]);
+    let candidate = candidate(vm, wish, &prompt, server, now);
+    Some(Place::of(server, &candidate, why, true))
+}
+
+impl Place {
+    fn of(server: &Server, candidate: &Candidate, why: Why, has_turn: bool) -> Place {
+        let Candidate { until_read, reads, .. } = *candidate;
+        Place { replica: server.replica.clone(), until_read, reads, why, has_turn }
+    }
 }
 
 /// The server for a request; none if none takes work.
@@ -181,7 +228,11 @@
 
 fn among(vm: &Vm, wish: &Wish, versions: &Versions, why: Why, now: Moment) -> Option<Place> {
     let fleet = vm.fleet.borrow();
-    let of_version = || fleet.of(wish.service).filter(|one| versions.allow(&one.replica.version));
+    let gate = Gate::new(vm, wish.service, now);
+    let of_version = || {
+        let allowed = |one: &&Server| versions.allow(&one.replica.version);
+        fleet.of(wish.service).filter(allowed).filter(|one| gate.lets(one))
+    };
     let sound = |one: &&Server| !one.record.is_out(now);
     let busy = busy(vm, wish.service, versions, of_version().filter(sound));
     let most = connections_each(vm, wish.service, now);
@@ -204,12 +255,7 @@
         true => place::least_loaded(&candidates, rand::random()),
         false => place::soonest(&candidates, wish.bytes),
     };
-    at.map(|at| Place {
-        replica: servers[at].replica.clone(),
-        until_read: candidates[at].until_read,
-        reads: candidates[at].reads,
-        why,
-    })
+    at.map(|at| Place::of(servers[at], &candidates[at], why, false))
 }
 
 /// Requests that this VM may have open at one server: its part of the connections that the server
@@ -306,15 +352,13 @@
 }
 
 /// Notes that a request was sent: its prompt waits at the server, which then holds its parts.
-pub fn sent(
-    vm: &Rc<Vm>,
-    replica: &Replica,
-    call: &Call,
-    model: Option<&Model>,
-    now: Moment,
-) -> Sent {
+pub fn sent(vm: &Rc<Vm>, place: &Place, call: &Call, model: Option<&Model>, now: Moment) -> Sent {
+    let replica = &place.replica;
     let mut fleet = vm.fleet.borrow_mut();
     let Some(server) = fleet.get_mut(&replica.id) else { return Sent::default() };
+    if !place.has_turn {
+        Gate::new(vm, &replica.service, now).count(server);
+    }
     let load = server.load(now);
     if call.prompt.is_empty() {
         return Sent { load, ..Sent::default() };
--- a/src/forward/drive.rs
+++ b/src/forward/drive.rs
@@ -82,12 +82,13 @@
             return give_up(job, progress, End::Late);
         }
         let wish = job.wish(model.as_ref(), &progress.tried);
-        let Some(place) = choice::server(vm, &wish, now) else {
-            if fall_back(job, &mut progress, &mut model, now) {
+        let Some(place) = job.place(&wish).await else {
+            if fall_back(job, &mut progress, &mut model, vm.now()) {
                 continue;
             }
             return give_up(job, progress, End::NotSent);
         };
+        let now = vm.now();
         let replica = &place.replica;
         vm.metrics.added.observe(now.since(job.arrived).as_secs());
         let outcome =
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -52,15 +52,30 @@
         Wish { service: &self.service, call: &self.call, bytes: self.body.len(), model, tried }
     }
 
+    /// The server for it, after a wait for a turn at a cold one if no other takes it: a wait is worth while as long as
+    /// the answer can come within its goal, or if that has passed, within its time. None if nothing takes it by then.
+    pub async fn place(&self, wish: &Wish<'_>) -> Option<Place> {
+        let (vm, now) = (&self.vm, self.vm.now());
+        if let Some(place) = choice::server(vm, wish, now) {
+            return Some(place);
+        }
+        let goal = self.arrived + self.route.goal;
+        let until = if now < goal { goal.min(self.deadline) } else { self.deadline };
+        let turn = choice::turn(vm, wish, until, now)?;
+        self.record.waits(turn.at.since(now));
+        tokio::time::sleep(turn.at.since(now).duration()).await;
+        let now = vm.now();
+        choice::at_turn(vm, wish, &turn, now).or_else(|| choice::server(vm, wish, now))
+    }
+
     /// Notes that it is about to be sent to a server, and what is expected of that. Its prompt
     /// counts as unread there until the second part is dropped.
     pub fn send(&self, place: &Place, model: Option<&Model>) -> (Sent, Waiting) {
-        let replica = &place.replica;
         let now = self.vm.now();
         let named = model.or(self.call.model.as_ref());
-        let sent = choice::sent(&self.vm, replica, &self.call, named, now);
+        let sent = choice::sent(&self.vm, place, &self.call, named, now);
         self.record.attempt(place, named, &sent, now);
-        (sent, Waiting::new(&self.vm, &replica.id, sent.reads))
+        (sent, Waiting::new(&self.vm, &place.replica.id, sent.reads))
     }
 
     /// Rank at a server, 0 to 9: the workspace's comes before that of the reading.
@@ -154,6 +169,12 @@
         }
     }
 
+    /// Nothing takes it but a cold server, whose turn comes after so long.
+    pub fn waits(&self, wait: Span) {
+        // Writing to a string cannot fail.
+        let _ = write!(self.trail.borrow_mut(), "turn at a cold server in {wait}");
+    }
+
     /// It was weighed whether a small model's answer gives way.
     pub fn weighed(&self, known: &escalate::Known) {
         let mut trail = self.trail.borrow_mut();
--- a/src/forward/learn.rs
+++ b/src/forward/learn.rs
@@ -116,7 +116,7 @@
 /// An order to empty a data centre was withdrawn.
 fn take_back(vm: &Vm, name: &str, source: &Source) {
     let Ok(data_centre) = name.parse() else { return };
-    if vm.fleet.borrow_mut().take_back(&data_centre) {
+    if vm.fleet.borrow_mut().take_back(&data_centre, vm.now()) {
         let [from, as_of] = source.fields();
         vm.log("data centre taken back", &[("data_centre", name.into()), from, as_of]);
         vm.metrics.emptied.with_label_values(&[name]).set(0);
@@ -212,7 +212,7 @@
             if let Some(source) = told {
                 tell_entry(vm, object, &replica, source);
             }
-            vm.fleet.borrow_mut().put(replica);
+            vm.fleet.borrow_mut().put(replica, vm.now());
         }
         Err(why) => unreadable(vm, SERVERS, object, &why),
     }
@@ -225,6 +225,7 @@
         ("service", replica.service.as_str().into()),
         ("version", replica.version.as_str().into()),
         ("ready", replica.ready.into()),
+        ("cold_ms", replica.cold.as_millis().into()),
         ("revision", object.metadata.revision.into()),
         from,
         as_of,
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -4,6 +4,7 @@
 pub mod attempt;
 pub mod call;
 pub mod choice;
+pub mod cold;
 pub mod connection;
 mod door;
 pub mod drive;
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -163,6 +163,11 @@
         (own, others)
     }
 
+    /// The names of the other VMs.
+    pub fn names(&self) -> impl Iterator<Item = &Name> {
+        self.known.keys()
+    }
+
     /// Where another VM is reached.
     pub fn address(&self, name: &Name) -> Option<SocketAddr> {
         self.known.get(name).map(|peer| peer.place.address)
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -5,7 +5,6 @@
 use futures_util::Stream as Pieces;
 
 use super::attempt;
-use super::choice;
 use super::connection::Fault;
 use super::drive::Begun;
 use super::event::Batch;
@@ -136,7 +135,7 @@
                 continue;
             }
             let wish = self.job.wish(self.begun.model.as_ref(), &self.begun.tried);
-            let Some(place) = choice::server(&vm, &wish, now) else {
+            let Some(place) = self.job.place(&wish).await else {
                 return Err(format!("{why}; no other server takes work"));
             };
             let model = self.begun.model.clone();
--- a/src/forward/replica.rs
+++ b/src/forward/replica.rs
@@ -19,6 +19,8 @@
     pub version: Version,
     /// Requests that it works on at once.
     pub slots: u32,
+    /// How much longer it is cold, as its entry says.
+    pub cold: Span,
     /// Whether it takes new work.
     pub ready: bool,
 }
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -6,6 +6,7 @@
 use super::pool::Pool;
 use super::replica::Replica;
 use crate::decide::backlog::Backlog;
+use crate::decide::cold::{Bound, Turns};
 use crate::decide::outlier::Record;
 use crate::unit::{DataCentre, Moment, Server as Id, Service, Span, Version};
 
@@ -38,6 +39,8 @@
     pub open: u32,
     /// What this VM has met there.
     pub record: Record,
+    /// When this VM may send to it while it is cold.
+    pub turns: Turns,
     /// Connections that rest.
     pub pool: Pool,
     /// Prompts that wait to be read there, as far as this VM knows.
@@ -45,6 +48,11 @@
     /// Parts of prompts that it was sent of late, by model, and when.
     held: HashMap<u64, Moment>,
     told: Option<Told>,
+    /// Until when it is cold, as its entry said; that of a server whose cold time ends says so only at its next
+    /// heartbeat, so this may be too late and is never too early.
+    cold_until: Option<Moment>,
+    /// Since when it may have turned cold without a word of its own yet.
+    doubted_since: Option<Moment>,
     /// Whether its entry went while the store was away.
     lapsed: bool,
 }
@@ -55,6 +63,9 @@
             replica,
             open: 0,
             record: Record::default(),
+            turns: Turns::default(),
+            cold_until: None,
+            doubted_since: None,
             pool: Pool::default(),
             backlog: Backlog::default(),
             held: HashMap::new(),
@@ -93,6 +104,18 @@
         self.held.get(&part).is_some_and(|at| now.since(*at) < HELD_FOR)
     }
 
+    /// Notes what its entry says of how long it is cold.
+    fn note_cold(&mut self, now: Moment) {
+        let cold = self.replica.cold;
+        self.cold_until = (cold > Span(0)).then(|| now + cold);
+    }
+
+    /// Whether it is cold, or may be.
+    pub fn is_cold(&self, bound: &Bound, now: Moment) -> bool {
+        let told = self.cold_until.is_some_and(|until| now < until);
+        told || self.doubted_since.is_some_and(|since| now.since(since) < bound.lasts)
+    }
+
     /// Whether new work may go there, its record apart.
     pub fn takes_work(&self) -> bool {
         self.replica.ready
@@ -111,15 +134,21 @@
 
 impl Fleet {
     /// Takes one entry.
-    pub fn put(&mut self, replica: Replica) {
+    pub fn put(&mut self, replica: Replica, now: Moment) {
         self.usual.entry(replica.service.clone()).or_insert_with(|| replica.version.clone());
         match self.servers.get_mut(&replica.id) {
             Some(server) => {
+                let is_news = server.replica != replica;
                 server.replica = replica;
                 server.lapsed = false;
+                if is_news {
+                    server.note_cold(now);
+                }
             }
             None => {
-                self.servers.insert(replica.id.clone(), Server::new(replica));
+                let mut server = Server::new(replica);
+                server.note_cold(now);
+                self.servers.insert(server.replica.id.clone(), server);
             }
         }
     }
@@ -158,9 +187,16 @@
         self.emptied.insert(data_centre.clone())
     }
 
-    /// The order to empty a data centre is withdrawn. Whether there was one.
-    pub fn take_back(&mut self, data_centre: &DataCentre) -> bool {
-        self.emptied.remove(data_centre)
+    /// The order to empty a data centre is withdrawn. Whether there was one. Its servers may have gone cold meanwhile,
+    /// and their entries that say so may still be on the way.
+    pub fn take_back(&mut self, data_centre: &DataCentre, now: Moment) -> bool {
+        let was_emptied = self.emptied.remove(data_centre);
+        if was_emptied {
+            let there = |one: &&mut Server| one.replica.data_centre == *data_centre;
+            let servers = self.servers.values_mut().filter(there);
+            servers.for_each(|server| server.doubted_since = Some(now));
+        }
+        was_emptied
     }
 
     /// The servers of a service that take work: those that do not leave, where no order forbids it.
--- a/src/forward/steps.rs
+++ b/src/forward/steps.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::cold::Gate;
 use super::learn::{put_rollout, read_rollout};
 use super::pause::Pause;
 use super::peer;
@@ -147,7 +148,10 @@
     let trials = vm.trials.borrow();
     let trial = trials.get(service)?;
     let fleet = vm.fleet.borrow();
-    let ready = fleet.of(service).filter(|one| one.replica.version == rollout.version).count();
+    let gate = Gate::new(vm, service, now);
+    let new = fleet.of(service).filter(|one| one.replica.version == rollout.version);
+    // A cold server takes few requests, and sessions that it began would have nowhere to go on.
+    let ready = new.filter(|one| !gate.is_cold(one)).count();
     let Verdict { seen, evidence } = trial.verdict();
     let known = Known {
         phase: rollout.phase,
--- a/src/platform/object.rs
+++ b/src/platform/object.rs
@@ -6,8 +6,9 @@
 use serde_json::{Value, json};
 
 use crate::config::{Holder, Limits, Part, Pool, Repeat, Route, Table};
+use crate::decide::cold::Bound;
 use crate::forward::replica::{Phase, Replica, Rollout};
-use crate::unit::{DataCentre, Model, Revision, Service, Span};
+use crate::unit::{DataCentre, Model, Rate, Revision, Service, Span};
 
 /// Kinds of objects, and the name of the operator's configuration.
 pub const CONFIG: &str = "config";
@@ -117,6 +118,10 @@
 struct ServiceEntry {
     name: Service,
     max_connections: Option<u32>,
+    /// Time that a server is cold after its start.
+    cold_start_s: Option<f64>,
+    /// Requests that it bears then.
+    cold_per_s: Option<f64>,
 }
 
 #[derive(Default, Deserialize)]
@@ -159,7 +164,8 @@
     }
     for entry in config.services {
         let connections = entry.max_connections.unwrap_or(CONNECTIONS);
-        table.add_pool(entry.name, Pool { connections });
+        let cold = cold(&entry);
+        table.add_pool(entry.name, Pool { connections, cold });
     }
     for tenant in config.tenants.into_iter().flatten() {
         let priority = tenant.priority.unwrap_or(PRIORITY);
@@ -171,6 +177,13 @@
     Ok(table)
 }
 
+/// What a service says of servers that start; a rate of nought says that it has no limit.
+fn cold(entry: &ServiceEntry) -> Option<Bound> {
+    let rate = entry.cold_per_s.filter(|rate| *rate > 0.0)?;
+    let lasts = millis(entry.cold_start_s.unwrap_or_default() * 1000.0);
+    Some(Bound { rate: Rate(rate), lasts })
+}
+
 fn route(entry: RouteEntry) -> Result<Route, String> {
     let streams = entry.r#type == "streaming";
     let repeat = match entry.r#type.as_str() {
@@ -207,6 +220,7 @@
     version: Option<crate::unit::Version>,
     capacity: Option<u32>,
     state: Option<String>,
+    cold_remaining_ms: Option<f64>,
 }
 
 /// The backend server of an object.
@@ -224,6 +238,7 @@
         data_centre: entry.zone,
         version: entry.version.unwrap_or_else(unversioned),
         slots: entry.capacity.unwrap_or(1).max(1),
+        cold: millis(entry.cold_remaining_ms.unwrap_or_default()),
         ready: entry.state.as_deref() != Some("draining"),
     })
 }
--- a/src/standin/replica.rs
+++ b/src/standin/replica.rs
@@ -5,7 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::error::Error;
 
@@ -72,6 +72,8 @@
     pub headers: Vec<(String, String)>,
     /// The body.
     pub body: Vec<u8>,
+    /// When its head had arrived.
+    pub at: Instant,
 }
 
 impl Seen {
@@ -199,7 +201,7 @@
                 .iter()
                 .map(|header| (header.name.to_ascii_lowercase(), text(header.value)))
                 .collect();
-            let seen = Seen { line, headers, body: Vec::new() };
+            let seen = Seen { line, headers, body: Vec::new(), at: Instant::now() };
             let length = seen.header("content-length").and_then(|text| text.parse().ok());
             buffer.drain(..end);
             return Ok(Some((seen, length.unwrap_or(0))));
--- /dev/null
+++ b/tests/cold.rs
@@ -0,0 +1,159 @@
+//! Backend servers that have just started: requests of all VMs together stay within what one bears.
+
+mod site;
+
+use std::time::{Duration, Instant};
+
+use kitepulley::decide::cold::{Bound, Part, Turns, is_sender, number};
+use kitepulley::unit::{Moment, Rate, Span};
+use quickcheck::quickcheck;
+use serde_json::json;
+use site::{Site, are_ready, ask, eventually, head};
+
+const SECOND: Span = Span::secs(1);
+
+fn bound(rate: f64) -> Bound {
+    Bound { rate: Rate(rate), lasts: Span::secs(3) }
+}
+
+/// The most of these moments that lie within one second.
+fn most_in_a_second(mut moments: Vec<Moment>) -> usize {
+    moments.sort();
+    let within = |from: &Moment| {
+        let end = *from + SECOND;
+        moments.iter().filter(|at| (*from..end).contains(at)).count()
+    };
+    moments.iter().map(within).max().unwrap_or(0)
+}
+
+/// When VMs that always have a request send to one cold server in five seconds; each knows the others that `knows` says.
+fn sends(vms: usize, rate: f64, knows: impl Fn(usize, usize) -> bool) -> Vec<Moment> {
+    let name = |vm: usize| number(&format!("vm{vm}"));
+    let server = number("r1");
+    let mut all = Vec::new();
+    for own in 0..vms {
+        let others: Vec<u64> =
+            (0..vms).filter(|vm| *vm != own && knows(own, *vm)).map(name).collect();
+        let part = Part::new(&bound(rate), others.len() + 1);
+        let mut turns = Turns::default();
+        // They do not begin at the same moment.
+        let mut now = Moment(own as u64 * 7_919 % 1_000_000);
+        while is_sender(&part, server, name(own), &others) && now < Moment(5_000_000) {
+            now = turns.take(&part, now);
+            all.push(now);
+        }
+    }
+    all
+}
+
+quickcheck! {
+    /// Whatever the number of VMs and the rate, no second holds more than the rate.
+    fn all_vms_together_stay_within_the_rate(vms: u8, tenths: u16) -> bool {
+        let (vms, rate) = (1 + usize::from(vms) % 120, f64::from(1 + tenths % 400) / 10.0);
+        most_in_a_second(sends(vms, rate, |_, _| true)) as f64 <= rate.max(1.0)
+    }
+
+    /// A tenth of what VMs know of each other may be missing: what a service grants beyond its rate bears that.
+    fn vms_that_know_unlike_things_stay_within_what_is_granted(seed: u8) -> bool {
+        let knows = |own: usize, other: usize| number(&format!("{seed} {own} {other}")) % 10 > 0;
+        most_in_a_second(sends(84, 8.8, knows)) as f64 <= 8.8 * 1.5 + 5.0
+    }
+}
+
+#[test]
+fn most_of_the_rate_is_used_when_there_is_work() {
+    let sent = sends(84, 8.8, |_, _| true).len();
+    assert!(sent >= 35, "{sent} requests in five seconds");
+}
+
+/// A site whose cold servers bear four requests a second.
+fn site() -> Site {
+    let service = json!({"name": "api", "max_connections": 64, "cold_start_s": 3, "cold_per_s": 4});
+    let times = json!({"latency_goal_ms": 2500, "timeout_ms": 4000});
+    let site = Site::new().route("safe", "idempotent", times);
+    site.change(|config| config["services"] = json!([service]))
+}
+
+fn most_seen_in_a_second(server: &kitepulley::standin::replica::Replica, from: Instant) -> usize {
+    let since = |at: Instant| Moment(at.duration_since(from).as_micros() as u64);
+    most_in_a_second(server.seen().iter().map(|seen| since(seen.at)).collect())
+}
+
+fn send(vm: &site::Vm, id: &str) -> u16 {
+    let line = head("GET /safe/x", id, "").replace("X-Deadline-Ms: 2500", "X-Deadline-Ms: 4000");
+    ask(vm.callers, &line, b"").status
+}
+
+#[test]
+fn a_cold_server_alone_gets_what_it_bears_and_the_rest_is_refused_or_waits() {
+    let mut site = site();
+    site.publish();
+    let begun = Instant::now();
+    let cold = site.replica_with("r1", json!({"cold_remaining_ms": 60_000}));
+    let vms = [site.start(), site.start(), site.start()];
+    are_ready(&vms);
+    // VMs know each other when they have been up for a while.
+    std::thread::sleep(Duration::from_millis(2000));
+    let answers: Vec<u16> = std::thread::scope(|scope| {
+        let one = |number: usize| {
+            let vm = &vms[number % 3];
+            scope.spawn(move || send(vm, &format!("c{number}")))
+        };
+        let threads: Vec<_> = (0..24).map(one).collect();
+        threads.into_iter().map(|thread| thread.join().unwrap()).collect()
+    });
+    let served = answers.iter().filter(|status| **status == 200).count();
+    let refused = answers.iter().filter(|status| **status == 503).count();
+    assert_eq!(served + refused, 24, "{answers:?}");
+    assert_eq!(cold.seen().len(), served, "a refusal says that it has not run");
+    assert!(served >= 6, "{served} served in the time that callers have");
+    let most = most_seen_in_a_second(&cold, begun);
+    assert!(most <= 4, "{most} requests in a second");
+}
+
+#[test]
+fn a_cold_server_beside_a_warm_one_keeps_nobody_waiting() {
+    let mut site = site();
+    let begun = Instant::now();
+    let cold = site.replica_with("r1", json!({"cold_remaining_ms": 60_000}));
+    let warm = site.replica("r2", "v1");
+    let vm = site.start_ready();
+    std::thread::sleep(Duration::from_millis(1600));
+    let asked = Instant::now();
+    (0..40).for_each(|number| assert_eq!(send(&vm, &format!("w{number}")), 200));
+    assert!(asked.elapsed() < Duration::from_secs(2), "{:?}", asked.elapsed());
+    assert_eq!(cold.seen().len() + warm.seen().len(), 40);
+    assert!(most_seen_in_a_second(&cold, begun) <= 4);
+    // Warm again, it gets its part.
+    let before = cold.seen().len();
+    site.list("r1", "v1", "ready", cold.address);
+    eventually("it gets more than a cold one would", || {
+        (0..10).for_each(|_| drop(send(&vm, "more")));
+        cold.seen().len() > before + 10
+    });
+}
+
+#[test]
+fn servers_of_a_data_centre_that_is_taken_back_may_be_cold() {
+    let mut site = site();
+    let begun = Instant::now();
+    let back = site.replica_with("r1", json!({"zone": "there"}));
+    site.store.put("evacuations", "there", json!({}));
+    let vm = site.start_ready();
+    std::thread::sleep(Duration::from_millis(1600));
+    site.store.remove("evacuations", "there");
+    eventually("it is known", || {
+        vm.lines().iter().any(|line| line["event"] == "data centre taken back")
+    });
+    std::thread::scope(|scope| {
+        (0..20).for_each(|number| {
+            drop(scope.spawn({
+                let vm = &vm;
+                move || send(vm, &format!("b{number}"))
+            }))
+        });
+    });
+    assert!(!back.seen().is_empty());
+    let most = most_seen_in_a_second(&back, begun);
+    assert!(most <= 4, "{most} requests in a second");
+}
