Lives of backend servers under one id, entries that others wrote, regions that bind

Cause: a server that starts again under its id kept what was held, open, sent and recorded of its life before, also the mark that it is gone for good. An entry with a missing field named a server; bytes that do not read lost a whole list. Nothing read the regions that routes and workspaces allow.

Change: a life is the id, the time of its start and its address; which of two is the later one the store's revisions say, since a server's clock may step back. Counts, prompts, connections, records and turns belong to a life. Requests at an earlier life end at once as unanswered, so they go elsewhere, to the later life too, or are said to be unknown. All fields of an entry must read, or it names no server, also in place of one that did; objects are read one by one, and those that nobody can read are as good as empty. Candidates are limited to the regions of the route and the workspace.

Ruled out: telling lives apart by the newer start time, which a clock step turns round.

Tests: tests/entries.rs (seven, one of them quickcheck over each kind of object); tests' entries have all fields now.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -18,5 +18,5 @@
 pub use intent::Intent;
 pub use plan::{Change, Plan, Wish, apply, make};
 pub use root::{Piece, Record, Rollout, Root, digest, pieces};
-pub use route::{Holder, Limits, Part, Pool, Repeat, Route, Table};
+pub use route::{Holder, Limits, Part, Pool, Regions, Repeat, Route, Table};
 pub use snapshot::{Allowed, Snapshot};
--- a/src/config/route.rs
+++ b/src/config/route.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use crate::decide::cold::Bound;
-use crate::unit::{Model, Revision, Service, Span, Workspace};
+use crate::unit::{Model, Region, Revision, Service, Span, Workspace};
 
 /// What a route allows a request to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +26,22 @@
     pub weight: f64,
 }
 
+/// The regions in which a request may be read and answered.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Regions(Vec<Region>);
+
+impl Regions {
+    /// Just these regions; any region if none is named.
+    pub fn only(regions: Vec<Region>) -> Regions {
+        Regions(regions)
+    }
+
+    /// Whether a region is among them; one that is not known is only where any is.
+    pub fn allow(&self, region: Option<&Region>) -> bool {
+        self.0.is_empty() || region.is_some_and(|region| self.0.contains(region))
+    }
+}
+
 /// One route.
 #[derive(Clone, Debug)]
 pub struct Route {
@@ -49,6 +65,8 @@
     pub priority: u32,
     /// Whether a request needs no key.
     pub public: bool,
+    /// Where its requests may go.
+    pub regions: Regions,
     /// Models of a cascade, smallest first; empty if the caller names the model.
     pub cascade: Vec<Model>,
 }
@@ -74,6 +92,8 @@
     pub workspace: Workspace,
     /// Its rank, which comes before the route's; 0 is the most urgent.
     pub priority: u32,
+    /// Where its requests may go; the route's regions bind beside these.
+    pub regions: Regions,
 }
 
 /// What is declared of a service.
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -89,14 +89,19 @@
     until: Moment,
 ) -> Outcome {
     let vm = &job.vm;
-    let open = Open::new(vm, &replica.id);
+    let open = Open::new(vm, replica);
+    let over = open.over();
     let mut sent = false;
     let left = until.since(vm.now()).duration();
     let exchange = exchange(job, replica, model, after_event, waiting.reads, open, &mut sent);
-    let outcome = match tokio::time::timeout(left, exchange).await {
+    let outcome = tokio::select! {
+        ended = tokio::time::timeout(left, exchange) => ended.map_err(|_| "in time"),
+        () = over.notified() => Err("before the server started again"),
+    };
+    let outcome = match outcome {
         Ok(outcome) => outcome,
-        Err(_) if sent => Outcome::without_answer(End::Late, "no answer in time"),
-        Err(_) => Outcome::without_answer(End::NotSent, "no connection in time"),
+        Err(why) if sent => Outcome::without_answer(End::Late, format!("no answer {why}")),
+        Err(why) => Outcome::without_answer(End::NotSent, format!("no connection {why}")),
     };
     drop(waiting);
     note(job, replica, &outcome);
@@ -112,7 +117,7 @@
     job.record.ended(outcome.end, &outcome.why, now);
     let mut fleet = vm.fleet.borrow_mut();
     let usual = fleet.failures(&job.service);
-    let Some(server) = fleet.get_mut(&replica.id) else { return };
+    let Some(server) = fleet.life_mut(replica) else { return };
     if let Some(load) = outcome.head.as_ref().and_then(|(_, answer)| answer.load) {
         server.hear(load, now);
     }
@@ -151,7 +156,7 @@
     let now = vm.now();
     let resting = {
         let mut fleet = vm.fleet.borrow_mut();
-        fleet.get_mut(&replica.id).and_then(|server| server.pool.take(repeatable, now))
+        fleet.life_mut(replica).and_then(|server| server.pool.take(repeatable, now))
     };
     let mut connection = match pool::connect(resting, replica.address, OPEN_WITHIN).await {
         Ok(connection) => connection,
@@ -254,7 +259,7 @@
 pub fn keep(job: &Job, replica: &Replica, connection: Connection, rest: Option<Span>) {
     let vm: &Rc<super::Vm> = &job.vm;
     let now = vm.now();
-    if let Some(server) = vm.fleet.borrow_mut().get_mut(&replica.id) {
+    if let Some(server) = vm.fleet.borrow_mut().life_mut(replica) {
         server.pool.keep(connection, rest, now);
     }
 }
--- a/src/forward/choice.rs
+++ b/src/forward/choice.rs
@@ -11,6 +11,7 @@
 use super::replica::{Phase, Replica};
 use super::server::Server;
 use super::vm::Vm;
+use crate::config::Regions;
 use crate::decide::canary;
 use crate::decide::limit;
 use crate::decide::place::{self, Candidate};
@@ -24,10 +25,12 @@
     pub call: &'a Call,
     /// Size of its body.
     pub bytes: usize,
+    /// Where it may go, by its route and by its workspace, if a key names one.
+    pub regions: [Option<&'a Regions>; 2],
     /// The model, if it is known.
     pub model: Option<&'a Model>,
-    /// Servers that were tried before.
-    pub tried: &'a [Id],
+    /// Lives of servers that were tried before.
+    pub tried: &'a [Replica],
 }
 
 /// Versions that a request may be sent to.
@@ -41,6 +44,19 @@
     Any,
 }
 
+impl Wish<'_> {
+    /// Whether this life of a server was tried before.
+    fn has_tried(&self, replica: &Replica) -> bool {
+        self.tried.iter().any(|tried| tried.is_life_of(replica))
+    }
+
+    /// Whether it may go to a server, as far as its regions say.
+    fn allows(&self, vm: &Vm, server: &Server) -> bool {
+        let region = vm.settings.regions.get(&server.replica.data_centre);
+        self.regions.iter().flatten().all(|regions| regions.allow(region))
+    }
+}
+
 impl Versions {
     fn allow(&self, version: &Version) -> bool {
         match self {
@@ -178,7 +194,8 @@
     let mut fleet = vm.fleet.borrow_mut();
     let cold = fleet.of(wish.service).filter(|one| {
         let replica = &one.replica;
-        gate.is_cold(one) && versions.allow(&replica.version) && !wish.tried.contains(&replica.id)
+        let is_allowed = versions.allow(&replica.version) && wish.allows(vm, one);
+        gate.is_cold(one) && is_allowed && !wish.has_tried(replica)
     });
     let turns = cold.filter_map(|one| Some((gate.turn(one)?, one.replica.id.clone())));
     let (at, server) = turns.min().filter(|(at, _)| *at <= until)?;
@@ -231,12 +248,13 @@
     let gate = Gate::new(vm, wish.service, now);
     let of_version = || {
         let allowed = |one: &&Server| versions.allow(&one.replica.version);
-        fleet.of(wish.service).filter(allowed).filter(|one| gate.lets(one))
+        let within = |one: &&Server| wish.allows(vm, one);
+        fleet.of(wish.service).filter(allowed).filter(within).filter(|one| gate.lets(one))
     };
     let sound = |one: &&Server| !one.record.is_out(now);
     let busy = busy(vm, wish.service, versions, of_version().filter(sound));
     let most = connections_each(vm, wish.service, now);
-    let untried = |one: &&Server| !wish.tried.contains(&one.replica.id) && one.open < most;
+    let untried = |one: &&Server| !wish.has_tried(&one.replica) && one.open < most;
     let in_trial = |one: &&Server| busy.as_ref().is_none_or(|busy| busy.contains(&one.replica.id));
     let mut servers: Vec<&Server> =
         of_version().filter(untried).filter(sound).filter(in_trial).collect();
@@ -355,7 +373,7 @@
 pub fn sent(vm: &Rc<Vm>, place: &Place, call: &Call, model: Option<&Model>, now: Moment) -> Sent {
     let replica = &place.replica;
     let mut fleet = vm.fleet.borrow_mut();
-    let Some(server) = fleet.get_mut(&replica.id) else { return Sent::default() };
+    let Some(server) = fleet.life_mut(replica) else { return Sent::default() };
     if !place.has_turn {
         Gate::new(vm, &replica.service, now).count(server);
     }
--- a/src/forward/drive.rs
+++ b/src/forward/drive.rs
@@ -13,7 +13,7 @@
 use crate::decide::ends::{self, End, Last, Next};
 use crate::decide::escalate;
 use crate::entry::refusal::{Kind, Refusal};
-use crate::unit::{Model, Moment, Server as Id, Span, Version};
+use crate::unit::{Model, Moment, Span, Version};
 
 /// A repeat needs at least this much time.
 const LEAST: Span = Span::millis(30);
@@ -51,13 +51,13 @@
     /// The model.
     pub model: Option<Model>,
     /// Servers tried so far.
-    pub tried: Vec<Id>,
+    pub tried: Vec<Replica>,
 }
 
 /// What is known of the attempts so far.
 #[derive(Default)]
 struct Progress {
-    tried: Vec<Id>,
+    tried: Vec<Replica>,
     /// Attempts without a byte sent; in all, and since the model changed.
     unsent: u32,
     unsent_of_model: u32,
@@ -93,7 +93,7 @@
         vm.metrics.added.observe(now.since(job.arrived).as_secs());
         let outcome =
             try_at(job, &place, model.as_ref(), patience(job, &progress, &place, now)).await;
-        progress.tried.push(replica.id.clone());
+        progress.tried.push(replica.clone());
         let ended = vm.now();
         if outcome.end == End::Good
             && let Some(larger) = gives_way(job, &progress, model.as_ref(), &outcome, ended)
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -6,15 +6,17 @@
 
 use actix_http::RequestHead;
 use bytes::Bytes;
+use tokio::sync::Notify;
 
 use super::call::Call;
 use super::choice::{self, Place, Sent, Why, Wish};
+use super::replica::Replica;
 use super::vm::Vm;
 use crate::config::{Holder, Route};
 use crate::decide::ends::End;
 use crate::decide::escalate;
 use crate::decide::rank;
-use crate::unit::{Model, Moment, Server as Id, Service, Span, Version};
+use crate::unit::{Model, Moment, Service, Span, Version};
 
 /// A request that was admitted.
 pub struct Job {
@@ -47,9 +49,12 @@
     }
 
     /// What it wants of its server; `model` is the one that the system chose, if it did.
-    pub fn wish<'a>(&'a self, model: Option<&'a Model>, tried: &'a [Id]) -> Wish<'a> {
+    pub fn wish<'a>(&'a self, model: Option<&'a Model>, tried: &'a [Replica]) -> Wish<'a> {
         let model = model.or(self.call.model.as_ref());
-        Wish { service: &self.service, call: &self.call, bytes: self.body.len(), model, tried }
+        let of_workspace = self.holder.as_ref().map(|holder| &holder.regions);
+        let regions = [Some(&self.route.regions), of_workspace];
+        let (service, call) = (&self.service, &self.call);
+        Wish { service, call, bytes: self.body.len(), regions, model, tried }
     }
 
     /// The server for it, after a wait for a turn at a cold one if no other takes it: a wait is worth while as long as
@@ -75,7 +80,7 @@
         let named = model.or(self.call.model.as_ref());
         let sent = choice::sent(&self.vm, place, &self.call, named, now);
         self.record.attempt(place, named, &sent, now);
-        (sent, Waiting::new(&self.vm, &place.replica.id, sent.reads))
+        (sent, Waiting::new(&self.vm, &place.replica, sent.reads))
     }
 
     /// Rank at a server, 0 to 9: the workspace's comes before that of the reading.
@@ -239,50 +244,59 @@
     }
 }
 
-/// A prompt of which no event has come yet; it counts as unread at its server while this lives.
+/// A prompt of which no event has come yet; it counts as unread at that life of its server while this is held.
 pub struct Waiting {
     vm: Rc<Vm>,
-    id: Id,
+    replica: Replica,
     /// Time that the server needs to read it.
     pub reads: Span,
 }
 
 impl Waiting {
-    fn new(vm: &Rc<Vm>, id: &Id, reads: Span) -> Waiting {
-        if let Some(server) = vm.fleet.borrow_mut().get_mut(id) {
+    fn new(vm: &Rc<Vm>, replica: &Replica, reads: Span) -> Waiting {
+        if let Some(server) = vm.fleet.borrow_mut().life_mut(replica) {
             server.backlog.wait_for(reads);
         }
-        Waiting { vm: vm.clone(), id: id.clone(), reads }
+        Waiting { vm: vm.clone(), replica: replica.clone(), reads }
     }
 }
 
 impl Drop for Waiting {
     fn drop(&mut self) {
-        if let Some(server) = self.vm.fleet.borrow_mut().get_mut(&self.id) {
+        if let Some(server) = self.vm.fleet.borrow_mut().life_mut(&self.replica) {
             server.backlog.came(self.reads);
         }
     }
 }
 
-/// A request that is open at a server; it is counted there while this lives.
+/// A request that is open at a server; it is counted at that life of it while this is held.
 pub struct Open {
     vm: Rc<Vm>,
-    id: Id,
+    replica: Replica,
+    over: Rc<Notify>,
 }
 
 impl Open {
     /// Counts a request at a server.
-    pub fn new(vm: &Rc<Vm>, id: &Id) -> Open {
-        if let Some(server) = vm.fleet.borrow_mut().get_mut(id) {
+    pub fn new(vm: &Rc<Vm>, replica: &Replica) -> Open {
+        let mut fleet = vm.fleet.borrow_mut();
+        let server = fleet.life_mut(replica);
+        let over = server.map(|server| {
             server.open += 1;
-        }
-        Open { vm: vm.clone(), id: id.clone() }
+            server.over.clone()
+        });
+        Open { vm: vm.clone(), replica: replica.clone(), over: over.unwrap_or_default() }
+    }
+
+    /// Wakes when a later life of the server begins, so that this request is lost there.
+    pub fn over(&self) -> Rc<Notify> {
+        self.over.clone()
     }
 }
 
 impl Drop for Open {
     fn drop(&mut self) {
-        if let Some(server) = self.vm.fleet.borrow_mut().get_mut(&self.id) {
+        if let Some(server) = self.vm.fleet.borrow_mut().life_mut(&self.replica) {
             server.open = server.open.saturating_sub(1);
         }
     }
--- a/src/forward/learn.rs
+++ b/src/forward/learn.rs
@@ -212,9 +212,22 @@
             if let Some(source) = told {
                 tell_entry(vm, object, &replica, source);
             }
-            vm.fleet.borrow_mut().put(replica, vm.now());
+            let id = replica.id.clone();
+            if vm.fleet.borrow_mut().put(replica, vm.now()) {
+                let revision = object.metadata.revision.into();
+                vm.log(
+                    "server started again",
+                    &[("server", id.as_str().into()), ("revision", revision)],
+                );
+            }
+        }
+        Err(why) => {
+            unreadable(vm, SERVERS, object, &why);
+            // What its entry said before holds no more.
+            if let Ok(id) = object.metadata.name.parse() {
+                vm.fleet.borrow_mut().remove(&id, false);
+            }
         }
-        Err(why) => unreadable(vm, SERVERS, object, &why),
     }
 }
 
@@ -224,6 +237,7 @@
         ("server", object.metadata.name.as_str().into()),
         ("service", replica.service.as_str().into()),
         ("version", replica.version.as_str().into()),
+        ("born_ms", replica.born.unwrap_or_default().into()),
         ("ready", replica.ready.into()),
         ("cold_ms", replica.cold.as_millis().into()),
         ("revision", object.metadata.revision.into()),
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -103,7 +103,13 @@
 
     async fn read(&mut self) -> Result<(), String> {
         let left = self.job.left(self.job.vm.now()).duration();
-        match tokio::time::timeout(left, self.begun.stream.read()).await {
+        let over = self.begun.stream.open.over();
+        let read = tokio::time::timeout(left, self.begun.stream.read());
+        let read = tokio::select! {
+            read = read => read,
+            () = over.notified() => return Err("the server started again".to_owned()),
+        };
+        match read {
             Ok(Ok(())) => Ok(()),
             Ok(Err(Fault::NotSent(why) | Fault::Broken(why))) => Err(why),
             Err(_) => Err("the time was up".to_owned()),
@@ -118,7 +124,7 @@
         {
             let mut fleet = vm.fleet.borrow_mut();
             let usual = fleet.failures(&self.job.service);
-            if let Some(server) = fleet.get_mut(&broken.id) {
+            if let Some(server) = fleet.life_mut(broken) {
                 server.record.note(End::Broken, usual, vm.now());
             }
         }
@@ -144,7 +150,7 @@
             let replica = place.replica;
             let outcome =
                 attempt::run(&self.job, &replica, model.as_ref(), self.last, waiting, until).await;
-            self.begun.tried.push(replica.id.clone());
+            self.begun.tried.push(replica.clone());
             self.unsent += u32::from(outcome.end == End::NotSent);
             if let Some(stream) = outcome.stream {
                 self.begun.stream = stream;
--- a/src/forward/replica.rs
+++ b/src/forward/replica.rs
@@ -7,8 +7,10 @@
 /// One life of a backend server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Replica {
-    /// Its id; a new one at each start.
+    /// Its id. One that starts again may keep it, and then holds and knows nothing of before.
     pub id: Server,
+    /// When this life of it began, in milliseconds of its own clock since 1970; tells lives under one id apart.
+    pub born: Option<u64>,
     /// The service that it answers for.
     pub service: Service,
     /// Where it listens.
@@ -25,6 +27,14 @@
     pub ready: bool,
 }
 
+impl Replica {
+    /// Whether this is the same life of the same server, as far as entries tell. Which of two is the later one is not for
+    /// its clock to say, which may step back: the store's revisions order them.
+    pub fn is_life_of(&self, other: &Replica) -> bool {
+        (&self.id, self.born, self.address) == (&other.id, other.born, other.address)
+    }
+}
+
 /// How far a roll-out has come, as it stands in the store.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Phase {
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -1,6 +1,9 @@
 //! What one VM knows of one backend server beyond its entry.
 
 use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+
+use tokio::sync::Notify;
 
 use super::call::Load;
 use super::pool::Pool;
@@ -41,6 +44,8 @@
     pub record: Record,
     /// When this VM may send to it while it is cold.
     pub turns: Turns,
+    /// Wakes requests at this life of it when a later one begins: they are lost.
+    pub over: Rc<Notify>,
     /// Connections that rest.
     pub pool: Pool,
     /// Prompts that wait to be read there, as far as this VM knows.
@@ -64,6 +69,7 @@
             open: 0,
             record: Record::default(),
             turns: Turns::default(),
+            over: Rc::default(),
             cold_until: None,
             doubted_since: None,
             pool: Pool::default(),
@@ -133,22 +139,28 @@
 }
 
 impl Fleet {
-    /// Takes one entry.
-    pub fn put(&mut self, replica: Replica, now: Moment) {
+    /// Takes one entry. Whether a later life of a known server begins with it: nothing that was known of the earlier one
+    /// holds on.
+    pub fn put(&mut self, replica: Replica, now: Moment) -> bool {
         self.usual.entry(replica.service.clone()).or_insert_with(|| replica.version.clone());
         match self.servers.get_mut(&replica.id) {
-            Some(server) => {
+            Some(server) if server.replica.is_life_of(&replica) => {
                 let is_news = server.replica != replica;
                 server.replica = replica;
                 server.lapsed = false;
                 if is_news {
                     server.note_cold(now);
                 }
+                false
             }
-            None => {
+            _ => {
                 let mut server = Server::new(replica);
                 server.note_cold(now);
-                self.servers.insert(server.replica.id.clone(), server);
+                let earlier = self.servers.insert(server.replica.id.clone(), server);
+                if let Some(earlier) = &earlier {
+                    earlier.over.notify_waiters();
+                }
+                earlier.is_some()
             }
         }
     }
@@ -177,6 +189,11 @@
         self.servers.get(id)
     }
 
+    /// A server, if the life that `replica` tells of goes on.
+    pub fn life_mut(&mut self, replica: &Replica) -> Option<&mut Server> {
+        self.servers.get_mut(&replica.id).filter(|server| server.replica.is_life_of(replica))
+    }
+
     /// A server.
     pub fn get_mut(&mut self, id: &Id) -> Option<&mut Server> {
         self.servers.get_mut(id)
--- a/src/forward/settings.rs
+++ b/src/forward/settings.rs
@@ -1,8 +1,9 @@
 //! What an entry VM is told at its start.
 
+use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 
-use crate::unit::{DataCentre, Millicores, Span, Vm};
+use crate::unit::{DataCentre, Millicores, Region, Span, Vm};
 
 /// Settings of one entry VM.
 #[derive(Clone, Debug)]
@@ -11,6 +12,8 @@
     pub vm: Vm,
     /// Its data centre.
     pub data_centre: DataCentre,
+    /// The regions of data centres.
+    pub regions: HashMap<DataCentre, Region>,
     /// Its own address.
     pub ip: IpAddr,
     /// Its share of a core; larger VMs bear more of what is done for others.
--- a/src/platform/object.rs
+++ b/src/platform/object.rs
@@ -1,14 +1,15 @@
 //! The platform's objects, decoded into the project's types.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
-use crate::config::{Holder, Limits, Part, Pool, Repeat, Route, Table};
+use crate::config::{Holder, Limits, Part, Pool, Regions, Repeat, Route, Table};
 use crate::decide::cold::Bound;
 use crate::forward::replica::{Phase, Replica, Rollout};
-use crate::unit::{DataCentre, Model, Rate, Revision, Service, Span};
+use crate::unit::{DataCentre, Model, Rate, Region, Revision, Service, Span, Version};
 
 /// Kinds of objects, and the name of the operator's configuration.
 pub const CONFIG: &str = "config";
@@ -106,6 +107,7 @@
     #[serde(default)]
     stream_resume: bool,
     sizes: Option<Vec<Model>>,
+    allowed_regions: Option<Vec<Region>>,
 }
 
 #[derive(Deserialize)]
@@ -137,6 +139,7 @@
     #[serde(default)]
     api_keys: Vec<String>,
     priority: Option<u32>,
+    allowed_regions: Option<Vec<Region>>,
 }
 
 fn millis(ms: f64) -> Span {
@@ -169,7 +172,8 @@
     }
     for tenant in config.tenants.into_iter().flatten() {
         let priority = tenant.priority.unwrap_or(PRIORITY);
-        let holder = Rc::new(Holder { workspace: tenant.name, priority });
+        let regions = Regions::only(tenant.allowed_regions.unwrap_or_default());
+        let holder = Rc::new(Holder { workspace: tenant.name, priority, regions });
         for key in &tenant.api_keys {
             table.add_key(key, holder.clone());
         }
@@ -208,19 +212,37 @@
         attempts: entry.max_attempts.unwrap_or(ATTEMPTS).max(1),
         priority: entry.priority.unwrap_or(PRIORITY),
         public: entry.public,
+        regions: Regions::only(entry.allowed_regions.unwrap_or_default()),
         cascade: entry.sizes.unwrap_or_default(),
     })
 }
 
+/// The entry of a backend server. Others than servers may write there too, so all of it must read.
 #[derive(Deserialize)]
 struct Entry {
     service: Service,
-    address: String,
+    address: SocketAddr,
     zone: DataCentre,
-    version: Option<crate::unit::Version>,
-    capacity: Option<u32>,
-    state: Option<String>,
-    cold_remaining_ms: Option<f64>,
+    version: Version,
+    capacity: u32,
+    state: State,
+    /// How much longer it is cold, when the entry was written.
+    cold_remaining_ms: f64,
+    /// Counts its writes; nobody needs it.
+    #[serde(rename = "sequence")]
+    _sequence: u64,
+    /// The start of this life, in Unix milliseconds.
+    born: Option<u64>,
+}
+
+/// What a server says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    /// It takes new work.
+    Ready,
+    /// It leaves.
+    Draining,
 }
 
 /// The backend server of an object.
@@ -230,16 +252,16 @@
 pub fn replica(object: &Object) -> Result<Replica, String> {
     let entry: Entry =
         serde_json::from_value(object.spec.clone()).map_err(|fault| fault.to_string())?;
-    let unversioned = || "unversioned".parse().expect("a plain name");
     Ok(Replica {
         id: object.metadata.name.parse().map_err(|fault| format!("{fault}"))?,
+        born: entry.born,
         service: entry.service,
-        address: entry.address.parse().map_err(|fault| format!("`{}`: {fault}", entry.address))?,
+        address: entry.address,
         data_centre: entry.zone,
-        version: entry.version.unwrap_or_else(unversioned),
-        slots: entry.capacity.unwrap_or(1).max(1),
-        cold: millis(entry.cold_remaining_ms.unwrap_or_default()),
-        ready: entry.state.as_deref() != Some("draining"),
+        version: entry.version,
+        slots: entry.capacity.max(1),
+        cold: millis(entry.cold_remaining_ms),
+        ready: entry.state == State::Ready,
     })
 }
 
@@ -254,13 +276,13 @@
 #[derive(Deserialize)]
 struct Order {
     service: Service,
-    target_version: crate::unit::Version,
+    target_version: Version,
     duration_s: f64,
 }
 
 #[derive(Default, Deserialize)]
 struct Progress {
-    target_version: Option<crate::unit::Version>,
+    target_version: Option<Version>,
     state: Option<String>,
     /// Our own field: what share of sessions the new version gets.
     share: Option<f64>,
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -5,10 +5,12 @@
 use actix_http::header::{CONTENT_TYPE, HOST, HeaderValue};
 use actix_http::{Method, RequestHead, StatusCode};
 use bytes::Bytes;
-use serde::Deserialize;
+use serde::de::{DeserializeOwned, Error as _};
+use serde::{Deserialize, Deserializer};
+use serde_json::value::RawValue;
 use serde_json::{Value, json};
 
-use super::object::Object;
+use super::object::{Metadata, Object};
 use crate::forward::connection::{Connection, Fault};
 use crate::unit::Span;
 
@@ -74,6 +76,7 @@
 #[derive(Debug, Deserialize)]
 pub struct Listing {
     /// The objects.
+    #[serde(deserialize_with = "each_object")]
     pub items: Vec<Object>,
     /// Whether there are more after the last.
     #[serde(default)]
@@ -86,6 +89,7 @@
 #[derive(Debug, Deserialize)]
 pub struct Event {
     /// The object as it stands, or stood.
+    #[serde(deserialize_with = "one_object")]
     pub object: Object,
     /// Whether it is gone.
     #[serde(default)]
@@ -312,6 +316,32 @@
     }
 }
 
-fn read<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, Trouble> {
-    serde_json::from_slice(body).map_err(|fault| Trouble::NoAnswer(format!("unreadable: {fault}")))
+/// Reads an answer; bytes in it that are no text, which anybody may write into an object, spoil no other object.
+fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, Trouble> {
+    let text = String::from_utf8_lossy(body);
+    serde_json::from_str(&text).map_err(|fault| Trouble::NoAnswer(format!("unreadable: {fault}")))
+}
+
+/// An object whose contents nobody could read.
+#[derive(Deserialize)]
+struct Named {
+    metadata: Metadata,
+}
+
+/// Reads one object. One whose contents do not read is as good as empty, so that its kind's own check finds it.
+fn object(raw: &RawValue) -> Result<Object, serde_json::Error> {
+    serde_json::from_str(raw.get()).or_else(|_| {
+        let Named { metadata } = serde_json::from_str(raw.get())?;
+        Ok(Object { metadata, spec: Value::Null, status: Value::Null })
+    })
+}
+
+fn one_object<'de, D: Deserializer<'de>>(from: D) -> Result<Object, D::Error> {
+    object(&Box::<RawValue>::deserialize(from)?).map_err(D::Error::custom)
+}
+
+/// Reads objects one by one. The store itself names them, so one without a name is left out.
+fn each_object<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<Object>, D::Error> {
+    let raw = Vec::<Box<RawValue>>::deserialize(from)?;
+    Ok(raw.iter().filter_map(|raw| object(raw).ok()).collect())
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,5 +1,6 @@
 //! The platform's settings file, decoded once.
 
+use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 
@@ -9,7 +10,7 @@
 use crate::decide::escalate::KEEP_CONFIDENCE;
 use crate::error::Error;
 use crate::forward::{Bounds, Settings};
-use crate::unit::{Millicores, Span};
+use crate::unit::{DataCentre, Millicores, Region, Span};
 
 /// The variable that holds the file's path.
 pub const PATH_VARIABLE: &str = "KITEPULLEY_CONFIG";
@@ -39,6 +40,9 @@
     node_name: Option<String>,
     ip: Option<String>,
     zone: Option<String>,
+    /// The region of each data centre.
+    #[serde(default)]
+    zones: HashMap<String, String>,
     listen: Option<Listen>,
     platform: Option<Store>,
     /// First and last of the ports that are free for links between VMs.
@@ -105,6 +109,7 @@
     Ok(Settings {
         vm: reads(path, "node_name", needed(path, "node_name", file.node_name)?)?,
         data_centre: reads(path, "zone", needed(path, "zone", file.zone)?)?,
+        regions: regions(path, &file.zones)?,
         ip,
         share: share(path, file.limits.cpu_quota)?,
         callers: address(path, "listen.frontend", listen.frontend)?,
@@ -117,6 +122,17 @@
     })
 }
 
+fn regions(
+    path: &str,
+    zones: &HashMap<String, String>,
+) -> Result<HashMap<DataCentre, Region>, Error> {
+    let read = |(zone, region): (&String, &String)| {
+        let field = format!("zones.{zone}");
+        Ok((reads(path, &field, zone.clone())?, reads(path, &field, region.clone())?))
+    };
+    zones.iter().map(read).collect()
+}
+
 fn share(path: &str, quota: Option<f64>) -> Result<Millicores, Error> {
     let cores = quota.unwrap_or(CORES);
     if !cores.is_finite() || cores < 0.0 {
--- a/src/unit/id.rs
+++ b/src/unit/id.rs
@@ -73,6 +73,10 @@
     /// A customer's workspace.
     Workspace
 );
+name!(
+    /// A region, which holds data centres.
+    Region
+);
 name!(
     /// A model, whatever its version.
     Model
--- a/src/unit/mod.rs
+++ b/src/unit/mod.rs
@@ -5,8 +5,8 @@
 mod time;
 
 pub use id::{
-    DataCentre, Fault, Incarnation, Kind, Model, RequestId, Revision, Server, Service, Target,
-    Version, Vm, Workspace,
+    DataCentre, Fault, Incarnation, Kind, Model, Region, RequestId, Revision, Server, Service,
+    Target, Version, Vm, Workspace,
 };
 pub use quantity::{Cost, Millicores, Parts, Rate, Size};
 pub use time::{Date, Moment, Span};
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -55,7 +55,7 @@
 
     /// A tenth of what VMs know of each other may be missing: what a service grants beyond its rate bears that.
     fn vms_that_know_unlike_things_stay_within_what_is_granted(seed: u8) -> bool {
-        let knows = |own: usize, other: usize| number(&format!("{seed} {own} {other}")) % 10 > 0;
+        let knows = |own: usize, other: usize| !number(&format!("{seed} {own} {other}")).is_multiple_of(10);
         most_in_a_second(sends(84, 8.8, knows)) as f64 <= 8.8 * 1.5 + 5.0
     }
 }
@@ -128,7 +128,9 @@
     let before = cold.seen().len();
     site.list("r1", "v1", "ready", cold.address);
     eventually("it gets more than a cold one would", || {
-        (0..10).for_each(|_| drop(send(&vm, "more")));
+        for _ in 0..10 {
+            send(&vm, "more");
+        }
         cold.seen().len() > before + 10
     });
 }
--- /dev/null
+++ b/tests/entries.rs
@@ -0,0 +1,257 @@
+//! Entries of backend servers: lives under one id, entries that others wrote, and regions that bind.
+
+mod site;
+
+use std::time::Duration;
+
+use kitepulley::forward::Vm;
+use kitepulley::forward::follow::Kind;
+use kitepulley::forward::learn::{self, Source};
+use kitepulley::platform::object::{self, Object};
+use kitepulley::platform::objects::Listing;
+use kitepulley::standin::replica::Act;
+use kitepulley::unit::{Moment, Span};
+use quickcheck::quickcheck;
+use serde_json::{Value, json};
+use site::{Site, are_ready, ask, bare_vm, eventually, head};
+
+fn entry(fields: Value) -> Value {
+    let mut entry = json!({"service": "api", "address": "127.0.0.1:9", "zone": "here",
+        "version": "v1", "capacity": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": 1});
+    for (name, value) in fields.as_object().into_iter().flatten() {
+        entry[name] = value.clone();
+    }
+    entry
+}
+
+fn server(name: &str, revision: u64, spec: Value) -> Object {
+    let metadata = json!({"name": name, "revision": revision});
+    serde_json::from_value(json!({"metadata": metadata, "spec": spec})).unwrap()
+}
+
+fn takes_work(vm: &Vm, name: &str) -> bool {
+    let fleet = vm.fleet.borrow();
+    fleet.of(&"api".parse().unwrap()).any(|server| server.replica.id.as_str() == name)
+}
+
+fn take(vm: &Vm, object: &Object) {
+    let as_of = object.metadata.revision;
+    learn::take(vm, Kind::Servers, object, &Source { reader: None, as_of });
+}
+
+#[test]
+fn a_later_life_under_an_id_holds_nothing_of_the_earlier() {
+    let vm = bare_vm();
+    let id = "r1".parse().unwrap();
+    let now = Moment(0);
+    take(&vm, &server("r1", 3, entry(json!({"born": 1_764_000_000_000u64}))));
+    let earlier = vm.fleet.borrow().get(&id).unwrap().replica.clone();
+    {
+        let mut fleet = vm.fleet.borrow_mut();
+        let server = fleet.get_mut(&id).unwrap();
+        server.open = 5;
+        server.hold(7, now);
+        server.record.note_gone();
+    }
+    // Its clock has stepped back: the store's revisions tell which life is the later one.
+    take(&vm, &server("r1", 9, entry(json!({"born": 1_763_999_990_000u64}))));
+    {
+        let mut fleet = vm.fleet.borrow_mut();
+        let server = fleet.get(&id).unwrap();
+        assert!(!server.holds(7, now) && !server.record.is_out(now));
+        assert_eq!(server.open, 0);
+        assert!(
+            fleet.life_mut(&earlier).is_none(),
+            "what ends at the earlier life counts for none"
+        );
+    }
+    take(&vm, &server("r1", 3, entry(json!({"born": 1_764_000_000_000u64}))));
+    let fleet = vm.fleet.borrow();
+    assert_eq!(fleet.get(&id).unwrap().replica.born, Some(1_763_999_990_000));
+}
+
+#[test]
+fn a_request_at_an_earlier_life_is_known_to_be_lost() {
+    let times = json!({"latency_goal_ms": 9000, "timeout_ms": 20000});
+    let mut site = Site::new().route("safe", "idempotent", times.clone()).route(
+        "once",
+        "non_idempotent",
+        times,
+    );
+    let silent = site.replica_with("r1", json!({"born": 1_764_000_000_000u64}));
+    silent.usually(Act::Slow(Duration::from_secs(15)));
+    let vm = site.start_ready();
+    let (safe, once) = std::thread::scope(|scope| {
+        let send = |line: &'static str, id: &'static str| {
+            let line = head(line, id, "").replace("X-Deadline-Ms: 2500", "X-Deadline-Ms: 18000");
+            let callers = vm.callers;
+            scope.spawn(move || ask(callers, &line, b""))
+        };
+        let (safe, once) = (send("GET /safe/x", "a"), send("POST /once/x", "b"));
+        eventually("both are there", || silent.seen().len() == 2);
+        // It started again elsewhere under its id; the earlier life says nothing more.
+        let _again = site.replica_with("r1", json!({"born": 1_764_000_009_000u64}));
+        (safe.join().unwrap(), once.join().unwrap())
+    });
+    assert_eq!(safe.status, 200, "it ran again at the later life");
+    assert!(matches!(once.status, 502 | 504), "whether it ran is not known: {}", once.status);
+    assert_eq!(silent.seen().len(), 2);
+}
+
+/// Entries that name no server.
+fn of_others() -> Vec<Value> {
+    let mut all = vec![
+        json!({}),
+        json!("no entry"),
+        Value::Null,
+        json!([1, 2]),
+        entry(json!({"state": "resting"})),
+        entry(json!({"state": 1})),
+        entry(json!({"address": "nowhere"})),
+        entry(json!({"address": 8080})),
+        entry(json!({"capacity": "eight"})),
+        entry(json!({"capacity": 1.5})),
+        entry(json!({"cold_remaining_ms": null})),
+        entry(json!({"cold_remaining_ms": "long"})),
+        entry(json!({"sequence": -1})),
+        entry(json!({"born": 1.5})),
+        entry(json!({"born": "yesterday"})),
+        entry(json!({"service": {"name": "api"}})),
+        entry(json!({"zone": ""})),
+    ];
+    let fields = ["service", "address", "zone", "version", "capacity", "state"];
+    for field in fields.into_iter().chain(["cold_remaining_ms", "sequence"]) {
+        let mut entry = entry(json!({}));
+        entry.as_object_mut().unwrap().remove(field);
+        all.push(entry);
+    }
+    all
+}
+
+#[test]
+fn an_entry_of_another_writer_names_no_server_and_costs_no_other() {
+    for (number, spec) in of_others().into_iter().enumerate() {
+        let vm = bare_vm();
+        let shown = spec.to_string();
+        let items = [
+            server("r1", 1, entry(json!({}))),
+            server("x1", 2, spec.clone()),
+            server("r2", 3, entry(json!({}))),
+        ];
+        let source = Source { reader: None, as_of: 3 };
+        learn::take_all(&vm, Kind::Servers, &items, &source);
+        assert!(takes_work(&vm, "r1") && takes_work(&vm, "r2"), "{number}: {shown}");
+        assert!(!takes_work(&vm, "x1"), "{number}: {shown}");
+        // One that takes the place of a server's entry ends what that said.
+        take(&vm, &server("r2", 5, spec));
+        assert!(takes_work(&vm, "r1") && !takes_work(&vm, "r2"), "{number}: {shown}");
+        take(&vm, &server("r2", 6, entry(json!({}))));
+        assert!(takes_work(&vm, "r2"), "{number}: its own word again");
+    }
+}
+
+#[test]
+fn bytes_that_cannot_be_read_spoil_no_list() {
+    let sound = |name: &str, revision: u64| {
+        let object = server(name, revision, entry(json!({})));
+        object.to_json()
+    };
+    let deep = "[".repeat(200) + &"]".repeat(200);
+    let others = [r#""\ud800""#, "1e999", deep.as_str()];
+    for other in others {
+        let list = format!(
+            r#"{{"items":[{},{{"metadata":{{"name":"x1","revision":2}},"spec":{other}}},{}],"store_revision":3}}"#,
+            sound("r1", 1),
+            sound("r2", 3),
+        );
+        let listing: Listing = serde_json::from_str(&list).unwrap();
+        let names: Vec<&str> =
+            listing.items.iter().map(|object| object.metadata.name.as_str()).collect();
+        assert_eq!(names, ["r1", "x1", "r2"], "{other}");
+        assert!(object::replica(&listing.items[1]).is_err(), "{other}");
+        assert!(object::replica(&listing.items[2]).is_ok(), "{other}");
+    }
+}
+
+/// A JSON value of these bytes: any kind of value, or a field of a sound entry with another.
+fn value(bytes: &[u8]) -> Value {
+    match bytes {
+        [0..=40, rest @ ..] => json!(String::from_utf8_lossy(rest)),
+        [41..=60, number, ..] => json!(f64::from(*number) / 3.0 - 20.0),
+        [61..=80, ..] => Value::Null,
+        [81..=100, rest @ ..] => Value::Array(rest.chunks(3).map(value).collect()),
+        [101..=140, rest @ ..] => json!({"service": value(rest), "address": value(rest)}),
+        [field, rest @ ..] => {
+            let names = ["service", "address", "zone", "version", "capacity", "state", "born"];
+            entry(json!({names[usize::from(*field) % names.len()]: value(rest)}))
+        }
+        [] => Value::Bool(true),
+    }
+}
+
+quickcheck! {
+    /// Whatever others write under each kind, nothing falls over and the sound server stays.
+    fn what_others_write_harms_nothing_else(kind: u8, specs: Vec<Vec<u8>>) -> bool {
+        let vm = bare_vm();
+        let kind = Kind::ALL[usize::from(kind) % Kind::ALL.len()];
+        take(&vm, &server("r1", 1, entry(json!({}))));
+        for (at, bytes) in specs.iter().enumerate() {
+            let revision = at as u64 + 2;
+            let source = Source { reader: None, as_of: revision };
+            let object = server(&format!("x{at}"), revision, value(bytes));
+            learn::take(&vm, kind, &object, &source);
+        }
+        takes_work(&vm, "r1")
+    }
+}
+
+#[test]
+fn a_request_stays_in_the_regions_of_its_route_and_its_workspace() {
+    let north = json!({"allowed_regions": ["north"]});
+    let mut site = Site::new()
+        .route("north", "idempotent", north)
+        .route("any", "idempotent", json!({}))
+        .workspace("free", &["k-free"]);
+    let south = json!({"name": "bound", "api_keys": ["k-south"], "priority": 1,
+        "allowed_regions": ["south"]});
+    site.config["tenants"].as_array_mut().unwrap().push(south);
+    let here = site.replica("r1", "v1");
+    let there = site.replica_with("r2", json!({"zone": "there"}));
+    let vms = [site.start(), site.start_in("there")];
+    site.publish();
+    are_ready(&vms);
+    let mut number = 0;
+    let mut send = |vm: &site::Vm, path: &str, key: &str| {
+        number += 1;
+        let line = format!("GET /{path}/x");
+        let key = format!("Authorization: Token {key}\r\n");
+        ask(vm.callers, &head(&line, &format!("h{number}"), &key), b"").status
+    };
+    for vm in &vms {
+        (0..5).for_each(|_| assert_eq!(send(vm, "north", "k-free"), 200));
+        assert_eq!(there.seen().len(), 0, "the route binds to the north");
+    }
+    let before = here.seen().len();
+    for vm in &vms {
+        (0..5).for_each(|_| assert_eq!(send(vm, "any", "k-south"), 200));
+    }
+    assert_eq!((here.seen().len(), there.seen().len()), (before, 10), "the workspace binds");
+    assert_eq!(send(&vms[0], "north", "k-south"), 503, "both bind, and no region is left");
+}
+
+#[test]
+fn a_cold_time_counts_from_each_word_of_it() {
+    let vm = bare_vm();
+    let bound =
+        kitepulley::decide::cold::Bound { rate: kitepulley::unit::Rate(4.0), lasts: Span::secs(3) };
+    let is_cold =
+        |at: Moment| vm.fleet.borrow().get(&"r1".parse().unwrap()).unwrap().is_cold(&bound, at);
+    take(&vm, &server("r1", 1, entry(json!({"cold_remaining_ms": 1500}))));
+    let now = vm.now();
+    assert!(is_cold(now + Span::millis(1400)) && !is_cold(now + Span::millis(1600)));
+    // It becomes cold again, and says when that is over.
+    take(&vm, &server("r1", 4, entry(json!({"cold_remaining_ms": 4000, "sequence": 2}))));
+    assert!(is_cold(now + Span::millis(3500)));
+    take(&vm, &server("r1", 5, entry(json!({"cold_remaining_ms": 0, "sequence": 3}))));
+    assert!(!is_cold(now));
+}
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -23,22 +23,18 @@
 
 mod site;
 
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use kitepulley::forward::Vm;
 use kitepulley::forward::follow::Kind;
 use kitepulley::forward::kept::Draw;
 use kitepulley::forward::learn::{self, Source};
-use kitepulley::forward::{Bounds, Settings, Vm};
 use kitepulley::platform::object::Object;
 use kitepulley::standin::platform::Switches;
 use kitepulley::standin::replica::{Act, Replica};
-use kitepulley::unit::{Millicores, Span};
-use kitepulley::vm::Clock;
-use kitepulley::watch::line::Lines;
 use serde_json::json;
 use site::way::Way;
-use site::{Site, are_ready, ask, eventually, follows, head};
+use site::{Site, are_ready, ask, bare_vm, eventually, follows, head};
 
 /// A leaving server gets nothing new after this.
 const LEAVES_WITHIN: Duration = Duration::from_secs(2);
@@ -178,42 +174,9 @@
     }
 }
 
-/// A VM without a process, which learns what it is told.
-fn vm() -> Rc<Vm> {
-    let address = "127.0.0.1:9".parse().unwrap();
-    let bounds = Bounds {
-        contact: Span::secs(3),
-        in_force: Span::secs(2),
-        leave_within: Span::secs(2),
-        empty_within: Span::secs(5),
-        key_staleness: None,
-        rollback: Span::secs(5),
-        stop_within: Span::secs(8),
-        session_gap: Span::secs(5),
-        retry_share: 0.9,
-        retry_extra: 54.0,
-        retry_window: Span::secs(10),
-        exposure: 0.15,
-    };
-    let settings = Settings {
-        vm: "vm-a".parse().unwrap(),
-        data_centre: "here".parse().unwrap(),
-        ip: "127.0.0.1".parse().unwrap(),
-        share: Millicores(250),
-        callers: address,
-        readiness: address,
-        links: None,
-        store: address,
-        metrics: None,
-        keep_confidence: 60.0,
-        bounds,
-    };
-    Rc::new(Vm::new(settings, Clock::default(), Lines::default()))
-}
-
 fn entry(name: &str, revision: u64, state: &str) -> Object {
     let spec = json!({"service": "api", "address": "127.0.0.1:9", "zone": "here", "version": "v1",
-        "capacity": 8, "state": state, "sequence": 1});
+        "capacity": 8, "state": state, "cold_remaining_ms": 0, "sequence": 1});
     let value = json!({"metadata": {"name": name, "revision": revision}, "spec": spec});
     serde_json::from_value(value).unwrap()
 }
@@ -229,7 +192,7 @@
 
 #[test]
 fn an_older_list_does_not_replace_what_is_known() {
-    let vm = vm();
+    let vm = bare_vm();
     let list = |revision: u64, entries: &[Object]| {
         learn::take_all(&vm, Kind::Servers, entries, &own(revision));
     };
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -4,18 +4,24 @@
 // Each test program uses a part of it.
 #![allow(dead_code)]
 
+use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
+use kitepulley::forward::{Bounds, Settings, Vm as Inner};
 use kitepulley::history::Sink;
 use kitepulley::standin::Running;
 use kitepulley::standin::platform::{Platform, Rates};
 use kitepulley::standin::replica::Replica;
+use kitepulley::unit::{Millicores, Span};
+use kitepulley::vm::Clock;
+use kitepulley::watch::line::Lines;
 use serde_json::{Value, json};
 
 pub mod way;
@@ -206,6 +212,7 @@
         let log = std::env::temp_dir().join(format!("{name}.log"));
         let text = json!({
             "node_name": format!("vm{number:04}"), "ip": "127.0.0.1", "zone": data_centre,
+            "zones": {"here": "north", "there": "south"},
             "listen": {"frontend": callers.to_string(), "readiness": readiness.to_string()},
             "port_range": [free().port(), 0],
             "bounds": self.bounds, "something_new": {"unknown": true},
@@ -391,3 +398,37 @@
         bytes = &bytes[size + 2..];
     }
 }
+
+/// A VM without a process, which learns what it is told.
+pub fn bare_vm() -> Rc<Inner> {
+    let address = "127.0.0.1:9".parse().unwrap();
+    let bounds = Bounds {
+        contact: Span::secs(3),
+        in_force: Span::secs(2),
+        leave_within: Span::secs(2),
+        empty_within: Span::secs(5),
+        key_staleness: None,
+        rollback: Span::secs(5),
+        stop_within: Span::secs(8),
+        session_gap: Span::secs(5),
+        retry_share: 0.9,
+        retry_extra: 54.0,
+        retry_window: Span::secs(10),
+        exposure: 0.15,
+    };
+    let settings = Settings {
+        vm: "vm-a".parse().unwrap(),
+        data_centre: "here".parse().unwrap(),
+        regions: HashMap::new(),
+        ip: "127.0.0.1".parse().unwrap(),
+        share: Millicores(250),
+        callers: address,
+        readiness: address,
+        links: None,
+        store: address,
+        metrics: None,
+        keep_confidence: 60.0,
+        bounds,
+    };
+    Rc::new(Inner::new(settings, Clock::default(), Lines::default()))
+}
