--- a/src/forward/choice.rs
+++ b/src/forward/choice.rs
@@ -9,7 +9,7 @@
 use super::kept::{self, Draw};
 use super::peer;
 use super::replica::{Phase, Replica};
-use super::server::Server;
+use super::server::{Fleet, Server};
 use super::vm::Vm;
 use crate::config::Regions;
 use crate::decide::canary;
@@ -176,6 +176,30 @@
     pub why: Why,
     /// Whether its turn at a cold server was taken when it began to wait for it.
     pub has_turn: bool,
+    /// Servers of the service that were passed over though they do not leave.
+    pub passed: Passed,
+}
+
+/// How many servers a request could not go to, and why.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Passed {
+    /// In data centres that an order empties.
+    pub emptied: usize,
+    /// Cold ones whose turn was not this VM's, or not yet.
+    pub cold: usize,
+}
+
+impl Passed {
+    fn count(fleet: &Fleet, gate: &Gate, service: &Service) -> Passed {
+        let cold = fleet.of(service).filter(|one| !gate.lets(one)).count();
+        Passed { emptied: fleet.emptied_of(service), cold }
+    }
+}
+
+impl std::fmt::Display for Passed {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "passing over {} emptied, {} cold", self.emptied, self.cold)
+    }
 }
 
 /// A turn at a cold server that a request waits for.
@@ -219,7 +243,8 @@
 impl Place {
     fn of(server: &Server, candidate: &Candidate, why: Why, has_turn: bool) -> Place {
         let Candidate { until_read, reads, .. } = *candidate;
-        Place { replica: server.replica.clone(), until_read, reads, why, has_turn }
+        let replica = server.replica.clone();
+        Place { replica, until_read, reads, why, has_turn, passed: Passed::default() }
     }
 }
 
@@ -273,7 +298,10 @@
         true => place::least_loaded(&candidates, rand::random()),
         false => place::soonest(&candidates, wish.bytes),
     };
-    at.map(|at| Place::of(servers[at], &candidates[at], why, false))
+    at.map(|at| {
+        let passed = Passed::count(&fleet, &gate, wish.service);
+        Place { passed, ..Place::of(servers[at], &candidates[at], why, false) }
+    })
 }
 
 /// Requests that this VM may have open at one server: its part of the connections that the server
--- a/src/forward/cold.rs
+++ b/src/forward/cold.rs
@@ -1,6 +1,7 @@
 //! Which cold backend servers this VM may send to, and when, as [`crate::decide::cold`] says.
 
 use std::cell::OnceCell;
+use std::collections::HashSet;
 
 use super::follow::Kind;
 use super::server::Server;
@@ -12,6 +13,18 @@
 /// among the senders by mistake adds a request a second.
 const KNOWS_VMS_AFTER: Span = Span::millis(1500);
 
+/// Counts the cold servers of each service, for the metrics page.
+pub fn count(vm: &Vm) {
+    let fleet = vm.fleet.borrow();
+    let services: HashSet<&Service> = fleet.all().map(|server| &server.replica.service).collect();
+    for service in services {
+        let gate = Gate::new(vm, service, vm.now());
+        let of_service = fleet.all().filter(|server| server.replica.service == *service);
+        let cold = of_service.filter(|server| gate.is_cold(server)).count();
+        vm.metrics.cold.with_label_values(&[service.as_str()]).set(cold as i64);
+    }
+}
+
 /// What one choice of a server needs to know of cold ones.
 pub struct Gate<'a> {
     vm: &'a Vm,
--- a/src/forward/door.rs
+++ b/src/forward/door.rs
@@ -17,6 +17,7 @@
 
 use super::call::Call;
 use super::choice;
+use super::cold;
 use super::drive::{self, Reply};
 use super::job::{Job, Record};
 use super::relay;
@@ -124,6 +125,7 @@
     serve_questions(listener, move |_: &Request| {
         let age = vm.proof_age(vm.now()).map_or(f64::INFINITY, Span::as_secs);
         vm.metrics.proof_age.set(age);
+        cold::count(&vm);
         Response::with_body(StatusCode::OK, BoxBody::new(vm.metrics.text()))
     })
     .await;
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 
 use super::call::Call;
-use super::choice::{self, Place, Sent, Why, Wish};
+use super::choice::{self, Passed, Place, Sent, Why, Wish};
 use super::replica::Replica;
 use super::vm::Vm;
 use crate::config::{Holder, Route};
@@ -154,6 +154,9 @@
         if place.why != Why::Settled {
             let _ = write!(trail, " {} ({})", place.replica.version, place.why);
         }
+        if place.passed != Passed::default() {
+            let _ = write!(trail, " {}", place.passed);
+        }
         if let Some(model) = model {
             let _ = write!(trail, " {model}");
         }
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -28,6 +28,8 @@
     pub running: IntGauge,
     /// 1 for a data centre that gets nothing new by an order.
     pub emptied: IntGaugeVec,
+    /// Backend servers that are cold, by service.
+    pub cold: IntGaugeVec,
     /// Revision of the configuration in force.
     pub revision: IntGauge,
     /// Age of the last proof that the configuration is the newest, in seconds.
@@ -49,6 +51,8 @@
         let running = IntGauge::new("kitepulley_running", "Requests in flight.");
         let emptied = Opts::new("kitepulley_emptied", "Whether an order empties a data centre.");
         let emptied = IntGaugeVec::new(emptied, &["data_centre"]);
+        let cold = Opts::new("kitepulley_cold_servers", "Backend servers that are cold.");
+        let cold = IntGaugeVec::new(cold, &["service"]);
         let revision = IntGauge::new("kitepulley_revision", "Revision in force.");
         let proof = Gauge::new("kitepulley_proof_age_seconds", "Age of the proof of freshness.");
         Metrics {
@@ -63,6 +67,7 @@
             added: register(&registry, Histogram::with_opts(added).expect("a well formed name")),
             running: register(&registry, running.expect("the name is well formed")),
             emptied: register(&registry, emptied.expect("the name is well formed")),
+            cold: register(&registry, cold.expect("the name is well formed")),
             revision: register(&registry, revision.expect("the name is well formed")),
             proof_age: register(&registry, proof.expect("the name is well formed")),
             registry,
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -216,6 +216,16 @@
         was_emptied
     }
 
+    /// How many servers of a service would take work if no order emptied their data centre.
+    pub fn emptied_of(&self, service: &Service) -> usize {
+        if self.emptied.is_empty() {
+            return 0;
+        }
+        let of_service = self.servers.values().filter(|one| one.replica.service == *service);
+        let emptied = |one: &&Server| self.emptied.contains(&one.replica.data_centre);
+        of_service.filter(|server| server.takes_work()).filter(emptied).count()
+    }
+
     /// The servers of a service that take work: those that do not leave, where no order forbids it.
     pub fn of<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = &'a Server> {
         let of_service = self.servers.values().filter(move |one| one.replica.service == *service);
@@ -238,6 +248,11 @@
         self.servers.is_empty()
     }
 
+    /// All servers.
+    pub fn all_mut(&mut self) -> impl Iterator<Item = &mut Server> {
+        self.servers.values_mut()
+    }
+
     /// All servers.
     pub fn all(&self) -> impl Iterator<Item = &Server> {
         self.servers.values()
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -124,6 +124,11 @@
     assert!(asked.elapsed() < Duration::from_secs(2), "{:?}", asked.elapsed());
     assert_eq!(cold.seen().len() + warm.seen().len(), 40);
     assert!(most_seen_in_a_second(&cold, begun) <= 4);
+    assert_eq!(vm.counter(&["kitepulley_cold_servers{", "api"]), 1.0);
+    let passed = |line: &serde_json::Value| {
+        line["trail"].as_str().is_some_and(|trail| trail.contains("passing over 0 emptied, 1 cold"))
+    };
+    eventually("the log tells why it got none", || vm.lines().iter().any(passed));
     // Warm again, it gets its part.
     let before = cold.seen().len();
     site.list("r1", "v1", "ready", cold.address);
