The choice of a server in three files; one hash that all VMs work out alike

`forward/choice.rs` had 436 lines and three jobs: which version, what of a prompt a server holds, which server. The hash stood twice, in the choice and in the cold servers' senders; it is `unit::hash` now, so that decisions need nothing of `forward` for it. No change of behaviour.

--- a/src/decide/cold.rs
+++ b/src/decide/cold.rs
@@ -4,8 +4,6 @@
 //! queue draws every VM at the same moment, and an even part for each of hundreds of VMs is less than one request a
 //! second, which all may send at once. So a few VMs, which all work out alike, may send to it, each in turns.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
-
 use crate::unit::{Moment, Rate, Span};
 
 /// Turns of one VM are so much further apart than a second: an answer, or a connection that opens slowly, moves the
@@ -43,14 +41,7 @@
     }
 }
 
-/// A name as a number, the same on all VMs.
-pub fn number(name: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    name.hash(&mut hasher);
-    hasher.finish()
-}
-
-/// Whether a VM is among the senders to a server, given the numbers of their names: those with the highest weights for
+/// Whether a VM is among the senders to a server, given the hashes of their names: those with the highest weights for
 /// that server. VMs that do not know of each other differ in few servers.
 pub fn is_sender(part: &Part, server: u64, own: u64, others: &[u64]) -> bool {
     let own = weight(server, own);
--- a/src/forward/choice.rs
+++ b/src/forward/choice/mod.rs
@@ -1,21 +1,24 @@
 //! Which version and which backend server a request goes to, with the VM's knowledge as input.
 
-use std::collections::hash_map::DefaultHasher;
-use std::hash::{Hash, Hasher};
+mod prompt;
+mod version;
+
 use std::rc::Rc;
 
 use super::call::Call;
 use super::cold::Gate;
-use super::kept::{self, Draw};
 use super::peer;
 use super::replica::{Phase, Replica};
 use super::server::{Fleet, Server};
 use super::vm::Vm;
 use crate::config::Regions;
-use crate::decide::canary;
 use crate::decide::limit;
 use crate::decide::place::{self, Candidate};
-use crate::unit::{Model, Moment, Server as Id, Service, Span, Version};
+use crate::unit::{Model, Moment, Server as Id, Service, Span};
+
+use prompt::Prompt;
+pub use version::{Versions, Why};
+use version::{busy, versions};
 
 /// What a request wants of its server.
 pub struct Wish<'a> {
@@ -33,17 +36,6 @@
     pub tried: &'a [Replica],
 }
 
-/// Versions that a request may be sent to.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Versions {
-    /// This one only.
-    Only(Version),
-    /// All but this one.
-    Except(Version),
-    /// Any.
-    Any,
-}
-
 impl Wish<'_> {
     /// Whether this life of a server was tried before.
     fn has_tried(&self, replica: &Replica) -> bool {
@@ -57,112 +49,6 @@
     }
 }
 
-impl Versions {
-    fn allow(&self, version: &Version) -> bool {
-        match self {
-            Versions::Only(only) => version == only,
-            Versions::Except(not) => version != not,
-            Versions::Any => true,
-        }
-    }
-}
-
-/// A hash that all VMs work out alike, whatever their build.
-pub fn stable_hash(parts: &[&str]) -> u64 {
-    // `DefaultHasher::new` has fixed keys.
-    let mut hasher = DefaultHasher::new();
-    for part in parts {
-        part.hash(&mut hasher);
-    }
-    hasher.finish()
-}
-
-/// A text that stands for another one in logs.
-pub fn short_hash(text: &str) -> String {
-    format!("{:08x}", stable_hash(&[text]) >> 32)
-}
-
-/// A point from 0 to 1 that follows from a hash.
-pub fn point(hash: u64) -> f64 {
-    (hash >> 11) as f64 / (1u64 << 53) as f64
-}
-
-/// Why a request goes to a version.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Why {
-    /// No trial runs.
-    Settled,
-    /// This VM found the new version bad.
-    Bad,
-    /// Its session was sent there before.
-    Kept,
-    /// Another VM had sent its session there.
-    Heard,
-    /// Its point, from 0 to 1, lies below the new version's share, or not.
-    Drawn {
-        /// The point.
-        point: f64,
-        /// The share.
-        share: f64,
-        /// Whether this VM had sent its session to a version before.
-        known: bool,
-    },
-    /// The version that it should go to has no server that takes it.
-    Elsewhere,
-}
-
-impl std::fmt::Display for Why {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Why::Settled => f.write_str("settled"),
-            Why::Bad => f.write_str("bad"),
-            Why::Kept => f.write_str("kept"),
-            Why::Heard => f.write_str("kept, as another VM said"),
-            Why::Drawn { point, share, known } => {
-                write!(f, "drawn {point:.3} of {share:.3}{}", if *known { " again" } else { "" })
-            }
-            Why::Elsewhere => f.write_str("no server of its version"),
-        }
-    }
-}
-
-/// The versions of a service that a request may be sent to now, and why these.
-pub fn versions(vm: &Vm, service: &Service, call: &Call, now: Moment) -> (Versions, Why) {
-    let rollouts = vm.rollouts.borrow();
-    let Some(rollout) = rollouts.get(service) else {
-        let usual = vm.fleet.borrow().usual(service).cloned();
-        return (usual.map_or(Versions::Any, Versions::Only), Why::Settled);
-    };
-    let old = Versions::Except(rollout.version.clone());
-    let new = Versions::Only(rollout.version.clone());
-    match rollout.phase {
-        None | Some(Phase::RolledBack) => (old, Why::Settled),
-        Some(Phase::Completed) => (new, Why::Settled),
-        Some(Phase::Running { share }) => {
-            let trials = vm.trials.borrow();
-            let trial = trials.get(service);
-            if trial.is_some_and(|trial| trial.is_bad()) {
-                return (old, Why::Bad);
-            }
-            let gap = vm.settings.bounds.session_gap;
-            let name = call.session.as_deref().unwrap_or(&call.id);
-            let sessions = vm.sessions.borrow();
-            let last = call.session.as_deref().and_then(|one| sessions.version(one, gap, now));
-            let is_young = kept::is_young(vm, rollout, now);
-            let draw = Draw::new(service, &rollout.version, name);
-            let point = draw.point();
-            let drawn = Why::Drawn { point, share, known: last.is_some() };
-            match last {
-                Some(last) if *last == rollout.version => (new, Why::Kept),
-                Some(_) if is_young => (old, Why::Kept),
-                None if is_young && vm.kept.borrow().has(draw, gap, now) => (old, Why::Heard),
-                _ if point < share => (new, drawn),
-                _ => (old, drawn),
-            }
-        }
-    }
-}
-
 /// The server for a request.
 #[derive(Clone, Debug)]
 pub struct Place {
@@ -312,73 +198,6 @@
     declared.map_or(u32::MAX, |all| limit::even_part(all, vms))
 }
 
-/// The servers of a version under trial that share its requests, the same on all VMs; none if all
-/// of them do.
-fn busy<'a>(
-    vm: &Vm,
-    service: &Service,
-    versions: &Versions,
-    servers: impl Iterator<Item = &'a Server>,
-) -> Option<Vec<Id>> {
-    let rollouts = vm.rollouts.borrow();
-    let rollout = rollouts.get(service)?;
-    let Some(Phase::Running { share }) = rollout.phase else { return None };
-    if *versions != Versions::Only(rollout.version.clone()) || share >= 1.0 {
-        return None;
-    }
-    let mut ranked: Vec<(u64, Id)> = servers
-        .map(|server| server.replica.id.clone())
-        .map(|id| (stable_hash(&[service.as_str(), id.as_str()]), id))
-        .collect();
-    ranked.sort();
-    ranked.truncate(canary::busy_servers(share, ranked.len()));
-    Some(ranked.into_iter().map(|(_, id)| id).collect())
-}
-
-/// The parts of a prompt, and where the shared ones are thought to be.
-pub struct Prompt {
-    parts: Vec<Part>,
-    /// The server where requests that share the last shared part go first.
-    home: Option<Id>,
-}
-
-/// One part of a prompt.
-struct Part {
-    /// Hash of the part with the model, since models share nothing.
-    hash: u64,
-    tokens: u64,
-}
-
-impl Prompt {
-    fn new(wish: &Wish, servers: &[&Server]) -> Prompt {
-        let parts = parts(wish.call, wish.model);
-        let Some(shared) = parts.len().checked_sub(2) else { return Prompt { parts, home: None } };
-        let name = parts[shared].hash.to_string();
-        let rank = |server: &&&Server| stable_hash(&[&name, server.replica.id.as_str()]);
-        let home = servers.iter().max_by_key(rank).map(|server| server.replica.id.clone());
-        Prompt { parts, home }
-    }
-
-    /// Tokens that a server would have to read: parts from the first that it does not hold.
-    pub fn unread(&self, server: &Server, now: Moment) -> u64 {
-        let at_home = self.home.as_ref() == Some(&server.replica.id);
-        let last = self.parts.len().saturating_sub(1);
-        let held = |at: usize, part: &Part| (at_home && at < last) || server.holds(part.hash, now);
-        let first = self.parts.iter().enumerate().position(|(at, part)| !held(at, part));
-        let from = first.unwrap_or(self.parts.len());
-        self.parts[from..].iter().map(|part| part.tokens).sum()
-    }
-}
-
-fn parts(call: &Call, model: Option<&Model>) -> Vec<Part> {
-    let model = model.map_or("", |model| model.as_str());
-    let part = |part: &super::call::PromptPart| Part {
-        hash: stable_hash(&[&part.id, model]),
-        tokens: part.tokens,
-    };
-    call.prompt.iter().map(part).collect()
-}
-
 /// What is expected of a request that was sent.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Sent {
@@ -409,16 +228,14 @@
     if call.prompt.is_empty() {
         return Sent { load, ..Sent::default() };
     }
-    let prompt = Prompt { parts: parts(call, model), home: None };
+    let prompt = Prompt::sent(call, model);
     let unread = prompt.unread(server, now);
-    let tokens = prompt.parts.iter().map(|part| part.tokens).sum();
+    let tokens = prompt.tokens();
     let reads = vm.reading(model, unread);
     let waits = server.backlog.left(now);
     let expected = Some(Span(server.backlog.usual(now).0 + reads.0));
     server.backlog.add(reads, now);
-    for part in prompt.parts {
-        server.hold(part.hash, now);
-    }
+    prompt.hashes().for_each(|part| server.hold(part, now));
     drop(fleet);
     peer::tell_work(vm, &replica.id, reads);
     Sent { prompt: tokens, unread, waits, reads, load, expected }
--- /dev/null
+++ b/src/forward/choice/version.rs
@@ -0,0 +1,130 @@
+//! Which version of a service a request goes to, and which servers of one under trial share its requests.
+
+use crate::decide::canary;
+use crate::forward::call::Call;
+use crate::forward::kept::{self, Draw};
+use crate::forward::replica::Phase;
+use crate::forward::server::Server;
+use crate::forward::vm::Vm;
+use crate::unit::{Moment, Server as Id, Service, Version, hash};
+
+/// Versions that a request may be sent to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Versions {
+    /// This one only.
+    Only(Version),
+    /// All but this one.
+    Except(Version),
+    /// Any.
+    Any,
+}
+
+impl Versions {
+    /// Whether a version is among them.
+    pub fn allow(&self, version: &Version) -> bool {
+        match self {
+            Versions::Only(only) => version == only,
+            Versions::Except(not) => version != not,
+            Versions::Any => true,
+        }
+    }
+}
+
+/// Why a request goes to a version.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Why {
+    /// No trial runs.
+    Settled,
+    /// This VM found the new version bad.
+    Bad,
+    /// Its session was sent there before.
+    Kept,
+    /// Another VM had sent its session there.
+    Heard,
+    /// Its point, from 0 to 1, lies below the new version's share, or not.
+    Drawn {
+        /// The point.
+        point: f64,
+        /// The share.
+        share: f64,
+        /// Whether this VM had sent its session to a version before.
+        known: bool,
+    },
+    /// The version that it should go to has no server that takes it.
+    Elsewhere,
+}
+
+impl std::fmt::Display for Why {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Why::Settled => f.write_str("settled"),
+            Why::Bad => f.write_str("bad"),
+            Why::Kept => f.write_str("kept"),
+            Why::Heard => f.write_str("kept, as another VM said"),
+            Why::Drawn { point, share, known } => {
+                write!(f, "drawn {point:.3} of {share:.3}{}", if *known { " again" } else { "" })
+            }
+            Why::Elsewhere => f.write_str("no server of its version"),
+        }
+    }
+}
+
+/// The versions of a service that a request may be sent to now, and why these.
+pub fn versions(vm: &Vm, service: &Service, call: &Call, now: Moment) -> (Versions, Why) {
+    let rollouts = vm.rollouts.borrow();
+    let Some(rollout) = rollouts.get(service) else {
+        let usual = vm.fleet.borrow().usual(service).cloned();
+        return (usual.map_or(Versions::Any, Versions::Only), Why::Settled);
+    };
+    let old = Versions::Except(rollout.version.clone());
+    let new = Versions::Only(rollout.version.clone());
+    match rollout.phase {
+        None | Some(Phase::RolledBack) => (old, Why::Settled),
+        Some(Phase::Completed) => (new, Why::Settled),
+        Some(Phase::Running { share }) => {
+            let trials = vm.trials.borrow();
+            let trial = trials.get(service);
+            if trial.is_some_and(|trial| trial.is_bad()) {
+                return (old, Why::Bad);
+            }
+            let gap = vm.settings.bounds.session_gap;
+            let name = call.session.as_deref().unwrap_or(&call.id);
+            let sessions = vm.sessions.borrow();
+            let last = call.session.as_deref().and_then(|one| sessions.version(one, gap, now));
+            let is_young = kept::is_young(vm, rollout, now);
+            let draw = Draw::new(service, &rollout.version, name);
+            let point = draw.point();
+            let drawn = Why::Drawn { point, share, known: last.is_some() };
+            match last {
+                Some(last) if *last == rollout.version => (new, Why::Kept),
+                Some(_) if is_young => (old, Why::Kept),
+                None if is_young && vm.kept.borrow().has(draw, gap, now) => (old, Why::Heard),
+                _ if point < share => (new, drawn),
+                _ => (old, drawn),
+            }
+        }
+    }
+}
+
+/// The servers of a version under trial that share its requests, the same on all VMs; none if all
+/// of them do.
+pub fn busy<'a>(
+    vm: &Vm,
+    service: &Service,
+    versions: &Versions,
+    servers: impl Iterator<Item = &'a Server>,
+) -> Option<Vec<Id>> {
+    let rollouts = vm.rollouts.borrow();
+    let rollout = rollouts.get(service)?;
+    let Some(Phase::Running { share }) = rollout.phase else { return None };
+    if *versions != Versions::Only(rollout.version.clone()) || share >= 1.0 {
+        return None;
+    }
+    let mut ranked: Vec<(u64, Id)> = servers
+        .map(|server| server.replica.id.clone())
+        .map(|id| (hash::stable(&[service.as_str(), id.as_str()]), id))
+        .collect();
+    ranked.sort();
+    ranked.truncate(canary::busy_servers(share, ranked.len()));
+    Some(ranked.into_iter().map(|(_, id)| id).collect())
+}
--- a/src/forward/cold.rs
+++ b/src/forward/cold.rs
@@ -7,7 +7,7 @@
 use super::server::Server;
 use super::vm::Vm;
 use crate::decide::cold::{self, Bound, Part};
-use crate::unit::{Moment, Service, Span};
+use crate::unit::{Moment, Service, Span, hash};
 
 /// A VM that has just started does not know all others yet, and sends nothing to cold servers: each VM that counts itself
 /// among the senders by mistake adds a request a second.
@@ -60,7 +60,7 @@
     /// When this VM may send to a cold server next; none if that is for others to do.
     pub fn turn(&self, server: &Server) -> Option<Moment> {
         let senders = self.senders()?;
-        let number = cold::number(server.replica.id.as_str());
+        let number = hash::stable(&[server.replica.id.as_str()]);
         let is_sender = cold::is_sender(&senders.part, number, senders.own, &senders.others);
         is_sender.then(|| server.turns.next(self.now))
     }
@@ -93,8 +93,8 @@
             return None;
         }
         let peers = vm.peers.borrow();
-        let others: Vec<u64> = peers.names().map(|name| cold::number(name.as_str())).collect();
-        let own = cold::number(vm.settings.vm.as_str());
+        let others: Vec<u64> = peers.names().map(|name| hash::stable(&[name.as_str()])).collect();
+        let own = hash::stable(&[vm.settings.vm.as_str()]);
         Some(Senders { part: Part::new(&bound, others.len() + 1), own, others })
     }
 }
--- a/src/forward/door.rs
+++ b/src/forward/door.rs
@@ -16,7 +16,6 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use super::call::Call;
-use super::choice;
 use super::cold;
 use super::drive::{self, Reply};
 use super::job::{Job, Record};
@@ -26,7 +25,7 @@
 use crate::entry::refusal::{Kind, Refusal};
 use crate::error::Error;
 use crate::platform::header;
-use crate::unit::Span;
+use crate::unit::{Span, hash};
 
 /// Connections that may wait to be taken; a burst of callers must fit.
 const BACKLOG: u32 = 4096;
@@ -174,7 +173,7 @@
     let mut response = match admitted {
         Ok(Admitted { route, holder, body }) => {
             let deadline = arrived + call.patience.min(route.timeout);
-            let weight = choice::point(choice::stable_hash(&[call.id.as_str()]));
+            let weight = hash::point(hash::stable(&[call.id.as_str()]));
             match route.service(weight).cloned() {
                 Some(service) => {
                     let head = request.head().clone();
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -16,7 +16,7 @@
 use crate::decide::ends::End;
 use crate::decide::escalate;
 use crate::decide::rank;
-use crate::unit::{Model, Moment, Service, Span, Version};
+use crate::unit::{Model, Moment, Service, Span, Version, hash};
 
 /// A request that was admitted.
 pub struct Job {
@@ -228,7 +228,7 @@
         self.note_session(vm.now());
         let took = vm.now().since(self.arrived);
         // A hash tells sessions apart and names nobody.
-        let session = self.session.as_deref().map(choice::short_hash).unwrap_or_default();
+        let session = self.session.as_deref().map(hash::short).unwrap_or_default();
         vm.log(
             "request",
             &[
--- a/src/forward/kept.rs
+++ b/src/forward/kept.rs
@@ -8,12 +8,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::choice;
 use super::peer::{self, Word};
 use super::replica::Rollout;
 use super::vm::Vm;
 use crate::decide::canary;
-use crate::unit::{Moment, Service, Span, Version};
+use crate::unit::{Moment, Service, Span, Version, hash};
 
 /// Time between two looks. The first sessions go to a new version a second after the order at the earliest.
 const LOOK: Duration = Duration::from_millis(200);
@@ -31,12 +30,12 @@
 impl Draw {
     /// The draw of a name.
     pub fn new(service: &Service, version: &Version, name: &str) -> Draw {
-        Draw(choice::stable_hash(&[service.as_str(), version.as_str(), name]))
+        Draw(hash::stable(&[service.as_str(), version.as_str(), name]))
     }
 
     /// It as a point from 0 to 1.
     pub fn point(self) -> f64 {
-        choice::point(self.0)
+        hash::point(self.0)
     }
 }
 
--- a/src/forward/waits.rs
+++ b/src/forward/waits.rs
@@ -15,8 +15,7 @@
 use super::server::Server;
 use super::tally::Source;
 use super::vm::Vm;
-use crate::decide::cold::number;
-use crate::unit::{Moment, Server as Id, Span};
+use crate::unit::{Moment, Server as Id, Span, hash};
 
 /// Prompts that are read sooner than this are done before they are told.
 const WORTH_TELLING: Span = Span::millis(50);
@@ -67,7 +66,7 @@
 }
 
 fn short(id: &Id) -> u32 {
-    number(id.as_str()) as u32
+    hash::stable(&[id.as_str()]) as u32
 }
 
 /// What this VM waits for itself.
--- a/src/unit/mod.rs
+++ b/src/unit/mod.rs
@@ -1,5 +1,6 @@
 //! Units and identifiers: every quantity and name has a type of its own.
 
+pub mod hash;
 mod id;
 mod quantity;
 mod time;
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -4,14 +4,18 @@
 
 use std::time::{Duration, Instant};
 
-use kitepulley::decide::cold::{Bound, Part, Turns, is_sender, number};
-use kitepulley::unit::{Moment, Rate, Span};
+use kitepulley::decide::cold::{Bound, Part, Turns, is_sender};
+use kitepulley::unit::{Moment, Rate, Span, hash};
 use quickcheck::quickcheck;
 use serde_json::json;
 use site::{Site, are_ready, ask, eventually, head};
 
 const SECOND: Span = Span::secs(1);
 
+fn number(name: &str) -> u64 {
+    hash::stable(&[name])
+}
+
 fn bound(rate: f64) -> Bound {
     Bound { rate: Rate(rate), lasts: Span::secs(3) }
 }
