The sum of queues is made ten times a second, not at each question

Change: a sum is told for 0.1 s; a server's hash is worked out once; few VMs, which tell each other at once, neither ask nor answer with sums.

--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -11,7 +11,7 @@
 use crate::decide::backlog::Backlog;
 use crate::decide::cold::{Bound, Turns};
 use crate::decide::outlier::Record;
-use crate::unit::{DataCentre, Moment, Server as Id, Service, Span, Version};
+use crate::unit::{DataCentre, Moment, Server as Id, Service, Span, Version, hash};
 
 /// A told load counts for this long; then only what this VM has open there does.
 const TOLD_FOR: Span = Span::secs(4);
@@ -38,6 +38,8 @@
 pub struct Server {
     /// Its entry.
     pub replica: Replica,
+    /// Hash of its id, by which VMs tell each other of its queue.
+    pub hash: u32,
     /// Requests that this VM has open there.
     pub open: u32,
     /// What this VM has met there.
@@ -65,6 +67,7 @@
 impl Server {
     fn new(replica: Replica) -> Server {
         Server {
+            hash: hash::stable(&[replica.id.as_str()]) as u32,
             replica,
             open: 0,
             record: Record::default(),
--- a/src/forward/waits.rs
+++ b/src/forward/waits.rs
@@ -15,7 +15,7 @@
 use super::server::Server;
 use super::tally::Source;
 use super::vm::Vm;
-use crate::unit::{Moment, Server as Id, Span, hash};
+use crate::unit::{Moment, Span};
 
 /// Prompts that are read sooner than this are done before they are told.
 const WORTH_TELLING: Span = Span::millis(50);
@@ -23,6 +23,10 @@
 /// What a VM told counts for so long; it tells anew every 0.35 s.
 const COUNTS_FOR: Span = Span::millis(1000);
 
+/// A sum is told for so long: the VM that reads for 300 others is asked 220 times a second, and each sum goes over all
+/// its servers, 3,000 of them.
+const SUMMED_FOR: Span = Span::millis(100);
+
 /// Servers told at once, those with the longest queues first: 1.2 KB.
 const MOST: usize = 200;
 
@@ -41,6 +45,8 @@
     told: HashMap<Source, (Moment, Vec<Wait>)>,
     /// The sum of all, as the VM that this one follows told it.
     of_all: Vec<Wait>,
+    /// What those that follow this VM are told, and when it was summed up.
+    summed: Option<(Moment, Vec<Wait>)>,
 }
 
 impl Waits {
@@ -65,14 +71,10 @@
     }
 }
 
-fn short(id: &Id) -> u32 {
-    hash::stable(&[id.as_str()]) as u32
-}
-
 /// What this VM waits for itself.
 fn own(vm: &Vm) -> HashMap<u32, u64> {
     let fleet = vm.fleet.borrow();
-    let waits = |server: &Server| (short(&server.replica.id), server.backlog.own().0 / 1000);
+    let waits = |server: &Server| (server.hash, server.backlog.own().0 / 1000);
     fleet.all().map(waits).filter(|(_, ms)| *ms > 0).collect()
 }
 
@@ -93,8 +95,12 @@
 
 /// What the VM that this one follows should know: of this VM, or of its group, if it is the `first`.
 pub fn told(vm: &Vm, first: bool) -> (Source, Vec<Wait>) {
+    let alone = Source::Vm(vm.settings.vm.clone());
+    if vm.peers.borrow().are_few() {
+        return (alone, Vec::new());
+    }
     if !first {
-        return (Source::Vm(vm.settings.vm.clone()), longest(own(vm)));
+        return (alone, longest(own(vm)));
     }
     (Source::Group(vm.settings.data_centre.clone()), longest(with_own(vm, false)))
 }
@@ -105,9 +111,23 @@
     sums
 }
 
-/// What waits at all servers, for those that follow this VM: the sum that was told, or what this VM knows of its own
-/// group and others, whichever is more.
+/// What waits at all servers, for those that follow this VM.
 pub fn of_all(vm: &Vm) -> Vec<Wait> {
+    if vm.peers.borrow().are_few() {
+        return Vec::new();
+    }
+    let now = vm.now();
+    let summed = vm.waits.borrow().summed.clone();
+    if let Some((_, waits)) = summed.filter(|(at, _)| now.since(*at) < SUMMED_FOR) {
+        return waits;
+    }
+    let waits = sum_all(vm);
+    vm.waits.borrow_mut().summed = Some((now, waits.clone()));
+    waits
+}
+
+/// The sum that was told, or what this VM knows of its own group and others, whichever is more.
+fn sum_all(vm: &Vm) -> Vec<Wait> {
     let mut sums = with_own(vm, true);
     for one in &vm.waits.borrow().of_all {
         let known = sums.entry(one.server).or_default();
@@ -123,7 +143,7 @@
     let waits: HashMap<u32, u64> =
         waits.iter().map(|one| (one.server, u64::from(one.ms))).collect();
     for server in vm.fleet.borrow_mut().all_mut() {
-        let all = waits.get(&short(&server.replica.id)).copied().unwrap_or_default();
+        let all = waits.get(&server.hash).copied().unwrap_or_default();
         let own = server.backlog.own().0;
         server.backlog.hear(Span((all * 1000).saturating_sub(own)), now);
     }
