--- a/src/decide/backlog.rs
+++ b/src/decide/backlog.rs
@@ -13,9 +13,6 @@
     at: Moment,
     /// Reading of prompts that this VM sent and of which it has no first event.
     own: Span,
-    /// Reading of prompts of other VMs, as they said last, and when.
-    others: Span,
-    heard: Moment,
 }
 
 impl Backlog {
@@ -35,26 +32,9 @@
         self.own = Span(self.own.0.saturating_sub(work.0));
     }
 
-    /// Reading of prompts that this VM sent and of which it has no first event.
-    pub fn own(&self) -> Span {
-        self.own
-    }
-
-    /// Other VMs wait for so much.
-    pub fn hear(&mut self, others: Span, now: Moment) {
-        self.others = others;
-        self.heard = now;
-    }
-
     /// What is left of it.
     pub fn left(&self, now: Moment) -> Span {
-        let own = (self.own.0 as f64 * SURE) as u64;
-        self.usual(now).max(Span(own + self.others(now).0))
-    }
-
-    /// What is left of other VMs' prompts, as they said last.
-    fn others(&self, now: Moment) -> Span {
-        Span(self.others.0.saturating_sub(now.since(self.heard).0))
+        self.usual(now).max(Span((self.own.0 as f64 * SURE) as u64))
     }
 
     /// What would be left of it if the server had done its work at the usual pace, and none was its own
--- a/src/forward/feed.rs
+++ b/src/forward/feed.rs
@@ -12,7 +12,6 @@
 use super::follow::Kind;
 use super::pack::Packed;
 use super::tally;
-use super::waits::Wait;
 use crate::platform::object::Object;
 use crate::unit::{Moment, Span, Vm};
 
@@ -101,8 +100,6 @@
     pub readings: Vec<Told>,
     /// What it makes of versions that are rolled out.
     pub verdicts: Vec<tally::Told>,
-    /// What waits at backend servers.
-    pub waits: Vec<Wait>,
 }
 
 impl News {
@@ -123,8 +120,6 @@
     pub proof_age: Option<Span>,
     /// What it makes of versions that are rolled out.
     pub verdicts: Vec<tally::Told>,
-    /// What waits at backend servers.
-    pub waits: Vec<Wait>,
 }
 
 /// The objects that a VM knows, and their last changes.
@@ -216,7 +211,6 @@
             proof_age: stand.proof_age,
             readings: self.told(now),
             verdicts: stand.verdicts,
-            waits: stand.waits,
         }
     }
 
--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -13,7 +13,6 @@
 use super::tally::{self, Seen, Tally};
 use super::trial::Trials;
 use super::vm::Vm;
-use super::waits;
 use crate::decide::reader::{
     self as decide, ASK_EVERY, ASK_SOON, Asked, FIRST_ANSWER_WITHIN, Rank, SETTLED, Without,
     YOUNG_FOR, may_be_taken, time_to_ask,
@@ -240,9 +239,6 @@
             vm.hear_store(news.store, asked);
         }
         tally::hear_verdicts(&vm, &news.verdicts);
-        if !vm.peers.borrow().are_few() {
-            waits::hear_all(&vm, &news.waits);
-        }
         apply(&vm, asked, from, news, &changes);
         let age = news.reading(Kind::Servers).map(|told| told.age);
         self.known = self.known.max(dated(asked, age));
@@ -263,9 +259,6 @@
     fn go_without(&mut self, is_told: bool, circle: &Circle) -> bool {
         let vm = &self.vm;
         if vm.reads() {
-            if !vm.peers.borrow().are_few() {
-                waits::take_own_sum(vm);
-            }
             return !vm.doubts_store.get();
         }
         self.note_place(circle);
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -34,7 +34,6 @@
 pub mod tally;
 pub mod trial;
 mod vm;
-pub mod waits;
 
 pub use run::run;
 pub use settings::{Bounds, Settings};
--- a/src/forward/reader.rs
+++ b/src/forward/reader.rs
@@ -11,9 +11,8 @@
 use super::feed::{News, Origin, Place, Stand, Store};
 use super::follow::Kind;
 use super::peer;
-use super::tally::{self, Seen, Source};
+use super::tally::{self, Seen};
 use super::vm::Vm;
-use super::waits::{self, Wait};
 use crate::decide::reader::is_stale;
 use crate::peer::wire::{decode, encode};
 use crate::unit::{Span, Vm as Name};
@@ -46,8 +45,6 @@
     place: Place,
     /// What it has seen of versions that are rolled out, as far as this is news.
     seen: Vec<Seen>,
-    /// What waits at backend servers, as this source knows it.
-    waits: (Source, Vec<Wait>),
 }
 
 /// What came of a question.
@@ -63,9 +60,7 @@
 /// Asks the VM at `to` for what changed since `place`, and tells it what was `seen` of versions.
 pub async fn ask(vm: &Vm, to: SocketAddr, place: Place, seen: &[Seen], within: Span) -> Reply {
     let Some(links) = vm.peers.borrow().links() else { return Reply::Silence };
-    let waits = waits::told(vm, vm.first_since.get().is_some());
-    let from = vm.settings.vm.clone();
-    let question = encode(&Question { from, place, seen: seen.to_vec(), waits });
+    let question = encode(&Question { from: vm.settings.vm.clone(), place, seen: seen.to_vec() });
     let answer = tokio::time::timeout(within.duration(), links.call(to, question)).await;
     match answer.ok().flatten().and_then(|bytes| decode::<Result<News, Decline>>(&bytes)) {
         Some(Ok(news)) => Reply::News(Box::new(news)),
@@ -93,14 +88,12 @@
 
 /// What a VM that asks is told; the reason if this one knows nothing, or what it knows is too old.
 pub fn answer(vm: &Vm, question: &[u8]) -> Vec<u8> {
-    let Some(Question { from, place, seen, waits }) = decode::<Question>(question) else {
+    let Some(Question { from, place, seen }) = decode::<Question>(question) else {
         vm.log("question of a peer not read", &[("bytes", question.len().into())]);
         return encode(&Err::<News, Decline>(Decline::Unreadable));
     };
     peer::heard(vm, &from);
     tally::hear(vm, seen);
-    let (source, waits) = waits;
-    vm.waits.borrow_mut().hear(source, waits, vm.now());
     let news = news(vm, place);
     tell_decline(vm, news.as_ref().err().copied());
     encode(&news)
@@ -142,8 +135,7 @@
     let proof_age = vm.proof_age(now);
     let verdicts = tally::verdicts(vm);
     let store = store(vm, check_ages(vm, proof_age))?;
-    let waits = waits::of_all(vm);
-    let stand = Stand { origin: origin(vm), store, proof_age, verdicts, waits };
+    let stand = Stand { origin: origin(vm), store, proof_age, verdicts };
     Ok(vm.feed.borrow().since(place, stand, now))
 }
 
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -11,7 +11,7 @@
 use crate::decide::backlog::Backlog;
 use crate::decide::cold::{Bound, Turns};
 use crate::decide::outlier::Record;
-use crate::unit::{DataCentre, Moment, Server as Id, Service, Span, Version, hash};
+use crate::unit::{DataCentre, Moment, Server as Id, Service, Span, Version};
 
 /// A told load counts for this long; then only what this VM has open there does.
 const TOLD_FOR: Span = Span::secs(4);
@@ -38,8 +38,6 @@
 pub struct Server {
     /// Its entry.
     pub replica: Replica,
-    /// Hash of its id, by which VMs tell each other of its queue.
-    pub hash: u32,
     /// Requests that this VM has open there.
     pub open: u32,
     /// What this VM has met there.
@@ -67,7 +65,6 @@
 impl Server {
     fn new(replica: Replica) -> Server {
         Server {
-            hash: hash::stable(&[replica.id.as_str()]) as u32,
             replica,
             open: 0,
             record: Record::default(),
@@ -251,11 +248,6 @@
         self.servers.is_empty()
     }
 
-    /// All servers.
-    pub fn all_mut(&mut self) -> impl Iterator<Item = &mut Server> {
-        self.servers.values_mut()
-    }
-
     /// All servers.
     pub fn all(&self) -> impl Iterator<Item = &Server> {
         self.servers.values()
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -18,7 +18,6 @@
 use super::session::Sessions;
 use super::settings::Settings;
 use super::trial::Trials;
-use super::waits::Waits;
 use crate::config::Table;
 use crate::decide::budget::Budget;
 use crate::decide::limit;
@@ -59,8 +58,6 @@
     pub fleet: RefCell<Fleet>,
     /// Roll-outs by service.
     pub rollouts: RefCell<HashMap<Service, Rollout>>,
-    /// What waits at backend servers, as others say.
-    pub waits: RefCell<Waits>,
     /// What was seen of roll-outs.
     pub trials: RefCell<HashMap<Service, Trials>>,
     /// Sessions seen of late.
@@ -131,7 +128,6 @@
             known: RefCell::default(),
             fleet: RefCell::default(),
             rollouts: RefCell::default(),
-            waits: RefCell::default(),
             trials: RefCell::default(),
             sessions: RefCell::default(),
             kept: RefCell::default(),
