--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -177,12 +177,6 @@
         return;
     }
     let _ = tokio::time::timeout(RETURN_WITHIN, regained.changed()).await;
-    yield_to_first(vm).await;
-}
-
-/// Leaves the first of its group time to have news of a store that is back, unless this VM is the first: then it may
-/// follow that one, and needs no calls of its own.
-pub async fn yield_to_first(vm: &Vm) {
     if vm.first_since.get().is_none() {
         let mut role = vm.role.subscribe();
         let _ = tokio::time::timeout(YIELDS_FOR, role.wait_for(|role| *role != Role::Reads)).await;
