Tidied after reading the whole change: one mixing of two numbers for ranks, one list of servers that stay

`decide::cold` had a second copy of the mixing that `decide::replica` ranks replicas by; both call `unit::hash::mix`. Which VMs send to which cold server changes with it, how many and how fast does not. `Fleet::of` and `Fleet::emptied_of` filter one list of the servers that do not leave.

--- a/src/decide/cold.rs
+++ b/src/decide/cold.rs
@@ -4,6 +4,7 @@
 //! queue draws every VM at the same moment, and an even part for each of hundreds of VMs is less than one request a
 //! second, which all may send at once. So a few VMs, which all work out alike, may send to it, each in turns.
 
+use crate::unit::hash::mix;
 use crate::unit::{Moment, Rate, Span};
 
 /// Turns of one VM are so much further apart than a second: an answer, or a connection that opens slowly, moves the
@@ -44,19 +45,11 @@
 /// Whether a VM is among the senders to a server, given the hashes of their names: those with the highest weights for
 /// that server. VMs that do not know of each other differ in few servers.
 pub fn is_sender(part: &Part, server: u64, own: u64, others: &[u64]) -> bool {
-    let own = weight(server, own);
-    let before = others.iter().filter(|other| weight(server, **other) > own);
+    let own = mix(server, own);
+    let before = others.iter().filter(|other| mix(server, **other) > own);
     before.take(part.senders).count() < part.senders
 }
 
-/// Weight of a VM for a server: both numbers mixed so that each bit counts (the finaliser of SplitMix64).
-fn weight(server: u64, vm: u64) -> u64 {
-    let mut mixed = server ^ vm.rotate_left(32);
-    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    mixed ^ (mixed >> 31)
-}
-
 /// One VM's turns at one cold server.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Turns {
--- a/src/decide/replica.rs
+++ b/src/decide/replica.rs
@@ -1,5 +1,6 @@
 //! Which replica takes a request, from late reports and what this VM sent itself.
 
+use crate::unit::hash::mix;
 use crate::unit::{Moment, Span};
 
 /// A report loses half of its weight in this time: other VMs have acted on it since.
@@ -86,14 +87,6 @@
     load * SHARING + (load - NEARLY_FULL).max(0.0) * WAITING
 }
 
-/// A cheap mixing of two numbers.
-fn mix(a: u64, b: u64) -> u64 {
-    let mut x = a ^ b.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
 /// The homes of a prefix: the highest of a rendezvous among usable replicas.
 fn homes(replicas: &[Replica], prefix: u64, now: Moment) -> [Option<usize>; HOMES] {
     let mut best = [(0, None); HOMES];
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -221,16 +221,22 @@
         if self.emptied.is_empty() {
             return 0;
         }
-        let of_service = self.servers.values().filter(|one| one.replica.service == *service);
-        let emptied = |one: &&Server| self.emptied.contains(&one.replica.data_centre);
-        of_service.filter(|server| server.takes_work()).filter(emptied).count()
+        self.staying(service).filter(|server| self.is_emptied(server)).count()
     }
 
     /// The servers of a service that take work: those that do not leave, where no order forbids it.
     pub fn of<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = &'a Server> {
+        self.staying(service).filter(|server| !self.is_emptied(server))
+    }
+
+    /// The servers of a service that do not leave.
+    fn staying<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = &'a Server> {
         let of_service = self.servers.values().filter(move |one| one.replica.service == *service);
-        let stays = |one: &&Server| !self.emptied.contains(&one.replica.data_centre);
-        of_service.filter(|server| server.takes_work()).filter(stays)
+        of_service.filter(|server| server.takes_work())
+    }
+
+    fn is_emptied(&self, server: &Server) -> bool {
+        self.emptied.contains(&server.replica.data_centre)
     }
 
     /// The version of a service that is in use when no roll-out says otherwise.
--- a/src/unit/hash.rs
+++ b/src/unit/hash.rs
@@ -21,3 +21,11 @@
 pub fn point(hash: u64) -> f64 {
     (hash >> 11) as f64 / (1u64 << 53) as f64
 }
+
+/// A cheap mixing of two numbers, for ranks that all work out alike.
+pub fn mix(a: u64, b: u64) -> u64 {
+    let mut x = a ^ b.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
