Sight: the content of a request, and whether a server crashed where an answer broke off

Cause: the incident's logs can't tell whether two requests are the same, nor a server's end from a broken connection. Change: each request line has a digest of method, host, path and query, workspace and body; where an answer breaks off the VM opens one connection to the server, once for each life of it, and tells what it found and which contents broke off (line `server checked`, counter `kitepulley_checks`). No request is treated otherwise. The stand-in of a backend server can crash on a content and come back as a later life. The digest of keyed calls moves to the units, since two parts use it.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -7,6 +7,7 @@
 
 use super::call::Answer;
 use super::connection::{Connection, Fault};
+use super::crash;
 use super::event::{Batch, Events};
 use super::job::{Job, Open, Waiting};
 use super::pool;
@@ -26,6 +27,9 @@
 /// Answers for other requests that may precede ours on a connection.
 const STRANGERS: u32 = 2;
 
+/// Why an attempt has no answer whose server began a later life.
+const BEFORE_A_LATER_LIFE: &str = "before the server started again";
+
 /// What an attempt brought.
 pub struct Outcome {
     /// How it ended.
@@ -96,8 +100,9 @@
     let exchange = exchange(job, replica, model, after_event, waiting.reads, open, &mut sent);
     let outcome = tokio::select! {
         ended = tokio::time::timeout(left, exchange) => ended.map_err(|_| "in time"),
-        () = over.notified() => Err("before the server started again"),
+        () = over.notified() => Err(BEFORE_A_LATER_LIFE),
     };
+    let is_lost = outcome.as_ref().is_err_and(|why| *why == BEFORE_A_LATER_LIFE);
     let outcome = match outcome {
         Ok(outcome) => outcome,
         Err(why) if sent => Outcome::without_answer(End::Late, format!("no answer {why}")),
@@ -105,6 +110,9 @@
     };
     drop(waiting);
     note(job, replica, &outcome);
+    if outcome.end == End::Broken || is_lost {
+        crash::suspect(vm, replica, job.content);
+    }
     outcome
 }
 
--- a/src/forward/door.rs
+++ b/src/forward/door.rs
@@ -17,6 +17,7 @@
 
 use super::call::Call;
 use super::cold;
+use super::content;
 use super::drive::{self, Reply};
 use super::job::{Job, Record};
 use super::relay;
@@ -174,9 +175,11 @@
         Ok(Admitted { route, holder, body }) => {
             let deadline = arrived + call.patience.min(route.timeout);
             let weight = hash::point(hash::stable(&[call.id.as_str()]));
+            let head = request.head().clone();
+            let content = content::of(&head, &call, holder.as_deref(), &body);
+            record.set_content(content);
             match route.service(weight).cloned() {
                 Some(service) => {
-                    let head = request.head().clone();
                     let vm = vm.clone();
                     let job = Job {
                         vm,
@@ -186,6 +189,7 @@
                         route,
                         service,
                         holder,
+                        content,
                         arrived,
                         deadline,
                         record,
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -16,7 +16,7 @@
 use crate::decide::ends::End;
 use crate::decide::escalate;
 use crate::decide::rank;
-use crate::unit::{Model, Moment, Service, Span, Version, hash};
+use crate::unit::{Digest, Model, Moment, Service, Span, Version, hash};
 
 /// A request that was admitted.
 pub struct Job {
@@ -34,6 +34,8 @@
     pub service: Service,
     /// Who holds its key.
     pub holder: Option<Rc<Holder>>,
+    /// What it asks, whoever brings it.
+    pub content: Digest,
     /// When its head arrived.
     pub arrived: Moment,
     /// When the caller, or the route's timeout, has it given up.
@@ -96,6 +98,7 @@
     vm: Rc<Vm>,
     id: String,
     session: Option<String>,
+    content: Option<Digest>,
     /// The version that it was sent to last.
     version: RefCell<Option<Version>>,
     route: String,
@@ -116,6 +119,7 @@
         Record {
             id: call.id.clone(),
             session: call.session.clone(),
+            content: None,
             version: RefCell::default(),
             route: String::new(),
             arrived,
@@ -134,6 +138,11 @@
         route.clone_into(&mut self.route);
     }
 
+    /// The body was read, and who asks is known.
+    pub fn set_content(&mut self, content: Digest) {
+        self.content = Some(content);
+    }
+
     /// Sends to a server so far.
     pub fn attempts(&self) -> u32 {
         self.attempts.get()
@@ -229,11 +238,13 @@
         let took = vm.now().since(self.arrived);
         // A hash tells sessions apart and names nobody.
         let session = self.session.as_deref().map(hash::short).unwrap_or_default();
+        let content = self.content.map(|content| content.to_string()).unwrap_or_default();
         vm.log(
             "request",
             &[
                 ("id", self.id.as_str().into()),
                 ("session", session.as_str().into()),
+                ("content", content.as_str().into()),
                 ("route", self.route.as_str().into()),
                 ("outcome", outcome.as_str().into()),
                 ("attempts", self.attempts.get().into()),
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -16,6 +16,8 @@
     pub requests: IntCounterVec,
     /// Attempts by service and how they ended.
     pub attempts: IntCounterVec,
+    /// Servers that were checked after an answer broke off, by service and what was found.
+    pub checks: IntCounterVec,
     /// Time from a request to its answer or first event, by route.
     pub answer: HistogramVec,
     /// Time that this VM added before it sent a request on.
@@ -60,6 +62,11 @@
             attempts: counter("kitepulley_attempts", "Attempts.", &["service", "end"]),
             store: counter("kitepulley_store_calls", "Calls to the store.", &["call", "outcome"]),
             unreadable: counter("kitepulley_unreadable", "Objects not read.", &["kind"]),
+            checks: counter(
+                "kitepulley_checks",
+                "Servers checked after an answer broke off.",
+                &["service", "found"],
+            ),
             answer: register(
                 &registry,
                 HistogramVec::new(answer, &["route"]).expect("the name is well formed"),
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -6,6 +6,8 @@
 pub mod choice;
 pub mod cold;
 pub mod connection;
+pub mod content;
+mod crash;
 mod door;
 pub mod drive;
 pub mod event;
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -6,6 +6,7 @@
 
 use super::attempt;
 use super::connection::Fault;
+use super::crash;
 use super::drive::Begun;
 use super::event::Batch;
 use super::job::Job;
@@ -128,6 +129,7 @@
                 server.record.note(End::Broken, usual, vm.now());
             }
         }
+        crash::suspect(&vm, broken, self.job.content);
         if self.job.route.repeat != Repeat::Resume {
             return Err(why);
         }
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -6,6 +6,7 @@
 use tokio::sync::Notify;
 
 use super::call::Load;
+use super::crash::Life;
 use super::pool::Pool;
 use super::replica::Replica;
 use crate::decide::backlog::Backlog;
@@ -46,6 +47,8 @@
     pub turns: Turns,
     /// Wakes requests at this life of it when a later one begins: they are lost.
     pub over: Rc<Notify>,
+    /// How this life of it goes on, as far as this VM knows.
+    pub life: Life,
     /// Connections that rest.
     pub pool: Pool,
     /// Prompts that wait to be read there, as far as this VM knows.
@@ -70,6 +73,7 @@
             record: Record::default(),
             turns: Turns::default(),
             over: Rc::default(),
+            life: Life::default(),
             cold_until: None,
             doubted_since: None,
             pool: Pool::default(),
--- a/src/once/claim.rs
+++ b/src/once/claim.rs
@@ -1,44 +1,13 @@
 //! Claims, their answers, and how a claimed call ended.
 
-use std::fmt;
-
 use serde::{Deserialize, Serialize};
-use sha2::Sha256;
 
 use crate::evidence::Origin;
-use crate::unit::{Date, RequestId, Workspace};
+use crate::unit::{Date, Digest, RequestId, Workspace};
 
 /// Shards of keys: few, so that many claims share a write.
 pub const SHARDS: u64 = 4;
 
-/// A digest of a key or of a body.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-pub struct Digest(pub u64, pub u64);
-
-impl fmt::Display for Digest {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}{:016x}", self.0, self.1)
-    }
-}
-
-/// Digest of parts, each told apart from the next.
-pub fn digest(parts: &[&[u8]]) -> Digest {
-    use sha2::Digest as _;
-    let mut hasher = Sha256::new();
-    for part in parts {
-        hasher.update((part.len() as u64).to_be_bytes());
-        hasher.update(part);
-    }
-    let bytes = hasher.finalize();
-    let number = |at: usize| {
-        let eight: [u8; 8] = bytes[at..at + 8].try_into().expect("eight bytes");
-        u64::from_be_bytes(eight)
-    };
-    Digest(number(0), number(8))
-}
-
 /// The shard of a key.
 pub fn shard_of(key: Digest) -> u64 {
     key.0 % SHARDS
--- a/src/once/mod.rs
+++ b/src/once/mod.rs
@@ -5,7 +5,8 @@
 mod reserved;
 mod shard;
 
-pub use claim::{Answer, Claim, Digest, Outcome, SHARDS, Settled, digest, shard_of};
+pub use crate::unit::{Digest, digest};
+pub use claim::{Answer, Claim, Outcome, SHARDS, Settled, shard_of};
 pub use owner::{Owner, SETTLE_WITHIN};
 pub use reserved::{Reserved, Word};
 pub use shard::{Record, Shard};
--- a/src/standin/replica.rs
+++ b/src/standin/replica.rs
@@ -1,5 +1,5 @@
 //! Stand-in of a backend server on the users' platform, which does what a test tells it to: it
-//! answers, turns away, breaks off, or sends bytes that belong to no request.
+//! answers, turns away, breaks off, sends bytes that belong to no request, or crashes and comes back.
 
 use std::collections::VecDeque;
 use std::io::{Read, Write};
@@ -84,12 +84,33 @@
     }
 }
 
+/// What crashes it, and for how long.
+#[derive(Clone, Debug)]
+pub struct Crash {
+    /// A request whose body holds these bytes crashes it, whoever sends it.
+    pub on: Vec<u8>,
+    /// Time that it runs such a request before.
+    pub after: Duration,
+    /// Time until its next life begins, at the same address.
+    pub back_after: Duration,
+}
+
+/// Tells that a life begins; the first one has number 0.
+type Started = Arc<dyn Fn(u64) + Send + Sync>;
+
 #[derive(Default)]
 struct State {
     acts: VecDeque<Act>,
     usual: Option<Act>,
     seen: Vec<Seen>,
     connections: usize,
+    crash: Option<Crash>,
+    started: Option<Started>,
+    crashes: Vec<Instant>,
+    /// Where it listens while it lives.
+    listener: Option<TcpListener>,
+    /// Connections of this life, by their other end.
+    open: Vec<(Option<SocketAddr>, TcpStream)>,
 }
 
 /// The stand-in.
@@ -111,16 +132,85 @@
         let listener = TcpListener::bind(at).map_err(fault)?;
         let address = listener.local_addr().map_err(fault)?;
         let replica = Replica { address, state: Arc::default() };
-        let serving = replica.clone();
+        replica.live(listener).map_err(fault)?;
+        Ok(replica)
+    }
+
+    /// Takes connections until this life of it ends.
+    fn live(&self, listener: TcpListener) -> std::io::Result<()> {
+        self.lock().listener = Some(listener.try_clone()?);
+        let serving = self.clone();
         std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                serving.lock().connections += 1;
+            while let Ok((stream, _)) = listener.accept() {
+                let mut state = serving.lock();
+                state.connections += 1;
+                let caller = stream.peer_addr().ok();
+                state.open.extend(stream.try_clone().map(|stream| (caller, stream)));
+                drop(state);
                 let serving = serving.clone();
-                // A caller that is gone ends the thread, which is all there is to it.
-                std::thread::spawn(move || drop(serving.serve(stream)));
+                std::thread::spawn(move || {
+                    // A caller that is gone ends the thread, which is all there is to it.
+                    drop(serving.serve(stream));
+                    serving.lock().open.retain(|(other, _)| *other != caller);
+                });
             }
         });
-        Ok(replica)
+        Ok(())
+    }
+
+    /// It crashes on some requests.
+    pub fn crashes(&self, crash: Crash) -> &Replica {
+        self.lock().crash = Some(crash);
+        self
+    }
+
+    /// Calls this whenever a later life begins.
+    pub fn on_start(&self, started: impl Fn(u64) + Send + Sync + 'static) -> &Replica {
+        self.lock().started = Some(Arc::new(started));
+        self
+    }
+
+    /// When its lives so far ended.
+    pub fn ends(&self) -> Vec<Instant> {
+        self.lock().crashes.clone()
+    }
+
+    /// Ends this life: new connections are refused, open ones break. The next begins after a while, if that is said.
+    pub fn crash(&self, back_after: Option<Duration>) {
+        let (listener, open) = {
+            let mut state = self.lock();
+            let Some(listener) = state.listener.take() else { return };
+            state.crashes.push(Instant::now());
+            (listener, std::mem::take(&mut state.open))
+        };
+        // This wakes the thread that takes connections, which ends. A connection whose caller left is closed already.
+        let _ = socket2::SockRef::from(&listener).shutdown(Shutdown::Both);
+        drop(listener);
+        open.iter().for_each(|(_, stream)| drop(stream.shutdown(Shutdown::Both)));
+        let Some(back_after) = back_after else { return };
+        let replica = self.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(back_after);
+            let listener = TcpListener::bind(replica.address).expect("the address is its own");
+            replica.live(listener).expect("a listener can be cloned");
+            let (started, life) = {
+                let state = replica.lock();
+                (state.started.clone(), state.crashes.len() as u64)
+            };
+            if let Some(started) = started {
+                started(life);
+            }
+        });
+    }
+
+    /// Whether this request crashes it, which then has happened.
+    fn falls_over(&self, seen: &Seen) -> bool {
+        let crash = self.lock().crash.clone();
+        let holds = |crash: &Crash| seen.body.windows(crash.on.len()).any(|part| part == crash.on);
+        let Some(crash) = crash.filter(holds) else { return false };
+        std::thread::sleep(crash.after);
+        self.crash(Some(crash.back_after));
+        true
     }
 
     /// What it does with the coming requests, one after the other.
@@ -170,6 +260,9 @@
             }
             seen.body = buffer.drain(..length).collect();
             self.lock().seen.push(seen.clone());
+            if self.falls_over(&seen) {
+                return Ok(());
+            }
             if !perform(&mut stream, &seen, act)? {
                 return Ok(());
             }
--- a/src/unit/mod.rs
+++ b/src/unit/mod.rs
@@ -1,10 +1,12 @@
 //! Units and identifiers: every quantity and name has a type of its own.
 
+mod digest;
 pub mod hash;
 mod id;
 mod quantity;
 mod time;
 
+pub use digest::{Digest, digest};
 pub use id::{
     DataCentre, Fault, Incarnation, Kind, Model, Region, RequestId, Revision, Server, Service,
     Target, Version, Vm, Workspace,
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -18,7 +18,7 @@
 use kitepulley::history::Sink;
 use kitepulley::standin::Running;
 use kitepulley::standin::platform::{Platform, Rates};
-use kitepulley::standin::replica::Replica;
+use kitepulley::standin::replica::{Crash, Replica};
 use kitepulley::unit::{Millicores, Span};
 use kitepulley::vm::Clock;
 use kitepulley::watch::line::Lines;
@@ -29,6 +29,9 @@
 /// A VM must be ready, and a change in force, within this; a busy machine is slow.
 const SOON: Duration = Duration::from_secs(10);
 
+/// When the first life of a backend server that comes back began, in milliseconds since 1970; the others follow it.
+const FIRST_BORN: u64 = 1_700_000_000_000;
+
 /// Log lines of each VM that the message of a failed check shows.
 const LOG_END: usize = 40;
 
@@ -180,12 +183,21 @@
         replica
     }
 
+    /// Starts a backend server of `api` that crashes on some requests and comes back as a later life of it.
+    pub fn fragile(&self, id: &str, crash: Crash) -> Replica {
+        let replica = Replica::launch().unwrap();
+        let (store, name, address) = (self.store.clone(), id.to_owned(), replica.address);
+        let list = move |life: u64| {
+            store.put("servers", &name, entry(address, json!({"born": FIRST_BORN + life})));
+        };
+        list(0);
+        replica.crashes(crash).on_start(list);
+        replica
+    }
+
     /// Writes the entry of a backend server: a sound one, but for these fields.
     pub fn list_with(&self, id: &str, address: SocketAddr, fields: Value) {
-        let mut entry = json!({"service": "api", "address": address.to_string(), "zone": "here",
-            "version": "v1", "capacity": 8, "state": "ready", "cold_remaining_ms": 0,
-            "sequence": 1});
-        merge(&mut entry, fields);
+        let entry = entry(address, fields);
         self.store.put("servers", id, entry);
     }
 
@@ -232,6 +244,15 @@
     }
 }
 
+/// The entry of a sound backend server of `api`, but for these fields.
+fn entry(address: SocketAddr, fields: Value) -> Value {
+    let mut entry = json!({"service": "api", "address": address.to_string(), "zone": "here",
+        "version": "v1", "capacity": 8, "state": "ready", "cold_remaining_ms": 0,
+        "sequence": 1});
+    merge(&mut entry, fields);
+    entry
+}
+
 fn process(settings: &Path, log: &Path, metrics: SocketAddr) -> Child {
     let _probes = PROBES.lock().unwrap();
     let out = std::fs::File::options().create(true).append(true).open(log).unwrap();
