A content under which three servers crashed is held back by all VMs

Cause: what a VM knew of a request ended with the request; that its content ends servers was known to nobody. Class: knowledge that belongs to what is asked was kept, if at all, by what asks it (a try, a VM). Change: decide::poison counts the lives that ended under a content; a good run frees it and speaks for it for 30 s, so that a prompt that many send is not accused; an end under a stream that had run for a second weighs 0.6. VMs tell one another: few tell all, of many three gather what is known of a content; what is held back goes to all, with the news of the reading order too, so that a VM that starts knows it. A request is checked before each send: first tries, repeats, the larger model, streams that go on. Refused as not run, without a time to come back; what ran before is told so.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,6 +13,7 @@
 pub mod outlier;
 pub mod pace;
 pub mod place;
+pub mod poison;
 pub mod pressure;
 pub mod rank;
 pub mod reader;
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -59,6 +59,8 @@
     StoreAway,
     /// The back end broke off and the answer could not be completed.
     Broken,
+    /// Backend servers crashed under requests with its content.
+    HeldBack,
     /// The answer is complete, but its bill could not be made safe.
     Unbilled,
 }
@@ -119,6 +121,7 @@
     InDoubt "in_doubt" 409 Unknown None, "A call with this key may have run and will not run again; look up its outcome at the service.";
     StoreAway "store_away" 503 No Some(5), "No agreement on the key can be had now; send the call again with the same key.";
     Broken "broken" 502 Unknown None, "The back end broke off; what was sent before is not the whole answer.";
+    HeldBack "held_back" 503 No None, "Backend servers crashed under requests like this one, so it is not sent on for now; do not send it again unchanged.";
     Unbilled "unbilled" 502 Yes None, "The request ran but its end is withheld, since its bill could not be made safe.";
 ];
 
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -12,8 +12,10 @@
 use super::job::{Job, Open, Waiting};
 use super::pool;
 use super::replica::Replica;
+use super::vm::Vm;
 use crate::config::Repeat;
 use crate::decide::ends::End;
+use crate::decide::poison::Broken;
 use crate::platform::header::{self, Extra};
 use crate::unit::{Model, Moment, Span};
 
@@ -54,6 +56,8 @@
     pub first: Option<Batch>,
     /// Whether the server ended it.
     pub ended: bool,
+    /// When its first event, or its end, arrived.
+    pub begun: Moment,
     /// Counts the request at the server.
     pub open: Open,
 }
@@ -111,7 +115,7 @@
     drop(waiting);
     note(job, replica, &outcome);
     if outcome.end == End::Broken || is_lost {
-        crash::suspect(vm, replica, job.content);
+        crash::suspect(vm, replica, Broken { content: job.content, ran: false });
     }
     outcome
 }
@@ -189,7 +193,7 @@
         return Outcome::without_answer(End::Broken, "a success that the server did not sign");
     }
     if head.status.is_success() && job.route.streams {
-        return first_event(connection, open, head, answer).await;
+        return first_event(vm, connection, open, head, answer).await;
     }
     let body = match connection.whole_body(LARGEST).await {
         Ok(body) => body,
@@ -231,13 +235,15 @@
 }
 
 async fn first_event(
+    vm: &Vm,
     connection: Connection,
     open: Open,
     head: ResponseHead,
     answer: Answer,
 ) -> Outcome {
     let events = Events::default();
-    let mut stream = Stream { connection, events, first: None, ended: false, open };
+    let begun = vm.now();
+    let mut stream = Stream { connection, events, first: None, ended: false, begun, open };
     loop {
         stream.first = stream.events.take();
         if stream.first.is_some() || stream.ended {
@@ -247,6 +253,7 @@
             return broken(fault);
         }
     }
+    stream.begun = vm.now();
     Outcome {
         end: End::Good,
         why: String::new(),
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -11,9 +11,11 @@
 use actix_web::rt::spawn;
 use tokio::net::TcpStream;
 
+use super::poison;
 use super::replica::Replica;
 use super::vm::Vm;
-use crate::unit::{Digest, Span};
+use crate::decide::poison::Broken;
+use crate::unit::Span;
 
 /// A server that neither takes nor refuses a connection within this leaves open whether it lives.
 const CHECK_WITHIN: Span = Span::millis(350);
@@ -24,8 +26,8 @@
     /// No answer broke off there, or it took connections afterwards.
     #[default]
     GoesOn,
-    /// Answers to requests of these contents broke off, and it is being checked.
-    Doubtful(Vec<Digest>),
+    /// Answers to these requests broke off, and it is being checked.
+    Doubtful(Vec<Broken>),
     /// It has crashed.
     Over,
 }
@@ -41,8 +43,8 @@
     Unknown,
 }
 
-/// The answer to a request of this content broke off at a life of a server.
-pub fn suspect(vm: &Rc<Vm>, replica: &Replica, content: Digest) {
+/// The answer to a request broke off at a life of a server.
+pub fn suspect(vm: &Rc<Vm>, replica: &Replica, request: Broken) {
     let is_over = {
         let mut fleet = vm.fleet.borrow_mut();
         let Some(server) = fleet.get_mut(&replica.id) else { return };
@@ -51,12 +53,12 @@
         } else {
             match &mut server.life {
                 Life::Over => true,
-                Life::Doubtful(contents) => {
-                    contents.push(content);
+                Life::Doubtful(broken) => {
+                    broken.push(request);
                     return;
                 }
                 Life::GoesOn if server.replica.ready => {
-                    server.life = Life::Doubtful(vec![content]);
+                    server.life = Life::Doubtful(vec![request]);
                     false
                 }
                 Life::GoesOn => return,
@@ -64,7 +66,7 @@
         }
     };
     if is_over {
-        note(vm, replica, vec![content], Found::IsGone);
+        note(vm, replica, vec![request], Found::IsGone);
     } else {
         spawn(check(vm.clone(), replica.clone()));
     }
@@ -72,16 +74,16 @@
 
 async fn check(vm: Rc<Vm>, replica: Replica) {
     let found = connect(replica.address).await;
-    let contents = {
+    let broken = {
         let mut fleet = vm.fleet.borrow_mut();
         let Some(server) = fleet.life_mut(&replica) else { return };
         let next = if found == Found::IsGone { Life::Over } else { Life::GoesOn };
         match std::mem::replace(&mut server.life, next) {
-            Life::Doubtful(contents) => contents,
+            Life::Doubtful(broken) => broken,
             Life::GoesOn | Life::Over => Vec::new(),
         }
     };
-    note(&vm, &replica, contents, found);
+    note(&vm, &replica, broken, found);
 }
 
 async fn connect(address: SocketAddr) -> Found {
@@ -92,17 +94,20 @@
     }
 }
 
-fn note(vm: &Vm, replica: &Replica, contents: Vec<Digest>, found: Found) {
+fn note(vm: &Rc<Vm>, replica: &Replica, broken: Vec<Broken>, found: Found) {
     let outcome = format!("{found:?}");
     vm.metrics.checks.with_label_values(&[replica.service.as_str(), &outcome]).inc();
-    let texts: Vec<String> = contents.iter().map(Digest::to_string).collect();
+    let texts: Vec<String> = broken.iter().map(|one| one.content.to_string()).collect();
     let texts = texts.join(" ");
     let fields = [
         ("server", replica.id.as_str().into()),
         ("born_ms", replica.born.unwrap_or_default().into()),
         ("found", outcome.as_str().into()),
-        ("broken", contents.len().into()),
+        ("broken", broken.len().into()),
         ("contents", texts.as_str().into()),
     ];
     vm.log("server checked", &fields);
+    if found == Found::IsGone && !broken.is_empty() {
+        poison::ended(vm, replica, broken);
+    }
 }
--- a/src/forward/drive.rs
+++ b/src/forward/drive.rs
@@ -7,6 +7,7 @@
 use super::call::Answer;
 use super::choice::{self, Place};
 use super::job::Job;
+use super::poison;
 use super::replica::Replica;
 use super::trial::{self, Sample};
 use crate::config::Repeat;
@@ -77,6 +78,9 @@
     let mut model = first_model(job);
     vm.count_first(&job.service, vm.now());
     loop {
+        if poison::holds_back(job) {
+            return hold_back(job, progress);
+        }
         let now = vm.now();
         if job.left(now) < LEAST {
             return give_up(job, progress, End::Late);
@@ -88,6 +92,9 @@
             }
             return give_up(job, progress, End::NotSent);
         };
+        if poison::holds_back(job) {
+            return hold_back(job, progress);
+        }
         let now = vm.now();
         let replica = &place.replica;
         vm.metrics.added.observe(now.since(job.arrived).as_secs());
@@ -197,7 +204,8 @@
 ) -> Option<Model> {
     // The larger's, and one more if the route allows so many at all.
     let needed = if job.route.attempts > 2 { 2 } else { 1 };
-    if progress.escalated || sends(job, progress) + needed > job.route.attempts {
+    let may_send = sends(job, progress) + needed <= job.route.attempts;
+    if progress.escalated || !may_send || poison::holds_back(job) {
         return None;
     }
     let (_, answer) = outcome.head.as_ref()?;
@@ -343,6 +351,7 @@
     if promises_not_run(&answer) {
         return unknown(job, "a failure that promises too much");
     }
+    poison::ran_well(&job.vm, job.content);
     job.record.set_outcome(head.status.as_str());
     Reply::Whole(Box::new((head, outcome.body)))
 }
@@ -362,6 +371,14 @@
     Reply::Refused(refusal)
 }
 
+/// The last word of a request whose content crashes servers.
+fn hold_back(job: &Job, progress: Progress) -> Reply {
+    if progress.may_have_run {
+        return give_up(job, progress, End::Broken);
+    }
+    refuse(job, Refusal::new(Kind::HeldBack))
+}
+
 /// The last word when nothing more may be tried.
 fn give_up(job: &Job, progress: Progress, end: End) -> Reply {
     let late = job.left(job.vm.now()) < LEAST;
--- a/src/forward/feed.rs
+++ b/src/forward/feed.rs
@@ -11,6 +11,7 @@
 
 use super::follow::Kind;
 use super::pack::Packed;
+use super::poison;
 use super::tally;
 use crate::platform::object::Object;
 use crate::unit::{Moment, Span, Vm};
@@ -100,6 +101,8 @@
     pub readings: Vec<Told>,
     /// What it makes of versions that are rolled out.
     pub verdicts: Vec<tally::Told>,
+    /// Contents that it holds back.
+    pub held: Vec<poison::Told>,
 }
 
 impl News {
@@ -120,6 +123,8 @@
     pub proof_age: Option<Span>,
     /// What it makes of versions that are rolled out.
     pub verdicts: Vec<tally::Told>,
+    /// Contents that it holds back.
+    pub held: Vec<poison::Told>,
 }
 
 /// The objects that a VM knows, and their last changes.
@@ -211,6 +216,7 @@
             proof_age: stand.proof_age,
             readings: self.told(now),
             verdicts: stand.verdicts,
+            held: stand.held,
         }
     }
 
--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -9,6 +9,7 @@
 use super::follow::Kind;
 use super::learn::{self, Source};
 use super::peer;
+use super::poison;
 use super::reader::{self, Decline, HELD_UP, Reply, Role};
 use super::tally::{self, Seen, Tally};
 use super::trial::Trials;
@@ -239,6 +240,7 @@
             vm.hear_store(news.store, asked);
         }
         tally::hear_verdicts(&vm, &news.verdicts);
+        poison::hear_held(&vm, from.as_str(), &news.held, asked);
         apply(&vm, asked, from, news, &changes);
         let age = news.reading(Kind::Servers).map(|told| told.age);
         self.known = self.known.max(dated(asked, age));
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -18,6 +18,9 @@
     pub attempts: IntCounterVec,
     /// Servers that were checked after an answer broke off, by service and what was found.
     pub checks: IntCounterVec,
+    /// Contents under which a server crashed, and those of them that are held back.
+    pub suspects: IntGauge,
+    pub held: IntGauge,
     /// Time from a request to its answer or first event, by route.
     pub answer: HistogramVec,
     /// Time that this VM added before it sent a request on.
@@ -53,6 +56,9 @@
         let running = IntGauge::new("kitepulley_running", "Requests in flight.");
         let emptied = Opts::new("kitepulley_emptied", "Whether an order empties a data centre.");
         let emptied = IntGaugeVec::new(emptied, &["data_centre"]);
+        let suspects =
+            IntGauge::new("kitepulley_suspects", "Contents under which a server crashed.");
+        let held = IntGauge::new("kitepulley_held_back", "Contents that are held back.");
         let cold = Opts::new("kitepulley_cold_servers", "Backend servers that are cold.");
         let cold = IntGaugeVec::new(cold, &["service"]);
         let revision = IntGauge::new("kitepulley_revision", "Revision in force.");
@@ -67,6 +73,8 @@
                 "Servers checked after an answer broke off.",
                 &["service", "found"],
             ),
+            suspects: register(&registry, suspects.expect("the name is well formed")),
+            held: register(&registry, held.expect("the name is well formed")),
             answer: register(
                 &registry,
                 HistogramVec::new(answer, &["route"]).expect("the name is well formed"),
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -22,6 +22,7 @@
 pub mod pack;
 mod pause;
 pub mod peer;
+pub mod poison;
 pub mod pool;
 mod proof;
 pub mod reader;
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 
 use super::kept::{self, Draw};
+use super::poison;
 use super::reader::{self, Role};
 use super::roster;
 use super::settings::Settings;
@@ -21,7 +22,9 @@
 use crate::peer::wire::{decode, encode};
 use crate::peer::{Incoming, Links, neighbours};
 use crate::platform::objects::Objects;
-use crate::unit::{DataCentre, Millicores, Moment, Server, Service, Span, Version, Vm as Name};
+use crate::unit::{
+    DataCentre, Digest, Millicores, Moment, Server, Service, Span, Version, Vm as Name, hash,
+};
 
 /// Up to this number every VM hears every other; beyond it each tells its ring neighbours, so that
 /// what a VM sends grows with the logarithm of their number, and those named in the store count as
@@ -43,6 +46,10 @@
 /// Work below this is not told: it is done before the word arrives.
 const WORTH_TELLING: Span = Span::millis(25);
 
+/// VMs of many that gather what is known of a content. With a tenth of the VMs cut off all three are for one content in
+/// a thousand.
+const GATHERERS: usize = 3;
+
 /// What one VM tells another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Word {
@@ -75,6 +82,8 @@
         /// Their draws.
         draws: Vec<Draw>,
     },
+    /// Contents under which servers crashed, or did not.
+    Poison(poison::News),
 }
 
 /// A word, who says it, and where to answer.
@@ -252,6 +261,7 @@
     if !known {
         vm.log("peer heard", &[("peer", from.as_str().into())]);
         say(vm, place.address, Word::Hello);
+        poison::greet(vm, place.address);
     }
     match word {
         Word::Hello | Word::Bye => {}
@@ -265,6 +275,7 @@
             trials.entry(service).or_default().hear(Source::Vm(from), &version, routes);
         }
         Word::Kept { service, version, draws } => kept::hear(vm, &service, &version, draws),
+        Word::Poison(news) => poison::hear(vm, from.as_str(), news),
     }
 }
 
@@ -339,7 +350,8 @@
     neighbours(&vm.settings.vm, &names)
 }
 
-fn say(vm: &Rc<Vm>, to: SocketAddr, word: Word) {
+/// Tells one VM.
+pub fn say(vm: &Rc<Vm>, to: SocketAddr, word: Word) {
     let (Some(links), Some(address)) = (vm.peers.borrow().links.clone(), vm.settings.links) else {
         return;
     };
@@ -352,11 +364,36 @@
 
 /// Tells the peers.
 pub fn tell(vm: &Rc<Vm>, word: &Word) {
+    let near = near(vm, &vm.peers.borrow());
+    tell_these(vm, &near, word);
+}
+
+/// Tells the VMs that gather what is known of a content: all peers if they are few, else those with the highest weights for it,
+/// which all VMs work out alike.
+pub fn tell_gatherers(vm: &Rc<Vm>, content: Digest, word: &Word) {
+    let gatherers = {
+        let peers = vm.peers.borrow();
+        match peers.are_few() {
+            true => near(vm, &peers),
+            false => gatherers(vm, &peers, content),
+        }
+    };
+    tell_these(vm, &gatherers, word);
+}
+
+fn gatherers(vm: &Vm, peers: &Peers, content: Digest) -> Vec<Name> {
+    let all = peers.known.keys().chain([&vm.settings.vm]);
+    let weight = |name: &Name| hash::mix(content.0, hash::stable(&[name.as_str()]));
+    let mut weighed: Vec<(u64, &Name)> = all.map(|name| (weight(name), name)).collect();
+    weighed.sort_unstable_by(|one, other| other.cmp(one));
+    weighed.into_iter().take(GATHERERS).map(|(_, name)| name.clone()).collect()
+}
+
+fn tell_these(vm: &Rc<Vm>, names: &[Name], word: &Word) {
     let now = vm.now();
     let addresses: Vec<SocketAddr> = {
         let mut peers = vm.peers.borrow_mut();
-        let near = near(vm, &peers);
-        let told = peers.known.iter_mut().filter(|(name, _)| near.contains(name));
+        let told = peers.known.iter_mut().filter(|(name, _)| names.contains(name));
         told.map(|(_, peer)| {
             peer.told = Some(now);
             peer.place.address
--- a/src/forward/reader.rs
+++ b/src/forward/reader.rs
@@ -5,12 +5,14 @@
 //! all the ways took, and what is too old is not passed on.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
 
 use super::feed::{News, Origin, Place, Stand, Store};
 use super::follow::Kind;
 use super::peer;
+use super::poison;
 use super::tally::{self, Seen};
 use super::vm::Vm;
 use crate::decide::reader::is_stale;
@@ -45,6 +47,8 @@
     place: Place,
     /// What it has seen of versions that are rolled out, as far as this is news.
     seen: Vec<Seen>,
+    /// Contents that it holds back.
+    held: Vec<poison::Told>,
 }
 
 /// What came of a question.
@@ -60,7 +64,9 @@
 /// Asks the VM at `to` for what changed since `place`, and tells it what was `seen` of versions.
 pub async fn ask(vm: &Vm, to: SocketAddr, place: Place, seen: &[Seen], within: Span) -> Reply {
     let Some(links) = vm.peers.borrow().links() else { return Reply::Silence };
-    let question = encode(&Question { from: vm.settings.vm.clone(), place, seen: seen.to_vec() });
+    let from = vm.settings.vm.clone();
+    let (seen, held) = (seen.to_vec(), poison::held(vm));
+    let question = encode(&Question { from, place, seen, held });
     let answer = tokio::time::timeout(within.duration(), links.call(to, question)).await;
     match answer.ok().flatten().and_then(|bytes| decode::<Result<News, Decline>>(&bytes)) {
         Some(Ok(news)) => Reply::News(Box::new(news)),
@@ -87,13 +93,14 @@
 }
 
 /// What a VM that asks is told; the reason if this one knows nothing, or what it knows is too old.
-pub fn answer(vm: &Vm, question: &[u8]) -> Vec<u8> {
-    let Some(Question { from, place, seen }) = decode::<Question>(question) else {
+pub fn answer(vm: &Rc<Vm>, question: &[u8]) -> Vec<u8> {
+    let Some(Question { from, place, seen, held }) = decode::<Question>(question) else {
         vm.log("question of a peer not read", &[("bytes", question.len().into())]);
         return encode(&Err::<News, Decline>(Decline::Unreadable));
     };
     peer::heard(vm, &from);
     tally::hear(vm, seen);
+    poison::hear_held(vm, from.as_str(), &held, vm.now());
     let news = news(vm, place);
     tell_decline(vm, news.as_ref().err().copied());
     encode(&news)
@@ -135,7 +142,8 @@
     let proof_age = vm.proof_age(now);
     let verdicts = tally::verdicts(vm);
     let store = store(vm, check_ages(vm, proof_age))?;
-    let stand = Stand { origin: origin(vm), store, proof_age, verdicts };
+    let held = poison::held(vm);
+    let stand = Stand { origin: origin(vm), store, proof_age, verdicts, held };
     Ok(vm.feed.borrow().since(place, stand, now))
 }
 
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -10,8 +10,10 @@
 use super::drive::Begun;
 use super::event::Batch;
 use super::job::Job;
+use super::poison;
 use crate::config::Repeat;
 use crate::decide::ends::End;
+use crate::decide::poison::{Broken, RAN_FOR};
 use crate::unit::{Moment, Span};
 
 /// Pause until the budget of repeats is asked again.
@@ -56,6 +58,7 @@
             }
             None => {
                 relay.job.record.set_outcome("streamed");
+                poison::ran_well(&relay.job.vm, relay.job.content);
                 relay.rest();
                 None
             }
@@ -129,13 +132,14 @@
                 server.record.note(End::Broken, usual, vm.now());
             }
         }
-        crash::suspect(&vm, broken, self.job.content);
+        let ran = vm.now().since(self.begun.stream.begun) >= RAN_FOR;
+        crash::suspect(&vm, broken, Broken { content: self.job.content, ran });
         if self.job.route.repeat != Repeat::Resume {
             return Err(why);
         }
         loop {
             let now = vm.now();
-            if !self.may_go_on(now) {
+            if !self.may_go_on(now) || poison::holds_back(&self.job) {
                 return Err(why);
             }
             if !vm.spend_repeat(&self.job.service, now) {
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -9,7 +9,7 @@
 use super::follow::{self, Kind};
 use super::settings::Settings;
 use super::vm::Vm;
-use super::{door, follower, kept, peer, proof, steps};
+use super::{door, follower, kept, peer, poison, proof, steps};
 use crate::error::Error;
 use crate::platform;
 use crate::unit::Span;
@@ -82,6 +82,7 @@
     let mut told = 0;
     loop {
         tokio::time::sleep(CALLS_TOLD).await;
+        poison::sweep(&vm);
         let calls = vm.metrics.calls();
         let all = calls.iter().map(|(_, count)| count).sum();
         if all != told {
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -22,6 +22,7 @@
 use crate::decide::budget::Budget;
 use crate::decide::limit;
 use crate::decide::pace::Pace;
+use crate::decide::poison::Evidence;
 use crate::decide::pressure::Pressure;
 use crate::decide::reader::Rank;
 use crate::platform::objects::Trouble;
@@ -64,6 +65,8 @@
     pub sessions: RefCell<Sessions>,
     /// Sessions that keep the old version, as other VMs say.
     pub kept: RefCell<Kept>,
+    /// Contents under which servers crashed.
+    pub evidence: RefCell<Evidence>,
     /// When the last read that proved the configuration the newest was sent.
     pub proved: Cell<Option<Moment>>,
     /// Whether the last proof failed.
@@ -131,6 +134,7 @@
             trials: RefCell::default(),
             sessions: RefCell::default(),
             kept: RefCell::default(),
+            evidence: RefCell::default(),
             proved: Cell::new(None),
             store_lost: Cell::new(false),
             store_back: Cell::new(None),
--- /dev/null
+++ b/tests/evidence.rs
@@ -0,0 +1,153 @@
+//! Which contents are held back, decided without a network: ends and good runs in any order, bounds of what is remembered.
+
+use kitepulley::decide::poison::{Broken, Change, Evidence, Life};
+use kitepulley::unit::{Digest, Moment, Span, digest};
+use quickcheck::quickcheck;
+
+const NOW: Moment = Moment(1_000_000_000);
+
+fn content(number: u64) -> Digest {
+    digest(&[&number.to_be_bytes()])
+}
+
+fn life(number: u64) -> Life {
+    Life::new(&format!("server{number}"), Some(number))
+}
+
+fn fresh(number: u64) -> Broken {
+    Broken { content: content(number), ran: false }
+}
+
+fn late(number: u64) -> Broken {
+    Broken { content: content(number), ran: true }
+}
+
+/// Ends of so many lives under a request, a second apart, and the changes that they made.
+fn ends(evidence: &mut Evidence, request: Broken, lives: u64) -> Vec<Change> {
+    let end = |number: u64| {
+        let at = NOW + Span::secs(number);
+        evidence.ended(request, life(number), at, at)
+    };
+    (0..lives).map(end).collect()
+}
+
+#[test]
+fn three_lives_that_end_under_a_content_hold_it_back() {
+    let mut evidence = Evidence::default();
+    let changes = ends(&mut evidence, fresh(1), 4);
+    let expected = [Change::Suspected, Change::Suspected, Change::Held, Change::Suspected];
+    assert_eq!(changes, expected);
+    assert_eq!(evidence.held(&content(1), NOW + Span::secs(4)), Some(4));
+    assert_eq!(evidence.held(&content(2), NOW), None);
+}
+
+#[test]
+fn one_life_ends_once_however_many_say_so() {
+    let mut evidence = Evidence::default();
+    for _ in 0..10 {
+        evidence.ended(fresh(1), life(1), NOW, NOW);
+    }
+    assert_eq!(evidence.held(&content(1), NOW), None);
+    let again = Life::new("server1", Some(2));
+    assert!(again != life(1), "a later life under the same id is another");
+}
+
+#[test]
+fn a_run_that_went_well_for_a_while_is_suspected_less() {
+    let mut evidence = Evidence::default();
+    let changes = ends(&mut evidence, late(1), 5);
+    assert_eq!(changes.iter().position(|change| *change == Change::Held), Some(4));
+}
+
+#[test]
+fn a_content_that_runs_well_is_free_again_and_stays_so_for_a_while() {
+    let mut evidence = Evidence::default();
+    ends(&mut evidence, fresh(1), 3);
+    let at = NOW + Span::secs(4);
+    assert_eq!(evidence.ran_well(content(1), at, at), Change::Cleared { was_held: true });
+    assert_eq!(evidence.held(&content(1), at), None);
+    // All servers that crash in the next seconds have it open, if many send it.
+    for number in 10..20 {
+        assert_eq!(evidence.ended(fresh(1), life(number), at + Span::secs(9), at), Change::None);
+    }
+    // Others may not have heard of the good run yet.
+    assert_eq!(evidence.told(content(1), 3, NOW + Span::secs(3), at), Change::None);
+    // A good run does not speak for a content for ever.
+    let later = at + Span::secs(40);
+    let held = (10..13).map(|number| evidence.ended(fresh(1), life(number), later, later));
+    assert_eq!(held.last(), Some(Change::Held));
+}
+
+#[test]
+fn a_belief_ends_by_itself() {
+    let mut evidence = Evidence::default();
+    ends(&mut evidence, fresh(1), 3);
+    assert!(evidence.held(&content(1), NOW + Span::secs(590)).is_some());
+    assert!(evidence.held(&content(1), NOW + Span::secs(610)).is_none());
+    evidence.expire(NOW + Span::secs(610));
+    assert!(evidence.is_empty());
+    assert_eq!(evidence.told(content(1), 3, NOW, NOW + Span::secs(610)), Change::None);
+}
+
+#[test]
+fn a_caller_of_many_contents_pushes_out_nothing_that_is_held_back() {
+    let mut evidence = Evidence::default();
+    ends(&mut evidence, fresh(0), 3);
+    let now = NOW + Span::secs(5);
+    for number in 1..200_000 {
+        evidence.ended(fresh(number), life(number % 600 + 10), now, now);
+        evidence.ran_well(content(number), now, now);
+        if number % 3 == 0 {
+            evidence.ended(fresh(number + 1_000_000), life(9_999), now, now);
+        }
+        assert!(evidence.len() <= 20_000, "{}", evidence.len());
+    }
+    assert_eq!(evidence.held(&content(0), now), Some(3));
+}
+
+#[test]
+fn what_others_hold_back_is_held_back_with_its_age() {
+    let (mut one, mut other) = (Evidence::default(), Evidence::default());
+    ends(&mut one, fresh(1), 3);
+    let now = NOW + Span::secs(10);
+    let told = one.all_held(10, now);
+    assert_eq!((told.len(), told[0].ends, told[0].age), (1, 3, Span::secs(8)));
+    let last = Moment(now.0 - told[0].age.0);
+    assert_eq!(other.told(told[0].content, told[0].ends, last, now), Change::Held);
+    assert_eq!(other.told(told[0].content, told[0].ends, last, now), Change::None);
+    assert_eq!(other.held(&content(1), now), Some(3));
+    assert_eq!(other.held(&content(1), last + Span::secs(601)), None);
+}
+
+quickcheck! {
+    /// It does not matter in which order ends are heard, nor how often.
+    fn ends_add_up_in_any_order(words: Vec<(u8, u8, bool)>) -> bool {
+        let hear = |words: &mut dyn Iterator<Item = &(u8, u8, bool)>| {
+            let mut evidence = Evidence::default();
+            for (asked, server, ran) in words {
+                let request = Broken { content: content(u64::from(asked % 4)), ran: *ran };
+                evidence.ended(request, life(u64::from(server % 6)), NOW, NOW);
+            }
+            (0..4).map(|number| evidence.held(&content(number), NOW)).collect::<Vec<_>>()
+        };
+        let twice = words.iter().chain(&words);
+        hear(&mut words.iter()) == hear(&mut words.iter().rev())
+            && hear(&mut words.iter()) == hear(&mut twice.into_iter())
+    }
+
+    /// However ends and good runs are mixed, a content is held back only after three lives since it ran well.
+    fn a_good_run_speaks_for_a_content(before: u8, after: u8) -> bool {
+        let mut evidence = Evidence::default();
+        let (before, after) = (u64::from(before % 8), u64::from(after % 8));
+        (0..before).for_each(|number| {
+            evidence.ended(fresh(1), life(number), NOW, NOW);
+        });
+        let ran = NOW + Span::secs(1);
+        evidence.ran_well(content(1), ran, ran);
+        let later = ran + Span::secs(31);
+        (0..after).for_each(|number| {
+            evidence.ended(fresh(1), life(100 + number), later, later);
+        });
+        evidence.held(&content(1), later).is_some() == (after >= 3)
+    }
+}
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -18,7 +18,7 @@
 
 use std::time::{Duration, Instant};
 
-use kitepulley::standin::replica::{Crash, Replica};
+use kitepulley::standin::replica::{Act, Crash, Replica};
 use serde_json::json;
 use site::{Site, Vm, are_ready, ask, head};
 
@@ -38,6 +38,12 @@
 const SERVERS: usize = 8;
 const VMS: usize = 3;
 
+/// More VMs than hear each other all.
+const MANY: usize = 14;
+
+/// Time in which VMs that have started know each other, and what the others know.
+const SETTLED: Duration = Duration::from_millis(1500);
+
 /// How long a caller repeats it, and the pause between two tries.
 const REPEATED: Duration = Duration::from_secs(6);
 const PAUSE: Duration = Duration::from_millis(60);
@@ -138,3 +144,78 @@
         assert!(failed <= ENDS, "{failed} of {} others failed: {served:?}", served.len());
     });
 }
+
+/// Each VM sees one end of a request that may not be repeated; together they have seen three. Of many VMs three gather what is
+/// known of a content and tell all.
+#[test]
+fn many_vms_that_saw_one_end_each_know_it_together() {
+    let site = site();
+    let servers = servers(&site, SERVERS);
+    let vms = vms(&site, MANY);
+    std::thread::sleep(SETTLED);
+    repeat(&vms, "POST /once/x", POISON, 2 * MANY);
+    is_held_back(&servers, POISON, 0, &vms);
+}
+
+/// A VM that starts after the crashes has seen none of them; it knows them before it is asked.
+#[test]
+fn a_vm_that_starts_later_holds_back_what_the_others_do() {
+    let site = site();
+    let servers = servers(&site, SERVERS);
+    let vms = vms(&site, VMS);
+    repeat(&vms, "POST /safe/x", POISON, 4);
+    for _ in 0..2 {
+        let late = [site.start()];
+        are_ready(&late);
+        std::thread::sleep(SETTLED);
+        repeat(&late, "POST /safe/x", POISON, 10);
+        is_held_back(&servers, POISON, 0, &late);
+    }
+}
+
+/// A VM that stood still while the others learned of a content knows it soon after it goes on.
+#[test]
+fn a_vm_that_stood_still_holds_back_what_the_others_do() {
+    let site = site();
+    let servers = servers(&site, SERVERS);
+    let vms = vms(&site, VMS);
+    vms[0].signal(libc::SIGSTOP);
+    repeat(&vms[1..], "POST /safe/x", POISON, 4);
+    std::thread::sleep(Duration::from_secs(2));
+    vms[0].signal(libc::SIGCONT);
+    std::thread::sleep(SETTLED);
+    repeat(&vms[..1], "POST /safe/x", POISON, 10);
+    is_held_back(&servers, POISON, 0, &vms);
+}
+
+/// A prompt that makes up most of the traffic is open at every server that crashes, and crashes none.
+#[test]
+fn what_many_ask_is_not_held_back_when_servers_crash_beside_it() {
+    const PROMPT: &str = "the question of the hour";
+    let site = site();
+    let servers = servers(&site, SERVERS);
+    let stream = Act::Events {
+        last: 6,
+        cut_after: None,
+        confidence: None,
+        pause: Duration::from_millis(60),
+    };
+    for server in &servers {
+        server.usually(stream.clone());
+    }
+    let vms = vms(&site, VMS);
+    std::thread::scope(|scope| {
+        let callers: Vec<_> =
+            (0..8).map(|_| scope.spawn(|| repeat(&vms, "POST /stream/x", PROMPT, 12))).collect();
+        std::thread::sleep(Duration::from_millis(1200));
+        // Three of eight at once, then two more.
+        servers[..3].iter().for_each(|server| server.crash(Some(Duration::from_secs(1))));
+        std::thread::sleep(Duration::from_millis(500));
+        servers[3..5].iter().for_each(|server| server.crash(Some(Duration::from_secs(1))));
+        callers.into_iter().for_each(|caller| drop(caller.join().expect("no panic")));
+    });
+    let refused = vms.iter().map(|vm| vm.counter(&["kitepulley_requests", "held_back"]));
+    assert_eq!(refused.sum::<f64>(), 0.0, "{}", vms[0].log_end());
+    let checked = vms.iter().map(|vm| vm.counter(&["kitepulley_checks", "IsGone"]));
+    assert!(checked.sum::<f64>() > 0.0, "no crash was met");
+}
