What VMs tell one another of contents is decided without a network

Change: decide::poison::Exchange says which news follow from an end, a good run or a word, and to whom; forward::poison only sends and logs.

--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -108,6 +108,6 @@
     ];
     vm.log("server checked", &fields);
     if found == Found::IsGone && !broken.is_empty() {
-        poison::ended(vm, replica, broken);
+        poison::ended(vm, replica, &broken);
     }
 }
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -275,7 +275,7 @@
             trials.entry(service).or_default().hear(Source::Vm(from), &version, routes);
         }
         Word::Kept { service, version, draws } => kept::hear(vm, &service, &version, draws),
-        Word::Poison(news) => poison::hear(vm, from.as_str(), news),
+        Word::Poison(news) => poison::hear(vm, from.as_str(), &news),
     }
 }
 
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -22,7 +22,7 @@
 use crate::decide::budget::Budget;
 use crate::decide::limit;
 use crate::decide::pace::Pace;
-use crate::decide::poison::Evidence;
+use crate::decide::poison::Exchange;
 use crate::decide::pressure::Pressure;
 use crate::decide::reader::Rank;
 use crate::platform::objects::Trouble;
@@ -66,7 +66,7 @@
     /// Sessions that keep the old version, as other VMs say.
     pub kept: RefCell<Kept>,
     /// Contents under which servers crashed.
-    pub evidence: RefCell<Evidence>,
+    pub poison: RefCell<Exchange>,
     /// When the last read that proved the configuration the newest was sent.
     pub proved: Cell<Option<Moment>>,
     /// Whether the last proof failed.
@@ -134,7 +134,7 @@
             trials: RefCell::default(),
             sessions: RefCell::default(),
             kept: RefCell::default(),
-            evidence: RefCell::default(),
+            poison: RefCell::default(),
             proved: Cell::new(None),
             store_lost: Cell::new(false),
             store_back: Cell::new(None),
