A request of which an attempt may have run is never told as not run, whichever attempt came last

Cause: the product's own door made its refusal from the last attempt alone. After an engine had broken off before its first token, another's word that it did not run became "no_server", ran: no; so with calls of services that may be repeated. Found on reading who else repeats what breaks off. Change: the drive and the call remember that an attempt may have run. Test: tests/door.rs, red before (503, ran: no, of a request that an engine had taken), passes now.

--- a/src/demo/world.rs
+++ b/src/demo/world.rs
@@ -28,6 +28,9 @@
 /// The demo's data centres.
 const DATA_CENTRES: [&str; 2] = ["ulemiste", "kadriorg"];
 
+/// Stand-ins that run before the engines: the platform and the rating service.
+const FIRST_ENGINE: usize = 2;
+
 /// How much there is of everything.
 #[derive(Clone, Copy, Debug)]
 pub struct Shape {
@@ -269,9 +272,32 @@
         false
     }
 
+    /// Ends an engine's process as a crash would.
+    pub fn crash_engine(&self, at: usize) {
+        self.running[FIRST_ENGINE + at].kill();
+    }
+
+    /// Starts an engine again where it listened before.
+    ///
+    /// # Errors
+    /// If its address cannot be had within a second.
+    pub fn start_engine(&mut self, at: usize) -> Result<(), Error> {
+        let running = &mut self.running[FIRST_ENGINE + at];
+        let mut launched = self.engines[at].launch(running.address);
+        for _ in 0..100 {
+            if launched.is_ok() {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+            launched = self.engines[at].launch(running.address);
+        }
+        *running = launched?;
+        Ok(())
+    }
+
     /// Where the engines listen, in their order.
     pub fn engine_addresses(&self) -> Vec<SocketAddr> {
-        let engines = self.running.iter().skip(2).take(self.engines.len());
+        let engines = self.running.iter().skip(FIRST_ENGINE).take(self.engines.len());
         engines.map(|running| running.address).collect()
     }
 
--- a/src/entry/drive/attempts.rs
+++ b/src/entry/drive/attempts.rs
@@ -135,6 +135,7 @@
                 Err((_, fault)) => (fault.failure, fault.words),
             };
             self.take("fail");
+            self.may_have_run |= failure == Failure::Broken;
             let now = self.vm.clock.now();
             // A model's answer may be taken up again at its offset.
             let may = retry::allowed(failure, true, tries, now, self.job.deadline, LEAST);
--- a/src/entry/drive/mod.rs
+++ b/src/entry/drive/mod.rs
@@ -99,6 +99,8 @@
     parts: Vec<Part>,
     attempts: u32,
     headed: bool,
+    /// Whether an attempt ended so that it may have run, though it gave nothing.
+    may_have_run: bool,
     first_token: Option<Moment>,
 }
 
@@ -125,6 +127,7 @@
         parts: Vec::new(),
         attempts: 0,
         headed: false,
+        may_have_run: false,
         first_token: None,
     };
     drive.vm.earn();
@@ -147,8 +150,9 @@
                 return;
             }
             Err(Stop::Refused(refusal)) => {
-                // What ran is billed, so a refusal after it must not claim that nothing ran.
-                let refusal = if served { broken(&refusal) } else { refusal };
+                // A refusal after something ran, or may have, must not claim that nothing did, whichever attempt came last.
+                let ran = served || self.may_have_run;
+                let refusal = if ran { broken(&refusal) } else { refusal };
                 let name = refusal.kind.row().name;
                 self.steps.push(format!("refused: {name}"));
                 self.vm.metrics.refusals.with_label_values(&[name]).inc();
@@ -272,7 +276,7 @@
     }
 }
 
-/// A refusal for a request of which something ran.
+/// A refusal for a request of which something ran, or may have.
 fn broken(refusal: &Refusal) -> Refusal {
     match refusal.kind {
         Refused::Broken | Refused::Unbilled => refusal.clone(),
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -16,7 +16,7 @@
 use crate::config::ServiceEntry;
 use crate::decide::retry::{self, Failure};
 use crate::engine::client::Engines;
-use crate::history::Event;
+use crate::history::{Event, Ran};
 use crate::ledger::{Entry, Part, Why};
 use crate::once::{Answer, Claim, Outcome, Settled, Word, digest};
 use crate::unit::{Cost, Moment, RequestId, Service, Span};
@@ -225,7 +225,7 @@
             kind: reply.kind.clone(),
             body: (reply.body.len() <= KEPT).then(|| reply.body.to_vec()),
         }),
-        Err(refusal) if refusal.kind.row().ran == crate::history::Ran::No => {
+        Err(refusal) if refusal.kind.row().ran == Ran::No => {
             settle(Outcome::NotRun);
         }
         Err(_) => settle(Outcome::InDoubt),
@@ -301,6 +301,22 @@
     call: &Call,
 ) -> Result<Reply, Refusal> {
     vm.earn();
+    let mut may_have_run = false;
+    let outcome = attempts(vm, engines, caller, call, &mut may_have_run).await;
+    outcome.map_err(|refusal| match refusal.kind.row().ran {
+        // The last attempt's word is not that of those before it.
+        Ran::No if may_have_run => Refusal::because(Refused::Broken, refusal.kind.row().sentence),
+        _ => refusal,
+    })
+}
+
+async fn attempts(
+    vm: &Data<Vm>,
+    engines: &Engines,
+    caller: &Caller,
+    call: &Call,
+    may_have_run: &mut bool,
+) -> Result<Reply, Refusal> {
     let group = Group::Service(call.service.clone());
     let mut tries = 0;
     loop {
@@ -344,6 +360,7 @@
             }
             Err(failure) => failure,
         };
+        *may_have_run |= failure == Failure::Broken;
         let may = retry::allowed(failure, call.repeatable, tries, now, call.deadline, LEAST);
         if !may || !vm.spend_retry() {
             let kind = if failure == Failure::Broken { Refused::Broken } else { Refused::NoServer };
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -66,6 +66,8 @@
     pub noise: bool,
     /// It stops sending frames, without closing.
     pub frozen: bool,
+    /// A prompt that holds this crashes it as soon as it runs; whoever launched it is to end it then.
+    pub crashes_on: Option<String>,
 }
 
 struct State {
@@ -78,6 +80,7 @@
     reported: Load,
     fence: Revision,
     orders: u64,
+    crashes: u64,
 }
 
 /// The stand-in.
@@ -104,6 +107,7 @@
             reported,
             fence: Revision(0),
             orders: 0,
+            crashes: 0,
         };
         Engine { state: Arc::new(Mutex::new(state)), slots, history }
     }
@@ -137,6 +141,11 @@
         self.lock().traits.versions.insert(target.clone(), behaviour);
     }
 
+    /// How many prompts that crash it it began to run.
+    pub fn crashes(&self) -> u64 {
+        self.lock().crashes
+    }
+
     /// Orders obeyed and requests running now.
     pub fn counts(&self) -> (u64, u32) {
         let state = self.lock();
@@ -193,6 +202,15 @@
         state.running += 1;
     }
 
+    /// Whether this prompt crashes it, which is counted.
+    fn falls_over(&self, work: &Generate) -> bool {
+        let mut state = self.lock();
+        let needle = state.switches.crashes_on.as_deref();
+        let falls = needle.is_some_and(|needle| work.prompt.contains(needle));
+        state.crashes += u64::from(falls);
+        falls
+    }
+
     fn take_cancel(&self, work: &Generate) -> bool {
         self.lock().cancelled.remove(&(work.request.clone(), work.attempt))
     }
@@ -213,6 +231,11 @@
             return;
         }
         self.begin();
+        if self.falls_over(&work) {
+            to.closed().await;
+            self.lock().running -= 1;
+            return;
+        }
         let breaks = draft.confidence.fract() * 997.0 % 1.0 < behaviour.errors;
         tokio::time::sleep(Duration::from_micros(traits.first_us)).await;
         let mut whole = true;
--- a/tests/door.rs
+++ b/tests/door.rs
@@ -5,6 +5,7 @@
 
 use kitepulley::command::block;
 use kitepulley::demo::{Shape, World, intend, key};
+use kitepulley::history::Event;
 use kitepulley::standin::platform::Switches;
 use kitepulley::unit::{Span, Target};
 use serde_json::{Value, json};
@@ -321,3 +322,30 @@
     let ran: u64 = world.services.iter().map(|service| service.ran().values().sum::<u64>()).sum();
     assert_eq!(ran, 1, "a call that may have run is not sent again");
 }
+
+/// An engine breaks off before its first token, and the others turn the request away: the refusal must not say that it did
+/// not run, whichever came last.
+#[test]
+fn what_may_have_run_is_never_told_as_not_run() {
+    let (world, vms) = world(1);
+    for (at, engine) in world.engines.iter().enumerate() {
+        match at {
+            1 => engine.turn(|now| now.cut_after = Some(0)),
+            _ => engine.turn(|now| now.leaving = true),
+        }
+    }
+    let ran = || {
+        world.history.lines().iter().filter(|line| matches!(line.event, Event::Ran { .. })).count()
+    };
+    let mut told = 0;
+    for _ in 0..20 {
+        let before = ran();
+        let got = chat("roastmind@v3").to(vms[0]);
+        assert_ne!(got.status, 200);
+        let has_run = ran() > before;
+        assert!(!has_run || got.body["ran"] != "no", "it ran: {}", got.body);
+        told += u32::from(has_run);
+    }
+    assert!(told > 0, "no request met the engine that breaks off");
+    world.end();
+}
