The product's own door holds back contents under which engines and services crash

Change: the drive and the call of a service ask decide::poison before each attempt, check a server whose answer broke off (engine::check, shared with the users' platform), and tell other VMs by a call; each VM reminds two others a second of what is held back, so that one that starts knows it. A declared server says nothing of its lives: ends seen within four seconds are one.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt on one engine: its frames, in order, each once, and none of another request.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::decide::retry::Failure;
@@ -42,7 +43,7 @@
     prefix: u64,
     revision: Revision,
     steps: &mut Vec<String>,
-) -> Result<Attempt<'a>, (Option<Server>, Fault)> {
+) -> Result<Attempt<'a>, (Option<Picked>, Fault)> {
     let now = vm.clock.now();
     let group = Group::Version(work.target.clone());
     let picked = {
@@ -82,7 +83,7 @@
             note_fault(vm, &picked, &fault, now);
             steps.push(format!("{} on {}: {}", work.target, picked.server, fault.words));
             count(vm, &work.target, "refused");
-            Err((Some(picked.server), fault))
+            Err((Some(picked), fault))
         }
     }
 }
@@ -108,6 +109,11 @@
 }
 
 impl Attempt<'_> {
+    /// Where its server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.picked.address
+    }
+
     /// The server it runs on.
     pub fn server(&self) -> &Server {
         &self.picked.server
--- a/src/entry/drive/attempts.rs
+++ b/src/entry/drive/attempts.rs
@@ -1,16 +1,19 @@
 //! Attempts of a request on one version: on other servers where one breaks off, each token once.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use super::{Drive, Stop};
 use crate::config::{Allowed, Snapshot};
 use crate::decide::admit::Ended;
+use crate::decide::poison::{Broken, RAN_FOR};
 use crate::decide::retry::{self, Failure};
 use crate::engine::wire::{End, Generate};
 use crate::entry::attempt::{self, Attempt, Piece};
 use crate::entry::refusal::{Kind as Refused, Refusal};
 use crate::evidence::Tally;
-use crate::unit::{Moment, Span, Target};
+use crate::unit::{Moment, Server, Span, Target};
+use crate::vm::poison;
 
 /// A retry needs at least this much of the deadline.
 const LEAST: Span = Span::millis(20);
@@ -113,12 +116,19 @@
             let (failure, words) = match started {
                 Ok(mut attempt) => {
                     self.take("send");
-                    match self.follow(&mut attempt, target, kept, send, first).await {
+                    let mut began_at = None;
+                    let followed =
+                        self.follow(&mut attempt, target, kept, send, &mut began_at).await;
+                    if let Some(began_at) = began_at {
+                        first.get_or_insert(began_at);
+                    }
+                    match followed {
                         Ok(end) => return Ok(end),
                         Err(Followed::Gone) => return Err(Stop::Gone),
                         Err(Followed::Broke(words)) => {
                             let now = self.vm.clock.now();
                             let server = attempt.server().clone();
+                            self.suspect(&server, attempt.address(), began_at);
                             self.vm.fleet.lock().expect("no panic while held").failed(&server, now);
                             self.steps.push(format!("{server} broke off: {words}"));
                             (Failure::Broken, words)
@@ -132,7 +142,12 @@
                     self.take("fail");
                     continue;
                 }
-                Err((_, fault)) => (fault.failure, fault.words),
+                Err((picked, fault)) => {
+                    if let Some(picked) = picked.filter(|_| fault.failure == Failure::Broken) {
+                        self.suspect(&picked.server, picked.address, None);
+                    }
+                    (fault.failure, fault.words)
+                }
             };
             self.take("fail");
             self.may_have_run |= failure == Failure::Broken;
@@ -146,6 +161,14 @@
         }
     }
 
+    /// An answer broke off at a server, after its first token came at a moment, if it did.
+    fn suspect(&self, server: &Server, address: SocketAddr, first: Option<Moment>) {
+        let now = self.vm.clock.now();
+        let ran = first.is_some_and(|first| now.since(first) >= RAN_FOR);
+        let request = Broken { content: self.job.content, ran };
+        poison::broke(&self.vm, server, address, request);
+    }
+
     fn given_up(&self, failure: Failure, words: &str, now: Moment) -> Refusal {
         if failure == Failure::Broken || !self.parts.is_empty() {
             return Refusal::because(Refused::Broken, words);
@@ -161,6 +184,9 @@
         if !self.vm.may_start(now) {
             return refuse(Refused::CutOff);
         }
+        if poison::holds_back(&self.vm, &self.job.content) {
+            return refuse(Refused::HeldBack);
+        }
         if now >= self.job.deadline {
             return refuse(Refused::Late);
         }
@@ -200,7 +226,7 @@
         target: &Target,
         kept: &mut Vec<String>,
         send: bool,
-        first: &mut Option<Moment>,
+        began_at: &mut Option<Moment>,
     ) -> Result<End, Followed> {
         let to = self.to.clone();
         let mut began = false;
@@ -213,7 +239,7 @@
                 Piece::Token(text) => {
                     if !began {
                         began = true;
-                        first.get_or_insert(self.vm.clock.now());
+                        *began_at = Some(self.vm.clock.now());
                         self.take("first");
                     }
                     kept.push(text.clone());
--- a/src/entry/drive/mod.rs
+++ b/src/entry/drive/mod.rs
@@ -16,8 +16,8 @@
 use crate::engine::client::Engines;
 use crate::engine::wire::End;
 use crate::ledger::{Part, Why};
-use crate::unit::{Kind, Moment, RequestId, Target};
-use crate::vm::Vm;
+use crate::unit::{Digest, Kind, Moment, RequestId, Target};
+use crate::vm::{Vm, poison};
 
 /// What the drive tells the door.
 pub enum Out {
@@ -60,6 +60,8 @@
     pub prompt: String,
     /// Digest of the prompt's beginning.
     pub prefix: u64,
+    /// What is asked, whoever of the workspace asks it.
+    pub content: Digest,
     /// Longest answer.
     pub max_tokens: u32,
     /// Kind of work.
@@ -159,6 +161,9 @@
                 (Out::Refused(refusal), "refused")
             }
         };
+        if matches!(last, Out::End(_)) {
+            poison::ran_well(&self.vm, self.job.content);
+        }
         self.count(outcome);
         let _ = self.to.send(last).await;
     }
--- a/src/entry/models.rs
+++ b/src/entry/models.rs
@@ -17,7 +17,7 @@
 use crate::config::{Allowed, Snapshot, WorkspaceEntry, digest};
 use crate::engine::client::Engines;
 use crate::evidence::{Key, Tally};
-use crate::unit::{Kind, Model, RequestId, Span, Target};
+use crate::unit::{self, Digest, Kind, Model, RequestId, Span, Target};
 use crate::vm::{Errand, Vm};
 
 /// Tokens made ahead of a slow caller.
@@ -279,6 +279,7 @@
     let job = Job {
         request: id,
         prefix: prefix(&workspace, &prompt),
+        content: content(&workspace, &chat.model, &prompt),
         why: why(&snapshot, &route, in_session, point),
         workspace,
         snapshot,
@@ -390,6 +391,11 @@
     hasher.finish()
 }
 
+/// What a request asks: the workspace, the model as its caller names it and the whole prompt.
+fn content(workspace: &WorkspaceEntry, model: &str, prompt: &str) -> Digest {
+    unit::digest(&[workspace.name.as_str().as_bytes(), model.as_bytes(), prompt.as_bytes()])
+}
+
 /// `GET /v1/models`.
 pub async fn list(vm: Data<Vm>, request: HttpRequest) -> HttpResponse {
     let caller = match admit(&vm, &request) {
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -14,13 +14,14 @@
 use super::models::{Caller, admit, body};
 use super::refusal::{Kind as Refused, Refusal};
 use crate::config::ServiceEntry;
+use crate::decide::poison::Broken;
 use crate::decide::retry::{self, Failure};
 use crate::engine::client::Engines;
 use crate::history::{Event, Ran};
 use crate::ledger::{Entry, Part, Why};
-use crate::once::{Answer, Claim, Outcome, Settled, Word, digest};
-use crate::unit::{Cost, Moment, RequestId, Service, Span};
-use crate::vm::{Asked, Errand, Group, Vm};
+use crate::once::{Answer, Claim, Outcome, Settled, Word};
+use crate::unit::{Cost, Digest, Moment, RequestId, Service, Span, digest};
+use crate::vm::{Asked, Errand, Group, Vm, poison};
 
 /// Price of a call, in micro-euros.
 const PRICE: Cost = Cost(10);
@@ -318,6 +319,7 @@
     may_have_run: &mut bool,
 ) -> Result<Reply, Refusal> {
     let group = Group::Service(call.service.clone());
+    let content = content(caller, call);
     let mut tries = 0;
     loop {
         let now = vm.clock.now();
@@ -325,6 +327,9 @@
         if !vm.may_start(now) {
             return Err(Refusal::new(Refused::CutOff));
         }
+        if poison::holds_back(vm, &content) {
+            return Err(Refusal::new(Refused::HeldBack));
+        }
         let allowed = snapshot.workspace(&caller.workspace.name);
         if !allowed.is_some_and(|workspace| workspace.services.contains(&call.service)) {
             return Err(Refusal::new(Refused::NotAllowed));
@@ -355,12 +360,17 @@
         }
         let failure = match sent {
             Ok(reply) => {
+                poison::ran_well(vm, content);
                 bill(vm, caller, call).await?;
                 return Ok(reply);
             }
             Err(failure) => failure,
         };
-        *may_have_run |= failure == Failure::Broken;
+        if failure == Failure::Broken {
+            *may_have_run = true;
+            let request = Broken { content, ran: false };
+            poison::broke(vm, &picked.server, picked.address, request);
+        }
         let may = retry::allowed(failure, call.repeatable, tries, now, call.deadline, LEAST);
         if !may || !vm.spend_retry() {
             let kind = if failure == Failure::Broken { Refused::Broken } else { Refused::NoServer };
@@ -369,6 +379,18 @@
     }
 }
 
+/// What a call asks, whoever of the workspace asks it and under whichever key.
+fn content(caller: &Caller, call: &Call) -> Digest {
+    let texts = [
+        caller.workspace.name.as_str(),
+        call.service.as_str(),
+        call.method.as_str(),
+        call.path.as_str(),
+    ];
+    let [workspace, service, method, path] = texts.map(str::as_bytes);
+    digest(&[workspace, service, method, path, &call.body])
+}
+
 async fn send(
     engines: &Engines,
     to: std::net::SocketAddr,
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -1,24 +1,17 @@
 //! Finds out whether a backend server has crashed where the answer of a request broke off.
 //!
-//! A broken answer alone does not say: a connection may be reset, a link cut, an answer garbled by a server that lives on. A
-//! server whose process is gone refuses new connections, or a later life of it is there. A server that has said that it
-//! leaves ends as planned.
+//! A server whose process is gone refuses new connections, or a later life of it is there. A server that has said that it leaves
+//! ends as planned.
 
-use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use actix_web::rt::spawn;
-use tokio::net::TcpStream;
 
 use super::poison;
 use super::replica::Replica;
 use super::vm::Vm;
 use crate::decide::poison::Broken;
-use crate::unit::Span;
-
-/// A server that neither takes nor refuses a connection within this leaves open whether it lives.
-const CHECK_WITHIN: Span = Span::millis(350);
+use crate::engine::check::{self, Found};
 
 /// What is known of how a life of a server goes on.
 #[derive(Debug, Default)]
@@ -32,17 +25,6 @@
     Over,
 }
 
-/// What a check found.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Found {
-    /// It takes connections.
-    Lives,
-    /// It refuses them.
-    IsGone,
-    /// Neither.
-    Unknown,
-}
-
 /// The answer to a request broke off at a life of a server.
 pub fn suspect(vm: &Rc<Vm>, replica: &Replica, request: Broken) {
     let is_over = {
@@ -68,12 +50,12 @@
     if is_over {
         note(vm, replica, vec![request], Found::IsGone);
     } else {
-        spawn(check(vm.clone(), replica.clone()));
+        spawn(look(vm.clone(), replica.clone()));
     }
 }
 
-async fn check(vm: Rc<Vm>, replica: Replica) {
-    let found = connect(replica.address).await;
+async fn look(vm: Rc<Vm>, replica: Replica) {
+    let found = check::check(replica.address).await;
     let broken = {
         let mut fleet = vm.fleet.borrow_mut();
         let Some(server) = fleet.life_mut(&replica) else { return };
@@ -86,14 +68,6 @@
     note(&vm, &replica, broken, found);
 }
 
-async fn connect(address: SocketAddr) -> Found {
-    match tokio::time::timeout(CHECK_WITHIN.duration(), TcpStream::connect(address)).await {
-        Ok(Ok(_)) => Found::Lives,
-        Ok(Err(fault)) if fault.kind() == io::ErrorKind::ConnectionRefused => Found::IsGone,
-        Ok(Err(_)) | Err(_) => Found::Unknown,
-    }
-}
-
 fn note(vm: &Rc<Vm>, replica: &Replica, broken: Vec<Broken>, found: Found) {
     let outcome = format!("{found:?}");
     vm.metrics.checks.with_label_values(&[replica.service.as_str(), &outcome]).inc();
--- a/src/peer/wire.rs
+++ b/src/peer/wire.rs
@@ -4,6 +4,7 @@
 
 use super::Member;
 use crate::config::Piece;
+use crate::decide::poison;
 use crate::evidence::Row;
 use crate::ledger::Entry;
 use crate::once::{Answer, Claim, Digest, Settled, Word};
@@ -139,6 +140,8 @@
     },
     /// The burn report's counts.
     Burn,
+    /// Contents under which servers crash.
+    Poison(poison::News),
 }
 
 /// The answer to a call.
--- a/src/vm/control.rs
+++ b/src/vm/control.rs
@@ -9,7 +9,7 @@
 use actix::{Actor, AsyncContext, Context};
 use tokio::sync::{mpsc, oneshot};
 
-use super::{Errand, bills, claims, ratings};
+use super::{Errand, bills, claims, poison, ratings};
 use crate::engine::client::Engines;
 use crate::evidence::Origin;
 use crate::history::Event;
@@ -166,6 +166,10 @@
                 Reply::Done
             }
             Call::Claim(claim) => Reply::Claim(self.owner.claim(claim).await),
+            Call::Poison(news) => {
+                poison::hear(&self.vm, &news);
+                Reply::Done
+            }
             Call::Settle(settled) => {
                 self.owner.settle(settled);
                 Reply::Done
@@ -205,6 +209,7 @@
                     let _ = reply.send(claims::ask_holder(&control, asked, holder).await);
                 });
             }
+            Errand::Tell(word) => poison::tell(&control, word),
             Errand::Rate(sample) => ratings::give(control, sample),
             Errand::CatchUp(revision, reply) => {
                 actix_web::rt::spawn(async move {
--- a/src/vm/errand.rs
+++ b/src/vm/errand.rs
@@ -2,6 +2,7 @@
 
 use tokio::sync::oneshot;
 
+use crate::decide::poison;
 use crate::ledger::Entry;
 use crate::once::{Answer, Claim, Digest, Settled, Word};
 use crate::standin::rating::Sample;
@@ -38,6 +39,8 @@
     Look(Server),
     /// Ask all VMs for a request's decision record.
     Explain(String, oneshot::Sender<Option<String>>),
+    /// Tell others of contents under which servers crash.
+    Tell(poison::Word),
     /// Ask all VMs for their burn counts.
     Burn(oneshot::Sender<Vec<String>>),
 }
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -7,6 +7,7 @@
 mod duty;
 mod errand;
 mod fleet;
+pub mod poison;
 mod ratings;
 mod run;
 mod settings;
--- a/src/vm/run.rs
+++ b/src/vm/run.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 
 use super::control::Control;
-use super::{Clock, Settings, Vm, bills, duty, ratings, spread};
+use super::{Clock, Settings, Vm, bills, duty, poison, ratings, spread};
 use crate::engine::client::Engines;
 use crate::entry;
 use crate::error::Error;
@@ -95,6 +95,7 @@
     actix_web::rt::spawn(duty::watch_service(control.clone()));
     actix_web::rt::spawn(duty::learn(control.clone()));
     actix_web::rt::spawn(ratings::exchange(control.clone()));
+    actix_web::rt::spawn(poison::remind(control.clone()));
     let server = door(vm.clone(), listener)?;
     log::info!("{} {} serves callers at {address}", vm.settings.vm, vm.incarnation);
     Ok(Handle { vm, address, control, server })
--- a/src/vm/state.rs
+++ b/src/vm/state.rs
@@ -12,6 +12,7 @@
 use crate::decide::admit::Gate;
 use crate::decide::cascade::{Credit, Rule};
 use crate::decide::limit::Bucket;
+use crate::decide::poison::Exchange;
 use crate::decide::retry::Budget;
 use crate::evidence::{Key, Origin, Tally};
 use crate::history::Sink;
@@ -56,6 +57,8 @@
     pub sampling: RwLock<(f64, f64)>,
     /// Parts of workspaces' limits on this VM.
     pub parts: RwLock<HashMap<Workspace, Rate>>,
+    /// Contents under which servers crash.
+    pub poison: Mutex<Exchange>,
     /// Keys set aside on this VM.
     pub reserved: Mutex<Reserved>,
     gates: Mutex<HashMap<Model, Gate>>,
@@ -95,6 +98,7 @@
             rules: RwLock::default(),
             sampling: RwLock::new((1.0, 0.0)),
             parts: RwLock::default(),
+            poison: Mutex::default(),
             reserved: Mutex::default(),
             gates: Mutex::default(),
             dispatches: Mutex::default(),
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -18,6 +18,8 @@
 
 use std::time::{Duration, Instant};
 
+use kitepulley::command::block;
+use kitepulley::demo::{Shape, World, key};
 use kitepulley::standin::replica::{Act, Crash, Replica};
 use serde_json::json;
 use site::{Site, Vm, are_ready, ask, head};
@@ -219,3 +221,61 @@
     let checked = vms.iter().map(|vm| vm.counter(&["kitepulley_checks", "IsGone"]));
     assert!(checked.sum::<f64>() > 0.0, "no crash was met");
 }
+
+/// Sends a prompt to the product's own door; whether its refusal says that it did not run, or none if it was answered.
+fn chat(at: std::net::SocketAddr, prompt: &str) -> Option<String> {
+    let body = json!({"model": "roastmind", "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": 4});
+    block(async {
+        let http = awc::Client::builder().timeout(Duration::from_secs(10)).finish();
+        let url = format!("http://{at}/v1/chat/completions");
+        let key = format!("Bearer {}", key("roasters"));
+        let sent = http.post(url).insert_header(("authorization", key)).send_json(&body).await;
+        let mut answer = sent.expect("the VM answers");
+        let bytes = answer.body().await.expect("a body");
+        let value: serde_json::Value = serde_json::from_slice(&bytes).expect("JSON");
+        (answer.status() != 200).then(|| value["ran"].to_string())
+    })
+}
+
+/// The product's own door has the same fault: a prompt that crashes engines goes on to others, at each VM anew.
+#[test]
+fn a_prompt_that_crashes_engines_is_held_back_by_all_vms() {
+    let mut world = World::start(&Shape { engines: 12, ..Shape::default() }).unwrap();
+    for engine in &world.engines {
+        engine.turn(|now| now.crashes_on = Some(POISON.to_owned()));
+    }
+    let vms: Vec<_> = world.nodes.values().map(|node| node.address).collect();
+    let callers = std::thread::spawn(move || {
+        let refused = (0..20).map(|number| {
+            std::thread::sleep(PAUSE);
+            chat(vms[number % vms.len()], POISON)
+        });
+        let refused: Vec<_> = refused.collect();
+        (refused, chat(vms[0], "an innocent question"))
+    });
+    let mut ends = vec![0; world.engines.len()];
+    let mut down: Vec<(usize, Instant)> = Vec::new();
+    while !callers.is_finished() {
+        for (at, known) in ends.iter_mut().enumerate() {
+            if world.engines[at].crashes() > *known {
+                *known = world.engines[at].crashes();
+                world.crash_engine(at);
+                down.push((at, Instant::now()));
+            }
+        }
+        let (back, still): (Vec<_>, Vec<_>) =
+            down.into_iter().partition(|(_, since)| since.elapsed() > Duration::from_millis(800));
+        for (at, _) in back {
+            world.start_engine(at).unwrap();
+        }
+        down = still;
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    let (refused, innocent) = callers.join().unwrap();
+    let ended: u64 = ends.iter().sum();
+    assert_eq!(ended as usize, ENDS, "{refused:?}");
+    assert_eq!(refused.last(), Some(&Some("\"no\"".to_owned())), "{refused:?}");
+    assert_eq!(innocent, None);
+    world.end();
+}
