Moments count the time that a machine was suspended; what a VM does on waking

Cause: vm::Clock read the standard library's steady clock, which stands still while a VM is suspended, so that a proof of 20 s ago looked as young as it was before: a key that had been taken away would be used until the next proof, in touch or not. Ruled out: the time of day, which is set and steps. Not tested on a suspended machine.

--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -37,6 +37,7 @@
 pub mod tally;
 pub mod trial;
 mod vm;
+pub mod wake;
 
 pub use run::run;
 pub use settings::{Bounds, Settings};
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -9,7 +9,7 @@
 use super::follow::{self, Kind};
 use super::settings::Settings;
 use super::vm::Vm;
-use super::{door, follower, kept, peer, poison, proof, steps};
+use super::{door, follower, kept, peer, poison, proof, steps, wake};
 use crate::error::Error;
 use crate::platform;
 use crate::unit::Span;
@@ -49,6 +49,7 @@
     spawn(follow::expire(vm.clone()));
     spawn(steps::run(vm.clone()));
     spawn(kept::run(vm.clone()));
+    spawn(wake::run(vm.clone()));
     spawn(peer::run(vm.clone()));
     spawn(follower::run(vm.clone()));
     spawn(door::serve_callers(vm.clone(), callers));
--- /dev/null
+++ b/src/forward/wake.rs
@@ -0,0 +1,44 @@
+//! What a VM does when it wakes after it was suspended.
+//!
+//! Ages count the time asleep, so nothing that needs a young proof is done with an old one. Timers of the runtime do not count
+//! that time: they end later by as long as the VM slept. So the next proof is asked for at once, and followers get no news until this
+//! VM has had time to hear some.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::vm::Vm;
+use crate::unit::Span;
+
+/// Time between two looks.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// The two clocks are read one after the other, and a machine steers both; less is no sleep.
+const LEAST: Span = Span::millis(50);
+
+/// Looks whether the machine slept until the process ends.
+pub async fn run(vm: Rc<Vm>) {
+    let Some(mut known) = vm.clock.slept() else {
+        vm.log("no clock counts the time asleep", &[]);
+        return;
+    };
+    loop {
+        tokio::time::sleep(LOOK).await;
+        known = look(&vm, known);
+    }
+}
+
+/// Notes a sleep since the last look, when the machine had slept `known` in all. How long it has by now.
+pub fn look(vm: &Vm, known: Span) -> Span {
+    let slept = vm.clock.slept().unwrap_or(known);
+    let more = Span(slept.0.saturating_sub(known.0));
+    if more < LEAST {
+        return known;
+    }
+    let now = vm.now();
+    let age = vm.proof_age(now).map_or(-1.0, Span::as_millis);
+    vm.log("woke", &[("slept_ms", more.as_millis().into()), ("proof_age_ms", age.into())]);
+    vm.held_up.set(Some(now));
+    vm.prove.notify_one();
+    slept
+}
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -14,7 +14,7 @@
 mod spread;
 mod state;
 
-pub use clock::Clock;
+pub use clock::{Clock, Reading};
 pub use errand::{Asked, Errand};
 pub use fleet::{Fleet, Group, Picked};
 pub use ratings::{Subject, Waiting};
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -422,13 +422,18 @@
 
 /// A VM without a process, which learns what it is told.
 pub fn bare_vm() -> Rc<Inner> {
+    vm_with_clock(Clock::default(), None)
+}
+
+/// The same with these clocks, and a bound on the age of keys.
+pub fn vm_with_clock(clock: Clock, key_staleness: Option<Span>) -> Rc<Inner> {
     let address = "127.0.0.1:9".parse().unwrap();
     let bounds = Bounds {
         contact: Span::secs(3),
         in_force: Span::secs(2),
         leave_within: Span::secs(2),
         empty_within: Span::secs(5),
-        key_staleness: None,
+        key_staleness,
         rollback: Span::secs(5),
         stop_within: Span::secs(8),
         session_gap: Span::secs(5),
@@ -451,5 +456,5 @@
         keep_confidence: 60.0,
         bounds,
     };
-    Rc::new(Inner::new(settings, Clock::default(), Lines::default()))
+    Rc::new(Inner::new(settings, clock, Lines::default()))
 }
--- /dev/null
+++ b/tests/sleep.rs
@@ -0,0 +1,118 @@
+//! VMs that are suspended: the steady clock stands still meanwhile, the clock that counts the time asleep does not.
+//!
+//! A suspended machine can't be had in a test, so its clocks are put in place of the machine's. Each row below is a use of time: what a
+//! sleep of 1, 5 and 30 s did with the steady clock is what `awake` tells.
+
+mod site;
+
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use kitepulley::decide::cold::{Bound, Part, Turns};
+use kitepulley::decide::poison::{Broken, Exchange, Life, Ways};
+use kitepulley::decide::reader::is_stale;
+use kitepulley::forward::{Vm, learn, wake};
+use kitepulley::unit::{Moment, Rate, Span, digest};
+use kitepulley::vm::{Clock, Reading};
+use site::vm_with_clock;
+
+/// Time awake and asleep of each test's machine, in microseconds; a reading has no argument, so each test has its own.
+macro_rules! machine {
+    ($awake:ident, $asleep:ident, $read:ident) => {
+        static $awake: AtomicU64 = AtomicU64::new(1_000_000);
+        static $asleep: AtomicU64 = AtomicU64::new(0);
+
+        fn $read() -> Reading {
+            let awake = Duration::from_micros($awake.load(Ordering::SeqCst));
+            let asleep = Duration::from_micros($asleep.load(Ordering::SeqCst));
+            Reading { awake, all: Some(awake + asleep) }
+        }
+    };
+}
+
+fn sleep(asleep: &AtomicU64, time: Span) {
+    asleep.fetch_add(time.0, Ordering::SeqCst);
+}
+
+machine!(KEYS_AWAKE, KEYS_ASLEEP, keys);
+
+fn vm_that_proved(read: fn() -> Reading) -> Rc<Vm> {
+    let vm = vm_with_clock(Clock::new(read), Some(Span::secs(5)));
+    learn::prove(&vm, vm.now());
+    vm
+}
+
+/// A key that was taken away while the VM slept must not be used when it wakes, in touch or not.
+#[test]
+fn a_vm_that_slept_past_its_proof_sends_nothing_on_with_a_key() {
+    let vm = vm_that_proved(keys);
+    sleep(&KEYS_ASLEEP, Span::secs(1));
+    assert!(vm.may_use_keys(vm.now()), "a proof of a second ago is young enough");
+    sleep(&KEYS_ASLEEP, Span::secs(4));
+    assert!(!vm.may_use_keys(vm.now()));
+    assert!(!vm.is_ready(vm.now()));
+    learn::prove(&vm, vm.now());
+    assert!(vm.may_use_keys(vm.now()));
+    KEYS_AWAKE.fetch_add(1, Ordering::SeqCst);
+}
+
+machine!(WAKE_AWAKE, WAKE_ASLEEP, wakes);
+
+#[test]
+fn a_sleep_is_told_once_and_news_wait_for_what_happened_meanwhile() {
+    let vm = vm_that_proved(wakes);
+    let known = wake::look(&vm, Span::default());
+    assert_eq!((known, vm.held_up.get()), (Span::default(), None));
+    WAKE_AWAKE.fetch_add(700_000, Ordering::SeqCst);
+    assert_eq!(wake::look(&vm, known), Span::default(), "time awake is no sleep");
+    sleep(&WAKE_ASLEEP, Span::secs(30));
+    let known = wake::look(&vm, known);
+    assert_eq!(known, Span::secs(30));
+    assert_eq!(vm.held_up.get(), Some(vm.now()));
+    vm.held_up.set(None);
+    assert_eq!(wake::look(&vm, known), known);
+    assert_eq!(vm.held_up.get(), None);
+}
+
+machine!(AGES_AWAKE, AGES_ASLEEP, ages);
+
+/// What ages count as time, whoever asks for them.
+#[test]
+fn ages_count_the_time_asleep() {
+    let clock = Clock::new(ages);
+    let before = clock.now();
+    let bound = Bound { rate: Rate(2.0), lasts: Span::secs(3) };
+    let part = Part::new(&bound, 1);
+    let mut turns = Turns::default();
+    turns.take(&part, before);
+    let mut contents = Exchange::default();
+    let content = digest(&[b"a question"]);
+    for life in 0..3 {
+        let life = Life::new("server", Some(life));
+        contents.ended(life, &[Broken { content, ran: false }], Ways::Direct, before);
+    }
+    for (sleeps, stale, held) in [(1, false, true), (5, true, true), (600, true, false)] {
+        AGES_AWAKE.fetch_add(1000, Ordering::SeqCst);
+        sleep(&AGES_ASLEEP, Span::secs(sleeps));
+        let now = clock.now();
+        assert_eq!(is_stale(now.since(before), Span::secs(2)), stale, "servers after {sleeps} s");
+        assert_eq!(turns.next(now), now.max(before + part.gap), "a turn after {sleeps} s");
+        assert_eq!(contents.held(&content, now).is_some(), held, "a belief after {sleeps} s");
+    }
+}
+
+fn without() -> Reading {
+    Reading { awake: Duration::from_secs(7), all: None }
+}
+
+#[test]
+fn without_such_a_clock_the_steady_one_goes_on() {
+    let clock = Clock::new(without);
+    assert_eq!((clock.now(), clock.slept()), (Moment(1_000_000), None));
+    let real = Clock::default();
+    let first = real.now();
+    std::thread::sleep(Duration::from_millis(20));
+    assert!(real.now() >= first + Span::millis(20));
+    assert!(real.slept().is_some(), "Linux counts the time asleep");
+}
