Experiment poison: what VMs do about contents that crash servers, four ways at 23 to 295 VMs in virtual time

The world: three such contents, each fifty times within a second and then three times a second, each time to a VM drawn anew; innocent requests, three in ten of them the same; a quarter of the servers crash by themselves. Decisions are those of decide::poison. Ways: nothing, each VM alone, told (the server's), told and one at a time. Nothing that entry or serve runs is changed.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -275,7 +275,10 @@
     #[options(help = "show this help")]
     pub help: bool,
     /// Which.
-    #[options(free, help = "cascade, rollout, replica, overload, spread, path, once or slopes")]
+    #[options(
+        free,
+        help = "cascade, rollout, replica, overload, spread, reading, poison, path, once or slopes"
+    )]
     pub name: Option<String>,
     /// Seed.
     #[options(no_short, meta = "N", help = "seed (default 1)")]
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -5,6 +5,7 @@
 mod options;
 mod overload;
 mod path;
+mod poison;
 mod probe;
 mod reading;
 mod replica;
@@ -19,7 +20,8 @@
 use crate::error::Error;
 
 /// The experiments by name.
-pub const NAMES: &str = "cascade, rollout, replica, overload, spread, reading, path, once, slopes";
+pub const NAMES: &str =
+    "cascade, rollout, replica, overload, spread, reading, poison, path, once, slopes";
 
 /// Runs an experiment.
 ///
@@ -33,6 +35,7 @@
         "overload" => Ok(overload::run(options)),
         "spread" => Ok(spread::run(options)),
         "reading" => Ok(reading::run(options)),
+        "poison" => Ok(poison::run(options)),
         "path" => path::run(options),
         "once" => once::run(options),
         "slopes" => slopes::run(options),
