--- a/src/experiment/poison/mod.rs
+++ b/src/experiment/poison/mod.rs
@@ -4,6 +4,7 @@
 //! drawn anew; innocent requests run beside them, three in ten of them with one and the same content; and once a quarter of all
 //! servers crash for no request's sake. The way of the server, in which VMs tell one another, runs beside three others.
 
+mod fleet;
 mod world;
 
 use rand::SeedableRng;
@@ -11,7 +12,8 @@
 
 use super::options::Options;
 use super::table::{Row, Table, quantile};
-use world::{Fleet, POISONS, Way, World};
+use fleet::{Fleet, Way};
+use world::{POISONS, World};
 
 /// Numbers of VMs that are played if none are given: the users' sites.
 const VMS: [usize; 3] = [23, 84, 295];
--- a/src/experiment/poison/world.rs
+++ b/src/experiment/poison/world.rs
@@ -7,10 +7,10 @@
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 
+use super::fleet::{Fleet, Way};
 use crate::decide::poison::{Broken, Exchange, Life, News, Out, RAN_FOR, To, Ways};
-use crate::peer::neighbours;
 use crate::peer::wire::encode;
-use crate::unit::{Digest, Moment, Span, Vm, digest, hash};
+use crate::unit::{Digest, Moment, Span, digest};
 
 /// Contents that crash servers, one after the other.
 pub const POISONS: usize = 3;
@@ -44,79 +44,9 @@
 /// A server is back after this.
 const BACK: Span = Span::secs(3);
 
-/// More VMs than this tell their neighbours only, and gatherers what they see of a content.
-const FEW: usize = 13;
-const GATHERERS: usize = 3;
-
 /// Bytes of a packet beside its content.
 const PACKET: usize = 60;
 
-/// What VMs do about such contents.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Way {
-    /// Nothing.
-    Nothing,
-    /// Each goes by what it saw itself.
-    Alone,
-    /// They tell one another: the way of the server.
-    Told,
-    /// Beside that all are told of suspects, and one VM, the same for all, lets each suspect run one at a time.
-    OneAtATime,
-}
-
-impl Way {
-    /// All of them.
-    pub const ALL: [Way; 4] = [Way::Nothing, Way::Alone, Way::Told, Way::OneAtATime];
-
-    /// Its name in the table.
-    pub fn name(self) -> &'static str {
-        match self {
-            Way::Nothing => "nothing",
-            Way::Alone => "each alone",
-            Way::Told => "told",
-            Way::OneAtATime => "told, one at a time",
-        }
-    }
-}
-
-/// Who tells whom.
-pub struct Fleet {
-    neighbours: Vec<Vec<usize>>,
-    hashes: Vec<u64>,
-}
-
-impl Fleet {
-    /// A fleet of so many VMs.
-    pub fn new(vms: usize) -> Fleet {
-        let name = |at: usize| format!("vm{at:04}").parse().expect("a name");
-        let names: Vec<Vm> = (0..vms).map(name).collect();
-        let index: HashMap<&Vm, usize> =
-            names.iter().enumerate().map(|(at, vm)| (vm, at)).collect();
-        let near = |vm: &Vm| neighbours(vm, &names).iter().map(|other| index[other]).collect();
-        let all = |own: &Vm| (0..vms).filter(|at| names[*at] != *own).collect();
-        let few = vms <= FEW;
-        let neighbours = names.iter().map(|vm| if few { all(vm) } else { near(vm) }).collect();
-        let hashes = names.iter().map(|vm| hash::stable(&[vm.as_str()])).collect();
-        Fleet { neighbours, hashes }
-    }
-
-    /// How many VMs it has.
-    pub fn vms(&self) -> usize {
-        self.hashes.len()
-    }
-
-    fn ways(&self) -> Ways {
-        if self.vms() <= FEW { Ways::Direct } else { Ways::ByNeighbours }
-    }
-
-    fn gatherers(&self, content: Digest, count: usize) -> Vec<usize> {
-        let mut order: Vec<usize> = (0..self.vms()).collect();
-        order.sort_by_key(|at| Reverse(hash::mix(content.0, self.hashes[*at])));
-        order.truncate(count);
-        order
-    }
-}
-
 /// One request on its way.
 #[derive(Clone)]
 struct Request {
@@ -316,7 +246,7 @@
         if self.way != Way::OneAtATime || self.cut[request.vm] {
             return false;
         }
-        let owner = self.fleet.gatherers(request.content, 1)[0];
+        let owner = self.fleet.gatherers(request.content)[0];
         let heard = Span::millis(10);
         let is_suspect =
             self.suspected.get(&request.content).is_some_and(|at| self.now.since(*at) >= heard);
@@ -444,11 +374,9 @@
         }
         for word in out.words {
             let to = match word.to {
-                To::All => self.fleet.neighbours[vm].clone(),
-                To::Gatherers(_) if self.fleet.ways() == Ways::Direct => {
-                    self.fleet.neighbours[vm].clone()
-                }
-                To::Gatherers(content) => self.fleet.gatherers(content, GATHERERS),
+                To::All => self.fleet.neighbours(vm),
+                To::Gatherers(_) if self.fleet.ways() == Ways::Direct => self.fleet.neighbours(vm),
+                To::Gatherers(content) => self.fleet.gatherers(content),
             };
             let bytes = (encode(&word.news).len() + PACKET) as u64;
             for other in to.into_iter().filter(|other| *other != vm) {
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -9,6 +9,7 @@
 
 use super::poison;
 use super::replica::Replica;
+use super::server::Fleet;
 use super::vm::Vm;
 use crate::decide::poison::Broken;
 use crate::engine::check::{self, Found};
@@ -25,32 +26,45 @@
     Over,
 }
 
+/// What a broken answer means for the life of its server, as far as this VM knows.
+enum Next {
+    /// It is over.
+    IsOver,
+    /// It is to be checked.
+    Check,
+    /// It is being checked, or ends as planned.
+    Nothing,
+}
+
 /// The answer to a request broke off at a life of a server.
 pub fn suspect(vm: &Rc<Vm>, replica: &Replica, request: Broken) {
-    let is_over = {
-        let mut fleet = vm.fleet.borrow_mut();
-        let Some(server) = fleet.get_mut(&replica.id) else { return };
-        if !server.replica.is_life_of(replica) {
-            true
-        } else {
-            match &mut server.life {
-                Life::Over => true,
-                Life::Doubtful(broken) => {
-                    broken.push(request);
-                    return;
-                }
-                Life::GoesOn if server.replica.ready => {
-                    server.life = Life::Doubtful(vec![request]);
-                    false
-                }
-                Life::GoesOn => return,
-            }
+    match next(&mut vm.fleet.borrow_mut(), replica, request) {
+        Next::IsOver => {}
+        Next::Check => {
+            spawn(look(vm.clone(), replica.clone()));
+            return;
         }
-    };
-    if is_over {
-        note(vm, replica, vec![request], Found::IsGone);
-    } else {
-        spawn(look(vm.clone(), replica.clone()));
+        Next::Nothing => return,
+    }
+    note(vm, replica, vec![request], Found::IsGone);
+}
+
+fn next(fleet: &mut Fleet, replica: &Replica, request: Broken) -> Next {
+    let Some(server) = fleet.get_mut(&replica.id) else { return Next::Nothing };
+    if !server.replica.is_life_of(replica) {
+        return Next::IsOver;
+    }
+    match &mut server.life {
+        Life::Over => Next::IsOver,
+        Life::Doubtful(broken) => {
+            broken.push(request);
+            Next::Nothing
+        }
+        Life::GoesOn if server.replica.ready => {
+            server.life = Life::Doubtful(vec![request]);
+            Next::Check
+        }
+        Life::GoesOn => Next::Nothing,
     }
 }
 
--- a/src/forward/drive.rs
+++ b/src/forward/drive.rs
@@ -9,12 +9,12 @@
 use super::job::Job;
 use super::poison;
 use super::replica::Replica;
-use super::trial::{self, Sample};
+use super::watched::Watched;
 use crate::config::Repeat;
 use crate::decide::ends::{self, End, Last, Next};
 use crate::decide::escalate;
 use crate::entry::refusal::{Kind, Refusal};
-use crate::unit::{Model, Moment, Span, Version};
+use crate::unit::{Model, Moment, Span};
 
 /// A repeat needs at least this much time.
 const LEAST: Span = Span::millis(30);
@@ -275,64 +275,6 @@
     sends(job, progress) < job.route.attempts && job.vm.spend_repeat(&job.service, now)
 }
 
-/// An attempt as a roll-out's trial sees it.
-struct Watched<'a> {
-    job: &'a Job,
-    version: Version,
-    begun: Moment,
-    expected: Option<Span>,
-    /// Degrees of slowness that were told.
-    known_slow: usize,
-}
-
-impl<'a> Watched<'a> {
-    fn new(job: &'a Job, replica: &Replica, begun: Moment, expected: Option<Span>) -> Watched<'a> {
-        let version = replica.version.clone();
-        Watched { job, version, begun, expected, known_slow: 0 }
-    }
-
-    /// Waits for an attempt. One that takes too long is told as slow at that moment: its answer may
-    /// come seconds later, or its caller may leave, and a version that is slow is found by then.
-    async fn wait<T>(&mut self, attempt: impl Future<Output = T>) -> T {
-        let mut attempt = std::pin::pin!(attempt);
-        for limit in self.expected.map(trial::slow_after).into_iter().flatten() {
-            let left = limit.0.saturating_sub(self.job.vm.now().since(self.begun).0);
-            if let Ok(outcome) = tokio::time::timeout(Span(left).duration(), attempt.as_mut()).await
-            {
-                return outcome;
-            }
-            self.tell(false);
-        }
-        attempt.await
-    }
-
-    fn ended(mut self, end: End) {
-        match end {
-            _ if self.known_slow > 0 => {}
-            End::Good | End::Late => self.tell(false),
-            End::Failed => self.tell(true),
-            // A connection that breaks and a server that is full say nothing about the version.
-            End::NotSent | End::NotRun | End::Broken => {}
-        }
-    }
-
-    fn tell(&mut self, failed: bool) {
-        let vm = &self.job.vm;
-        let time = (!failed).then(|| vm.now().since(self.begun));
-        let sample = Sample {
-            route: &self.job.route.name,
-            version: &self.version,
-            failed,
-            time,
-            known_slow: self.known_slow,
-            expected: self.expected,
-        };
-        self.known_slow += 1;
-        let mut trials = vm.trials.borrow_mut();
-        trials.entry(self.job.service.clone()).or_default().note(&sample);
-    }
-}
-
 fn deliver(
     job: &Job,
     replica: Replica,
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -38,6 +38,8 @@
 pub mod trial;
 mod vm;
 pub mod wake;
+mod watched;
+mod word;
 
 pub use run::run;
 pub use settings::{Bounds, Settings};
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -7,24 +7,21 @@
 use std::time::Duration;
 
 use actix_web::rt::spawn;
-use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
-use super::kept::{self, Draw};
+use super::kept;
 use super::poison;
 use super::reader::{self, Role};
 use super::roster;
-use super::settings::Settings;
 use super::tally::Source;
-use super::trial::Totals;
 use super::vm::Vm;
+use super::word::Envelope;
+pub use super::word::{Place, Word};
 use crate::decide::reader::Rank;
 use crate::peer::wire::{decode, encode};
 use crate::peer::{Incoming, Links, neighbours};
 use crate::platform::objects::Objects;
-use crate::unit::{
-    DataCentre, Digest, Millicores, Moment, Server, Service, Span, Version, Vm as Name, hash,
-};
+use crate::unit::{DataCentre, Digest, Moment, Server, Span, Vm as Name, hash};
 
 /// Up to this number every VM hears every other; beyond it each tells its ring neighbours, so that
 /// what a VM sends grows with the logarithm of their number, and those named in the store count as
@@ -50,69 +47,6 @@
 /// a thousand.
 const GATHERERS: usize = 3;
 
-/// What one VM tells another.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum Word {
-    /// It is there.
-    Hello,
-    /// It stops.
-    Bye,
-    /// It sent a prompt to a server.
-    Work {
-        /// The server.
-        server: Server,
-        /// Time that the server needs to read it.
-        work: Span,
-    },
-    /// What it has seen of a version since its roll-out began.
-    Seen {
-        /// The service.
-        service: Service,
-        /// The new version.
-        version: Version,
-        /// Its counts, of routes where they changed.
-        routes: Vec<(String, Totals)>,
-    },
-    /// Sessions that keep the old version while a new one's trial is young.
-    Kept {
-        /// The service.
-        service: Service,
-        /// The new version.
-        version: Version,
-        /// Their draws.
-        draws: Vec<Draw>,
-    },
-    /// Contents under which servers crashed, or did not.
-    Poison(poison::News),
-}
-
-/// A word, who says it, and where to answer.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct Envelope {
-    from: Name,
-    place: Place,
-    word: Word,
-}
-
-/// Where a VM is, and how large; the store's entry of it says the same.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Place {
-    /// Where other VMs reach it.
-    pub address: SocketAddr,
-    /// Its data centre.
-    pub data_centre: DataCentre,
-    /// Its share of a core.
-    #[serde(default)]
-    pub share: Millicores,
-}
-
-impl Place {
-    /// The place of a VM with these settings, whose links are at `address`.
-    pub fn of(settings: &Settings, address: SocketAddr) -> Place {
-        Place { address, data_centre: settings.data_centre.clone(), share: settings.share }
-    }
-}
-
 struct Peer {
     place: Place,
     /// When it was first named, heard last, and told something last.
--- /dev/null
+++ b/src/forward/watched.rs
@@ -0,0 +1,72 @@
+//! What a roll-out's trial is told of an attempt at a server.
+
+use super::job::Job;
+use super::replica::Replica;
+use super::trial::{self, Sample};
+use crate::decide::ends::End;
+use crate::unit::{Moment, Span, Version};
+
+/// An attempt as a roll-out's trial sees it.
+pub struct Watched<'a> {
+    job: &'a Job,
+    version: Version,
+    begun: Moment,
+    expected: Option<Span>,
+    /// Degrees of slowness that were told.
+    known_slow: usize,
+}
+
+impl<'a> Watched<'a> {
+    /// An attempt at a server that began at a moment; its answer is due within `expected`, if that is known.
+    pub fn new(
+        job: &'a Job,
+        replica: &Replica,
+        begun: Moment,
+        expected: Option<Span>,
+    ) -> Watched<'a> {
+        let version = replica.version.clone();
+        Watched { job, version, begun, expected, known_slow: 0 }
+    }
+
+    /// Waits for an attempt. One that takes too long is told as slow at that moment: its answer may
+    /// come seconds later, or its caller may leave, and a version that is slow is found by then.
+    pub async fn wait<T>(&mut self, attempt: impl Future<Output = T>) -> T {
+        let mut attempt = std::pin::pin!(attempt);
+        for limit in self.expected.map(trial::slow_after).into_iter().flatten() {
+            let left = limit.0.saturating_sub(self.job.vm.now().since(self.begun).0);
+            if let Ok(outcome) = tokio::time::timeout(Span(left).duration(), attempt.as_mut()).await
+            {
+                return outcome;
+            }
+            self.tell(false);
+        }
+        attempt.await
+    }
+
+    /// It ended; what was told of it as slow is not told again.
+    pub fn ended(mut self, end: End) {
+        match end {
+            _ if self.known_slow > 0 => {}
+            End::Good | End::Late => self.tell(false),
+            End::Failed => self.tell(true),
+            // A connection that breaks and a server that is full say nothing about the version.
+            End::NotSent | End::NotRun | End::Broken => {}
+        }
+    }
+
+    fn tell(&mut self, failed: bool) {
+        let vm = &self.job.vm;
+        let time = (!failed).then(|| vm.now().since(self.begun));
+        let sample = Sample {
+            route: &self.job.route.name,
+            version: &self.version,
+            failed,
+            time,
+            known_slow: self.known_slow,
+            expected: self.expected,
+        };
+        self.known_slow += 1;
+        let mut trials = vm.trials.borrow_mut();
+        trials.entry(self.job.service.clone()).or_default().note(&sample);
+    }
+}
--- /dev/null
+++ b/src/forward/word.rs
@@ -0,0 +1,77 @@
+//! The messages that entry VMs tell one another.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::kept::Draw;
+use super::poison;
+use super::settings::Settings;
+use super::trial::Totals;
+use crate::unit::{DataCentre, Millicores, Server, Service, Span, Version, Vm as Name};
+
+/// What one VM tells another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Word {
+    /// It is there.
+    Hello,
+    /// It stops.
+    Bye,
+    /// It sent a prompt to a server.
+    Work {
+        /// The server.
+        server: Server,
+        /// Time that the server needs to read it.
+        work: Span,
+    },
+    /// What it has seen of a version since its roll-out began.
+    Seen {
+        /// The service.
+        service: Service,
+        /// The new version.
+        version: Version,
+        /// Its counts, of routes where they changed.
+        routes: Vec<(String, Totals)>,
+    },
+    /// Sessions that keep the old version while a new one's trial is young.
+    Kept {
+        /// The service.
+        service: Service,
+        /// The new version.
+        version: Version,
+        /// Their draws.
+        draws: Vec<Draw>,
+    },
+    /// Contents under which servers crashed, or did not.
+    Poison(poison::News),
+}
+
+/// A word, who says it, and where to answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Envelope {
+    /// Who says it.
+    pub from: Name,
+    /// Where it is.
+    pub place: Place,
+    /// What it says.
+    pub word: Word,
+}
+
+/// Where a VM is, and how large; the store's entry of it says the same.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Place {
+    /// Where other VMs reach it.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Its share of a core.
+    #[serde(default)]
+    pub share: Millicores,
+}
+
+impl Place {
+    /// The place of a VM with these settings, whose links are at `address`.
+    pub fn of(settings: &Settings, address: SocketAddr) -> Place {
+        Place { address, data_centre: settings.data_centre.clone(), share: settings.share }
+    }
+}
