Tests take ports that are free on UDP too

Thirty entry processes of a test run that had been ended from outside were still there and held UDP ports from 14581 on, which the tests' search, on TCP alone, called free; the link of a VM did not open there. Change: a port counts as free if UDP is too.

--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
@@ -296,7 +296,8 @@
         let number = start + NEXT.fetch_add(1, Ordering::SeqCst);
         let port = PORTS.start + number % span;
         let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if TcpListener::bind(address).is_ok() {
+        // Links between VMs are on UDP, whose ports others may hold.
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
