Sight: what the heads of answers say of their servers, and which of it stood when a request was sent

The head of an answer is read for its word that the server leaves and for the rest that it asks for; a line tells it (`server said`, counter kitepulley_said) and the trail of each later send shows it. Nothing decides by it yet. The stand-in of a server says both.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -21,3 +21,4 @@
 pub mod retry;
 pub mod rollout;
 pub mod sequential;
+pub mod standing;
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -16,6 +16,7 @@
 use crate::config::Repeat;
 use crate::decide::ends::End;
 use crate::decide::poison::Broken;
+use crate::decide::standing::Said;
 use crate::platform::header::{self, Extra};
 use crate::unit::{Model, Moment, Span};
 
@@ -185,7 +186,7 @@
     let head = header::request(&job.head, &extra);
     // From here on a byte may leave.
     *sent = true;
-    let (head, answer) = match answer(job, &mut connection, head).await {
+    let (head, answer) = match answer(job, replica, &mut connection, head).await {
         Ok(answered) => answered,
         Err(fault) => return broken(fault),
     };
@@ -212,12 +213,14 @@
 /// Sends, and reads heads until one answers this request.
 async fn answer(
     job: &Job,
+    replica: &Replica,
     connection: &mut Connection,
     head: actix_http::RequestHead,
 ) -> Result<(ResponseHead, Answer), Fault> {
     let mut head = connection.ask(head, &job.body).await?;
     for _ in 0..=STRANGERS {
         let answer = header::answer(&head);
+        heed(job, replica, &answer);
         // A server that turns a request away unread may not have seen its id.
         let ours = answer.id.as_deref() == Some(job.call.id.as_str())
             || (answer.id.is_none() && answer.not_run);
@@ -234,6 +237,32 @@
     Err(Fault::Broken("answers for other requests only".to_owned()))
 }
 
+/// Keeps what a server says of itself, as soon as a head has arrived; it holds whatever becomes of the answer.
+fn heed(job: &Job, replica: &Replica, answer: &Answer) {
+    // The head of another server that has its address now.
+    if answer.said == Said::default() || answer.status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    let vm = &job.vm;
+    let heard = {
+        let mut fleet = vm.fleet.borrow_mut();
+        fleet.life_mut(replica).is_some_and(|one| one.standing.hear(answer.said, vm.now()))
+    };
+    if heard {
+        let word = if answer.said.leaves { "leaves" } else { "rest" };
+        vm.metrics.said.with_label_values(&[job.service.as_str(), word]).inc();
+        let fields = [
+            ("server", replica.id.as_str().into()),
+            ("born_ms", replica.born.unwrap_or_default().into()),
+            ("request", job.call.id.as_str().into()),
+            ("status", u32::from(answer.status.as_u16()).into()),
+            ("leaves", answer.said.leaves.into()),
+            ("rest_ms", answer.said.rest.map_or(-1.0, Span::as_millis).into()),
+        ];
+        vm.log("server said", &fields);
+    }
+}
+
 async fn first_event(
     vm: &Vm,
     connection: Connection,
--- a/src/forward/call.rs
+++ b/src/forward/call.rs
@@ -2,6 +2,7 @@
 
 use actix_http::StatusCode;
 
+use crate::decide::standing::Said;
 use crate::unit::{Model, Span};
 
 /// What the head of a caller's request says.
@@ -51,6 +52,8 @@
     pub not_run: bool,
     /// Whether the body is encoded; servers never do that.
     pub encoded: bool,
+    /// Whether the server leaves, or wants rest.
+    pub said: Said,
     /// The server's load.
     pub load: Option<Load>,
     /// The model's own rough opinion of its answer, 0 to 100.
--- a/src/forward/choice/mod.rs
+++ b/src/forward/choice/mod.rs
@@ -14,6 +14,7 @@
 use crate::config::Regions;
 use crate::decide::limit;
 use crate::decide::place::{self, Candidate};
+use crate::decide::standing::Bar;
 use crate::unit::{Model, Moment, Server as Id, Service, Span};
 
 use prompt::Prompt;
@@ -214,6 +215,8 @@
     /// Time until the prompt is read if the server works at the usual pace and holds only what this
     /// VM sent it; none if the request has no prompt.
     pub expected: Option<Span>,
+    /// What the server had said against it.
+    pub bar: Option<Bar>,
 }
 
 /// Notes that a request was sent: its prompt waits at the server, which then holds its parts.
@@ -224,9 +227,9 @@
     if !place.has_turn {
         Gate::new(vm, &replica.service, now).count(server);
     }
-    let load = server.load(now);
+    let (load, bar) = (server.load(now), server.standing.bar(now));
     if call.prompt.is_empty() {
-        return Sent { load, ..Sent::default() };
+        return Sent { load, bar, ..Sent::default() };
     }
     let prompt = Prompt::sent(call, model);
     let unread = prompt.unread(server, now);
@@ -238,7 +241,7 @@
     prompt.hashes().for_each(|part| server.hold(part, now));
     drop(fleet);
     peer::tell_work(vm, &replica.id, reads);
-    Sent { prompt: tokens, unread, waits, reads, load, expected }
+    Sent { prompt: tokens, unread, waits, reads, load, expected, bar }
 }
 
 fn candidate(vm: &Vm, wish: &Wish, prompt: &Prompt, server: &Server, now: Moment) -> Candidate {
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -175,6 +175,9 @@
             let _ = write!(trail, " within {expected}");
         }
         let _ = write!(trail, " load {:.0}", sent.load);
+        if let Some(bar) = sent.bar {
+            let _ = write!(trail, " though {bar}");
+        }
     }
 
     /// Its session, if it belongs to one, is on the version that it was sent to.
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -18,6 +18,8 @@
     pub attempts: IntCounterVec,
     /// Servers that were checked after an answer broke off, by service and what was found.
     pub checks: IntCounterVec,
+    /// Words of servers that changed what is known of them, by service and word.
+    pub said: IntCounterVec,
     /// Contents under which a server crashed, and those of them that are held back.
     pub suspects: IntGauge,
     pub held: IntGauge,
@@ -73,6 +75,11 @@
                 "Servers checked after an answer broke off.",
                 &["service", "found"],
             ),
+            said: counter(
+                "kitepulley_said",
+                "Words of servers that they leave or want rest.",
+                &["service", "word"],
+            ),
             suspects: register(&registry, suspects.expect("the name is well formed")),
             held: register(&registry, held.expect("the name is well formed")),
             answer: register(
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -12,6 +12,7 @@
 use crate::decide::backlog::Backlog;
 use crate::decide::cold::{Bound, Turns};
 use crate::decide::outlier::Record;
+use crate::decide::standing::Standing;
 use crate::unit::{DataCentre, Moment, Server as Id, Service, Span, Version};
 
 /// A told load counts for this long; then only what this VM has open there does.
@@ -43,6 +44,8 @@
     pub open: u32,
     /// What this VM has met there.
     pub record: Record,
+    /// What it said of whether it takes requests.
+    pub standing: Standing,
     /// When this VM may send to it while it is cold.
     pub turns: Turns,
     /// Wakes requests at this life of it when a later one begins: they are lost.
@@ -71,6 +74,7 @@
             replica,
             open: 0,
             record: Record::default(),
+            standing: Standing::default(),
             turns: Turns::default(),
             over: Rc::default(),
             life: Life::default(),
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -3,6 +3,7 @@
 use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, ResponseHead};
 
+use crate::decide::standing::Said;
 use crate::forward::call::{Answer, Call, Load, PromptPart};
 use crate::forward::replica::Replica;
 use crate::unit::{Model, Span, Workspace};
@@ -20,6 +21,7 @@
 const LAST_EVENT: &str = "last-event-id";
 const CONFIDENCE: &str = "x-confidence";
 const PRIORITY: &str = "x-request-priority";
+const LEAVING: &str = "server-leaving";
 
 /// Headers that only the system may set towards a server; a caller's are dropped.
 const OWN: [&str; 7] =
@@ -154,12 +156,27 @@
         not_run: headers.contains_key(NOT_EXECUTED)
             || head.status == actix_http::StatusCode::MISDIRECTED_REQUEST,
         encoded: headers.contains_key(header::CONTENT_ENCODING),
+        said: said(head),
         load: text(headers, LOAD).and_then(load),
         confidence: text(headers, CONFIDENCE).and_then(|text| text.trim().parse().ok()),
         rest: text(headers, "keep-alive").and_then(rest),
     }
 }
 
+/// What a server says of whether it takes requests. Only one that turns a request away asks for rest.
+fn said(head: &ResponseHead) -> Said {
+    let turns_away = head.status == actix_http::StatusCode::SERVICE_UNAVAILABLE;
+    let rest = text(&head.headers, header::RETRY_AFTER.as_str()).filter(|_| turns_away);
+    let leaves = text(&head.headers, LEAVING).is_some_and(|value| value.trim() == "1");
+    Said { leaves, rest: rest.and_then(seconds) }
+}
+
+/// A time in seconds, with or without a fraction; nothing for what is no such time, a date among them.
+fn seconds(text: &str) -> Option<Span> {
+    let number: f64 = text.trim().parse().ok()?;
+    (number.is_finite() && number > 0.0).then_some(Span((number * 1e6) as u64))
+}
+
 fn load(text: &str) -> Option<Load> {
     let mut numbers = text.split(',').map(|part| part.trim().parse::<u32>());
     let mut next = || numbers.next()?.ok();
--- a/src/standin/replica.rs
+++ b/src/standin/replica.rs
@@ -27,6 +27,8 @@
     Unsigned,
     /// It says that it did not run the request.
     NotRun,
+    /// The same, with this text for the time in which it wants nothing.
+    TurnAway(String),
     /// It says that it is another server than expected.
     Another,
     /// It promises 100 bytes, sends five and closes.
@@ -105,6 +107,8 @@
     seen: Vec<Seen>,
     connections: usize,
     crash: Option<Crash>,
+    leaves: bool,
+    turned_away: Vec<Instant>,
     started: Option<Started>,
     crashes: Vec<Instant>,
     /// Where it listens while it lives.
@@ -225,6 +229,17 @@
         self
     }
 
+    /// From now on it says in all its answers that it leaves.
+    pub fn leaves(&self) -> &Replica {
+        self.lock().leaves = true;
+        self
+    }
+
+    /// When it asked for rest.
+    pub fn turned_away(&self) -> Vec<Instant> {
+        self.lock().turned_away.clone()
+    }
+
     /// The requests that arrived.
     pub fn seen(&self) -> Vec<Seen> {
         self.lock().seen.clone()
@@ -252,8 +267,10 @@
                 let next = state.acts.pop_front().or_else(|| state.usual.clone());
                 next.unwrap_or(Act::Whole(200, "fine".to_owned()))
             };
+            let id = seen.header("x-attempt-id").unwrap_or_default().to_owned();
+            let voice = Voice { id: &id, leaves: self.lock().leaves };
             if matches!(act, Act::Early) {
-                stream.write_all(answer(&seen, 200, "early").as_bytes())?;
+                stream.write_all(answer(&voice, 200, "early").as_bytes())?;
             }
             while buffer.len() < length {
                 fill(&mut stream, &mut buffer)?;
@@ -263,7 +280,12 @@
             if self.falls_over(&seen) {
                 return Ok(());
             }
-            if !perform(&mut stream, &seen, act)? {
+            let asks_rest = matches!(act, Act::TurnAway(_));
+            let goes_on = perform(&mut stream, &seen, &voice, act)?;
+            if asks_rest {
+                self.lock().turned_away.push(Instant::now());
+            }
+            if !goes_on {
                 return Ok(());
             }
         }
@@ -310,21 +332,35 @@
     }
 }
 
-fn signed(id: &str, status: u16, more: &str) -> String {
-    format!(
-        "HTTP/1.1 {status} Status\r\nX-Attempt-Id: {id}\r\nX-Response-Signature: sig.{id}\r\n\
-         X-Server-Load: 1,0,8\r\n{more}"
-    )
+/// What all its answers to one request have in common.
+struct Voice<'a> {
+    /// The request's id.
+    id: &'a str,
+    /// Whether it says that it leaves.
+    leaves: bool,
 }
 
-fn answer(seen: &Seen, status: u16, body: &str) -> String {
-    let id = seen.header("x-attempt-id").unwrap_or_default();
-    answer_to(id, status, body)
+impl Voice<'_> {
+    /// The head of an answer, up to what `more` adds.
+    fn head(&self, status: u16, more: &str) -> String {
+        let leaving = if self.leaves { "Server-Leaving: 1\r\n" } else { "" };
+        format!("HTTP/1.1 {status} Status\r\nX-Attempt-Id: {}\r\n{leaving}{more}", self.id)
+    }
+
+    fn signed(&self, status: u16, more: &str) -> String {
+        let signature = format!("X-Response-Signature: sig.{}\r\n", self.id);
+        self.head(status, &format!("{signature}X-Server-Load: 1,0,8\r\n{more}"))
+    }
+
+    /// A refusal to run it; a server that runs nothing says so.
+    fn not_run(&self, more: &str) -> String {
+        let told = "X-Not-Executed: 1\r\nContent-Length: 0\r\n";
+        self.head(503, &format!("{told}{more}\r\n"))
+    }
 }
 
-fn answer_to(id: &str, status: u16, body: &str) -> String {
-    let length = format!("Content-Length: {}\r\n\r\n{body}", body.len());
-    signed(id, status, &length)
+fn answer(voice: &Voice, status: u16, body: &str) -> String {
+    voice.signed(status, &format!("Content-Length: {}\r\n\r\n{body}", body.len()))
 }
 
 fn resets(stream: &TcpStream) -> std::io::Result<()> {
@@ -332,26 +368,24 @@
 }
 
 /// Does what is asked; whether the connection goes on.
-fn perform(stream: &mut TcpStream, seen: &Seen, act: Act) -> std::io::Result<bool> {
-    let id = seen.header("x-attempt-id").unwrap_or_default().to_owned();
+fn perform(stream: &mut TcpStream, seen: &Seen, voice: &Voice, act: Act) -> std::io::Result<bool> {
+    let stranger = Voice { id: "stranger", ..*voice };
     match act {
         Act::Whole(status, body) => {
-            stream.write_all(answer(seen, status, &body).as_bytes())?;
+            stream.write_all(answer(voice, status, &body).as_bytes())?;
             return Ok(true);
         }
         Act::Unsigned => {
-            stream.write_all(
-                format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nContent-Length: 2\r\n\r\nno")
-                    .as_bytes(),
-            )?;
+            stream.write_all(voice.head(200, "Content-Length: 2\r\n\r\nno").as_bytes())?;
             return Ok(true);
         }
         Act::NotRun => {
-            let text = format!(
-                "HTTP/1.1 503 Full\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\n\
-                 Content-Length: 0\r\n\r\n"
-            );
-            stream.write_all(text.as_bytes())?;
+            stream.write_all(voice.not_run("").as_bytes())?;
+            return Ok(true);
+        }
+        Act::TurnAway(rest) => {
+            let more = format!("Retry-After: {rest}\r\nX-Server-Load: 0,0,8\r\n");
+            stream.write_all(voice.not_run(&more).as_bytes())?;
             return Ok(true);
         }
         Act::Another => {
@@ -361,14 +395,14 @@
             return Ok(true);
         }
         Act::CutLength => {
-            stream.write_all(signed(&id, 200, "Content-Length: 100\r\n\r\nfive.").as_bytes())?;
+            stream.write_all(voice.signed(200, "Content-Length: 100\r\n\r\nfive.").as_bytes())?;
         }
         Act::CutChunk => {
-            let text = signed(&id, 200, "Transfer-Encoding: chunked\r\n\r\n64\r\nfive.");
+            let text = voice.signed(200, "Transfer-Encoding: chunked\r\n\r\n64\r\nfive.");
             stream.write_all(text.as_bytes())?;
         }
         Act::Unframed { reset } => {
-            stream.write_all(signed(&id, 200, "\r\nto the end").as_bytes())?;
+            stream.write_all(voice.signed(200, "\r\nto the end").as_bytes())?;
             if reset {
                 std::thread::sleep(Duration::from_millis(50));
                 resets(stream)?;
@@ -376,12 +410,12 @@
             }
         }
         Act::StrangerFirst => {
-            let text = answer_to("stranger", 200, "not yours") + &answer(seen, 200, "yours");
+            let text = answer(&stranger, 200, "not yours") + &answer(voice, 200, "yours");
             stream.write_all(text.as_bytes())?;
             return Ok(true);
         }
         Act::StrangerAfter => {
-            let text = answer(seen, 200, "yours") + &answer_to("stranger", 200, "not yours");
+            let text = answer(voice, 200, "yours") + &answer(&stranger, 200, "not yours");
             stream.write_all(text.as_bytes())?;
             return Ok(true);
         }
@@ -392,7 +426,7 @@
         }
         Act::Slow(time) => {
             std::thread::sleep(time);
-            stream.write_all(answer(seen, 200, "slow").as_bytes())?;
+            stream.write_all(answer(voice, 200, "slow").as_bytes())?;
             return Ok(true);
         }
         Act::Noise => stream.write_all(b"\x01\x02\x03 no answer at all\r\n\r\n")?,
@@ -401,7 +435,7 @@
             let more = format!(
                 "{opinion}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
             );
-            stream.write_all(signed(&id, 200, &more).as_bytes())?;
+            stream.write_all(voice.signed(200, &more).as_bytes())?;
             return events(stream, seen, last, cut_after, pause);
         }
     }
