What a server says of itself binds the VM that heard it: it leaves, or wants rest

The head's words were dropped, the store's entry alone said whether a server takes work, and a told load of nought was read as room.

Change: decide::standing holds for one life of a server what its entry and its answers' heads say and how attempts there ended, and answers one question, why it is to get nothing now. Heads are heeded when they arrive, whatever becomes of the answer. The question is asked for each choice and again before the first byte leaves (end `Withheld`); leaving, rest, emptied data centres and ended lives are never overridden, failures are where nothing else is left. A life whose entry lapses and comes back is the same one. If all servers rest, callers are refused at once and told when the first is back. A session does not leave its version because that version's servers rest. Found on seeking the same cause: a server that had said only in its answers that it leaves, and ended, made its requests suspects.

Ruled out: heard too late or lost (no such code; heads were never read), known but not asked (the sends were first attempts). Tried and put right: barring a server for good after a 421, which has other reasons too (a test of repeats failed).

--- a/src/decide/ends.rs
+++ b/src/decide/ends.rs
@@ -7,6 +7,8 @@
 pub enum End {
     /// No connection opened, or no byte was sent.
     NotSent,
+    /// It was kept back before a byte left: what was heard of the server since it was chosen forbids it.
+    Withheld,
     /// The server's word that it did not run the request.
     NotRun,
     /// It broke, or gave something that is not the whole answer.
@@ -19,6 +21,13 @@
     Late,
 }
 
+impl End {
+    /// Whether no byte of the request left for the server.
+    pub fn is_unsent(self) -> bool {
+        matches!(self, End::NotSent | End::Withheld)
+    }
+}
+
 /// What follows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
@@ -34,7 +43,7 @@
 pub fn next(end: End, repeat: Repeat) -> Next {
     match (end, repeat) {
         (End::Good, _) => Next::Deliver,
-        (End::NotSent | End::NotRun, _) => Next::Elsewhere,
+        (End::NotSent | End::Withheld | End::NotRun, _) => Next::Elsewhere,
         (End::Late, _) => Next::Unknown,
         (End::Failed, Repeat::Never) => Next::Deliver,
         (End::Broken, Repeat::Never) => Next::Unknown,
@@ -56,8 +65,8 @@
 /// The last word after an attempt that ended so, if no attempt before it may have run.
 pub fn last(end: End, ran_before: bool) -> Last {
     match end {
-        End::NotSent | End::NotRun if ran_before => Last::Unknown,
-        End::NotSent | End::NotRun => Last::Refused,
+        End::NotSent | End::Withheld | End::NotRun if ran_before => Last::Unknown,
+        End::NotSent | End::Withheld | End::NotRun => Last::Refused,
         End::Failed | End::Good => Last::Delivered,
         End::Broken | End::Late => Last::Unknown,
     }
--- a/src/decide/outlier.rs
+++ b/src/decide/outlier.rs
@@ -29,7 +29,6 @@
     answers: u32,
     out_until: Option<Moment>,
     times_out: u32,
-    gone: bool,
 }
 
 impl Record {
@@ -38,14 +37,14 @@
         self.share
     }
 
-    /// Whether requests should go elsewhere.
-    pub fn is_out(&self, now: Moment) -> bool {
-        self.gone || self.out_until.is_some_and(|until| now < until)
+    /// Until when requests should go elsewhere.
+    pub fn out_until(&self) -> Option<Moment> {
+        self.out_until
     }
 
-    /// Another server answered at its address, so it is gone for good: ids are used once.
-    pub fn note_gone(&mut self) {
-        self.gone = true;
+    /// Whether requests should go elsewhere.
+    pub fn is_out(&self, now: Moment) -> bool {
+        self.out_until.is_some_and(|until| now < until)
     }
 
     /// Notes how an attempt ended; `usual` is the pool's share of failures. Whether the server
@@ -69,6 +68,8 @@
             }
             // A full server answers well; its load says the rest.
             End::NotRun => self.unreachable = 0,
+            // Nothing was asked of it.
+            End::Withheld => return false,
         }
         let worse = self.answers >= KNOWN && self.share > 2.0 * usual + WORSE;
         if self.unreachable >= UNREACHABLE || self.broken >= BROKEN || worse {
--- a/src/decide/standing.rs
+++ b/src/decide/standing.rs
@@ -1,12 +1,22 @@
-//! What one life of a backend server has said of whether it takes requests: that it leaves, or that it wants rest.
+//! Whether one life of a backend server takes requests, from all that is known of it: what its entry and the heads of its answers
+//! say, and how attempts there ended.
+//!
+//! What a server says of itself binds whoever heard it, and nothing overrides it: it leaves, or wants rest. What a VM only
+//! concludes from failures may be wrong, and gives way where nothing else is left.
 
 use std::fmt;
 
+use super::ends::End;
+use super::outlier::Record;
 use crate::unit::{Moment, Span};
 
-/// The longest rest that is believed: a server whose number is wrong is asked again within an operator's patience.
+/// The longest rest that is believed. A server whose number is wrong is asked again after it; longer rests would be taken for an
+/// outage by operators, who take such a server away.
 const LONGEST_REST: Span = Span::secs(600);
 
+/// Callers that are refused as all servers rest come back within so long after the first rest has ended, one after the other.
+const SPREAD: Span = Span::millis(500);
+
 /// What the head of one answer says of its server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Said {
@@ -19,48 +29,109 @@
 /// Why a server is to get nothing now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Bar {
-    /// It has said so long ago that it leaves.
+    /// It has said, or its entry, so long ago that it leaves.
     Leaves(Span),
+    /// Its entry went, or a later life of it began.
+    IsGone,
+    /// Another server answered at its address.
+    IsAnother,
+    /// An order empties its data centre.
+    IsEmptied,
     /// It wants nothing for so much longer.
     Rests(Span),
+    /// It failed of late, and is left out for so much longer.
+    IsLeftOut(Span),
+}
+
+impl Bar {
+    /// Whether it holds also where no other server is left. That another server has its address is only concluded, from a refusal that
+    /// has other reasons too.
+    pub fn binds(self) -> bool {
+        !matches!(self, Bar::IsLeftOut(_) | Bar::IsAnother)
+    }
 }
 
 impl fmt::Display for Bar {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Bar::Leaves(since) => write!(f, "it said {since} ago that it leaves"),
+            Bar::IsGone => write!(f, "its entry went"),
+            Bar::IsAnother => write!(f, "another server has its address"),
+            Bar::IsEmptied => write!(f, "an order empties its data centre"),
             Bar::Rests(left) => write!(f, "it wants rest for {left} more"),
+            Bar::IsLeftOut(left) => write!(f, "it is left out for {left} more"),
         }
     }
 }
 
-/// What is known of one life of a server.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// When a caller is to come back if all servers rest, each for so much longer; `random` is from 0 to 1.
+pub fn come_back(rests: impl Iterator<Item = Span>, random: f64) -> Option<Span> {
+    rests.min().map(|left| Span(left.0 + SPREAD.part(random).0))
+}
+
+/// What is known of one life of a server. A new life begins with a new one.
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Standing {
+    record: Record,
     leaves_since: Option<Moment>,
     rests_until: Option<Moment>,
+    is_another: bool,
 }
 
 impl Standing {
-    /// Takes what the head of an answer says. Whether that changes anything.
+    /// Takes what its entry in the store says. An entry that was only renewed takes nothing back: a leaving server said so in 14
+    /// answers of 2.7 s while the store still called it ready.
+    pub fn enter(&mut self, ready: bool, now: Moment) {
+        if !ready {
+            self.leave(now);
+        }
+    }
+
+    /// Takes what the head of an answer says. Whether that changes anything. Of two rests the one that ends later holds, since answers on
+    /// several connections overtake each other.
     pub fn hear(&mut self, said: Said, now: Moment) -> bool {
-        let before = *self;
+        let before = (self.leaves_since, self.rests_until);
         if said.leaves {
-            self.leaves_since = self.leaves_since.or(Some(now));
+            self.leave(now);
         }
         if let Some(rest) = said.rest {
             let until = now + rest.min(LONGEST_REST);
             self.rests_until = self.rests_until.max(Some(until));
         }
-        *self != before
+        before != (self.leaves_since, self.rests_until)
     }
 
-    /// Why it is to get nothing now.
+    fn leave(&mut self, now: Moment) {
+        self.leaves_since = self.leaves_since.or(Some(now));
+    }
+
+    /// Another server answered at its address.
+    pub fn note_another(&mut self) {
+        self.is_another = true;
+    }
+
+    /// Notes how an attempt ended; `usual` is the pool's share of failures. Whether the server is left out from now on.
+    pub fn note(&mut self, end: End, usual: f64, now: Moment) -> bool {
+        self.record.note(end, usual, now)
+    }
+
+    /// Share of its answers that were failures, of late.
+    pub fn failures(&self) -> f64 {
+        self.record.failures()
+    }
+
+    /// Whether it has said that it leaves, or its entry has.
+    pub fn leaves(&self) -> bool {
+        self.leaves_since.is_some()
+    }
+
+    /// Why it is to get nothing now; what binds comes first.
     pub fn bar(&self, now: Moment) -> Option<Bar> {
-        if let Some(since) = self.leaves_since {
-            return Some(Bar::Leaves(now.since(since)));
-        }
-        let left = self.rests_until?.since(now);
-        (left > Span(0)).then_some(Bar::Rests(left))
+        let left = |until: Moment| Some(until.since(now)).filter(|left| *left > Span(0));
+        let leaves = || self.leaves_since.map(|since| Bar::Leaves(now.since(since)));
+        let another = || self.is_another.then_some(Bar::IsAnother);
+        let rests = || self.rests_until.and_then(left).map(Bar::Rests);
+        let left_out = || self.record.out_until().and_then(left).map(Bar::IsLeftOut);
+        leaves().or_else(another).or_else(rests).or_else(left_out)
     }
 }
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -129,7 +129,7 @@
     vm.metrics.attempts.with_label_values(&[job.service.as_str(), end.as_str()]).inc();
     job.record.ended(outcome.end, &outcome.why, now);
     let mut fleet = vm.fleet.borrow_mut();
-    let usual = fleet.failures(&job.service);
+    let usual = fleet.failures(&job.service, now);
     let Some(server) = fleet.life_mut(replica) else { return };
     if let Some(load) = outcome.head.as_ref().and_then(|(_, answer)| answer.load) {
         server.hear(load, now);
@@ -137,10 +137,10 @@
     let is_another =
         |(head, _): &(ResponseHead, Answer)| head.status == StatusCode::MISDIRECTED_REQUEST;
     if outcome.head.as_ref().is_some_and(is_another) {
-        server.record.note_gone();
+        server.standing.note_another();
     }
-    let left_out = server.record.note(outcome.end, usual, now);
-    let failures = server.record.failures();
+    let left_out = server.standing.note(outcome.end, usual, now);
+    let failures = server.standing.failures();
     drop(fleet);
     if left_out {
         vm.log(
@@ -175,6 +175,11 @@
         Ok(connection) => connection,
         Err(fault) => return broken(fault),
     };
+    let forbidden = vm.fleet.borrow().forbids(replica, vm.now());
+    if let Some(bar) = forbidden {
+        keep(job, replica, connection, None);
+        return Outcome::without_answer(End::Withheld, bar.to_string());
+    }
     let extra = Extra {
         replica,
         left: job.left(vm.now()),
--- a/src/forward/choice/mod.rs
+++ b/src/forward/choice/mod.rs
@@ -14,7 +14,7 @@
 use crate::config::Regions;
 use crate::decide::limit;
 use crate::decide::place::{self, Candidate};
-use crate::decide::standing::Bar;
+use crate::decide::standing::{self, Bar};
 use crate::unit::{Model, Moment, Server as Id, Service, Span};
 
 use prompt::Prompt;
@@ -74,18 +74,22 @@
     pub emptied: usize,
     /// Cold ones whose turn was not this VM's, or not yet.
     pub cold: usize,
+    /// Those that want rest.
+    pub resting: usize,
 }
 
 impl Passed {
-    fn count(fleet: &Fleet, gate: &Gate, service: &Service) -> Passed {
-        let cold = fleet.of(service).filter(|one| !gate.lets(one)).count();
-        Passed { emptied: fleet.emptied_of(service), cold }
+    fn count(fleet: &Fleet, gate: &Gate, service: &Service, now: Moment) -> Passed {
+        let cold = fleet.of(service, now).filter(|one| !gate.lets(one)).count();
+        let resting = fleet.resting(service, now).count();
+        Passed { emptied: fleet.emptied_of(service), cold, resting }
     }
 }
 
 impl std::fmt::Display for Passed {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "passing over {} emptied, {} cold", self.emptied, self.cold)
+        let Passed { emptied, cold, resting } = self;
+        write!(f, "passing over {emptied} emptied, {cold} cold, {resting} resting")
     }
 }
 
@@ -103,7 +107,7 @@
     let gate = Gate::new(vm, wish.service, now);
     let part = gate.part()?;
     let mut fleet = vm.fleet.borrow_mut();
-    let cold = fleet.of(wish.service).filter(|one| {
+    let cold = fleet.of(wish.service, now).filter(|one| {
         let replica = &one.replica;
         let is_allowed = versions.allow(&replica.version) && wish.allows(vm, one);
         gate.is_cold(one) && is_allowed && !wish.has_tried(replica)
@@ -118,8 +122,8 @@
 pub fn at_turn(vm: &Vm, wish: &Wish, turn: &Turn, now: Moment) -> Option<Place> {
     let (versions, why) = versions(vm, wish.service, wish.call, now);
     let fleet = vm.fleet.borrow();
-    let server = fleet.of(wish.service).find(|one| one.replica.id == turn.server)?;
-    if !versions.allow(&server.replica.version) || server.record.is_out(now) {
+    let server = fleet.of(wish.service, now).find(|one| one.replica.id == turn.server)?;
+    if !versions.allow(&server.replica.version) || server.standing.bar(now).is_some() {
         return None;
     }
     let prompt = Prompt::new(wish, &[server]);
@@ -139,6 +143,10 @@
 pub fn server(vm: &Vm, wish: &Wish, now: Moment) -> Option<Place> {
     let (versions, why) = versions(vm, wish.service, wish.call, now);
     let found = among(vm, wish, &versions, why, now);
+    // Its version's servers are back in a moment, and its session stays with them.
+    if found.is_none() && rests(vm, wish, &versions, now) {
+        return None;
+    }
     // While a version is tried, the other serves on if it alone has servers.
     let running = matches!(
         vm.rollouts.borrow().get(wish.service).map(|one| one.phase),
@@ -155,15 +163,33 @@
     }
 }
 
+/// Whether a server of these versions wants rest.
+fn rests(vm: &Vm, wish: &Wish, versions: &Versions, now: Moment) -> bool {
+    let fleet = vm.fleet.borrow();
+    let mut resting = fleet.resting(wish.service, now);
+    resting.any(|(one, _)| versions.allow(&one.replica.version) && wish.allows(vm, one))
+}
+
+/// When to come back, if all servers that a request may go to want rest.
+pub fn come_back(vm: &Vm, wish: &Wish, now: Moment) -> Option<Span> {
+    let fleet = vm.fleet.borrow();
+    let is_meant = |one: &&Server| wish.allows(vm, one);
+    if fleet.of(wish.service, now).any(|one| is_meant(&one)) {
+        return None;
+    }
+    let resting = fleet.resting(wish.service, now).filter(|(one, _)| is_meant(one));
+    standing::come_back(resting.map(|(_, left)| left), rand::random())
+}
+
 fn among(vm: &Vm, wish: &Wish, versions: &Versions, why: Why, now: Moment) -> Option<Place> {
     let fleet = vm.fleet.borrow();
     let gate = Gate::new(vm, wish.service, now);
     let of_version = || {
         let allowed = |one: &&Server| versions.allow(&one.replica.version);
         let within = |one: &&Server| wish.allows(vm, one);
-        fleet.of(wish.service).filter(allowed).filter(within).filter(|one| gate.lets(one))
+        fleet.of(wish.service, now).filter(allowed).filter(within).filter(|one| gate.lets(one))
     };
-    let sound = |one: &&Server| !one.record.is_out(now);
+    let sound = |one: &&Server| one.standing.bar(now).is_none();
     let busy = busy(vm, wish.service, versions, of_version().filter(sound));
     let most = connections_each(vm, wish.service, now);
     let untried = |one: &&Server| !wish.has_tried(&one.replica) && one.open < most;
@@ -186,7 +212,7 @@
         false => place::soonest(&candidates, wish.bytes),
     };
     at.map(|at| {
-        let passed = Passed::count(&fleet, &gate, wish.service);
+        let passed = Passed::count(&fleet, &gate, wish.service, now);
         Place { passed, ..Place::of(servers[at], &candidates[at], why, false) }
     })
 }
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -60,7 +60,7 @@
             broken.push(request);
             Next::Nothing
         }
-        Life::GoesOn if server.replica.ready => {
+        Life::GoesOn if !server.standing.leaves() => {
             server.life = Life::Doubtful(vec![request]);
             Next::Check
         }
--- a/src/forward/drive.rs
+++ b/src/forward/drive.rs
@@ -123,14 +123,14 @@
             Next::Unknown | Next::Elsewhere => {}
         }
         let end = outcome.end;
-        let unsent = u32::from(end == End::NotSent);
+        let unsent = u32::from(end.is_unsent());
         progress.unsent += unsent;
         progress.unsent_of_model += unsent;
         progress.may_have_run |= matches!(end, End::Broken | End::Failed | End::Late);
         if let (End::Failed, Some((head, _))) = (end, outcome.head) {
             progress.failure = Some((head, outcome.body));
         }
-        let falls_back = end != End::NotSent && progress.smaller.is_some();
+        let falls_back = !end.is_unsent() && progress.smaller.is_some();
         if !falls_back && may_try_again(job, &progress, end) {
             continue;
         }
@@ -264,7 +264,7 @@
     if job.left(now) < LEAST || progress.unsent_of_model >= UNSENT {
         return false;
     }
-    if end == End::NotSent {
+    if end.is_unsent() {
         return true;
     }
     spend_attempt(job, progress, now)
@@ -333,7 +333,10 @@
     }
     match ends::last(end, progress.may_have_run) {
         Last::Refused if late => refuse(job, Refusal::new(Kind::Busy)),
-        Last::Refused => refuse(job, Refusal::new(Kind::NoServer)),
+        Last::Refused => {
+            let again = choice::come_back(&job.vm, &job.wish(None, &[]), job.vm.now());
+            refuse(job, Refusal { again, ..Refusal::new(Kind::NoServer) })
+        }
         Last::Unknown | Last::Delivered if !progress.may_have_run => {
             refuse(job, Refusal::new(Kind::Busy))
         }
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -261,7 +261,7 @@
         if vm.was_store_away(vm.now()) || vm.told_lost.get() {
             continue;
         }
-        for id in vm.fleet.borrow_mut().expire() {
+        for id in vm.fleet.borrow_mut().expire(vm.now()) {
             vm.log("server gone", &[("server", id.as_str().into()), ("lapsed", true.into())]);
         }
     }
--- a/src/forward/learn.rs
+++ b/src/forward/learn.rs
@@ -153,7 +153,7 @@
             let fields = [("server", name.into()), ("may_be_back", lapsed.into()), from, as_of];
             vm.log("server gone", &fields);
             if let Ok(id) = name.parse() {
-                vm.fleet.borrow_mut().remove(&id, lapsed);
+                vm.fleet.borrow_mut().remove(&id, lapsed, vm.now());
             }
         }
     }
@@ -225,7 +225,7 @@
             unreadable(vm, SERVERS, object, &why);
             // What its entry said before holds no more.
             if let Ok(id) = object.metadata.name.parse() {
-                vm.fleet.borrow_mut().remove(&id, false);
+                vm.fleet.borrow_mut().remove(&id, false, vm.now());
             }
         }
     }
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -127,9 +127,9 @@
         self.job.record.ended(End::Broken, &why, vm.now());
         {
             let mut fleet = vm.fleet.borrow_mut();
-            let usual = fleet.failures(&self.job.service);
+            let usual = fleet.failures(&self.job.service, vm.now());
             if let Some(server) = fleet.life_mut(broken) {
-                server.record.note(End::Broken, usual, vm.now());
+                server.standing.note(End::Broken, usual, vm.now());
             }
         }
         let ran = vm.now().since(self.begun.stream.begun) >= RAN_FOR;
@@ -157,7 +157,7 @@
             let outcome =
                 attempt::run(&self.job, &replica, model.as_ref(), self.last, waiting, until).await;
             self.begun.tried.push(replica.clone());
-            self.unsent += u32::from(outcome.end == End::NotSent);
+            self.unsent += u32::from(outcome.end.is_unsent());
             if let Some(stream) = outcome.stream {
                 self.begun.stream = stream;
                 self.begun.replica = replica;
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -11,8 +11,7 @@
 use super::replica::Replica;
 use crate::decide::backlog::Backlog;
 use crate::decide::cold::{Bound, Turns};
-use crate::decide::outlier::Record;
-use crate::decide::standing::Standing;
+use crate::decide::standing::{Bar, Standing};
 use crate::unit::{DataCentre, Moment, Server as Id, Service, Span, Version};
 
 /// A told load counts for this long; then only what this VM has open there does.
@@ -28,6 +27,11 @@
 const HELD: usize = 1000;
 const HELD_FOR: Span = Span::secs(20);
 
+/// Servers whose entries went that are remembered at most, and for how long they are once there are so many. Sites of two years from now
+/// have 600; what is kept of one takes some 300 bytes.
+const PAST: usize = 2400;
+const PAST_FOR: Span = Span::secs(60);
+
 /// A told load, and what this VM had open there when it heard it.
 #[derive(Clone, Copy, Debug)]
 struct Told {
@@ -42,9 +46,7 @@
     pub replica: Replica,
     /// Requests that this VM has open there.
     pub open: u32,
-    /// What this VM has met there.
-    pub record: Record,
-    /// What it said of whether it takes requests.
+    /// Whether it takes requests, as far as this VM knows.
     pub standing: Standing,
     /// When this VM may send to it while it is cold.
     pub turns: Turns,
@@ -73,7 +75,6 @@
         Server {
             replica,
             open: 0,
-            record: Record::default(),
             standing: Standing::default(),
             turns: Turns::default(),
             over: Rc::default(),
@@ -129,17 +130,21 @@
         let told = self.cold_until.is_some_and(|until| now < until);
         told || self.doubted_since.is_some_and(|since| now.since(since) < bound.lasts)
     }
+}
 
-    /// Whether new work may go there, its record apart.
-    pub fn takes_work(&self) -> bool {
-        self.replica.ready
-    }
+/// What was known of a life of a server whose entry went.
+struct Past {
+    replica: Replica,
+    standing: Standing,
+    at: Moment,
 }
 
 /// All backend servers.
 #[derive(Default)]
 pub struct Fleet {
     servers: HashMap<Id, Server>,
+    /// Servers whose entries went of late, and may come back in the same life.
+    past: HashMap<Id, Past>,
     /// Data centres whose servers get nothing new.
     emptied: HashSet<DataCentre>,
     /// The version of a service that is in use when no roll-out says otherwise.
@@ -154,6 +159,7 @@
         match self.servers.get_mut(&replica.id) {
             Some(server) if server.replica.is_life_of(&replica) => {
                 let is_news = server.replica != replica;
+                server.standing.enter(replica.ready, now);
                 server.replica = replica;
                 server.lapsed = false;
                 if is_news {
@@ -162,7 +168,11 @@
                 false
             }
             _ => {
+                let past = self.past.remove(&replica.id);
                 let mut server = Server::new(replica);
+                let same = past.filter(|past| past.replica.is_life_of(&server.replica));
+                server.standing = same.map(|past| past.standing).unwrap_or_default();
+                server.standing.enter(server.replica.ready, now);
                 server.note_cold(now);
                 let earlier = self.servers.insert(server.replica.id.clone(), server);
                 if let Some(earlier) = &earlier {
@@ -174,24 +184,35 @@
     }
 
     /// An entry went. With `in_outage` it may have lapsed and is kept a while.
-    pub fn remove(&mut self, id: &Id, in_outage: bool) {
+    pub fn remove(&mut self, id: &Id, in_outage: bool, now: Moment) {
         if !in_outage {
-            self.servers.remove(id);
+            self.forget(id, now);
         } else if let Some(server) = self.servers.get_mut(id) {
             server.lapsed = true;
         }
     }
 
     /// Drops entries that lapsed and did not come back; the store has been back for long enough.
-    pub fn expire(&mut self) -> Vec<Id> {
+    pub fn expire(&mut self, now: Moment) -> Vec<Id> {
         let lapsed = self.servers.iter().filter(|(_, server)| server.lapsed);
         let gone: Vec<Id> = lapsed.map(|(id, _)| id.clone()).collect();
         for id in &gone {
-            self.servers.remove(id);
+            self.forget(id, now);
         }
         gone
     }
 
+    /// Drops a server, but for what would bind VMs if its entry came back in the same life.
+    fn forget(&mut self, id: &Id, now: Moment) {
+        let Some(Server { replica, standing, .. }) = self.servers.remove(id) else { return };
+        if self.past.len() >= PAST {
+            self.past.retain(|_, past| now.since(past.at) < PAST_FOR);
+        }
+        if self.past.len() < PAST {
+            self.past.insert(id.clone(), Past { replica, standing, at: now });
+        }
+    }
+
     /// A server.
     pub fn get(&self, id: &Id) -> Option<&Server> {
         self.servers.get(id)
@@ -229,24 +250,49 @@
         if self.emptied.is_empty() {
             return 0;
         }
-        self.staying(service).filter(|server| self.is_emptied(server)).count()
+        let staying = self.listed(service).filter(|server| !server.standing.leaves());
+        staying.filter(|server| self.is_emptied(server)).count()
+    }
+
+    /// The servers of a service that take requests, those that are left out among them.
+    pub fn of<'a>(&'a self, service: &'a Service, now: Moment) -> impl Iterator<Item = &'a Server> {
+        let is_open = move |one: &&Server| !self.bar(one, now).is_some_and(Bar::binds);
+        self.listed(service).filter(is_open)
     }
 
-    /// The servers of a service that take work: those that do not leave, where no order forbids it.
-    pub fn of<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = &'a Server> {
-        self.staying(service).filter(|server| !self.is_emptied(server))
+    /// The servers of a service that want rest, and for how much longer.
+    pub fn resting<'a>(
+        &'a self,
+        service: &'a Service,
+        now: Moment,
+    ) -> impl Iterator<Item = (&'a Server, Span)> {
+        self.listed(service).filter_map(move |server| match self.bar(server, now) {
+            Some(Bar::Rests(left)) => Some((server, left)),
+            _ => None,
+        })
     }
 
-    /// The servers of a service that do not leave.
-    fn staying<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = &'a Server> {
-        let of_service = self.servers.values().filter(move |one| one.replica.service == *service);
-        of_service.filter(|server| server.takes_work())
+    fn listed<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = &'a Server> {
+        self.servers.values().filter(move |one| one.replica.service == *service)
     }
 
     fn is_emptied(&self, server: &Server) -> bool {
         self.emptied.contains(&server.replica.data_centre)
     }
 
+    /// Why a server is to get nothing now.
+    fn bar(&self, server: &Server, now: Moment) -> Option<Bar> {
+        let by_order = self.is_emptied(server).then_some(Bar::IsEmptied);
+        by_order.or_else(|| server.standing.bar(now))
+    }
+
+    /// Why a request that was meant for this life of a server may not leave for it, whatever it was chosen for.
+    pub fn forbids(&self, replica: &Replica, now: Moment) -> Option<Bar> {
+        let server = self.servers.get(&replica.id).filter(|one| one.replica.is_life_of(replica));
+        let bar = server.map_or(Some(Bar::IsGone), |server| self.bar(server, now));
+        bar.filter(|bar| bar.binds())
+    }
+
     /// The version of a service that is in use when no roll-out says otherwise.
     pub fn usual(&self, service: &Service) -> Option<&Version> {
         self.usual.get(service)
@@ -268,10 +314,10 @@
     }
 
     /// The mean share of failures among the servers of a service.
-    pub fn failures(&self, service: &Service) -> f64 {
+    pub fn failures(&self, service: &Service, now: Moment) -> f64 {
         let (mut sum, mut count) = (0.0, 0.0);
-        for server in self.of(service) {
-            sum += server.record.failures();
+        for server in self.of(service, now) {
+            sum += server.standing.failures();
             count += 1.0;
         }
         if count > 0.0 { sum / count } else { 0.0 }
--- a/src/forward/steps.rs
+++ b/src/forward/steps.rs
@@ -149,7 +149,7 @@
     let trial = trials.get(service)?;
     let fleet = vm.fleet.borrow();
     let gate = Gate::new(vm, service, now);
-    let new = fleet.of(service).filter(|one| one.replica.version == rollout.version);
+    let new = fleet.of(service, now).filter(|one| one.replica.version == rollout.version);
     // A cold server takes few requests, and sessions that it began would have nowhere to go on.
     let ready = new.filter(|one| !gate.is_cold(one)).count();
     let Verdict { seen, evidence } = trial.verdict();
--- a/src/forward/watched.rs
+++ b/src/forward/watched.rs
@@ -50,7 +50,7 @@
             End::Good | End::Late => self.tell(false),
             End::Failed => self.tell(true),
             // A connection that breaks and a server that is full say nothing about the version.
-            End::NotSent | End::NotRun | End::Broken => {}
+            End::NotSent | End::Withheld | End::NotRun | End::Broken => {}
         }
     }
 
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -13,6 +13,7 @@
 use kitepulley::decide::pressure::Pressure;
 use kitepulley::decide::rank;
 use kitepulley::decide::sequential::Count;
+use kitepulley::decide::standing::{Bar, Standing};
 use kitepulley::forward::event::Events;
 use kitepulley::forward::replica::Phase;
 use kitepulley::forward::tally::Source;
@@ -20,7 +21,8 @@
 use kitepulley::unit::{Moment, Span, Version};
 use quickcheck::{TestResult, quickcheck};
 
-const ENDS: [End; 6] = [End::NotSent, End::NotRun, End::Broken, End::Failed, End::Good, End::Late];
+const ENDS: [End; 7] =
+    [End::NotSent, End::Withheld, End::NotRun, End::Broken, End::Failed, End::Good, End::Late];
 
 #[test]
 fn what_may_have_run_goes_elsewhere_only_if_it_may_run_twice() {
@@ -36,7 +38,10 @@
     for end in ENDS {
         for ran_before in [false, true] {
             if ends::last(end, ran_before) == Last::Refused {
-                assert!(matches!(end, End::NotSent | End::NotRun) && !ran_before, "{end:?}");
+                assert!(
+                    matches!(end, End::NotSent | End::Withheld | End::NotRun) && !ran_before,
+                    "{end:?}"
+                );
             }
         }
     }
@@ -278,11 +283,11 @@
 
 #[test]
 fn a_server_whose_address_another_has_is_never_used_again() {
-    let mut record = Record::default();
-    record.note(End::NotRun, 0.0, Moment(1));
-    assert!(!record.is_out(Moment(2)));
-    record.note_gone();
-    assert!(record.is_out(Moment(3_600_000_000)));
+    let mut standing = Standing::default();
+    standing.note(End::NotRun, 0.0, Moment(1));
+    assert_eq!(standing.bar(Moment(2)), None);
+    standing.note_another();
+    assert_eq!(standing.bar(Moment(3_600_000_000)), Some(Bar::IsAnother));
 }
 
 #[test]
--- a/tests/entries.rs
+++ b/tests/entries.rs
@@ -31,7 +31,7 @@
 
 fn takes_work(vm: &Vm, name: &str) -> bool {
     let fleet = vm.fleet.borrow();
-    fleet.of(&"api".parse().unwrap()).any(|server| server.replica.id.as_str() == name)
+    fleet.of(&"api".parse().unwrap(), vm.now()).any(|server| server.replica.id.as_str() == name)
 }
 
 fn take(vm: &Vm, object: &Object) {
@@ -51,14 +51,14 @@
         let server = fleet.get_mut(&id).unwrap();
         server.open = 5;
         server.hold(7, now);
-        server.record.note_gone();
+        server.standing.note_another();
     }
     // Its clock has stepped back: the store's revisions tell which life is the later one.
     take(&vm, &server("r1", 9, entry(json!({"born": 1_763_999_990_000u64}))));
     {
         let mut fleet = vm.fleet.borrow_mut();
         let server = fleet.get(&id).unwrap();
-        assert!(!server.holds(7, now) && !server.record.is_out(now));
+        assert!(!server.holds(7, now) && server.standing.bar(now).is_none());
         assert_eq!(server.open, 0);
         assert!(
             fleet.life_mut(&earlier).is_none(),
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -183,7 +183,7 @@
 
 fn takes_work(vm: &Vm, name: &str) -> bool {
     let fleet = vm.fleet.borrow();
-    fleet.get(&name.parse().unwrap()).is_some_and(|server| server.takes_work())
+    fleet.of(&"api".parse().unwrap(), vm.now()).any(|server| server.replica.id.as_str() == name)
 }
 
 fn own(as_of: u64) -> Source<'static> {
--- a/tests/standing.rs
+++ b/tests/standing.rs
@@ -17,10 +17,21 @@
 
 mod site;
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
+use actix_http::header::{HeaderValue, RETRY_AFTER};
+use actix_http::{ResponseHead, StatusCode};
+use kitepulley::decide::ends::End;
+use kitepulley::decide::standing::{Bar, Said, Standing};
+use kitepulley::forward::replica::Replica as Life;
+use kitepulley::forward::server::Fleet;
+use kitepulley::platform::header;
 use kitepulley::standin::platform::Switches;
 use kitepulley::standin::replica::{Act, Replica};
+use kitepulley::unit::{Moment, Span};
+use quickcheck::quickcheck;
 use serde_json::json;
 use site::{Answer, Site, Vm, are_ready, ask, head};
 
@@ -65,7 +76,9 @@
 
 fn servers(site: &Site, count: usize, line: &str) -> Vec<Replica> {
     let servers: Vec<_> = (0..count).map(|at| site.replica(&format!("r{at}"), "v1")).collect();
-    servers.iter().for_each(|server| drop(server.usually(serves(line))));
+    for server in &servers {
+        server.usually(serves(line));
+    }
     servers
 }
 
@@ -167,7 +180,9 @@
         let site = site();
         let servers = servers(&site, 4, line);
         let vms = vms(&site, 2);
-        servers[..2].iter().for_each(|one| drop(one.usually(Act::TurnAway(REST.0.into()))));
+        for server in &servers[..2] {
+            server.usually(Act::TurnAway(REST.0.into()));
+        }
         are_served(&load(&vms, line));
         for (at, server) in servers[..2].iter().enumerate() {
             assert!(!server.turned_away().is_empty(), "it was never asked");
@@ -178,3 +193,199 @@
         }
     }
 }
+
+/// The words of heads that arrive on any status, and with what becomes of the answer afterwards.
+#[test]
+fn leaving_is_heard_whatever_becomes_of_the_answer() {
+    let acts = [
+        Act::Whole(200, "fine".into()),
+        Act::Whole(404, "none".into()),
+        Act::Whole(500, "failed".into()),
+        Act::NotRun,
+        Act::CutLength,
+        Act::CutChunk,
+        Act::Unframed { reset: true },
+        Act::StrangerFirst,
+        Act::Events { last: 9, cut_after: Some(1), confidence: None, pause: Duration::ZERO },
+    ];
+    for act in acts {
+        let site = site();
+        let servers = servers(&site, 2, "POST /safe/x");
+        let vms = vms(&site, 1);
+        servers[0].usually(act.clone()).leaves();
+        let begun = Instant::now();
+        while servers[0].seen().is_empty() {
+            assert!(begun.elapsed() < SENT, "{act:?}: it was never asked");
+            ask(vms[0].callers, &head("POST /safe/x", "first", ""), b"x");
+        }
+        std::thread::sleep(HEARD);
+        let before = servers[0].seen().len();
+        for number in 0..40 {
+            let answer = ask(vms[0].callers, &head("POST /safe/x", &id(0, 0, number), ""), b"x");
+            assert_eq!(answer.status, 200, "{act:?}");
+        }
+        assert_eq!(servers[0].seen().len(), before, "{act:?}\n{}", logs(&vms));
+    }
+}
+
+/// The caller leaves while the body of the answer is still on its way.
+#[test]
+fn leaving_is_heard_though_the_caller_has_left() {
+    let site = site();
+    let servers = servers(&site, 2, "POST /stream/x");
+    let vms = vms(&site, 1);
+    let pause = Duration::from_millis(500);
+    let endless = Act::Events { last: 60, cut_after: None, confidence: None, pause };
+    servers.iter().for_each(|server| {
+        server.usually(endless.clone()).leaves();
+    });
+    let text = head("POST /stream/x", "left", "") + "Content-Length: 1\r\n\r\nx";
+    let mut caller = TcpStream::connect(vms[0].callers).unwrap();
+    caller.write_all(text.as_bytes()).unwrap();
+    let asked = |server: &Replica| !server.seen().is_empty();
+    site::eventually("one is asked", || servers.iter().any(asked));
+    std::thread::sleep(HEARD);
+    drop(caller);
+    let (leaving, other) = if asked(&servers[0]) { (0, 1) } else { (1, 0) };
+    servers[other].usually(serves("POST /stream/x"));
+    for number in 0..20 {
+        ask(vms[0].callers, &head("POST /stream/x", &id(0, 0, number), ""), b"x");
+    }
+    assert_eq!(servers[leaving].seen().len(), 1, "{}", logs(&vms));
+}
+
+/// All servers rest: what comes is refused at once, truly, and told to come back when the first of them is.
+#[test]
+fn what_comes_while_all_rest_is_refused_until_the_first_is_back() {
+    let site = site();
+    let servers = servers(&site, 2, "POST /safe/x");
+    let vms = vms(&site, 1);
+    servers[0].usually(Act::TurnAway("1.0".into()));
+    servers[1].usually(Act::TurnAway("30".into()));
+    for number in 0..4 {
+        ask(vms[0].callers, &head("POST /safe/x", &id(0, 0, number), ""), b"x");
+    }
+    let before: Vec<usize> = servers.iter().map(|server| server.seen().len()).collect();
+    let begun = Instant::now();
+    let patient = head("POST /safe/x", "refused", "").replace("2500", "9000");
+    let refused = ask(vms[0].callers, &patient, b"x");
+    assert_eq!(refused.status, 503);
+    assert!(begun.elapsed() < Duration::from_millis(200), "held for {:?}", begun.elapsed());
+    let after: f64 = refused.header("retry-after").unwrap().parse().unwrap();
+    // A third of the time that the route leaves its callers, at most.
+    assert!((0.2..=1.0).contains(&after), "{after}");
+    assert_eq!(before, servers.iter().map(|server| server.seen().len()).collect::<Vec<_>>());
+    for server in &servers {
+        server.usually(serves("POST /safe/x"));
+    }
+    site::eventually("the first is back", || {
+        ask(vms[0].callers, &head("POST /safe/x", "again", ""), b"x").status == 200
+    });
+    assert!(begun.elapsed() < Duration::from_millis(2000), "back after {:?}", begun.elapsed());
+    assert_eq!(servers[1].seen().len(), before[1]);
+}
+
+/// A server that ends as planned crashes nothing, also where the store does not know yet that it leaves.
+#[test]
+fn a_server_that_said_that_it_leaves_and_ends_accuses_no_request() {
+    let site = site();
+    let servers = servers(&site, 2, "POST /stream/x");
+    let vms = vms(&site, 1);
+    let pause = Duration::from_millis(100);
+    let long = Act::Events { last: 30, cut_after: None, confidence: None, pause };
+    for server in &servers {
+        server.usually(long.clone()).leaves();
+    }
+    std::thread::scope(|scope| {
+        let first = scope.spawn(|| ask(vms[0].callers, &head("POST /stream/x", "one", ""), b"x"));
+        site::eventually("it runs", || servers.iter().any(|server| !server.seen().is_empty()));
+        std::thread::sleep(3 * pause);
+        servers.iter().for_each(|server| server.crash(None));
+        drop(first.join().expect("no panic"));
+    });
+    let checked = vms[0].counter(&["kitepulley_checks"]);
+    assert_eq!(checked, 0.0, "{}", logs(&vms));
+}
+
+fn replica(id: &str, born: u64) -> Life {
+    Life {
+        id: id.parse().unwrap(),
+        born: Some(born),
+        service: "api".parse().unwrap(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        data_centre: "here".parse().unwrap(),
+        version: "v1".parse().unwrap(),
+        slots: 8,
+        cold: Span(0),
+        ready: true,
+    }
+}
+
+/// What a life has said holds while its entry lapses and comes back, and ends with that life.
+#[test]
+fn what_a_life_has_said_holds_until_the_next_life() {
+    let at = |ms: u64| Moment(ms * 1000);
+    let mut fleet = Fleet::default();
+    let first = replica("r0", 1);
+    fleet.put(first.clone(), at(0));
+    let said = Said { leaves: true, rest: Some(Span::secs(2)) };
+    fleet.life_mut(&first).unwrap().standing.hear(said, at(10));
+    fleet.put(first.clone(), at(20));
+    assert!(matches!(fleet.forbids(&first, at(30)), Some(Bar::Leaves(_))));
+    for in_outage in [true, false] {
+        fleet.remove(&first.id, in_outage, at(40));
+        fleet.expire(at(50));
+        assert_eq!(fleet.forbids(&first, at(50)), Some(Bar::IsGone));
+        fleet.put(first.clone(), at(60));
+        assert!(matches!(fleet.forbids(&first, at(60)), Some(Bar::Leaves(_))));
+    }
+    let second = replica("r0", 2);
+    fleet.put(second.clone(), at(70));
+    assert_eq!(fleet.forbids(&second, at(80)), None);
+    assert_eq!(fleet.forbids(&first, at(80)), Some(Bar::IsGone));
+}
+
+quickcheck! {
+    /// Facts in any order: leaving never goes back, a rest never ends sooner than the latest end that was asked for.
+    fn leaving_is_never_taken_back_and_no_rest_is_cut(facts: Vec<(u8, u16)>) -> bool {
+        let mut standing = Standing::default();
+        let (mut now, mut leaves, mut rests_until) = (Moment(1), false, Moment(0));
+        for (kind, amount) in facts {
+            now = now + Span::millis(u64::from(amount % 97));
+            let span = Span::millis(u64::from(amount));
+            match kind % 5 {
+                0 => { standing.enter(true, now); }
+                1 => { standing.enter(false, now); leaves = true; }
+                2 => { standing.hear(Said { leaves: true, rest: None }, now); leaves = true; }
+                3 => {
+                    standing.hear(Said { leaves: false, rest: Some(span) }, now);
+                    rests_until = rests_until.max(now + span);
+                }
+                _ => { standing.note(End::Good, 0.0, now); }
+            }
+            let expected = if leaves { matches!(standing.bar(now), Some(Bar::Leaves(_))) }
+                else if now < rests_until { standing.bar(now) == Some(Bar::Rests(rests_until.since(now))) }
+                else { !standing.bar(now).is_some_and(Bar::binds) };
+            if !expected { return false; }
+        }
+        true
+    }
+}
+
+#[test]
+fn a_rest_that_is_no_time_is_passed_over_and_no_server_is_taken_away_for_good() {
+    let rest = |status: u16, text: &str| {
+        let mut head = ResponseHead::new(StatusCode::from_u16(status).unwrap());
+        head.headers.insert(RETRY_AFTER, HeaderValue::from_str(text).unwrap());
+        header::answer(&head).said.rest
+    };
+    assert_eq!(rest(503, "3"), Some(Span::secs(3)));
+    assert_eq!(rest(503, " 0.25 "), Some(Span::millis(250)));
+    for text in ["", "0", "-1", "NaN", "inf", "soon", "Wed, 21 Oct 2026 07:28:00 GMT"] {
+        assert_eq!(rest(503, text), None, "{text}");
+    }
+    assert_eq!(rest(200, "3"), None);
+    let mut standing = Standing::default();
+    standing.hear(Said { leaves: false, rest: rest(503, "1e300") }, Moment(1));
+    assert_eq!(standing.bar(Moment(1) + Span::secs(600)), None);
+}
