--- a/tests/standing.rs
+++ b/tests/standing.rs
@@ -19,18 +19,24 @@
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use actix_http::header::{HeaderValue, RETRY_AFTER};
-use actix_http::{ResponseHead, StatusCode};
+use actix_http::{RequestHead, ResponseHead, StatusCode};
+use bytes::Bytes;
+use kitepulley::command::block;
+use kitepulley::config::{Regions, Repeat, Route};
 use kitepulley::decide::ends::End;
 use kitepulley::decide::standing::{Bar, Said, Standing};
+use kitepulley::forward::job::{Job, Record};
 use kitepulley::forward::replica::Replica as Life;
 use kitepulley::forward::server::Fleet;
+use kitepulley::forward::{attempt, choice};
 use kitepulley::platform::header;
 use kitepulley::standin::platform::Switches;
 use kitepulley::standin::replica::{Act, Replica};
-use kitepulley::unit::{Moment, Span};
+use kitepulley::unit::{Digest, Moment, Span};
 use quickcheck::quickcheck;
 use serde_json::json;
 use site::{Answer, Site, Vm, are_ready, ask, head};
@@ -345,6 +351,60 @@
     assert_eq!(fleet.forbids(&first, at(80)), Some(Bar::IsGone));
 }
 
+/// A request whose server was chosen before the server said that it leaves, or wants rest: it waited, or its connection took a while.
+fn placed_before(said: Said) -> (End, usize) {
+    let server = Replica::launch().unwrap();
+    let vm = site::bare_vm();
+    let life = Life { address: server.address, ..replica("r0", 1) };
+    vm.fleet.borrow_mut().put(life.clone(), vm.now());
+    let mut request = RequestHead::default();
+    request.uri = "/safe/x".parse().unwrap();
+    let call = header::call(&request);
+    let route = Route {
+        name: "safe".into(),
+        prefix: "/safe/".into(),
+        parts: Vec::new(),
+        repeat: Repeat::Safe,
+        streams: false,
+        timeout: Span::secs(3),
+        goal: Span::millis(200),
+        attempts: 3,
+        priority: 1,
+        public: true,
+        regions: Regions::default(),
+        cascade: Vec::new(),
+    };
+    let arrived = vm.now();
+    let job = Job {
+        record: Record::new(vm.clone(), &call, arrived),
+        vm: vm.clone(),
+        head: request,
+        call,
+        body: Bytes::new(),
+        route: Rc::new(route),
+        service: life.service.clone(),
+        holder: None,
+        content: Digest::default(),
+        arrived,
+        deadline: arrived + Span::secs(3),
+    };
+    let place = choice::server(&vm, &job.wish(None, &[]), arrived).expect("it takes work");
+    vm.fleet.borrow_mut().life_mut(&life).unwrap().standing.hear(said, vm.now());
+    let (_, waiting) = job.send(&place, None);
+    let until = job.deadline;
+    let attempt = attempt::run(&job, &place.replica, None, None, waiting, until);
+    (block(attempt).end, server.seen().len())
+}
+
+#[test]
+fn a_request_that_was_placed_before_is_kept_back() {
+    assert_eq!(placed_before(Said::default()), (End::Good, 1));
+    let leaves = Said { leaves: true, rest: None };
+    assert_eq!(placed_before(leaves), (End::Withheld, 0));
+    let rests = Said { leaves: false, rest: Some(Span::secs(1)) };
+    assert_eq!(placed_before(rests), (End::Withheld, 0));
+}
+
 quickcheck! {
     /// Facts in any order: leaving never goes back, a rest never ends sooner than the latest end that was asked for.
     fn leaving_is_never_taken_back_and_no_rest_is_cut(facts: Vec<(u8, u16)>) -> bool {
