A rest that ends within the goal is waited for, and its end is approached by one request at a time

What could still be served in time was refused, and at the end of a rest all that came met the server in one moment. Change: a request waits for the end of the first rest as it does for a turn at a cold server, if that comes within its goal; after a rest a server gets one request until a head of its says that it takes it, or 250 ms have passed. Test: twelve requests that wait for a rest of 0.8 s are all served, the second once the first was taken (before: refused at once).

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -10,6 +10,7 @@
 pub mod escalate;
 pub mod fair;
 pub mod limit;
+pub mod load;
 pub mod outlier;
 pub mod pace;
 pub mod place;
--- a/src/decide/standing.rs
+++ b/src/decide/standing.rs
@@ -17,6 +17,10 @@
 /// Callers that are refused as all servers rest come back within so long after the first rest has ended, one after the other.
 const SPREAD: Span = Span::millis(500);
 
+/// A server whose rest is over gets one request at a time until it takes one. One of which nothing is heard for so long is waited for no
+/// longer: heads of answers come within some ten milliseconds of a server that has room.
+const TRIED_FOR: Span = Span::millis(250);
+
 /// What the head of one answer says of its server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Said {
@@ -39,6 +43,8 @@
     IsEmptied,
     /// It wants nothing for so much longer.
     Rests(Span),
+    /// Its rest is over, and a request that tries it is under way; the next may try it after so long.
+    IsTried(Span),
     /// It failed of late, and is left out for so much longer.
     IsLeftOut(Span),
 }
@@ -59,6 +65,7 @@
             Bar::IsAnother => write!(f, "another server has its address"),
             Bar::IsEmptied => write!(f, "an order empties its data centre"),
             Bar::Rests(left) => write!(f, "it wants rest for {left} more"),
+            Bar::IsTried(left) => write!(f, "it is tried after a rest, the next may in {left}"),
             Bar::IsLeftOut(left) => write!(f, "it is left out for {left} more"),
         }
     }
@@ -75,6 +82,7 @@
     record: Record,
     leaves_since: Option<Moment>,
     rests_until: Option<Moment>,
+    tried: Option<Moment>,
     is_another: bool,
 }
 
@@ -90,6 +98,10 @@
     /// Takes what the head of an answer says. Whether that changes anything. Of two rests the one that ends later holds, since answers on
     /// several connections overtake each other.
     pub fn hear(&mut self, said: Said, now: Moment) -> bool {
+        // What comes after a rest and asks for none ends it.
+        if said.rest.is_none() && self.rests_until.is_some_and(|until| until <= now) {
+            (self.rests_until, self.tried) = (None, None);
+        }
         let before = (self.leaves_since, self.rests_until);
         if said.leaves {
             self.leave(now);
@@ -97,6 +109,7 @@
         if let Some(rest) = said.rest {
             let until = now + rest.min(LONGEST_REST);
             self.rests_until = self.rests_until.max(Some(until));
+            self.tried = None;
         }
         before != (self.leaves_since, self.rests_until)
     }
@@ -105,6 +118,13 @@
         self.leaves_since = self.leaves_since.or(Some(now));
     }
 
+    /// A request is sent there.
+    pub fn send(&mut self, now: Moment) {
+        if self.rests_until.is_some() {
+            self.tried = Some(now);
+        }
+    }
+
     /// Another server answered at its address.
     pub fn note_another(&mut self) {
         self.is_another = true;
@@ -131,7 +151,8 @@
         let leaves = || self.leaves_since.map(|since| Bar::Leaves(now.since(since)));
         let another = || self.is_another.then_some(Bar::IsAnother);
         let rests = || self.rests_until.and_then(left).map(Bar::Rests);
+        let tried = || self.tried.and_then(|at| left(at + TRIED_FOR)).map(Bar::IsTried);
         let left_out = || self.record.out_until().and_then(left).map(Bar::IsLeftOut);
-        leaves().or_else(another).or_else(rests).or_else(left_out)
+        leaves().or_else(another).or_else(rests).or_else(tried).or_else(left_out)
     }
 }
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -16,7 +16,6 @@
 use crate::config::Repeat;
 use crate::decide::ends::End;
 use crate::decide::poison::Broken;
-use crate::decide::standing::Said;
 use crate::platform::header::{self, Extra};
 use crate::unit::{Model, Moment, Span};
 
@@ -132,7 +131,7 @@
     let usual = fleet.failures(&job.service, now);
     let Some(server) = fleet.life_mut(replica) else { return };
     if let Some(load) = outcome.head.as_ref().and_then(|(_, answer)| answer.load) {
-        server.hear(load, now);
+        server.load.hear(load.running + load.waiting, now);
     }
     let is_another =
         |(head, _): &(ResponseHead, Answer)| head.status == StatusCode::MISDIRECTED_REQUEST;
@@ -245,7 +244,7 @@
 /// Keeps what a server says of itself, as soon as a head has arrived; it holds whatever becomes of the answer.
 fn heed(job: &Job, replica: &Replica, answer: &Answer) {
     // The head of another server that has its address now.
-    if answer.said == Said::default() || answer.status == StatusCode::MISDIRECTED_REQUEST {
+    if answer.status == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
     let vm = &job.vm;
--- a/src/forward/choice/mod.rs
+++ b/src/forward/choice/mod.rs
@@ -21,6 +21,9 @@
 pub use version::{Versions, Why};
 use version::{busy, versions};
 
+/// Requests that wait for the end of one rest look for a server within so long after it.
+const APART: Span = Span::millis(20);
+
 /// What a request wants of its server.
 pub struct Wish<'a> {
     /// The service.
@@ -93,16 +96,43 @@
     }
 }
 
-/// A turn at a cold server that a request waits for.
-pub struct Turn {
-    /// The server.
-    pub server: Id,
-    /// When it is.
-    pub at: Moment,
+/// What a request waits for that no server takes at once.
+pub enum Turn {
+    /// Its turn at a cold server, which is taken.
+    Cold(Id, Moment),
+    /// The end of a server's rest, when it is looked for a server anew.
+    Rest(Moment),
 }
 
-/// Takes the next turn at a cold server, if it comes by `until`; for a request that no server takes at once.
+impl Turn {
+    /// When it comes.
+    pub fn at(&self) -> Moment {
+        match self {
+            Turn::Cold(_, at) | Turn::Rest(at) => *at,
+        }
+    }
+}
+
+/// The next turn that comes by `until`, if any does.
 pub fn turn(vm: &Vm, wish: &Wish, until: Moment, now: Moment) -> Option<Turn> {
+    cold_turn(vm, wish, until, now).or_else(|| rest_turn(vm, wish, until, now))
+}
+
+/// The end of the first rest. Requests that wait for the same do not all look at one moment.
+fn rest_turn(vm: &Vm, wish: &Wish, until: Moment, now: Moment) -> Option<Turn> {
+    let (versions, _) = versions(vm, wish.service, wish.call, now);
+    let fleet = vm.fleet.borrow();
+    let resting = fleet.resting(wish.service, now).filter(|(one, _)| {
+        let replica = &one.replica;
+        versions.allow(&replica.version) && wish.allows(vm, one) && !wish.has_tried(replica)
+    });
+    let left = resting.map(|(_, left)| left).min()?;
+    let at = now + left + APART.part(rand::random());
+    (at <= until).then_some(Turn::Rest(at))
+}
+
+/// Takes the next turn at a cold server.
+fn cold_turn(vm: &Vm, wish: &Wish, until: Moment, now: Moment) -> Option<Turn> {
     let (versions, _) = versions(vm, wish.service, wish.call, now);
     let gate = Gate::new(vm, wish.service, now);
     let part = gate.part()?;
@@ -115,14 +145,15 @@
     let turns = cold.filter_map(|one| Some((gate.turn(one)?, one.replica.id.clone())));
     let (at, server) = turns.min().filter(|(at, _)| *at <= until)?;
     fleet.get_mut(&server)?.turns.take(&part, now);
-    Some(Turn { server, at })
+    Some(Turn::Cold(server, at))
 }
 
-/// The server whose turn a request has waited for, if it still takes work.
+/// The cold server whose turn a request has waited for, if it still takes work.
 pub fn at_turn(vm: &Vm, wish: &Wish, turn: &Turn, now: Moment) -> Option<Place> {
+    let Turn::Cold(id, _) = turn else { return None };
     let (versions, why) = versions(vm, wish.service, wish.call, now);
     let fleet = vm.fleet.borrow();
-    let server = fleet.of(wish.service, now).find(|one| one.replica.id == turn.server)?;
+    let server = fleet.of(wish.service, now).find(|one| one.replica.id == *id)?;
     if !versions.allow(&server.replica.version) || server.standing.bar(now).is_some() {
         return None;
     }
@@ -192,7 +223,7 @@
     let sound = |one: &&Server| one.standing.bar(now).is_none();
     let busy = busy(vm, wish.service, versions, of_version().filter(sound));
     let most = connections_each(vm, wish.service, now);
-    let untried = |one: &&Server| !wish.has_tried(&one.replica) && one.open < most;
+    let untried = |one: &&Server| !wish.has_tried(&one.replica) && one.load.open() < most;
     let in_trial = |one: &&Server| busy.as_ref().is_none_or(|busy| busy.contains(&one.replica.id));
     let mut servers: Vec<&Server> =
         of_version().filter(untried).filter(sound).filter(in_trial).collect();
@@ -253,7 +284,8 @@
     if !place.has_turn {
         Gate::new(vm, &replica.service, now).count(server);
     }
-    let (load, bar) = (server.load(now), server.standing.bar(now));
+    let (load, bar) = (server.load.level(now), server.standing.bar(now));
+    server.standing.send(now);
     if call.prompt.is_empty() {
         return Sent { load, bar, ..Sent::default() };
     }
@@ -273,7 +305,7 @@
 fn candidate(vm: &Vm, wish: &Wish, prompt: &Prompt, server: &Server, now: Moment) -> Candidate {
     let reading = vm.reading(wish.model, prompt.unread(server, now));
     Candidate {
-        load: server.load(now),
+        load: server.load.level(now),
         slots: f64::from(server.replica.slots),
         near: server.replica.data_centre == vm.settings.data_centre,
         until_read: Span(server.backlog.left(now).0 + reading.0),
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 
 use super::call::Call;
-use super::choice::{self, Passed, Place, Sent, Why, Wish};
+use super::choice::{self, Passed, Place, Sent, Turn, Why, Wish};
 use super::replica::Replica;
 use super::vm::Vm;
 use crate::config::{Holder, Route};
@@ -59,20 +59,24 @@
         Wish { service, call, bytes: self.body.len(), regions, model, tried }
     }
 
-    /// The server for it, after a wait for a turn at a cold one if no other takes it: a wait is worth while as long as
-    /// the answer can come within its goal, or if that has passed, within its time. None if nothing takes it by then.
+    /// The server for it, after a wait for a turn at a cold one or the end of a rest if no other takes it: a wait is worth while as
+    /// long as the answer can come within its goal, or if that has passed, within its time. None if nothing takes it by then.
     pub async fn place(&self, wish: &Wish<'_>) -> Option<Place> {
-        let (vm, now) = (&self.vm, self.vm.now());
-        if let Some(place) = choice::server(vm, wish, now) {
-            return Some(place);
-        }
+        let vm = &self.vm;
         let goal = self.arrived + self.route.goal;
-        let until = if now < goal { goal.min(self.deadline) } else { self.deadline };
-        let turn = choice::turn(vm, wish, until, now)?;
-        self.record.waits(turn.at.since(now));
-        tokio::time::sleep(turn.at.since(now).duration()).await;
-        let now = vm.now();
-        choice::at_turn(vm, wish, &turn, now).or_else(|| choice::server(vm, wish, now))
+        let until = if vm.now() < goal { goal.min(self.deadline) } else { self.deadline };
+        loop {
+            let now = vm.now();
+            if let Some(place) = choice::server(vm, wish, now) {
+                return Some(place);
+            }
+            let turn = choice::turn(vm, wish, until, now)?;
+            self.record.waits(&turn, now);
+            tokio::time::sleep(turn.at().since(now).duration()).await;
+            if let Some(place) = choice::at_turn(vm, wish, &turn, vm.now()) {
+                return Some(place);
+            }
+        }
     }
 
     /// Notes that it is about to be sent to a server, and what is expected of that. Its prompt
@@ -189,10 +193,14 @@
         }
     }
 
-    /// Nothing takes it but a cold server, whose turn comes after so long.
-    pub fn waits(&self, wait: Span) {
+    /// Nothing takes it now, and it waits.
+    pub fn waits(&self, turn: &Turn, now: Moment) {
+        let what = match turn {
+            Turn::Cold(..) => "turn at a cold server",
+            Turn::Rest(_) => "end of a rest",
+        };
         // Writing to a string cannot fail.
-        let _ = write!(self.trail.borrow_mut(), "turn at a cold server in {wait}");
+        let _ = write!(self.trail.borrow_mut(), "{what} in {}", turn.at().since(now));
     }
 
     /// It was weighed whether a small model's answer gives way.
@@ -299,7 +307,7 @@
         let mut fleet = vm.fleet.borrow_mut();
         let server = fleet.life_mut(replica);
         let over = server.map(|server| {
-            server.open += 1;
+            server.load.add();
             server.over.clone()
         });
         Open { vm: vm.clone(), replica: replica.clone(), over: over.unwrap_or_default() }
@@ -314,7 +322,7 @@
 impl Drop for Open {
     fn drop(&mut self) {
         if let Some(server) = self.vm.fleet.borrow_mut().life_mut(&self.replica) {
-            server.open = server.open.saturating_sub(1);
+            server.load.remove();
         }
     }
 }
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -5,18 +5,15 @@
 
 use tokio::sync::Notify;
 
-use super::call::Load;
 use super::crash::Life;
 use super::pool::Pool;
 use super::replica::Replica;
 use crate::decide::backlog::Backlog;
 use crate::decide::cold::{Bound, Turns};
+use crate::decide::load::Load;
 use crate::decide::standing::{Bar, Standing};
 use crate::unit::{DataCentre, Moment, Server as Id, Service, Span, Version};
 
-/// A told load counts for this long; then only what this VM has open there does.
-const TOLD_FOR: Span = Span::secs(4);
-
 /// A server whose entry went while the store was away is used on until this long after its return was
 /// noticed: entries of servers that live come back within two seconds. Noticing takes up to 0.7 s, among
 /// many VMs up to 1 s; the published sites of few grant three seconds after the return, those of many four.
@@ -32,20 +29,12 @@
 const PAST: usize = 2400;
 const PAST_FOR: Span = Span::secs(60);
 
-/// A told load, and what this VM had open there when it heard it.
-#[derive(Clone, Copy, Debug)]
-struct Told {
-    load: Load,
-    open: u32,
-    at: Moment,
-}
-
 /// One backend server.
 pub struct Server {
     /// Its entry.
     pub replica: Replica,
-    /// Requests that this VM has open there.
-    pub open: u32,
+    /// Requests that it is thought to hold.
+    pub load: Load,
     /// Whether it takes requests, as far as this VM knows.
     pub standing: Standing,
     /// When this VM may send to it while it is cold.
@@ -60,7 +49,6 @@
     pub backlog: Backlog,
     /// Parts of prompts that it was sent of late, by model, and when.
     held: HashMap<u64, Moment>,
-    told: Option<Told>,
     /// Until when it is cold, as its entry said; that of a server whose cold time ends says so only at its next
     /// heartbeat, so this may be too late and is never too early.
     cold_until: Option<Moment>,
@@ -74,7 +62,7 @@
     fn new(replica: Replica) -> Server {
         Server {
             replica,
-            open: 0,
+            load: Load::default(),
             standing: Standing::default(),
             turns: Turns::default(),
             over: Rc::default(),
@@ -84,26 +72,10 @@
             pool: Pool::default(),
             backlog: Backlog::default(),
             held: HashMap::new(),
-            told: None,
             lapsed: false,
         }
     }
 
-    /// Notes the load that an answer told.
-    pub fn hear(&mut self, load: Load, now: Moment) {
-        self.told = Some(Told { load, open: self.open, at: now });
-    }
-
-    /// Requests that it is thought to hold: what was told, and what this VM sent since.
-    pub fn load(&self, now: Moment) -> f64 {
-        let own = f64::from(self.open);
-        let Some(told) = self.told.filter(|told| now.since(told.at) < TOLD_FOR) else {
-            return own;
-        };
-        let then = f64::from(told.load.running + told.load.waiting);
-        (then + own - f64::from(told.open)).max(own)
-    }
-
     /// Notes that it was sent a part of a prompt, which it now holds for a while.
     pub fn hold(&mut self, part: u64, now: Moment) {
         if self.held.len() >= HELD {
@@ -260,14 +232,14 @@
         self.listed(service).filter(is_open)
     }
 
-    /// The servers of a service that want rest, and for how much longer.
+    /// The servers of a service that want rest or are tried after one, and when the next request may go there.
     pub fn resting<'a>(
         &'a self,
         service: &'a Service,
         now: Moment,
     ) -> impl Iterator<Item = (&'a Server, Span)> {
         self.listed(service).filter_map(move |server| match self.bar(server, now) {
-            Some(Bar::Rests(left)) => Some((server, left)),
+            Some(Bar::Rests(left) | Bar::IsTried(left)) => Some((server, left)),
             _ => None,
         })
     }
@@ -290,7 +262,8 @@
     pub fn forbids(&self, replica: &Replica, now: Moment) -> Option<Bar> {
         let server = self.servers.get(&replica.id).filter(|one| one.replica.is_life_of(replica));
         let bar = server.map_or(Some(Bar::IsGone), |server| self.bar(server, now));
-        bar.filter(|bar| bar.binds())
+        // What tries a server after a rest may be this very request.
+        bar.filter(|bar| bar.binds() && !matches!(bar, Bar::IsTried(_)))
     }
 
     /// The version of a service that is in use when no roll-out says otherwise.
--- a/tests/entries.rs
+++ b/tests/entries.rs
@@ -49,7 +49,7 @@
     {
         let mut fleet = vm.fleet.borrow_mut();
         let server = fleet.get_mut(&id).unwrap();
-        server.open = 5;
+        (0..5).for_each(|_| server.load.add());
         server.hold(7, now);
         server.standing.note_another();
     }
@@ -59,7 +59,7 @@
         let mut fleet = vm.fleet.borrow_mut();
         let server = fleet.get(&id).unwrap();
         assert!(!server.holds(7, now) && server.standing.bar(now).is_none());
-        assert_eq!(server.open, 0);
+        assert_eq!(server.load.open(), 0);
         assert!(
             fleet.life_mut(&earlier).is_none(),
             "what ends at the earlier life counts for none"
--- a/tests/standing.rs
+++ b/tests/standing.rs
@@ -315,6 +315,32 @@
     assert_eq!(checked, 0.0, "{}", logs(&vms));
 }
 
+/// A rest that ends within the goal is waited for, and what waits does not all come at once.
+#[test]
+fn what_can_still_be_served_in_time_waits_for_the_end_of_a_rest() {
+    const WAITING: usize = 12;
+    let mut site = Site::new().route("safe", "idempotent", json!({"latency_goal_ms": 2500}));
+    site.publish();
+    let server = &servers(&site, 1, "POST /safe/x")[0];
+    server.usually(Act::TurnAway("0.8".into()));
+    let vms = vms(&site, 1);
+    ask(vms[0].callers, &head("POST /safe/x", "first", ""), b"x");
+    let asked = Instant::now();
+    server.usually(Act::Slow(Duration::from_millis(100)));
+    let send = |number| ask(vms[0].callers, &head("POST /safe/x", &id(0, 0, number), ""), b"x");
+    let answers: Vec<Answer> = std::thread::scope(|scope| {
+        let callers: Vec<_> =
+            (0..WAITING).map(|number| scope.spawn(move || send(number))).collect();
+        callers.into_iter().map(|caller| caller.join().expect("no panic")).collect()
+    });
+    are_served(&answers);
+    let at: Vec<Duration> = arrivals(server, 0).iter().map(|at| at.duration_since(asked)).collect();
+    assert_eq!(at.len(), WAITING);
+    assert!(at[0] >= Duration::from_millis(750), "{at:?}");
+    // The second comes once the first was taken.
+    assert!(at[1] - at[0] >= Duration::from_millis(100), "{at:?}");
+}
+
 fn replica(id: &str, born: u64) -> Life {
     Life {
         id: id.parse().unwrap(),
@@ -425,6 +451,7 @@
                 }
                 _ => { standing.note(End::Good, 0.0, now); }
             }
+            // One that is tried after a rest counts as resting no longer.
             let expected = if leaves { matches!(standing.bar(now), Some(Bar::Leaves(_))) }
                 else if now < rests_until { standing.bar(now) == Some(Bar::Rests(rests_until.since(now))) }
                 else { !standing.bar(now).is_some_and(Bar::binds) };
