VMs tell one another which servers have said that they leave; the experiment of servers that shed

A VM that sends a leaving server nothing learned of it from the store alone, which may be away, or by a request that it sent there. Each VM passes on what is news to it.

--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -10,6 +10,7 @@
 mod reading;
 mod replica;
 mod rollout;
+mod shed;
 mod slopes;
 mod spread;
 mod table;
@@ -21,7 +22,7 @@
 
 /// The experiments by name.
 pub const NAMES: &str =
-    "cascade, rollout, replica, overload, spread, reading, poison, path, once, slopes";
+    "cascade, rollout, replica, overload, spread, reading, poison, shed, path, once, slopes";
 
 /// Runs an experiment.
 ///
@@ -36,6 +37,7 @@
         "spread" => Ok(spread::run(options)),
         "reading" => Ok(reading::run(options)),
         "poison" => Ok(poison::run(options)),
+        "shed" => Ok(shed::run(options)),
         "path" => path::run(options),
         "once" => once::run(options),
         "slopes" => slopes::run(options),
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -10,6 +10,7 @@
 use super::crash;
 use super::event::{Batch, Events};
 use super::job::{Job, Open, Waiting};
+use super::leaving;
 use super::pool;
 use super::replica::Replica;
 use super::vm::Vm;
@@ -264,6 +265,9 @@
             ("rest_ms", answer.said.rest.map_or(-1.0, Span::as_millis).into()),
         ];
         vm.log("server said", &fields);
+        if answer.said.leaves {
+            leaving::tell(vm, replica);
+        }
     }
 }
 
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -18,6 +18,7 @@
 pub mod kept;
 pub mod known;
 pub mod learn;
+mod leaving;
 mod metrics;
 pub mod pack;
 mod pause;
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc;
 
 use super::kept;
+use super::leaving;
 use super::poison;
 use super::reader::{self, Role};
 use super::roster;
@@ -210,6 +211,9 @@
         }
         Word::Kept { service, version, draws } => kept::hear(vm, &service, &version, draws),
         Word::Poison(news) => poison::hear(vm, from.as_str(), &news),
+        Word::Leaves { server, born, address } => {
+            leaving::hear(vm, from.as_str(), &server, born, address);
+        }
     }
 }
 
--- a/src/forward/replica.rs
+++ b/src/forward/replica.rs
@@ -31,7 +31,12 @@
     /// Whether this is the same life of the same server, as far as entries tell. Which of two is the later one is not for
     /// its clock to say, which may step back: the store's revisions order them.
     pub fn is_life_of(&self, other: &Replica) -> bool {
-        (&self.id, self.born, self.address) == (&other.id, other.born, other.address)
+        self.is_life(&other.id, other.born, other.address)
+    }
+
+    /// The same, of a life that is told of by what names it.
+    pub fn is_life(&self, id: &Server, born: Option<u64>, address: SocketAddr) -> bool {
+        (&self.id, self.born, self.address) == (id, born, address)
     }
 }
 
--- a/src/forward/word.rs
+++ b/src/forward/word.rs
@@ -44,6 +44,15 @@
     },
     /// Contents under which servers crashed, or did not.
     Poison(poison::News),
+    /// A life of a server has said that it leaves.
+    Leaves {
+        /// Its id.
+        server: Server,
+        /// When that life began, by its own clock.
+        born: Option<u64>,
+        /// Where it listens.
+        address: SocketAddr,
+    },
 }
 
 /// A word, who says it, and where to answer.
--- a/tests/standing.rs
+++ b/tests/standing.rs
@@ -478,3 +478,28 @@
     standing.hear(Said { leaves: false, rest: rest(503, "1e300") }, Moment(1));
     assert_eq!(standing.bar(Moment(1) + Span::secs(600)), None);
 }
+
+/// What one VM heard all know, also those that send the server nothing: the store is away, so nobody else tells them.
+#[test]
+fn a_server_that_said_to_one_vm_that_it_leaves_gets_nothing_new_from_any() {
+    let site = site();
+    let servers = servers(&site, 2, "POST /safe/x");
+    let vms = vms(&site, 14);
+    std::thread::sleep(Duration::from_secs(2));
+    site.store.switch(Switches { down: true, ..Switches::default() });
+    servers[0].leaves();
+    site::eventually("one VM has heard it", || {
+        ask(vms[0].callers, &head("POST /safe/x", &id(0, 0, 0), ""), b"x");
+        !servers[0].seen().is_empty()
+    });
+    // Some hops among many VMs, each a few milliseconds.
+    std::thread::sleep(4 * HEARD);
+    let before = servers[0].seen().len();
+    for (at, vm) in vms.iter().enumerate() {
+        for number in 0..6 {
+            let answer = ask(vm.callers, &head("POST /safe/x", &id(at, 1, number), ""), b"x");
+            assert_eq!(answer.status, 200);
+        }
+    }
+    assert_eq!(servers[0].seen().len(), before, "{}", logs(&vms));
+}
