A later entry of the same life may take back what an earlier one said of leaving; what the server said itself stands

Entries are ordered by the store's revision, so a later one is the server's later word; what an answer's head said may be later than any entry.

--- a/src/forward/leaving.rs
+++ b/src/forward/leaving.rs
@@ -23,8 +23,10 @@
     let replica = {
         let mut fleet = vm.fleet.borrow_mut();
         let server = fleet.get_mut(id).filter(|one| one.replica.is_life(id, born, address));
-        let Some(server) = server.filter(|one| !one.standing.leaves()) else { return };
-        server.standing.hear(Said { leaves: true, rest: None }, vm.now());
+        let Some(server) = server else { return };
+        if !server.standing.hear(Said { leaves: true, rest: None }, vm.now()) {
+            return;
+        }
         server.replica.clone()
     };
     let fields = [
