Experiment shed: one way to hear of a rest, one count of what a server holds

Found on reading the whole change: a method that only called another, and a sum written three times.

--- a/src/experiment/shed/world.rs
+++ b/src/experiment/shed/world.rs
@@ -92,6 +92,13 @@
     waiting: std::collections::VecDeque<(Request, Moment)>,
 }
 
+impl Server {
+    /// Requests that run or wait there.
+    fn held(&self) -> u32 {
+        self.running + self.waiting.len() as u32
+    }
+}
+
 /// What one VM knows of one server.
 #[derive(Clone, Default)]
 struct View {
@@ -224,7 +231,7 @@
                     (server.lives, server.leaves) = (true, false);
                     server.life += 1;
                 }
-                Event::Told(vm, server, until) => self.told(vm, server, until),
+                Event::Told(vm, server, until) => self.tell(vm, server, until),
             }
         }
         let burst = &self.begun[BURST.start as usize * 10..BURST.end as usize * 10];
@@ -317,9 +324,9 @@
         let now = self.now;
         let server = &mut self.servers[at];
         let is_grey = server.grey && now >= GREY_FROM && now < GREY_FROM + GREY_FOR;
-        let is_full = server.running + server.waiting.len() as u32 >= SLOTS + QUEUE;
+        let held = server.held();
+        let is_full = held >= SLOTS + QUEUE;
         let (life, leaves, lives) = (server.life, server.leaves, server.lives);
-        let held = server.running + server.waiting.len() as u32;
         if !lives || is_grey || is_full {
             let rest = lives.then_some(self.rest);
             return self.answer(request, at, life, Said { leaves, rest }, held, false);
@@ -334,8 +341,7 @@
     /// A request begins to run; its head leaves.
     fn begin(&mut self, request: Request, at: usize) {
         let server = &self.servers[at];
-        let (life, leaves) = (server.life, server.leaves);
-        let held = server.running + server.waiting.len() as u32;
+        let (life, leaves, held) = (server.life, server.leaves, server.held());
         let long = Span((-(1.0 - self.rng.random::<f64>()).ln() * RUNS.0 as f64) as u64);
         self.push(self.now + long, Event::Ends(request.vm, at, life));
         self.begun[(self.now.0 / 100_000) as usize] = true;
@@ -396,7 +402,7 @@
         }
     }
 
-    /// Tells neighbours on the ring, which pass on what is news to them.
+    /// Notes what a VM heard, and tells its neighbours on the ring if it is news to it.
     fn tell(&mut self, vm: usize, server: usize, until: Moment) {
         let is_known = self.views[vm][server].cared_until + HEARD >= until;
         self.views[vm][server].cared_until = until;
@@ -416,10 +422,6 @@
         }
     }
 
-    fn told(&mut self, vm: usize, server: usize, until: Moment) {
-        self.tell(vm, server, until);
-    }
-
     fn ends(&mut self, vm: usize, at: usize, life: u64) {
         self.views[vm][at].load.remove();
         let server = &mut self.servers[at];
@@ -440,7 +442,7 @@
     fn is_over(&mut self, at: usize) {
         let server = &mut self.servers[at];
         server.lives = false;
-        self.counts.cut += u64::from(server.running) + server.waiting.len() as u64;
+        self.counts.cut += u64::from(server.held());
         server.running = 0;
         server.waiting.clear();
         self.push(self.now + BACK_AFTER, Event::IsBack(at));
