--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admit;
 pub mod backlog;
+pub mod bound;
 pub mod budget;
 pub mod canary;
 pub mod cascade;
--- a/src/decide/standing.rs
+++ b/src/decide/standing.rs
@@ -6,6 +6,7 @@
 
 use std::fmt;
 
+use super::bound::Limit;
 use super::ends::End;
 use super::outlier::Record;
 use crate::unit::{Moment, Span};
@@ -79,6 +80,8 @@
 /// What is known of one life of a server. A new life begins with a new one.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Standing {
+    /// How much it takes from all VMs together.
+    pub limit: Limit,
     record: Record,
     /// Since when its entry says that it leaves.
     listed_leaving: Option<Moment>,
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -15,6 +15,7 @@
 use super::replica::Replica;
 use super::vm::Vm;
 use crate::config::Repeat;
+use crate::decide::bound;
 use crate::decide::ends::End;
 use crate::decide::poison::Broken;
 use crate::platform::header::{self, Extra};
@@ -222,13 +223,14 @@
     connection: &mut Connection,
     head: actix_http::RequestHead,
 ) -> Result<(ResponseHead, Answer), Fault> {
+    let asked = job.vm.now();
     let mut head = connection.ask(head, &job.body).await?;
     for _ in 0..=STRANGERS {
         let answer = header::answer(&head);
-        heed(job, replica, &answer);
         // A server that turns a request away unread may not have seen its id.
         let ours = answer.id.as_deref() == Some(job.call.id.as_str())
             || (answer.id.is_none() && answer.not_run);
+        heed(job, replica, &answer, ours.then_some(asked));
         if ours || job.call.id.is_empty() {
             return Ok((head, answer));
         }
@@ -242,32 +244,50 @@
     Err(Fault::Broken("answers for other requests only".to_owned()))
 }
 
-/// Keeps what a server says of itself, as soon as a head has arrived; it holds whatever becomes of the answer.
-fn heed(job: &Job, replica: &Replica, answer: &Answer) {
+/// Keeps what a server says of itself, as soon as a head has arrived; it holds whatever becomes of the answer. The request that it answers was
+/// sent at `asked`, if it is this one.
+fn heed(job: &Job, replica: &Replica, answer: &Answer, asked: Option<Moment>) {
     // The head of another server that has its address now.
     if answer.status == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
     let vm = &job.vm;
-    let heard = {
+    let now = vm.now();
+    let (heard, limited, rate) = {
         let mut fleet = vm.fleet.borrow_mut();
-        fleet.life_mut(replica).is_some_and(|one| one.standing.hear(answer.said, vm.now()))
+        let Some(server) = fleet.life_mut(replica) else { return };
+        let standing = &mut server.standing;
+        let limited = standing.limit.hear(answer.limit, asked.unwrap_or_default(), now);
+        (standing.hear(answer.said, now), limited, standing.limit.rate())
     };
-    if heard {
-        let word = if answer.said.leaves { "leaves" } else { "rest" };
+    let unreadable = answer.limit == bound::Word::Unreadable;
+    let news = [
+        ("leaves", heard && answer.said.leaves),
+        ("rest", heard && !answer.said.leaves),
+        ("limit", limited),
+        ("unreadable limit", unreadable),
+    ];
+    let news: Vec<&str> =
+        news.iter().filter(|(_, is_news)| *is_news).map(|(word, _)| *word).collect();
+    if news.is_empty() {
+        return;
+    }
+    for word in &news {
         vm.metrics.said.with_label_values(&[job.service.as_str(), word]).inc();
-        let fields = [
-            ("server", replica.id.as_str().into()),
-            ("born_ms", replica.born.unwrap_or_default().into()),
-            ("request", job.call.id.as_str().into()),
-            ("status", u32::from(answer.status.as_u16()).into()),
-            ("leaves", answer.said.leaves.into()),
-            ("rest_ms", answer.said.rest.map_or(-1.0, Span::as_millis).into()),
-        ];
-        vm.log("server said", &fields);
-        if answer.said.leaves {
-            leaving::tell(vm, replica);
-        }
+    }
+    let fields = [
+        ("server", replica.id.as_str().into()),
+        ("born_ms", replica.born.unwrap_or_default().into()),
+        ("request", job.call.id.as_str().into()),
+        ("status", u32::from(answer.status.as_u16()).into()),
+        ("leaves", answer.said.leaves.into()),
+        ("rest_ms", answer.said.rest.map_or(-1.0, Span::as_millis).into()),
+        ("limit_per_s", rate.map_or(-1.0, |rate| rate.0).into()),
+        ("limit_read", (!unreadable).into()),
+    ];
+    vm.log("server said", &fields);
+    if heard && answer.said.leaves {
+        leaving::tell(vm, replica);
     }
 }
 
--- a/src/forward/call.rs
+++ b/src/forward/call.rs
@@ -2,6 +2,7 @@
 
 use actix_http::StatusCode;
 
+use crate::decide::bound;
 use crate::decide::standing::Said;
 use crate::unit::{Model, Span};
 
@@ -54,6 +55,8 @@
     pub encoded: bool,
     /// Whether the server leaves, or wants rest.
     pub said: Said,
+    /// What it says of a limit.
+    pub limit: bound::Word,
     /// The server's load.
     pub load: Option<Load>,
     /// The model's own rough opinion of its answer, 0 to 100.
--- a/src/forward/choice/mod.rs
+++ b/src/forward/choice/mod.rs
@@ -15,7 +15,7 @@
 use crate::decide::limit;
 use crate::decide::place::{self, Candidate};
 use crate::decide::standing::{self, Bar};
-use crate::unit::{Model, Moment, Server as Id, Service, Span};
+use crate::unit::{Model, Moment, Rate, Server as Id, Service, Span};
 
 use prompt::Prompt;
 pub use version::{Versions, Why};
@@ -274,6 +274,8 @@
     pub expected: Option<Span>,
     /// What the server had said against it.
     pub bar: Option<Bar>,
+    /// The limit that it had named, and how long ago it did so first.
+    pub limit: Option<(Rate, Span)>,
 }
 
 /// Notes that a request was sent: its prompt waits at the server, which then holds its parts.
@@ -285,9 +287,10 @@
         Gate::new(vm, &replica.service, now).count(server);
     }
     let (load, bar) = (server.load.level(now), server.standing.bar(now));
+    let limit = server.standing.limit.rate().zip(server.standing.limit.age(now));
     server.standing.send(now);
     if call.prompt.is_empty() {
-        return Sent { load, bar, ..Sent::default() };
+        return Sent { load, bar, limit, ..Sent::default() };
     }
     let prompt = Prompt::sent(call, model);
     let unread = prompt.unread(server, now);
@@ -299,7 +302,7 @@
     prompt.hashes().for_each(|part| server.hold(part, now));
     drop(fleet);
     peer::tell_work(vm, &replica.id, reads);
-    Sent { prompt: tokens, unread, waits, reads, load, expected, bar }
+    Sent { prompt: tokens, unread, waits, reads, load, expected, bar, limit }
 }
 
 fn candidate(vm: &Vm, wish: &Wish, prompt: &Prompt, server: &Server, now: Moment) -> Candidate {
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -182,6 +182,9 @@
         if let Some(bar) = sent.bar {
             let _ = write!(trail, " though {bar}");
         }
+        if let Some((rate, age)) = sent.limit {
+            let _ = write!(trail, " limit {rate} named {age} ago");
+        }
     }
 
     /// Its session, if it belongs to one, is on the version that it was sent to.
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -77,7 +77,7 @@
             ),
             said: counter(
                 "kitepulley_said",
-                "Words of servers that they leave or want rest.",
+                "Words of servers that they leave, want rest or name a limit.",
                 &["service", "word"],
             ),
             suspects: register(&registry, suspects.expect("the name is well formed")),
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -3,10 +3,11 @@
 use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, ResponseHead};
 
+use crate::decide::bound::Word;
 use crate::decide::standing::Said;
 use crate::forward::call::{Answer, Call, Load, PromptPart};
 use crate::forward::replica::Replica;
-use crate::unit::{Model, Span, Workspace};
+use crate::unit::{Model, Rate, Span, Workspace};
 
 const ATTEMPT: &str = "x-attempt-id";
 const DEADLINE: &str = "x-deadline-ms";
@@ -22,6 +23,7 @@
 const CONFIDENCE: &str = "x-confidence";
 const PRIORITY: &str = "x-request-priority";
 const LEAVING: &str = "server-leaving";
+const LIMIT: &str = "server-limit";
 
 /// Headers that only the system may set towards a server; a caller's are dropped.
 const OWN: [&str; 7] =
@@ -157,6 +159,7 @@
             || head.status == actix_http::StatusCode::MISDIRECTED_REQUEST,
         encoded: headers.contains_key(header::CONTENT_ENCODING),
         said: said(head),
+        limit: headers.get(LIMIT).map_or(Word::Unnamed, limit),
         load: text(headers, LOAD).and_then(load),
         confidence: text(headers, CONFIDENCE).and_then(|text| text.trim().parse().ok()),
         rest: text(headers, "keep-alive").and_then(rest),
@@ -171,6 +174,13 @@
     Said { leaves, rest: rest.and_then(seconds) }
 }
 
+/// A server's limit in requests a second, a decimal number.
+fn limit(value: &HeaderValue) -> Word {
+    let rate = value.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
+    let rate = rate.filter(|rate| rate.is_finite() && *rate >= 0.0);
+    rate.map_or(Word::Unreadable, |rate| Word::Named(Rate(rate)))
+}
+
 /// A time in seconds, with or without a fraction; nothing for what is no such time, a date among them.
 fn seconds(text: &str) -> Option<Span> {
     let number: f64 = text.trim().parse().ok()?;
--- a/src/standin/replica.rs
+++ b/src/standin/replica.rs
@@ -108,6 +108,7 @@
     connections: usize,
     crash: Option<Crash>,
     leaves: bool,
+    limit: Option<String>,
     turned_away: Vec<Instant>,
     started: Option<Started>,
     crashes: Vec<Instant>,
@@ -235,6 +236,12 @@
         self
     }
 
+    /// From now on it names this limit in all its answers, or none.
+    pub fn names_limit(&self, limit: Option<&str>) -> &Replica {
+        self.lock().limit = limit.map(str::to_owned);
+        self
+    }
+
     /// When it asked for rest.
     pub fn turned_away(&self) -> Vec<Instant> {
         self.lock().turned_away.clone()
@@ -268,7 +275,11 @@
                 next.unwrap_or(Act::Whole(200, "fine".to_owned()))
             };
             let id = seen.header("x-attempt-id").unwrap_or_default().to_owned();
-            let voice = Voice { id: &id, leaves: self.lock().leaves };
+            let (leaves, limit) = {
+                let state = self.lock();
+                (state.leaves, state.limit.clone())
+            };
+            let voice = Voice { id: &id, leaves, limit: limit.as_deref() };
             if matches!(act, Act::Early) {
                 stream.write_all(answer(&voice, 200, "early").as_bytes())?;
             }
@@ -338,13 +349,17 @@
     id: &'a str,
     /// Whether it says that it leaves.
     leaves: bool,
+    /// The limit that it names.
+    limit: Option<&'a str>,
 }
 
 impl Voice<'_> {
     /// The head of an answer, up to what `more` adds.
     fn head(&self, status: u16, more: &str) -> String {
         let leaving = if self.leaves { "Server-Leaving: 1\r\n" } else { "" };
-        format!("HTTP/1.1 {status} Status\r\nX-Attempt-Id: {}\r\n{leaving}{more}", self.id)
+        let limit = self.limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
+        let limit = limit.unwrap_or_default();
+        format!("HTTP/1.1 {status} Status\r\nX-Attempt-Id: {}\r\n{leaving}{limit}{more}", self.id)
     }
 
     fn signed(&self, status: u16, more: &str) -> String {
