--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -1,5 +1,6 @@
 //! Measured comparisons. The decisions are those of `decide`, called by the server too.
 
+mod bound;
 mod cascade;
 mod once;
 mod options;
@@ -22,7 +23,7 @@
 
 /// The experiments by name.
 pub const NAMES: &str =
-    "cascade, rollout, replica, overload, spread, reading, poison, shed, path, once, slopes";
+    "cascade, rollout, replica, overload, spread, reading, poison, shed, bound, path, once, slopes";
 
 /// Runs an experiment.
 ///
@@ -38,6 +39,7 @@
         "reading" => Ok(reading::run(options)),
         "poison" => Ok(poison::run(options)),
         "shed" => Ok(shed::run(options)),
+        "bound" => Ok(bound::run(options)),
         "path" => path::run(options),
         "once" => once::run(options),
         "slopes" => slopes::run(options),
