Headers of servers' answers that nothing decodes are counted by name, with one log line each

Three times in a row servers said something new of themselves that no VM read, and nothing told an operator. 32 names at most, others together. Test: counts by name, one line a name; before there was neither.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -231,6 +231,7 @@
     let mut head = connection.ask(head, &job.body).await?;
     for _ in 0..=STRANGERS {
         let answer = header::answer(&head);
+        note_unknown(job, replica, &head);
         // A server that turns a request away unread may not have seen its id.
         let ours = answer.id.as_deref() == Some(job.call.id.as_str())
             || (answer.id.is_none() && answer.not_run);
@@ -248,6 +249,23 @@
     Err(Fault::Broken("answers for other requests only".to_owned()))
 }
 
+/// Counts the headers of an answer that nothing decodes, so that a new word of the platform is seen on the day on which it comes.
+fn note_unknown(job: &Job, replica: &Replica, head: &ResponseHead) {
+    let vm = &job.vm;
+    for name in header::unknown(head) {
+        let (name, is_new) = vm.unknown.borrow_mut().meet(name);
+        vm.metrics.unknown.with_label_values(&[name]).inc();
+        if is_new {
+            let fields = [
+                ("name", name.into()),
+                ("server", replica.id.as_str().into()),
+                ("request", job.call.id.as_str().into()),
+            ];
+            vm.log("unknown header", &fields);
+        }
+    }
+}
+
 /// Keeps what a server says of itself, as soon as a head has arrived; it holds whatever becomes of the answer. The request that it answers was
 /// sent at `asked`, if it is this one.
 fn heed(job: &Job, replica: &Replica, answer: &Answer, asked: Option<Moment>) {
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -20,6 +20,8 @@
     pub checks: IntCounterVec,
     /// Words of servers that changed what is known of them, by service and word.
     pub said: IntCounterVec,
+    /// Headers of servers' answers that nothing decodes, by name.
+    pub unknown: IntCounterVec,
     /// Contents under which a server crashed, and those of them that are held back.
     pub suspects: IntGauge,
     pub held: IntGauge,
@@ -85,6 +87,11 @@
                 "Words of servers that they leave, want rest or name a limit.",
                 &["service", "word"],
             ),
+            unknown: counter(
+                "kitepulley_unknown_headers",
+                "Headers of servers' answers that nothing decodes.",
+                &["name"],
+            ),
             suspects: register(&registry, suspects.expect("the name is well formed")),
             held: register(&registry, held.expect("the name is well formed")),
             answer: register(
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -29,6 +29,7 @@
 use crate::unit::{Model, Moment, Service, Span};
 use crate::vm::Clock;
 use crate::watch::line::{Lines, Value};
+use crate::watch::name::Names;
 
 /// Margin of the age of the proof of freshness, for clocks that run unlike.
 const FRESH_MARGIN: Span = Span::millis(250);
@@ -115,6 +116,8 @@
     pub lines: Lines,
     /// Counters.
     pub metrics: Metrics,
+    /// Headers of servers' answers that nothing decodes.
+    pub unknown: RefCell<Names>,
     budgets: RefCell<HashMap<Service, Budget>>,
     paces: RefCell<HashMap<Option<Model>, Pace>>,
     pressures: RefCell<HashMap<Service, Pressure>>,
@@ -159,6 +162,7 @@
             peers: RefCell::default(),
             lines,
             metrics: Metrics::new(),
+            unknown: RefCell::default(),
             budgets: RefCell::default(),
             paces: RefCell::default(),
             pressures: RefCell::default(),
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -25,6 +25,43 @@
 const LEAVING: &str = "server-leaving";
 const LIMIT: &str = "server-limit";
 
+/// Names in the heads of servers' answers that need no decoding here: HTTP's own, and those that are for callers or for requests this system does not
+/// make.
+const OF_OTHERS: [&str; 28] = [
+    "accept-ranges",
+    "age",
+    "allow",
+    "cache-control",
+    "connection",
+    "content-disposition",
+    "content-encoding",
+    "content-language",
+    "content-length",
+    "content-location",
+    "content-type",
+    "date",
+    "etag",
+    "expires",
+    "keep-alive",
+    "last-modified",
+    "link",
+    "location",
+    "pragma",
+    "server",
+    "set-cookie",
+    "strict-transport-security",
+    "trailer",
+    "transfer-encoding",
+    "vary",
+    "via",
+    "x-instance-id",
+    "x-weight-versions",
+];
+
+/// Names in the heads of servers' answers that are decoded.
+const DECODED: [&str; 8] =
+    [ATTEMPT, SIGNATURE, NOT_EXECUTED, LOAD, CONFIDENCE, LEAVING, LIMIT, "retry-after"];
+
 /// Headers that only the system may set towards a server; a caller's are dropped.
 const OWN: [&str; 7] =
     [TENANT, EXPECT_INSTANCE, PRIORITY, "x-pin-ms", "x-hold", "x-kv-backup", "x-expect-version"];
@@ -166,6 +203,12 @@
     }
 }
 
+/// Names in the head of a server's answer that nothing here decodes: the platform may say something new.
+pub fn unknown(head: &ResponseHead) -> impl Iterator<Item = &str> {
+    let names = head.headers.keys().map(HeaderName::as_str);
+    names.filter(|name| !DECODED.contains(name) && !OF_OTHERS.contains(name))
+}
+
 /// What a server says of whether it takes requests. Only one that turns a request away asks for rest.
 fn said(head: &ResponseHead) -> Said {
     let turns_away = head.status == actix_http::StatusCode::SERVICE_UNAVAILABLE;
--- a/src/standin/replica.rs
+++ b/src/standin/replica.rs
@@ -109,6 +109,7 @@
     crash: Option<Crash>,
     leaves: bool,
     limit: Option<String>,
+    word: Option<String>,
     turned_away: Vec<Instant>,
     started: Option<Started>,
     crashes: Vec<Instant>,
@@ -118,6 +119,16 @@
     open: Vec<(Option<SocketAddr>, TcpStream)>,
 }
 
+impl State {
+    /// Lines that stand in the heads of all its answers.
+    fn said(&self) -> String {
+        let leaving = self.leaves.then(|| "Server-Leaving: 1".to_owned());
+        let limit = self.limit.as_ref().map(|limit| format!("Server-Limit: {limit}"));
+        let lines = [leaving, limit, self.word.clone()].into_iter().flatten();
+        lines.map(|line| line + "\r\n").collect()
+    }
+}
+
 /// The stand-in.
 #[derive(Clone)]
 pub struct Replica {
@@ -242,6 +253,12 @@
         self
     }
 
+    /// From now on it adds this line to the heads of all its answers.
+    pub fn says(&self, line: &str) -> &Replica {
+        self.lock().word = Some(line.to_owned());
+        self
+    }
+
     /// When it asked for rest.
     pub fn turned_away(&self) -> Vec<Instant> {
         self.lock().turned_away.clone()
@@ -275,11 +292,8 @@
                 next.unwrap_or(Act::Whole(200, "fine".to_owned()))
             };
             let id = seen.header("x-attempt-id").unwrap_or_default().to_owned();
-            let (leaves, limit) = {
-                let state = self.lock();
-                (state.leaves, state.limit.clone())
-            };
-            let voice = Voice { id: &id, leaves, limit: limit.as_deref() };
+            let said = self.lock().said();
+            let voice = Voice { id: &id, said: &said };
             if matches!(act, Act::Early) {
                 stream.write_all(answer(&voice, 200, "early").as_bytes())?;
             }
@@ -347,19 +361,15 @@
 struct Voice<'a> {
     /// The request's id.
     id: &'a str,
-    /// Whether it says that it leaves.
-    leaves: bool,
-    /// The limit that it names.
-    limit: Option<&'a str>,
+    /// What it says of itself, in lines.
+    said: &'a str,
 }
 
 impl Voice<'_> {
     /// The head of an answer, up to what `more` adds.
     fn head(&self, status: u16, more: &str) -> String {
-        let leaving = if self.leaves { "Server-Leaving: 1\r\n" } else { "" };
-        let limit = self.limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
-        let limit = limit.unwrap_or_default();
-        format!("HTTP/1.1 {status} Status\r\nX-Attempt-Id: {}\r\n{leaving}{limit}{more}", self.id)
+        let Voice { id, said } = self;
+        format!("HTTP/1.1 {status} Status\r\nX-Attempt-Id: {id}\r\n{said}{more}")
     }
 
     fn signed(&self, status: u16, more: &str) -> String {
--- a/src/watch/mod.rs
+++ b/src/watch/mod.rs
@@ -3,6 +3,7 @@
 mod burn;
 pub mod line;
 mod metrics;
+pub mod name;
 mod trace;
 
 pub use burn::{Burn, Slice, WINDOWS, show};
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -854,3 +854,27 @@
     assert_eq!((answer.status, answer.text()), (200, pieces(2)));
     assert_eq!(replica.seen().len(), 1);
 }
+
+/// The next word that servers say and nobody knows is seen when it comes.
+#[test]
+fn headers_of_servers_that_nothing_decodes_are_counted_by_name() {
+    let mut site = Site::new().route("safe", "idempotent", json!({}));
+    site.publish();
+    let server = site.replica("r0", "v1");
+    let vm = site.start_ready();
+    let count = |name: &str| vm.counter(&["kitepulley_unknown_headers{", name]);
+    let send = || assert_eq!(ask(vm.callers, &head("GET /safe/x", "word", ""), b"").status, 200);
+    send();
+    let page = ask(vm.metrics, "GET /metrics HTTP/1.1\r\nHost: x\r\n", b"");
+    assert!(!String::from_utf8_lossy(&page.body).contains("kitepulley_unknown_headers{"));
+    server.says("Server-Mood: fine");
+    (0..3).for_each(|_| send());
+    assert_eq!(count("server-mood"), 3.0);
+    (0..40).for_each(|number| {
+        server.says(&format!("Server-Word-{number}: fine"));
+        send();
+    });
+    assert_eq!((count("server-word-30\""), count("others")), (1.0, 9.0));
+    let told = || vm.lines().iter().filter(|line| line["event"] == "unknown header").count();
+    eventually("one line a name, and one for the others", || told() == 33);
+}
