A request stays with its version where that version's servers named limits; a refusal without a limit ends none

Where no turn was left at a version's servers, requests fell back to another version's, as if there were none of its own. They wait for a turn or are refused now, but for those only drawn for a version under trial. What refuses a request need not know that its server is in need: a flood of all VMs would have followed each such answer. Tests of both, each failing before.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -235,7 +235,8 @@
         // A server that turns a request away unread may not have seen its id.
         let ours = answer.id.as_deref() == Some(job.call.id.as_str())
             || (answer.id.is_none() && answer.not_run);
-        heed(job, replica, &answer, ours.then_some(asked));
+        let ends_limit = ours && !answer.not_run;
+        heed(job, replica, &answer, ends_limit.then_some(asked));
         if ours || job.call.id.is_empty() {
             return Ok((head, answer));
         }
@@ -267,7 +268,7 @@
 }
 
 /// Keeps what a server says of itself, as soon as a head has arrived; it holds whatever becomes of the answer. The request that it answers was
-/// sent at `asked`, if it is this one.
+/// sent at `asked`, if it is this one and ran: a refusal that names no limit ends none, since what refuses need not know of the server's need.
 fn heed(job: &Job, replica: &Replica, answer: &Answer, asked: Option<Moment>) {
     // The head of another server that has its address now.
     if answer.status == StatusCode::MISDIRECTED_REQUEST {
--- a/src/forward/choice/mod.rs
+++ b/src/forward/choice/mod.rs
@@ -181,8 +181,7 @@
 pub fn server(vm: &Vm, wish: &Wish, now: Moment) -> Option<Place> {
     let (versions, why) = versions(vm, wish.service, wish.call, now);
     let found = among(vm, wish, &versions, why, now);
-    // Its version's servers are back in a moment, and its session stays with them.
-    if found.is_none() && rests(vm, wish, &versions, now) {
+    if found.is_none() && is_back_soon(vm, wish, &versions, why, now) {
         return None;
     }
     // While a version is tried, the other serves on if it alone has servers.
@@ -201,11 +200,16 @@
     }
 }
 
-/// Whether a server of these versions wants rest.
-fn rests(vm: &Vm, wish: &Wish, versions: &Versions, now: Moment) -> bool {
+/// Whether a server of these versions takes requests again in a moment, so that a request stays with its version: it wants rest, or it
+/// named a limit and its turn comes later. What was only drawn for a version goes elsewhere rather than wait for a turn.
+fn is_back_soon(vm: &Vm, wish: &Wish, versions: &Versions, why: Why, now: Moment) -> bool {
     let fleet = vm.fleet.borrow();
+    let is_meant = |one: &Server| versions.allow(&one.replica.version) && wish.allows(vm, one);
+    let is_limited = |one: &Server| one.standing.limit.rate(now).is_some();
     let mut resting = fleet.resting(wish.service, now);
-    resting.any(|(one, _)| versions.allow(&one.replica.version) && wish.allows(vm, one))
+    let mut taking = fleet.of(wish.service, now);
+    resting.any(|(one, _)| is_meant(one))
+        || (!matches!(why, Why::Drawn { .. }) && taking.any(|one| is_meant(one) && is_limited(one)))
 }
 
 /// When to come back, if all servers that a request may go to want rest or bear only so much: when the first rest ends or the first turn comes.
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -322,6 +322,45 @@
     );
 }
 
+/// A version's servers have room again in a moment; another version's servers are not for its requests.
+#[test]
+fn a_request_stays_with_its_version_though_its_servers_name_limits() {
+    let server = Replica::launch().unwrap();
+    let (vm, life) = alone(&server);
+    let (id, version) = ("r1".parse().unwrap(), "v2".parse().unwrap());
+    vm.fleet.borrow_mut().put(Life { id, version, ..life.clone() }, vm.now());
+    let job = site::job(&vm, "api");
+    let chosen = || choice::server(&vm, &job.wish(None, &[]), vm.now());
+    hears(&vm, &life, Word::Named(Rate(0.5)));
+    assert_eq!(chosen().map(|place| place.replica.id), Some(life.id.clone()));
+    vm.fleet.borrow_mut().life_mut(&life).unwrap().turns.spend(vm.now());
+    assert!(chosen().is_none(), "its turn comes later");
+    let again = choice::come_back(&vm, &job.wish(None, &[]), vm.now());
+    assert_eq!(again, None, "a server that bears anything is there");
+    vm.fleet.borrow_mut().get_mut(&"r1".parse().unwrap()).unwrap().standing.enter(false, vm.now());
+    let again = choice::come_back(&vm, &job.wish(None, &[]), vm.now()).expect("a time");
+    // Two in four seconds, and callers come back within half a second one after the other.
+    assert!((Span::millis(2000)..Span::millis(2600)).contains(&again), "{again}");
+}
+
+/// What refuses a request need not know that its server is in need.
+#[test]
+fn a_refusal_that_names_no_limit_ends_none() {
+    let site = site();
+    let servers = servers(&site, &[Some("1"), None]);
+    let vms = vms(&site, 1);
+    let send = |number: usize| {
+        let id = format!("vm0-{number}");
+        ask(vms[0].callers, &head("POST /safe/x", &id, ""), b"x").status
+    };
+    let limited = || vms[0].counter(&["kitepulley_limited_servers{", "api"]) == 1.0;
+    site::eventually("it is known", || send(0) == 200 && limited());
+    servers[0].names_limit(None).usually(Act::NotRun);
+    let seen = servers[0].seen().len();
+    site::eventually("it refuses one", || send(1) == 200 && servers[0].seen().len() > seen);
+    assert!(limited());
+}
+
 /// When VMs that always have a request send to one server in twenty seconds; each knows the others that `knows` says.
 fn sends(vms: usize, rate: f64, knows: impl Fn(usize, usize) -> bool) -> Vec<Moment> {
     let name = |vm: usize| hash::stable(&[&format!("vm{vm}")]);
