--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -63,8 +63,16 @@
     [ATTEMPT, SIGNATURE, NOT_EXECUTED, LOAD, CONFIDENCE, LEAVING, LIMIT, "retry-after"];
 
 /// Headers that only the system may set towards a server; a caller's are dropped.
-const OWN: [&str; 7] =
-    [TENANT, EXPECT_INSTANCE, PRIORITY, "x-pin-ms", "x-hold", "x-kv-backup", "x-expect-version"];
+const OWN: [&str; 8] = [
+    TENANT,
+    EXPECT_INSTANCE,
+    PRIORITY,
+    "x-pin-ms",
+    "x-hold",
+    "x-kv-backup",
+    "x-expect-version",
+    "kv-fetch",
+];
 
 /// Headers that tell of one connection only.
 const HOP: [HeaderName; 8] = [
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -39,8 +39,7 @@
     let mut site = site().workspace("roasters", &["secret"]);
     let replica = site.replica("r1", "v1");
     let vm = site.start_ready();
-    let more =
-        "Authorization: Token secret\r\nX-Tenant: someone-else\r\nX-Hold: 7\r\nX-Own: kept\r\n";
+    let more = "Authorization: Token secret\r\nX-Tenant: someone-else\r\nX-Hold: 7\r\nKv-Fetch: 127.0.0.1:9\r\nX-Own: kept\r\n";
     let answer = ask(vm.callers, &head("POST /once/a/b?c=d%20e", "id1", more), b"two bags");
     assert_eq!((answer.status, answer.text().as_str(), answer.whole), (200, "fine", true));
     assert_eq!(answer.header("x-response-signature").as_deref(), Some("sig.id1"));
@@ -53,6 +52,7 @@
     assert_eq!(seen.header("x-own"), Some("kept"));
     assert_eq!(seen.header("authorization"), None);
     assert_eq!(seen.header("x-hold"), None);
+    assert_eq!(seen.header("kv-fetch"), None);
     let left: u64 = seen.header("x-deadline-ms").unwrap().parse().unwrap();
     assert!((1..=2500).contains(&left), "{left}");
 }
