A stream that goes on at a server which says nothing goes on at another

What callers saw: a stream broke off, was begun at a second server that hung or crashed, and nothing more came until its time was up, though others were free. Cause: the second attempt had the whole time left, where a first attempt gives way once it is overdue and past its goal. Ruled out: a wait for the budget of repeats. Both go by Job::patience now. Test: three servers, the first breaks off, the second is silent; before the caller got three events of six and nothing more for its 2.5 s, now all six.

--- a/src/forward/drive.rs
+++ b/src/forward/drive.rs
@@ -22,15 +22,6 @@
 /// Attempts without a byte sent, which the route's number does not count; for each model.
 const UNSENT: u32 = 4;
 
-/// A request that may be repeated is tried elsewhere after this many times the route's goal without
-/// an answer, if there is time for it.
-const SILENCE: u64 = 3;
-
-/// A stream is begun elsewhere if its first event does not come within this many times the time that was
-/// expected, nor within its goal: its server hangs or cannot be reached. At 10 the mean worth of the
-/// briefings' site is lower by 0.003, since overloaded servers are that late too.
-const OVERDUE: f64 = 30.0;
-
 /// What the caller gets.
 pub enum Reply {
     /// A whole answer of a server.
@@ -98,8 +89,9 @@
         let now = vm.now();
         let replica = &place.replica;
         vm.metrics.added.observe(now.since(job.arrived).as_secs());
-        let outcome =
-            try_at(job, &place, model.as_ref(), patience(job, &progress, &place, now)).await;
+        let left = job.route.attempts.saturating_sub(sends(job, &progress));
+        let until = job.patience(left, place.until_read, now);
+        let outcome = try_at(job, &place, model.as_ref(), until).await;
         progress.tried.push(replica.clone());
         let ended = vm.now();
         if outcome.end == End::Good
@@ -227,27 +219,6 @@
     may.then_some(larger)
 }
 
-/// Until when an attempt waits: a request that may be repeated does not spend all its time on a
-/// server that says nothing.
-fn patience(job: &Job, progress: &Progress, place: &Place, now: Moment) -> Moment {
-    let attempts_left = job.route.attempts.saturating_sub(sends(job, progress));
-    if attempts_left <= 1 {
-        return job.deadline;
-    }
-    let until = match job.route.repeat {
-        Repeat::Never => job.deadline,
-        Repeat::Safe => {
-            let half = now + Span(job.left(now).0 / 2);
-            half.min(now + Span(job.route.goal.0 * SILENCE))
-        }
-        Repeat::Resume => {
-            let overdue = Span((place.until_read.0 as f64 * OVERDUE) as u64);
-            now + overdue.max(job.route.goal)
-        }
-    };
-    until.min(job.deadline)
-}
-
 /// Sends that count as an attempt.
 fn sends(job: &Job, progress: &Progress) -> u32 {
     job.record.attempts().saturating_sub(progress.unsent)
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -13,12 +13,20 @@
 use super::choice::{self, Passed, Place, Sent, Wait, Why, Wish};
 use super::replica::Replica;
 use super::vm::Vm;
-use crate::config::{Holder, Route};
+use crate::config::{Holder, Repeat, Route};
 use crate::decide::ends::End;
 use crate::decide::escalate;
 use crate::decide::rank;
 use crate::unit::{Digest, Model, Moment, Service, Span, Version, hash};
 
+/// A request that may be repeated is tried elsewhere after this many times the route's goal without
+/// an answer, if there is time for it.
+const SILENCE: u64 = 3;
+
+/// A stream is begun or goes on elsewhere if its first event does not come within this many times the time that was
+/// expected, nor within its goal: its server hangs or cannot be reached, or is overloaded beyond use.
+const OVERDUE: f64 = 30.0;
+
 /// A request that was admitted.
 pub struct Job {
     /// The VM.
@@ -51,6 +59,24 @@
         self.deadline.since(now)
     }
 
+    /// Until when an attempt at a server may bring nothing, with so many attempts left, it among them: what may run elsewhere does not spend all
+    /// its time on a server that says nothing. Its prompt is expected to be read within `until_read`.
+    pub fn patience(&self, attempts_left: u32, until_read: Span, now: Moment) -> Moment {
+        if attempts_left <= 1 {
+            return self.deadline;
+        }
+        let goal = self.route.goal;
+        let until = match self.route.repeat {
+            Repeat::Never => self.deadline,
+            Repeat::Safe => {
+                let half = now + Span(self.left(now).0 / 2);
+                half.min(now + Span(goal.0 * SILENCE))
+            }
+            Repeat::Resume => now + Span((until_read.0 as f64 * OVERDUE) as u64).max(goal),
+        };
+        until.min(self.deadline)
+    }
+
     /// What it wants of its server; `model` is the one that the system chose, if it did.
     pub fn wish<'a>(&'a self, model: Option<&'a Model>, tried: &'a [Replica]) -> Wish<'a> {
         let model = model.or(self.call.model.as_ref());
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -151,7 +151,8 @@
                 return Err(format!("{why}; no other server takes work"));
             };
             let model = self.begun.model.clone();
-            let until = self.job.deadline;
+            let left = self.job.route.attempts.saturating_sub(self.sends());
+            let until = self.job.patience(left, place.until_read, vm.now());
             let (_, waiting) = self.job.send(&place, model.as_ref());
             let replica = place.replica;
             let outcome =
@@ -167,8 +168,12 @@
     }
 
     fn may_go_on(&self, now: Moment) -> bool {
-        let sends = self.job.record.attempts().saturating_sub(self.unsent);
-        sends < self.job.route.attempts && now < self.job.deadline
+        self.sends() < self.job.route.attempts && now < self.job.deadline
+    }
+
+    /// Sends that count as an attempt.
+    fn sends(&self) -> u32 {
+        self.job.record.attempts().saturating_sub(self.unsent)
     }
 
     /// Lets the connection of a stream that ended rest.
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -238,6 +238,29 @@
     assert!(seen.len() <= 3, "{}", seen.len());
 }
 
+/// A stream broke off and goes on at a server that takes it and says nothing: another one is asked while there is time.
+#[test]
+fn a_stream_that_goes_on_at_a_silent_server_goes_on_at_a_third() {
+    let mut site = site();
+    let pause = Duration::from_millis(300);
+    let first = site.replica("r1", "v1");
+    first.usually(Act::Events { last: 6, cut_after: Some(3), confidence: None, pause });
+    // The nearer of two servers is asked first.
+    let third = site.replica_with("r3", json!({"zone": "there"}));
+    third.usually(events(6, None));
+    let vm = site.start_ready();
+    std::thread::scope(|scope| {
+        let asked = scope.spawn(|| ask(vm.callers, &head("POST /stream/x", "t1", ""), b"prompt"));
+        eventually("it runs", || !first.seen().is_empty());
+        let silent = site.replica("r2", "v1");
+        silent.usually(Act::Slow(Duration::from_secs(5)));
+        let answer = asked.join().expect("no panic");
+        assert!(answer.whole && answer.text() == pieces(6), "{}\n{}", answer.text(), vm.log_end());
+        let seen = [&first, &silent, &third].map(|server| server.seen().len());
+        assert_eq!(seen, [1, 1, 1]);
+    });
+}
+
 #[test]
 fn a_silent_server_that_still_opens_connections_keeps_its_streams() {
     let mut site = site();
