A fall of a limit is told to the other VMs at once, a rise twice a second at most

A change was told no sooner than half a second after the last word, whichever way it went, and then only with the next answer: others went on at the higher limit for up to 8 s.

--- a/src/decide/bound.rs
+++ b/src/decide/bound.rs
@@ -31,9 +31,10 @@
 /// A limit is told again after so long, so that it holds at VMs that send nothing there.
 const TOLD_EVERY: Span = Span::secs(8);
 
-/// A change of the rate is told if it is by more than this part of it, and no sooner after the last than this.
+/// A change of the rate is told if it is by more than this part of it: a fall at once, since others may be sending too much, a rise no sooner after
+/// the last word than this.
 const CHANGE: f64 = 0.1;
-const TOLD_APART: Span = Span::millis(500);
+const RISES_APART: Span = Span::millis(500);
 
 /// Requests that a server bears, from all VMs together.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -212,8 +213,9 @@
         match (known.rate, told.rate) {
             (None, None) => false,
             (Some(known), Some(told)) => {
-                let changed = (known.0 - told.0).abs() > told.0 * CHANGE;
-                since >= TOLD_EVERY || (changed && since >= TOLD_APART)
+                let fell = known.0 < told.0 * (1.0 - CHANGE);
+                let rose = known.0 > told.0 * (1.0 + CHANGE);
+                since >= TOLD_EVERY || fell || (rose && since >= RISES_APART)
             }
             (Some(_), None) | (None, Some(_)) => true,
         }
