That a limit is another is told to those that have a part of it; all are told when it begins and ends, and every 15 s

What all are told again was not passed on by a VM that had heard the last word a moment later than its teller: its count of 8 s was short by the way of a word. Half of the time is enough now.

--- a/src/decide/bound.rs
+++ b/src/decide/bound.rs
@@ -26,10 +26,10 @@
 const FOR_MORE: f64 = 0.05;
 
 /// A limit of which nothing was heard for so long holds no longer: the word that it is over may have been lost.
-const HOLDS: Span = Span::secs(20);
+const HOLDS: Span = Span::secs(40);
 
-/// A limit is told again after so long, so that it holds at VMs that send nothing there.
-const TOLD_EVERY: Span = Span::secs(8);
+/// A limit is told to all again after so long, so that it holds at VMs that send nothing there.
+const TOLD_EVERY: Span = Span::secs(15);
 
 /// A change of the rate is told if it is by more than this part of it: a fall at once, since others may be sending too much, a rise no sooner after
 /// the last word than this.
@@ -154,6 +154,24 @@
     pub as_of: Moment,
 }
 
+/// Who is to be told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Audience {
+    /// All VMs, each of which passes it on.
+    All,
+    /// The senders to a server that takes so much: a limit is another, which changes nothing for VMs that have no part of it.
+    Senders(Rate),
+}
+
+/// What other VMs were told last.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    rate: Option<Rate>,
+    /// When that was, and when all were told something.
+    at: Moment,
+    all_at: Moment,
+}
+
 /// What one VM knows of the limit of one life of a server.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Limit {
@@ -161,7 +179,7 @@
     /// Since when a limit is known without a break.
     since: Option<Moment>,
     /// What the other VMs know, as far as this one told them or heard it from them.
-    told: Option<News>,
+    told: Option<Told>,
 }
 
 impl Limit {
@@ -177,14 +195,15 @@
         }
     }
 
-    /// Takes what another VM says, if that is newer than what is known. Whether it is news to pass on.
+    /// Takes what another VM says, if that is newer than what is known. Whether it is news to pass on to all: what all were told a while ago is,
+    /// since each VM counts that time a little differently.
     pub fn hear_told(&mut self, news: News, now: Moment) -> bool {
         if self.known.is_some_and(|known| known.as_of >= news.as_of) {
             return false;
         }
         self.learn(news, now);
-        let passes_on = self.is_to_tell(now);
-        self.told = Some(News { as_of: now, ..news });
+        let passes_on = self.audience(TOLD_EVERY.half(), now) == Some(Audience::All);
+        self.note_told(passes_on, now);
         passes_on
     }
 
@@ -196,29 +215,35 @@
         before != self.rate(now)
     }
 
-    /// What the other VMs are to be told now, if anything; they then know it.
-    pub fn tell(&mut self, now: Moment) -> Option<News> {
-        if !self.is_to_tell(now) {
-            return None;
-        }
-        self.told = self.known.map(|known| News { as_of: now, ..known });
-        self.known
-    }
-
-    /// Whether the others know something else, or may soon forget.
-    fn is_to_tell(&self, now: Moment) -> bool {
-        let Some(known) = self.known else { return false };
-        let Some(told) = self.told else { return known.rate.is_some() };
-        let since = now.since(told.as_of);
-        match (known.rate, told.rate) {
-            (None, None) => false,
-            (Some(known), Some(told)) => {
-                let fell = known.0 < told.0 * (1.0 - CHANGE);
-                let rose = known.0 > told.0 * (1.0 + CHANGE);
-                since >= TOLD_EVERY || fell || (rose && since >= RISES_APART)
-            }
-            (Some(_), None) | (None, Some(_)) => true,
+    /// What other VMs are to be told now, if anything, and who; they then know it.
+    pub fn tell(&mut self, now: Moment) -> Option<(News, Audience)> {
+        let audience = self.audience(TOLD_EVERY, now)?;
+        self.note_told(audience == Audience::All, now);
+        Some((self.known?, audience))
+    }
+
+    fn note_told(&mut self, all: bool, now: Moment) {
+        let rate = self.known.and_then(|known| known.rate);
+        let before = self.told.filter(|_| !all);
+        let all_at = before.map_or(now, |told| told.all_at);
+        self.told = Some(Told { rate, at: now, all_at });
+    }
+
+    /// Who knows something else, or may soon forget: all, if they were told nothing for `every`.
+    fn audience(&self, every: Span, now: Moment) -> Option<Audience> {
+        let known = self.known?.rate;
+        let Some(told) = self.told else { return known.map(|_| Audience::All) };
+        let (known, before) = match (known, told.rate) {
+            (None, None) => return None,
+            (Some(known), Some(before)) => (known, before),
+            (Some(_), None) | (None, Some(_)) => return Some(Audience::All),
+        };
+        if now.since(told.all_at) >= every {
+            return Some(Audience::All);
         }
+        let fell = known.0 < before.0 * (1.0 - CHANGE);
+        let rose = known.0 > before.0 * (1.0 + CHANGE) && now.since(told.at) >= RISES_APART;
+        (fell || rose).then_some(Audience::Senders(Rate(known.0.max(before.0))))
     }
 
     /// The limit, if there is one.
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -18,6 +18,7 @@
 use super::vm::Vm;
 use super::word::Envelope;
 pub use super::word::{Place, Word};
+use crate::decide::bound::{Bound, Part};
 use crate::decide::reader::Rank;
 use crate::peer::wire::{decode, encode};
 use crate::peer::{Incoming, Links, neighbours};
@@ -317,18 +318,29 @@
         let peers = vm.peers.borrow();
         match peers.are_few() {
             true => near(vm, &peers),
-            false => gatherers(vm, &peers, content),
+            false => first_for(vm, &peers, content.0, GATHERERS),
         }
     };
     tell_these(vm, &gatherers, word);
 }
 
-fn gatherers(vm: &Vm, peers: &Peers, content: Digest) -> Vec<Name> {
+/// Tells the VMs that have a part of what a server bears.
+pub fn tell_senders(vm: &Rc<Vm>, server: &Server, bound: &Bound, word: &Word) {
+    let senders = {
+        let peers = vm.peers.borrow();
+        let part = Part::new(bound, peers.known.len() + 1);
+        first_for(vm, &peers, hash::stable(&[server.as_str()]), part.senders)
+    };
+    tell_these(vm, &senders, word);
+}
+
+/// So many VMs with the highest weights for a number, this one maybe among them.
+fn first_for(vm: &Vm, peers: &Peers, number: u64, count: usize) -> Vec<Name> {
     let all = peers.known.keys().chain([&vm.settings.vm]);
-    let weight = |name: &Name| hash::mix(content.0, hash::stable(&[name.as_str()]));
+    let weight = |name: &Name| hash::mix(number, hash::stable(&[name.as_str()]));
     let mut weighed: Vec<(u64, &Name)> = all.map(|name| (weight(name), name)).collect();
     weighed.sort_unstable_by(|one, other| other.cmp(one));
-    weighed.into_iter().take(GATHERERS).map(|(_, name)| name.clone()).collect()
+    weighed.into_iter().take(count).map(|(_, name)| name.clone()).collect()
 }
 
 fn tell_these(vm: &Rc<Vm>, names: &[Name], word: &Word) {
--- a/src/forward/said.rs
+++ b/src/forward/said.rs
@@ -1,7 +1,8 @@
 //! What servers said of themselves, as VMs tell one another: that they leave, and which limits they name. The store tells of leaving too, but not
 //! while it is away, and nothing else tells of limits; a VM that is not told finds out by a request that it sends there.
 //!
-//! Each VM passes on what is news to it, so that all know it within some round trips: some hundred bytes for each change and neighbour.
+//! Each VM passes on what is news to it, so that all know it within some round trips: some hundred bytes for each change and neighbour. That a limit is
+//! another is told to those alone that have a part of it.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,7 +10,7 @@
 use super::peer::{self, Word};
 use super::replica::Replica;
 use super::vm::Vm;
-use crate::decide::bound::News;
+use crate::decide::bound::{Audience, Bound, News};
 use crate::decide::standing::Said;
 use crate::unit::{Moment, Rate, Server, Span};
 
@@ -40,22 +41,26 @@
     tell_leave(vm, &replica);
 }
 
-/// Tells the other VMs what this one knows of the limit of a life of a server, if they are to be told.
+/// Tells other VMs what this one knows of the limit of a life of a server, if any are to be told.
 pub fn tell_limit(vm: &Rc<Vm>, replica: &Replica) {
     let now = vm.now();
-    let news = {
+    let told = {
         let mut fleet = vm.fleet.borrow_mut();
         fleet.life_mut(replica).and_then(|server| server.standing.limit.tell(now))
     };
-    if let Some(news) = news {
-        say_limit(vm, replica, news, now);
+    match told {
+        Some((news, Audience::All)) => peer::tell(vm, &limit_word(replica, news, now)),
+        Some((news, Audience::Senders(rate))) => {
+            let word = limit_word(replica, news, now);
+            peer::tell_senders(vm, &replica.id, &Bound::of_limit(rate), &word);
+        }
+        None => {}
     }
 }
 
-fn say_limit(vm: &Rc<Vm>, replica: &Replica, news: News, now: Moment) {
+fn limit_word(replica: &Replica, news: News, now: Moment) -> Word {
     let (server, born, address) = (replica.id.clone(), replica.born, replica.address);
-    let age = now.since(news.as_of);
-    peer::tell(vm, &Word::Limit { server, born, address, rate: news.rate, age });
+    Word::Limit { server, born, address, rate: news.rate, age: now.since(news.as_of) }
 }
 
 /// Another VM's word of the limit of a life of a server.
@@ -99,6 +104,6 @@
         vm.log("server said to have a limit", &fields);
     }
     if passes_on {
-        say_limit(vm, &replica, news, now);
+        peer::tell(vm, &limit_word(&replica, news, now));
     }
 }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -104,6 +104,7 @@
         });
         let (took, logs) =
             (back.elapsed(), || vms.iter().map(site::Vm::log_end).collect::<String>());
+        println!("return: {returned} calls, known to all after {took:?}");
         assert!(took < Duration::from_secs(2), "heard after {took:?}\n{}", logs());
         let allowed = A_GROUP * DATA_CENTRES.len() as f64;
         let logs = || vms.iter().map(site::Vm::log_end).collect::<String>();
