VMs next to the first of their group leave it to the first to prove that a store that was lost is back

Cause: four VMs that stand next to the two firsts try the store too, and each proved for itself and read all kinds anew once its own probe was answered; they could not follow the first, since a VM that has said that the store is lost is not asked for 1.5 s. Now a VM that is not the first asks again at once when its probe is answered, for 0.4 s, and follows whoever has proved; else it proves as before.

--- a/src/decide/reader.rs
+++ b/src/decide/reader.rs
@@ -145,6 +145,11 @@
         self.avoid(vm, Why::Lost, now + DECLINED_FOR);
     }
 
+    /// VMs that had no news, or lost the store, may have some: the store answers again.
+    pub fn forget_declined(&mut self) {
+        self.avoided.retain(|_, avoided| matches!(avoided.why, Why::Silent(_)));
+    }
+
     /// Whether any before `own` said last that the store is lost. Those that only decline say nothing of it: while the
     /// store is away the first of a group may stop or be held up, and those behind it go on waiting.
     pub fn is_told_lost<'a>(
--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -41,7 +41,10 @@
     loop {
         let pause = if follower.look().await { ASK_EVERY } else { ASK_SOON };
         let expected = follower.vm.now() + pause;
-        tokio::time::sleep(pause.duration()).await;
+        let asked_again = follower.vm.ask_again.notified();
+        if tokio::time::timeout(pause.duration(), asked_again).await.is_ok() {
+            follower.asked.forget_declined();
+        }
         let now = follower.vm.now();
         if now.since(expected) >= HELD_UP {
             follower.vm.held_up.set(Some(now));
--- a/src/forward/proof.rs
+++ b/src/forward/proof.rs
@@ -8,6 +8,7 @@
 use super::reader::Role;
 use super::roster;
 use super::vm::Vm;
+use crate::decide::reader::ASK_SOON;
 use crate::platform::object::CONFIG;
 use crate::platform::objects::{Objects, Read, Trouble};
 use crate::unit::Span;
@@ -33,6 +34,10 @@
 /// The same where three others before this one try: the store may turn just those away.
 const LONGEST_PAUSE_BEHIND: Span = Span::millis(2400);
 
+/// A VM that is not the first of its group leaves it to the first to prove that a store that was lost is back, for so long, and asks it
+/// meanwhile: several would read the same at once. Those that follow it hear of the return so much later.
+const LEAVES_IT_FOR: Span = Span::millis(400);
+
 /// A VM for which others try the store looks again after this.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -51,6 +56,9 @@
                 fail(&vm, &trouble, &mut pause).await;
                 continue;
             }
+            if is_left_to_the_first(&vm).await {
+                continue;
+            }
         } else if !wait_for_due(&vm).await {
             continue;
         }
@@ -76,6 +84,23 @@
     found
 }
 
+/// Whether the first of this VM's group has proved meanwhile, so that this VM follows it.
+async fn is_left_to_the_first(vm: &Vm) -> bool {
+    if vm.first_since.get().is_some() {
+        return false;
+    }
+    let mut role = vm.role.subscribe();
+    let until = vm.now() + LEAVES_IT_FOR;
+    while vm.now() < until {
+        vm.ask_again.notify_one();
+        let follows = role.wait_for(|role| *role != Role::Reads);
+        if tokio::time::timeout(ASK_SOON.duration(), follows).await.is_ok() {
+            return true;
+        }
+    }
+    false
+}
+
 /// Notes that the store did not answer, and pauses.
 async fn fail(vm: &Vm, trouble: &Trouble, pause: &mut Pause) {
     vm.store_failed(&trouble.to_string());
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -86,6 +86,8 @@
     pub unsure: Cell<bool>,
     /// Whether enough others try a store that is lost, so that this VM does so rarely.
     pub tries_rarely: Cell<bool>,
+    /// Wakes the search for a VM that has news: a store that was lost answers.
+    pub ask_again: Notify,
     /// Tells that the VMs that the store names are known.
     pub peers_named: Notify,
     /// Since when this VM is the first of its group.
@@ -147,6 +149,7 @@
             doubts_store: Cell::new(false),
             unsure: Cell::new(false),
             tries_rarely: Cell::new(false),
+            ask_again: Notify::new(),
             peers_named: Notify::new(),
             first_since: Cell::new(None),
             feed: RefCell::new(Feed::new(rand::random())),
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -187,3 +187,16 @@
     assert!(oldest >= Span::millis(800), "a reader that asks every 0.6 s is never stale");
     assert!(time_to_ask(None, leave_within, now).is_some(), "one that reads for itself has time");
 }
+
+/// The store answers again: those that had lost it, or had no news, are asked at once, and those that say nothing still not.
+#[test]
+fn those_that_had_lost_the_store_are_asked_again_when_it_answers() {
+    let (own, group) = (rank("c", 0), [rank("a", 0), rank("b", 0)]);
+    let now = Moment(1_000_000);
+    let mut asked = Asked::default();
+    asked.silent(&group[0].vm, now);
+    asked.lost(&group[1].vm, now);
+    assert_eq!(asked.next(&own, group.iter(), now), None);
+    asked.forget_declined();
+    assert_eq!(asked.next(&own, group.iter(), now), Some(&group[1].vm));
+}
