A limit that is another is told to those that have a part of the one or of the other

Less may have more senders: of seven VMs seven share 1.75 a second, and five share 4. Only the senders of the greater were told, so that two of seven went on by the old limit. Test: fails with the senders of the greater alone.

--- a/src/decide/bound.rs
+++ b/src/decide/bound.rs
@@ -159,8 +159,14 @@
 pub enum Audience {
     /// All VMs, each of which passes it on.
     All,
-    /// The senders to a server that takes so much: a limit is another, which changes nothing for VMs that have no part of it.
-    Senders(Rate),
+    /// The senders to a server that named the one rate and names the other: nothing changes for VMs that have no part of either.
+    Senders([Rate; 2]),
+}
+
+/// How many VMs of so many have a part of a limit of either rate. Less may have more senders.
+pub fn senders(rates: [Rate; 2], vms: usize) -> usize {
+    let senders = rates.map(|rate| Part::new(&Bound::of_limit(rate), vms).senders);
+    senders[0].max(senders[1])
 }
 
 /// What other VMs were told last.
@@ -243,7 +249,7 @@
         }
         let fell = known.0 < before.0 * (1.0 - CHANGE);
         let rose = known.0 > before.0 * (1.0 + CHANGE) && now.since(told.at) >= RISES_APART;
-        (fell || rose).then_some(Audience::Senders(Rate(known.0.max(before.0))))
+        (fell || rose).then_some(Audience::Senders([before, known]))
     }
 
     /// The limit, if there is one.
--- a/src/experiment/bound/world.rs
+++ b/src/experiment/bound/world.rs
@@ -8,7 +8,7 @@
 
 use super::{Skew, Way};
 use crate::decide::bound::{
-    Audience, Bound, LIMIT_WINDOW, Limit, News, Part, Turns, Word, is_sender,
+    Audience, Bound, LIMIT_WINDOW, Limit, News, Part, Turns, Word, is_sender, senders,
 };
 use crate::peer::neighbours;
 use crate::unit::{Moment, Rate, Span, Vm as Name, hash};
@@ -345,7 +345,7 @@
         view.limit.hear(Word::Named(rate), asked, now);
         match view.limit.tell(now) {
             Some((news, Audience::All)) => self.tell_all(vm, server, news),
-            Some((news, Audience::Senders(rate))) => self.tell_senders(vm, server, rate, news),
+            Some((news, Audience::Senders(rates))) => self.tell_senders(vm, server, rates, news),
             None => {}
         }
     }
@@ -362,12 +362,11 @@
         self.tell(vm, server, &near, news);
     }
 
-    fn tell_senders(&mut self, vm: usize, server: usize, rate: Rate, news: News) {
-        let part = Part::new(&Bound::of_limit(rate), self.names.len());
+    fn tell_senders(&mut self, vm: usize, server: usize, rates: [Rate; 2], news: News) {
         let mut all: Vec<usize> = (0..self.names.len()).collect();
         let weight = |at: &usize| Reverse(hash::mix(self.servers[server].number, self.names[*at]));
         all.sort_unstable_by_key(weight);
-        all.truncate(part.senders);
+        all.truncate(senders(rates, self.names.len()));
         self.tell(vm, server, &all, news);
     }
 
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -18,12 +18,12 @@
 use super::vm::Vm;
 use super::word::Envelope;
 pub use super::word::{Place, Word};
-use crate::decide::bound::{Bound, Part};
+use crate::decide::bound;
 use crate::decide::reader::Rank;
 use crate::peer::wire::{decode, encode};
 use crate::peer::{Incoming, Links, neighbours};
 use crate::platform::objects::Objects;
-use crate::unit::{DataCentre, Digest, Moment, Server, Span, Vm as Name, hash};
+use crate::unit::{DataCentre, Digest, Moment, Rate, Server, Span, Vm as Name, hash};
 
 /// Up to this number every VM hears every other; beyond it each tells its ring neighbours, so that
 /// what a VM sends grows with the logarithm of their number, and those named in the store count as
@@ -324,12 +324,12 @@
     tell_these(vm, &gatherers, word);
 }
 
-/// Tells the VMs that have a part of what a server bears.
-pub fn tell_senders(vm: &Rc<Vm>, server: &Server, bound: &Bound, word: &Word) {
+/// Tells the VMs that have a part of a server's limit of either rate.
+pub fn tell_senders(vm: &Rc<Vm>, server: &Server, rates: [Rate; 2], word: &Word) {
     let senders = {
         let peers = vm.peers.borrow();
-        let part = Part::new(bound, peers.known.len() + 1);
-        first_for(vm, &peers, hash::stable(&[server.as_str()]), part.senders)
+        let count = bound::senders(rates, peers.known.len() + 1);
+        first_for(vm, &peers, hash::stable(&[server.as_str()]), count)
     };
     tell_these(vm, &senders, word);
 }
--- a/src/forward/said.rs
+++ b/src/forward/said.rs
@@ -10,7 +10,7 @@
 use super::peer::{self, Word};
 use super::replica::Replica;
 use super::vm::Vm;
-use crate::decide::bound::{Audience, Bound, News};
+use crate::decide::bound::{Audience, News};
 use crate::decide::standing::Said;
 use crate::unit::{Moment, Rate, Server, Span};
 
@@ -50,9 +50,9 @@
     };
     match told {
         Some((news, Audience::All)) => peer::tell(vm, &limit_word(replica, news, now)),
-        Some((news, Audience::Senders(rate))) => {
+        Some((news, Audience::Senders(rates))) => {
             let word = limit_word(replica, news, now);
-            peer::tell_senders(vm, &replica.id, &Bound::of_limit(rate), &word);
+            peer::tell_senders(vm, &replica.id, rates, &word);
         }
         None => {}
     }
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -20,7 +20,9 @@
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{ResponseHead, StatusCode};
 use kitepulley::command::block;
-use kitepulley::decide::bound::{Audience, Bound, Limit, News, Part, Turns, Word, is_sender};
+use kitepulley::decide::bound::{
+    Audience, Bound, Limit, News, Part, Turns, Word, is_sender, senders,
+};
 use kitepulley::decide::ends::End;
 use kitepulley::decide::standing::Said;
 use kitepulley::forward::replica::Replica as Life;
@@ -441,7 +443,7 @@
 fn news_of_a_limit_are_told_once_a_change_and_again_before_they_are_forgotten() {
     let second = |number: u64| Moment(number * 1_000_000);
     let news = |rate: f64, as_of| News { rate: Some(Rate(rate)), as_of };
-    let senders = |rate| Audience::Senders(Rate(rate));
+    let senders = |before, now| Audience::Senders([Rate(before), Rate(now)]);
     let mut limit = Limit::default();
     assert_eq!(limit.tell(Moment(1)), None);
     limit.hear(Word::Named(Rate(2.0)), Moment(1), second(1));
@@ -449,12 +451,12 @@
     limit.hear(Word::Named(Rate(2.1)), second(1), second(2));
     assert_eq!(limit.tell(second(2)), None, "about the same");
     limit.hear(Word::Named(Rate(4.0)), second(2), second(3));
-    assert_eq!(limit.tell(second(3)), Some((news(4.0, second(3)), senders(4.0))));
+    assert_eq!(limit.tell(second(3)), Some((news(4.0, second(3)), senders(2.0, 4.0))));
     let soon = second(3) + Span::millis(100);
     limit.hear(Word::Named(Rate(8.0)), second(3), soon);
     assert_eq!(limit.tell(soon), None, "a rise can wait");
     limit.hear(Word::Named(Rate(1.0)), second(3), soon);
-    assert_eq!(limit.tell(soon), Some((news(1.0, soon), senders(4.0))), "a fall can't");
+    assert_eq!(limit.tell(soon), Some((news(1.0, soon), senders(4.0, 1.0))), "a fall can't");
     assert_eq!(limit.tell(second(17)), Some((news(1.0, soon), Audience::All)), "lest all forget");
     limit.hear(Word::Unnamed, second(18), second(18));
     let over = News { rate: None, as_of: second(18) };
@@ -462,6 +464,16 @@
     assert_eq!(limit.tell(second(60)), None);
 }
 
+/// A limit that falls may have more senders than before, each of which must hear of it.
+#[test]
+fn those_that_have_a_part_of_either_limit_are_told() {
+    let count = |rate| Part::new(&Bound::of_limit(Rate(rate)), 7).senders;
+    assert!(count(1.75) > count(4.0), "{} and {}", count(1.75), count(4.0));
+    for rates in [[1.75, 4.0], [4.0, 1.75]] {
+        assert_eq!(senders(rates.map(Rate), 7), count(1.75));
+    }
+}
+
 /// What all were told is told again before it is forgotten, and reaches all though each VM counts the time a little differently.
 #[test]
 fn what_is_told_again_is_passed_on_by_those_who_heard_it_later() {
