--- a/src/decide/canary.rs
+++ b/src/decide/canary.rs
@@ -11,8 +11,8 @@
 use crate::forward::replica::Phase;
 use crate::unit::Span;
 
-/// Share of sessions that try the new version, as a part of the bound on exposure, and at most. At
-/// 0.25 a trial of 20 s held 21 answers, seven of each kind of request.
+/// Share of sessions that try the new version, as a part of the bound on exposure, and at most. Less leaves
+/// a short trial too few answers of each kind of request.
 const FIRST: f64 = 0.4;
 const FIRST_AT_MOST: f64 = 0.1;
 
--- a/src/decide/escalate.rs
+++ b/src/decide/escalate.rs
@@ -6,21 +6,17 @@
 
 use crate::unit::Span;
 
-/// An answer is kept from this confidence on, in hundredths, unless a flag says otherwise. At 45 the mean
-/// worth of days with trouble is 0.015 higher on the briefings' site and that of calm ones 0.02 lower; at
-/// 75 the first falls by 0.03 to 0.05 on all three small sites (two or three seeds of five days).
+/// An answer is kept from this confidence on, in hundredths, unless a flag says otherwise.
 pub const KEEP_CONFIDENCE: f64 = 60.0;
 
-/// Mean wait, as a part of the goal, at which no answer gives way any more. From 0.3 to 0.4 no mean worth
-/// moves by more than 0.01; without it, at a fixed confidence, it falls by 0.06 to 0.08.
+/// Mean wait, as a part of the goal, at which no answer gives way any more.
 const FULL: f64 = 0.4;
 
 /// A reading that takes all of the time to the goal takes this off the confidence below which an answer
-/// gives way. Without it the same mean falls by 0.01.
+/// gives way.
 const READING: f64 = 0.5;
 
-/// An answer that comes late is worth about this part of one in time; the published sites lie between
-/// 0.1 and 0.3.
+/// An answer that comes late is worth about this part of one in time.
 const LATE: f64 = 0.3;
 
 /// What is known when a small model's answer is there.
--- a/src/decide/outlier.rs
+++ b/src/decide/outlier.rs
@@ -8,8 +8,7 @@
 const BROKEN: u32 = 3;
 
 /// Requests turned away in a row that leave a server out, and for how long. One that turns everything away runs nothing and looks the
-/// emptiest. On six short days in which a fifth to a third of a service's servers do so, beside a burst, the mean worth is 0.703 with it and
-/// 0.584 without, and 0.004 of the requests are refused for good rather than 0.040.
+/// emptiest.
 const REFUSED: u32 = 3;
 const REFUSED_OUT: Span = Span::millis(300);
 
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -6,14 +6,11 @@
 /// centres are paid for, a short queue is not worth them.
 const FAR: f64 = 0.15;
 
-/// A prompt goes to another data centre if that saves this many microseconds for each of its bytes: a
-/// briefing of 17 kB for 0.17 s. Beside 22 ms for any prompt, the bytes between data centres cost 0.033 of
-/// the worth on the briefings' site rather than 0.043, and no site's mean worth moves by more than 0.01.
+/// A prompt goes to another data centre if that saves this many microseconds for each of its bytes, which are paid for.
 const CARRY: f64 = 10.0;
 
 /// Requests that run beside one another slow each other a little: a server that is full counts as
-/// so much later than an empty one, in microseconds. Steps take a tenth longer when full, and a
-/// stream some hundred steps.
+/// so much later than an empty one, in microseconds.
 const FULL: f64 = 150_000.0;
 
 /// A server that may get the request.
--- a/src/decide/pressure.rs
+++ b/src/decide/pressure.rs
@@ -3,7 +3,7 @@
 use crate::unit::{Moment, Span};
 
 /// Weight of an answer falls to a third in this time: long enough for some answers of one VM, short
-/// enough to follow a burst. At 2 s the mean worth of the briefings' site is 0.01 lower.
+/// enough to follow a burst.
 const MEMORY: Span = Span::millis(800);
 
 /// Answers' worth of belief that nothing waits, before any was seen: little, so that what is believed
--- a/src/decide/reader.rs
+++ b/src/decide/reader.rs
@@ -4,9 +4,8 @@
 //! asks the first of the other groups that come before it. So with all well one VM of a fleet reads, the first of
 //! each group asks that one, and the others ask the first of theirs. Nobody is elected, and two readers do no harm.
 //!
-//! Load that this answers: 295 VMs in six data centres. Where each VM that got no news read for itself at once, a store
-//! that was away for eight seconds had 37 calls of each VM in that time. Now a VM goes on asking those before it; only
-//! the first of a group, or those who stand next to it, try the store.
+//! Load that this answers: hundreds of VMs that get no news at the same moment, at a start or while the store is away. A VM goes on asking
+//! those before it; only the first of a group, or those who stand next to it, try the store.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -53,18 +52,17 @@
 /// Time for an answer.
 pub const ANSWER_WITHIN: Span = Span::millis(450);
 
-/// The same for a VM that knows nothing yet: when all start again, 450 ms for each that is not there yet made the last
-/// ready 0.7 s after their start.
+/// The same for a VM that knows nothing yet: when all start again it waits for some that are not there yet.
 pub const FIRST_ANSWER_WITHIN: Span = Span::millis(250);
 
 /// Knowledge of servers that is older than this part of the time in which one that leaves may still get work is not
-/// passed on. At 0.45 a store that kept questions for a second made 85 of 91 VMs read for themselves at
-/// once: 3,368 calls on that day, 2,163 at this part. A follower is not held to it: [`READS_AT`] bounds what it knows.
+/// passed on. A smaller part makes most VMs read for themselves where the store keeps a question for a second. A follower is not held to it:
+/// [`READS_AT`] bounds what it knows.
 const STALE: f64 = 0.65;
 
 /// A follower whose knowledge of servers reaches this part of that time reads for itself, whoever may answer yet:
-/// its own list takes some milliseconds. Without it the times of a look (0.35 s), of two answers that do not come and of
-/// the oldest knowledge that is passed on add up to 2.55 s of 2 s.
+/// its own list takes some milliseconds. A look, two answers that do not come and the oldest knowledge that is passed on would add up to more
+/// than the whole.
 const READS_AT: f64 = 0.8;
 
 /// News that were passed on by more VMs than this are not taken: two are needed, and a third where a first of a
--- a/src/decide/standing.rs
+++ b/src/decide/standing.rs
@@ -94,7 +94,7 @@
 
 impl Standing {
     /// Takes what its entry in the store says, which a later entry may take back. No entry takes back what the server said itself, since it may
-    /// be of before: a leaving server said so in 14 answers of 2.7 s while the store still called it ready.
+    /// be of before.
     pub fn enter(&mut self, ready: bool, now: Moment) {
         self.listed_leaving = (!ready).then(|| self.listed_leaving.unwrap_or(now));
     }
--- a/src/demo/client.rs
+++ b/src/demo/client.rs
@@ -19,8 +19,7 @@
 const WITHIN: Duration = Duration::from_secs(40);
 
 /// A connection that rested longer is not used again: VMs close those that rest for five seconds, and a request that meets
-/// the close is cut off unread. In a region cut one answer broke in 2 of 63 runs with the client library's 15 s and in
-/// none of 70 with this, four runs at once beside other load.
+/// the close is cut off unread.
 const RESTS: Duration = Duration::from_secs(4);
 
 /// A caller of one workspace.
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -47,8 +47,7 @@
 const RETURN_WITHIN: Duration = Duration::from_secs(5);
 
 /// At the store's return a VM that is not the first of its group leaves it so much time to have news, which tries every
-/// 0.6 s and is asked every 0.35 s: without it six of
-/// sixteen VMs asked for all kinds at once, 33 calls.
+/// 0.6 s and is asked every 0.35 s: several would ask for all kinds at once.
 const YIELDS_FOR: Duration = Duration::from_millis(900);
 
 /// Time between two looks for entries that lapsed.
