--- a/src/experiment/reading/news.rs
+++ b/src/experiment/reading/news.rs
@@ -1,7 +1,7 @@
 //! What a VM that has just started is told.
 
-use crate::forward::feed::Change;
-use crate::forward::follow::Kind;
+use crate::forward::kind::Kind;
+use crate::forward::pack::Change;
 use crate::forward::pack::Packed;
 
 /// Backend servers whose entries are passed on.
--- a/src/forward/bounded.rs
+++ b/src/forward/bounded.rs
@@ -5,7 +5,7 @@
 use std::fmt;
 use std::rc::Rc;
 
-use super::follow::Kind;
+use super::kind::Kind;
 use super::replica::Replica;
 use super::server::{Fleet, Server};
 use super::vm::Vm;
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -7,6 +7,7 @@
 
 use actix_web::rt::spawn;
 
+use super::life::Life;
 use super::poison;
 use super::replica::Replica;
 use super::server::Fleet;
@@ -14,18 +15,6 @@
 use crate::decide::poison::Broken;
 use crate::engine::check::{self, Found};
 
-/// What is known of how a life of a server goes on.
-#[derive(Debug, Default)]
-pub enum Life {
-    /// No answer broke off there, or it took connections afterwards.
-    #[default]
-    GoesOn,
-    /// Answers to these requests broke off, and it is being checked.
-    Doubtful(Vec<Broken>),
-    /// It has crashed.
-    Over,
-}
-
 /// What a broken answer means for the life of its server, as far as this VM knows.
 enum Next {
     /// It is over.
--- a/src/forward/feed.rs
+++ b/src/forward/feed.rs
@@ -9,8 +9,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::follow::Kind;
-use super::pack::Packed;
+use super::kind::Kind;
+use super::pack::{Change, Packed};
 use super::poison;
 use super::tally;
 use crate::platform::object::Object;
@@ -20,19 +20,6 @@
 /// on as it stands now.
 const KEPT: usize = 2000;
 
-/// One object as it changed.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Change {
-    /// Its kind.
-    pub kind: Kind,
-    /// Its name among its kind.
-    pub name: String,
-    /// The object in JSON; none if it is gone.
-    pub object: Option<String>,
-    /// Whether it may only have lapsed, since the store was away just before.
-    pub lapsed: bool,
-}
-
 /// How far a follower has come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Place {
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -3,14 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
+use super::kind::Kind;
 use super::learn::{self, Source};
 use super::pause::Pause;
-use super::reader::Role;
-use super::roster::VMS;
+use super::role::Role;
 use super::vm::Vm;
-use crate::platform::object::{CONFIG, EVACUATIONS, ROLLOUTS, SERVERS};
 use crate::platform::objects::{
     ANSWER_SOON, ANSWER_WITHIN, Events, Listing, Objects, Read, Trouble,
 };
@@ -53,38 +50,6 @@
 /// Time between two looks for entries that lapsed.
 const LOOK: Duration = Duration::from_millis(200);
 
-/// What is followed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum Kind {
-    /// The configuration.
-    Config,
-    /// Entries of backend servers.
-    Servers,
-    /// Orders to roll versions out.
-    Rollouts,
-    /// Orders to empty a data centre.
-    Evacuations,
-    /// The entry VMs themselves.
-    Vms,
-}
-
-impl Kind {
-    /// All of them.
-    pub const ALL: [Kind; 5] =
-        [Kind::Config, Kind::Servers, Kind::Rollouts, Kind::Evacuations, Kind::Vms];
-
-    /// Its name in the store.
-    pub fn name(self) -> &'static str {
-        match self {
-            Kind::Config => CONFIG,
-            Kind::Servers => SERVERS,
-            Kind::Rollouts => ROLLOUTS,
-            Kind::Evacuations => EVACUATIONS,
-            Kind::Vms => VMS,
-        }
-    }
-}
-
 /// Follows a kind of objects until the process ends. While another VM reads the store for this one, own reading
 /// rests; when it begins it goes on from what is known, if the store still tells the changes since then.
 pub async fn follow(vm: Rc<Vm>, kind: Kind) {
--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -5,12 +5,14 @@
 
 use futures_util::future::join;
 
-use super::feed::{Change, News, Origin, Place, Store};
-use super::follow::Kind;
+use super::feed::{News, Origin, Place, Store};
+use super::kind::Kind;
 use super::learn::{self, Source};
+use super::pack::Change;
 use super::peer;
 use super::poison;
-use super::reader::{self, Decline, HELD_UP, Reply, Role};
+use super::reader::{self, HELD_UP, Reply};
+use super::role::{Decline, Role};
 use super::tally::{self, Seen, Tally};
 use super::trial::Trials;
 use super::vm::Vm;
--- a/src/forward/known.rs
+++ b/src/forward/known.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{HashMap, HashSet};
 
-use super::follow::Kind;
+use super::kind::Kind;
 
 /// What is known of an object that is there.
 #[derive(Clone, Copy, Debug)]
--- a/src/forward/learn.rs
+++ b/src/forward/learn.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 use std::rc::Rc;
 
-use super::follow::Kind;
+use super::kind::Kind;
 use super::replica::{Phase, Replica, Rollout};
 use super::roster;
 use super::vm::Vm;
--- /dev/null
+++ b/src/forward/life.rs
@@ -0,0 +1,15 @@
+//! How a life of a backend server goes on, as far as a VM knows.
+
+use crate::decide::poison::Broken;
+
+/// What is known of how a life of a server goes on.
+#[derive(Debug, Default)]
+pub enum Life {
+    /// No answer broke off there, or it took connections afterwards.
+    #[default]
+    GoesOn,
+    /// Answers to these requests broke off, and it is being checked.
+    Doubtful(Vec<Broken>),
+    /// It has crashed.
+    Over,
+}
--- a/src/forward/pack.rs
+++ b/src/forward/pack.rs
@@ -9,7 +9,7 @@
 use flate2::read::{DeflateDecoder, DeflateEncoder};
 use serde::{Deserialize, Serialize};
 
-use super::feed::Change;
+use super::kind::Kind;
 use crate::peer::wire::{decode, encode};
 
 /// Changes of fewer bytes are sent as they are.
@@ -18,6 +18,19 @@
 /// Largest text of changes that is unpacked; a peer that sends more is not believed.
 const LARGEST: u64 = 64 * 1024 * 1024;
 
+/// One object as it changed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// Its kind.
+    pub kind: Kind,
+    /// Its name among its kind.
+    pub name: String,
+    /// The object in JSON; none if it is gone.
+    pub object: Option<String>,
+    /// Whether it may only have lapsed, since the store was away just before.
+    pub lapsed: bool,
+}
+
 /// Changes in order.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Packed {
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -10,11 +10,13 @@
 use tokio::sync::mpsc;
 
 use super::kept;
+use super::kind::VMS;
 use super::poison;
-use super::reader::{self, Role};
+use super::reader;
+use super::role::Role;
 use super::roster;
 use super::said::{self, Told};
-use super::tally::Source;
+use super::trial::Source;
 use super::vm::Vm;
 use super::word::Envelope;
 pub use super::word::{Place, Word};
@@ -274,7 +276,7 @@
     }
     for name in gone {
         vm.log("peer forgotten", &[("peer", name.as_str().into())]);
-        let deleted = store.delete(roster::VMS, name.as_str()).await;
+        let deleted = store.delete(VMS, name.as_str()).await;
         vm.count_call("entry-delete", &deleted);
         if let Err(trouble) = deleted {
             let why = trouble.to_string();
--- a/src/forward/proof.rs
+++ b/src/forward/proof.rs
@@ -3,9 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::follow::{Kind, note_list};
+use super::follow::note_list;
+use super::kind::Kind;
 use super::pause::Pause;
-use super::reader::Role;
+use super::role::Role;
 use super::roster;
 use super::vm::Vm;
 use crate::decide::reader::ASK_SOON;
--- a/src/forward/reader.rs
+++ b/src/forward/reader.rs
@@ -10,9 +10,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::feed::{News, Origin, Place, Stand, Store};
-use super::follow::Kind;
+use super::kind::Kind;
 use super::peer;
 use super::poison;
+use super::role::Decline;
 use super::tally::{self, Seen};
 use super::vm::Vm;
 use crate::decide::reader::is_stale;
@@ -27,17 +28,6 @@
 pub const HELD_UP: Span = Span::millis(400);
 const HELD_UP_FOR: Span = Span::millis(1500);
 
-/// Who reads the store for a VM.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Role {
-    /// Nobody yet: it has just started and looks for others.
-    Joins,
-    /// Itself.
-    Reads,
-    /// Another VM, or one that this one follows in its turn.
-    Follows(Name),
-}
-
 /// A question for news.
 #[derive(Serialize, Deserialize)]
 struct Question {
@@ -75,23 +65,6 @@
     }
 }
 
-/// Why a VM gives no news.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Decline {
-    /// The question does not read.
-    Unreadable,
-    /// It does not know all kinds yet.
-    KnowsTooLittle,
-    /// It stood still a moment ago, so what it believes may be of before.
-    HeldUp,
-    /// It stops.
-    Stops,
-    /// Its proof of the configuration is too old.
-    OldProof,
-    /// What it knows of servers is too old.
-    OldServers,
-}
-
 /// What a VM that asks is told; the reason if this one knows nothing, or what it knows is too old.
 pub fn answer(vm: &Rc<Vm>, question: &[u8]) -> Vec<u8> {
     let Some(Question { from, place, seen, held }) = decode::<Question>(question) else {
--- a/src/forward/roster.rs
+++ b/src/forward/roster.rs
@@ -5,7 +5,7 @@
 
 use serde_json::{Value, json};
 
-use super::follow::Kind;
+use super::kind::{Kind, VMS};
 use super::learn::{self, Source};
 use super::pause::Pause;
 use super::peer::Place;
@@ -19,9 +19,6 @@
 const KEYS: &str = "kitepulley-keys";
 const LINKS: &str = "links";
 
-/// The kind of the objects that name the VMs, their data centres and their addresses.
-pub const VMS: &str = "kitepulley-vms";
-
 /// Bytes of the key.
 const KEY_BYTES: usize = 32;
 
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -6,7 +6,8 @@
 use actix_web::rt::signal::unix::{SignalKind, signal};
 use actix_web::rt::spawn;
 
-use super::follow::{self, Kind};
+use super::follow;
+use super::kind::Kind;
 use super::settings::Settings;
 use super::vm::Vm;
 use super::{door, follower, kept, peer, poison, proof, steps, wake};
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::Notify;
 
-use super::crash::Life;
+use super::life::Life;
 use super::pool::Pool;
 use super::replica::Replica;
 use crate::decide::backlog::Backlog;
--- a/src/forward/tally.rs
+++ b/src/forward/tally.rs
@@ -11,18 +11,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::trial::{Routes, Verdict};
+use super::trial::{Routes, Source, Verdict};
 use super::vm::Vm;
-use crate::unit::{DataCentre, Service, Version, Vm as Name};
-
-/// Whose counts they are.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum Source {
-    /// One VM.
-    Vm(Name),
-    /// All VMs of a data centre.
-    Group(DataCentre),
-}
+use crate::unit::{Service, Version, Vm as Name};
 
 /// What a source has seen of a version.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/src/forward/trial.rs
+++ b/src/forward/trial.rs
@@ -4,10 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::tally::Source;
 use crate::decide::canary::{self, Trial};
 use crate::decide::sequential::Count;
-use crate::unit::{Moment, Span, Version};
+use crate::unit::{DataCentre, Moment, Span, Version, Vm as Name};
 
 /// Degrees of slowness. An answer is slow in a degree if it took this many times what was expected of
 /// it: the reading of its prompt, or, without one, the old version's usual time for its route. Where
@@ -62,6 +61,15 @@
     SLOW.map(|times| Span(((expected.0 + ON_THE_WAY.0) as f64 * times) as u64))
 }
 
+/// Whose counts they are.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Source {
+    /// One VM.
+    Vm(Name),
+    /// All VMs of a data centre.
+    Group(DataCentre),
+}
+
 /// One answer, as a roll-out sees it.
 #[derive(Clone, Copy, Debug)]
 pub struct Sample<'a> {
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -7,13 +7,13 @@
 use tokio::sync::Notify;
 
 use super::feed::{Feed, Origin, Store};
-use super::follow::Kind;
 use super::kept::Kept;
+use super::kind::Kind;
 use super::known::Known;
 use super::metrics::Metrics;
 use super::peer::Peers;
-use super::reader::{Decline, Role};
 use super::replica::Rollout;
+use super::role::{Decline, Role};
 use super::server::{Fleet, LAPSED_FOR};
 use super::session::Sessions;
 use super::settings::Settings;
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -16,7 +16,7 @@
 use kitepulley::decide::standing::{Bar, Standing};
 use kitepulley::forward::event::Events;
 use kitepulley::forward::replica::Phase;
-use kitepulley::forward::tally::Source;
+use kitepulley::forward::trial::Source;
 use kitepulley::forward::trial::{Sample, Totals, Trials};
 use kitepulley::unit::{Moment, Span, Version};
 use quickcheck::{TestResult, quickcheck};
--- a/tests/entries.rs
+++ b/tests/entries.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use kitepulley::forward::Vm;
-use kitepulley::forward::follow::Kind;
+use kitepulley::forward::kind::Kind;
 use kitepulley::forward::learn::{self, Source};
 use kitepulley::platform::object::{self, Object};
 use kitepulley::platform::objects::Listing;
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -5,7 +5,7 @@
 
 use kitepulley::decide::reader::{Asked, Rank, is_stale, time_to_ask};
 use kitepulley::forward::feed::{Feed, News, Origin, Place, Stand, Store};
-use kitepulley::forward::follow::Kind;
+use kitepulley::forward::kind::Kind;
 use kitepulley::forward::known::Known;
 use kitepulley::platform::object::Object;
 use kitepulley::unit::{Millicores, Moment, Span, Vm};
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -26,8 +26,8 @@
 use std::time::{Duration, Instant};
 
 use kitepulley::forward::Vm;
-use kitepulley::forward::follow::Kind;
 use kitepulley::forward::kept::Draw;
+use kitepulley::forward::kind::Kind;
 use kitepulley::forward::learn::{self, Source};
 use kitepulley::platform::object::Object;
 use kitepulley::standin::platform::Switches;
--- a/tests/reading.rs
+++ b/tests/reading.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use kitepulley::decide::reader::{Asked, Place, Rank, Without, may_be_taken, reads};
-use kitepulley::forward::tally::Source;
+use kitepulley::forward::trial::Source;
 use kitepulley::forward::trial::{Sample, Trials, Verdict};
 use kitepulley::unit::{Millicores, Moment, Span, Version, Vm};
 use quickcheck::quickcheck;
