What servers said is logged by a function of its own; the number of senders needs no search for the best

Read as a newcomer: heed did four things in fifty lines; one sender always uses the whole, so nothing needs to be compared with the best.

--- a/src/decide/bound.rs
+++ b/src/decide/bound.rs
@@ -22,7 +22,7 @@
 /// A server that names more takes anything.
 const MOST: Rate = Rate(1e6);
 
-/// Part of what the best number of senders uses that is given up for more of them.
+/// Part of what one sender would use that is given up for more of them.
 const FOR_MORE: f64 = 0.05;
 
 /// A limit of which nothing was heard for so long holds no longer: the word that it is over may have been lost.
@@ -68,17 +68,15 @@
 }
 
 impl Part {
-    /// The parts of so many VMs. In any window the senders together reach at most what the bound allows, or one request. Of the numbers of
-    /// senders that use most of it the largest is taken, so that few VMs have no part for their callers.
+    /// The parts of so many VMs. In any window the senders together reach at most what the bound allows, or one request. The largest
+    /// number of senders that uses most of it is taken, so that few VMs have no part for their callers.
     pub fn new(bound: &Bound, vms: usize) -> Part {
         let rate = bound.rate.0.clamp(LEAST.0, MOST.0);
         let window = bound.window.as_secs();
         let whole = ((rate * window) as usize).max(1);
         let used = |senders: usize| (whole / senders * senders) as f64;
-        let numbers = || 1..=vms.clamp(1, whole);
-        let best = numbers().map(used).fold(0.0, f64::max);
-        let enough = |senders: &usize| used(*senders) >= best * (1.0 - FOR_MORE);
-        let senders = numbers().rev().find(enough).unwrap_or(1);
+        let enough = |senders: &usize| used(*senders) >= whole as f64 * (1.0 - FOR_MORE);
+        let senders = (1..=vms.clamp(1, whole)).rev().find(enough).unwrap_or(1);
         let each = (whole / senders) as f64;
         let gap = (APART * window / each).max(senders as f64 / rate);
         Part { senders, gap: Span((gap * 1e6) as u64) }
@@ -150,7 +148,7 @@
 pub struct News {
     /// The limit, if there is one.
     pub rate: Option<Rate>,
-    /// When the server said so, at the earliest.
+    /// When that was heard; of the end of a limit, when the request was sent whose answer told it.
     pub as_of: Moment,
 }
 
@@ -216,8 +214,10 @@
     fn learn(&mut self, news: News, now: Moment) -> bool {
         let before = self.rate(now);
         self.known = Some(news);
-        let named = news.rate.map(|_| self.since.unwrap_or(now));
-        self.since = if before.is_some() { named } else { news.rate.map(|_| now) };
+        let goes_on = before.is_some() && news.rate.is_some();
+        if !goes_on {
+            self.since = news.rate.map(|_| now);
+        }
         before != self.rate(now)
     }
 
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -19,7 +19,7 @@
 use crate::decide::ends::End;
 use crate::decide::poison::Broken;
 use crate::platform::header::{self, Extra};
-use crate::unit::{Model, Moment, Span};
+use crate::unit::{Model, Moment, Rate, Span};
 
 /// A connection that does not open within this is tried elsewhere; the servers are some
 /// milliseconds away.
@@ -284,21 +284,28 @@
         (standing.hear(answer.said, now), limited, standing.limit.rate(now))
     };
     said::tell_limit(vm, replica);
-    let unreadable = answer.limit == bound::Word::Unreadable;
     let news = [
         ("leaves", heard && answer.said.leaves),
         ("rest", heard && !answer.said.leaves),
         ("limit", limited),
-        ("unreadable limit", unreadable),
+        ("unreadable limit", answer.limit == bound::Word::Unreadable),
     ];
-    let news: Vec<&str> =
-        news.iter().filter(|(_, is_news)| *is_news).map(|(word, _)| *word).collect();
-    if news.is_empty() {
-        return;
-    }
-    for word in &news {
+    let mut is_news = false;
+    for (word, _) in news.iter().filter(|(_, is_new)| *is_new) {
         vm.metrics.said.with_label_values(&[job.service.as_str(), word]).inc();
+        is_news = true;
+    }
+    if is_news {
+        log_said(job, replica, answer, rate);
+    }
+    if heard && answer.said.leaves {
+        said::tell_leave(vm, replica);
     }
+}
+
+/// Tells what the head of an answer said of its server, which now has this limit.
+fn log_said(job: &Job, replica: &Replica, answer: &Answer, limit: Option<Rate>) {
+    let is_read = answer.limit != bound::Word::Unreadable;
     let fields = [
         ("server", replica.id.as_str().into()),
         ("born_ms", replica.born.unwrap_or_default().into()),
@@ -306,13 +313,10 @@
         ("status", u32::from(answer.status.as_u16()).into()),
         ("leaves", answer.said.leaves.into()),
         ("rest_ms", answer.said.rest.map_or(-1.0, Span::as_millis).into()),
-        ("limit_per_s", rate.map_or(-1.0, |rate| rate.0).into()),
-        ("limit_read", (!unreadable).into()),
+        ("limit_per_s", limit.map_or(-1.0, |rate| rate.0).into()),
+        ("limit_read", is_read.into()),
     ];
-    vm.log("server said", &fields);
-    if heard && answer.said.leaves {
-        said::tell_leave(vm, replica);
-    }
+    job.vm.log("server said", &fields);
 }
 
 async fn first_event(
