--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -32,8 +32,7 @@
 use kitepulley::standin::replica::{Act, Replica};
 use kitepulley::unit::{Moment, Rate, Span, hash};
 use quickcheck::quickcheck;
-use serde_json::json;
-use site::{Answer, Site, Vm, are_ready, ask, head};
+use site::{Answer, Site, Vm, are_ready, ask, head, three_kinds};
 
 /// What was heard from a server binds the VM that heard it from so soon on: an answer is on its way for a millisecond, and the choice of
 /// a server and the opening of a connection take a few more. Users allow half a second.
@@ -55,16 +54,6 @@
 /// Callers at each VM, one for each kind of request: one that may be repeated, one that may not, and a stream that may go on elsewhere.
 const LINES: [&str; 3] = ["POST /safe/x", "POST /once/x", "POST /stream/x"];
 
-fn site() -> Site {
-    let mut site = Site::new()
-        .route("safe", "idempotent", json!({}))
-        .route("once", "non_idempotent", json!({}))
-        .route("stream", "streaming", json!({"stream_resume": true}));
-    site.bounds["strict_revocation"] = json!(false);
-    site.publish();
-    site
-}
-
 /// Servers that answer all kinds of requests alike: a short stream is a whole answer too.
 fn servers(site: &Site, limits: &[Option<&str>]) -> Vec<Replica> {
     let server = |(at, limit): (usize, &Option<&str>)| {
@@ -141,7 +130,7 @@
 
 #[test]
 fn servers_that_named_a_limit_get_no_more_from_all_vms_together() {
-    let site = site();
+    let site = three_kinds();
     let servers = servers(&site, &[Some("2"), Some("1.4"), None, None]);
     let vms = vms(&site, 5);
     let answers = load(&vms);
@@ -153,7 +142,7 @@
 /// The servers have no more room: what they take is used, and the rest is refused at once with the time at which there is room again.
 #[test]
 fn where_all_servers_name_limits_these_are_used_and_the_rest_is_refused_at_once() {
-    let site = site();
+    let site = three_kinds();
     let rates = [2.0, 4.0, 1.0, 3.0];
     let servers =
         servers(&site, &rates.map(|rate| rate.to_string()).each_ref().map(|rate| Some(&rate[..])));
@@ -178,7 +167,7 @@
 /// One VM is killed and comes back, one is started late, and the store is away for a while.
 #[test]
 fn limits_hold_while_vms_come_and_go_and_the_store_is_away() {
-    let site = site();
+    let site = three_kinds();
     let servers = servers(&site, &[Some("2"), Some("1.4"), None]);
     let mut vms = vms(&site, 5);
     let mut late = vms.pop().expect("five were started");
@@ -203,7 +192,7 @@
 /// What one VM heard all know, also those that send the server nothing.
 #[test]
 fn a_limit_that_one_vm_heard_binds_all_of_them() {
-    let site = site();
+    let site = three_kinds();
     let servers = servers(&site, &[Some("1"), None]);
     let vms = vms(&site, 14);
     site::eventually("one VM has heard it", || {
@@ -226,7 +215,7 @@
 /// It has room again: its answers name no limit any more.
 #[test]
 fn a_limit_that_is_over_is_over_for_all_vms_within_a_second() {
-    let site = site();
+    let site = three_kinds();
     let servers = servers(&site, &[Some("1"), None]);
     let vms = vms(&site, 3);
     let send = |number: usize| {
@@ -348,7 +337,7 @@
 /// What refuses a request need not know that its server is in need.
 #[test]
 fn a_refusal_that_names_no_limit_ends_none() {
-    let site = site();
+    let site = three_kinds();
     let servers = servers(&site, &[Some("1"), None]);
     let vms = vms(&site, 1);
     let send = |number: usize| {
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -251,6 +251,17 @@
     }
 }
 
+/// A site with a route of each kind, under the paths `/safe/`, `/once/` and `/stream/`, whose VMs go on while the store is away.
+pub fn three_kinds() -> Site {
+    let mut site = Site::new()
+        .route("safe", "idempotent", json!({}))
+        .route("once", "non_idempotent", json!({}))
+        .route("stream", "streaming", json!({"stream_resume": true}));
+    site.bounds["strict_revocation"] = json!(false);
+    site.publish();
+    site
+}
+
 /// The entry of a sound backend server of `api`, but for these fields.
 fn entry(address: SocketAddr, fields: Value) -> Value {
     let mut entry = json!({"service": "api", "address": address.to_string(), "zone": "here",
--- a/tests/standing.rs
+++ b/tests/standing.rs
@@ -35,7 +35,7 @@
 use kitepulley::unit::{Moment, Span};
 use quickcheck::quickcheck;
 use serde_json::json;
-use site::{Answer, Site, Vm, are_ready, ask, head};
+use site::{Answer, Site, Vm, are_ready, ask, head, three_kinds};
 
 /// What was heard from a server binds the VM that heard it from so soon on: an answer is on its way for a millisecond, and the choice of
 /// a server and the opening of a connection take a few more. Users allow two seconds, and two requests in a rest after half a second.
@@ -54,17 +54,6 @@
 /// Kinds of requests: one that may be repeated, one that may not, and a stream that may go on elsewhere.
 const LINES: [&str; 3] = ["POST /safe/x", "POST /once/x", "POST /stream/x"];
 
-/// A site whose VMs go on while the store is away.
-fn site() -> Site {
-    let mut site = Site::new()
-        .route("safe", "idempotent", json!({}))
-        .route("once", "non_idempotent", json!({}))
-        .route("stream", "streaming", json!({"stream_resume": true}));
-    site.bounds["strict_revocation"] = json!(false);
-    site.publish();
-    site
-}
-
 /// What a server does with a request of that kind.
 fn serves(line: &str) -> Act {
     match line.contains("stream") {
@@ -162,7 +151,7 @@
 #[test]
 fn a_server_that_said_that_it_leaves_gets_nothing_new_while_the_store_is_away() {
     for line in LINES {
-        let site = site();
+        let site = three_kinds();
         let servers = servers(&site, 3, line);
         let vms = vms(&site, 2);
         site.store.switch(Switches { down: true, ..Switches::default() });
@@ -179,7 +168,7 @@
 #[test]
 fn a_server_that_asked_for_rest_gets_none_of_what_comes_meanwhile() {
     for line in LINES {
-        let site = site();
+        let site = three_kinds();
         let servers = servers(&site, 4, line);
         let vms = vms(&site, 2);
         for server in &servers[..2] {
@@ -211,7 +200,7 @@
         Act::Events { last: 9, cut_after: Some(1), confidence: None, pause: Duration::ZERO },
     ];
     for act in acts {
-        let site = site();
+        let site = three_kinds();
         let servers = servers(&site, 2, "POST /safe/x");
         let vms = vms(&site, 1);
         servers[0].usually(act.clone()).leaves();
@@ -233,7 +222,7 @@
 /// The caller leaves while the body of the answer is still on its way.
 #[test]
 fn leaving_is_heard_though_the_caller_has_left() {
-    let site = site();
+    let site = three_kinds();
     let servers = servers(&site, 2, "POST /stream/x");
     let vms = vms(&site, 1);
     let pause = Duration::from_millis(500);
@@ -259,7 +248,7 @@
 /// All servers rest: what comes is refused at once, truly, and told to come back when the first of them is.
 #[test]
 fn what_comes_while_all_rest_is_refused_until_the_first_is_back() {
-    let site = site();
+    let site = three_kinds();
     let servers = servers(&site, 2, "POST /safe/x");
     let vms = vms(&site, 1);
     servers[0].usually(Act::TurnAway("1.0".into()));
@@ -290,7 +279,7 @@
 /// A server that ends as planned crashes nothing, also where the store does not know yet that it leaves.
 #[test]
 fn a_server_that_said_that_it_leaves_and_ends_accuses_no_request() {
-    let site = site();
+    let site = three_kinds();
     let servers = servers(&site, 2, "POST /stream/x");
     let vms = vms(&site, 1);
     let pause = Duration::from_millis(100);
@@ -449,7 +438,7 @@
 /// What one VM heard all know, also those that send the server nothing: the store is away, so nobody else tells them.
 #[test]
 fn a_server_that_said_to_one_vm_that_it_leaves_gets_nothing_new_from_any() {
-    let site = site();
+    let site = three_kinds();
     let servers = servers(&site, 2, "POST /safe/x");
     let vms = vms(&site, 14);
     std::thread::sleep(Duration::from_secs(2));
