Stand-in of the store: restore from a copy, with the era in every answer

Revisions go back to the copy's and are given out again, a watch from a revision that is not there is answered 410, and the header Store-Era rises by one. A switch puts any other text in its place.

--- a/src/standin/platform/mod.rs
+++ b/src/standin/platform/mod.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use actix_web::web::{Bytes, Data, Json, Path, Query, ServiceConfig};
-use actix_web::{HttpResponse, web};
+use actix_web::{HttpResponse, HttpResponseBuilder, web};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::sync::Notify;
@@ -17,11 +17,15 @@
 use crate::error::Error;
 use crate::history::Sink;
 use crate::unit::{DataCentre, Vm};
+pub use state::Snapshot;
 use state::{Object, ROOT, State, confirmed};
 
 /// The kind of the objects that list the VMs.
 const VMS: &str = "vms";
 
+/// Names the store's era on each answer.
+const ERA: &str = "Store-Era";
+
 /// Largest value of an object.
 const LARGEST: usize = 1_048_576;
 
@@ -51,6 +55,8 @@
     pub busy: bool,
     /// Watches never report a change.
     pub quiet: bool,
+    /// What answers name as the era, if not the true one; nothing if it is empty.
+    pub era: Option<String>,
 }
 
 /// Calls since the start.
@@ -185,6 +191,17 @@
         self.changed.notify_waiters();
     }
 
+    /// A copy of all objects as they stand.
+    pub fn snapshot(&self) -> Snapshot {
+        self.lock().snapshot()
+    }
+
+    /// Restores all objects from a copy: revisions go back to that of the copy, and a new era begins.
+    pub fn restore(&self, snapshot: Snapshot) {
+        self.lock().restore(snapshot);
+        self.changed.notify_waiters();
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.state.lock().expect("no panic while held")
     }
@@ -216,8 +233,8 @@
             }
             (state.switches.clone(), within)
         };
-        let stopped = stopped(&switches).await;
-        stopped.or_else(|| (!within).then(|| HttpResponse::TooManyRequests().finish()))
+        let stopped = self.stopped(&switches).await;
+        stopped.or_else(|| (!within).then(|| self.refuse(HttpResponse::TooManyRequests())))
     }
 
     /// The same for a read; one that may be old falls outside the rate.
@@ -230,7 +247,22 @@
             state.calls.stale += 1;
             state.switches.clone()
         };
-        stopped(&switches).await
+        self.stopped(&switches).await
+    }
+
+    /// What the switches answer in place of the store, after the time that they take.
+    async fn stopped(&self, switches: &Switches) -> Option<HttpResponse> {
+        if switches.slow_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(switches.slow_ms)).await;
+        }
+        if switches.down {
+            return Some(self.refuse(HttpResponse::ServiceUnavailable()));
+        }
+        switches.busy.then(|| self.refuse(HttpResponse::TooManyRequests()))
+    }
+
+    fn refuse(&self, answer: HttpResponseBuilder) -> HttpResponse {
+        in_era(&self.lock(), answer).finish()
     }
 
     /// Does a write, unless a switch delays it, and answers it, unless a switch loses the answer.
@@ -243,15 +275,16 @@
         if late {
             tokio::time::sleep(LATE).await;
         }
-        let written = write(&mut self.lock());
+        let mut state = self.lock();
+        let written = write(&mut state);
         self.changed.notify_waiters();
         if late || lose {
             return cut();
         }
         match written {
-            Ok(object) => HttpResponse::Ok().json(object),
-            Err(Failure::Conflict(object)) => HttpResponse::Conflict().json(object),
-            Err(Failure::Missing) => HttpResponse::NotFound().finish(),
+            Ok(object) => in_era(&state, HttpResponse::Ok()).json(object),
+            Err(Failure::Conflict(object)) => in_era(&state, HttpResponse::Conflict()).json(object),
+            Err(Failure::Missing) => in_era(&state, HttpResponse::NotFound()).finish(),
         }
     }
 }
@@ -264,15 +297,13 @@
     Missing,
 }
 
-/// What the switches answer in place of the store, after the time that they take.
-async fn stopped(switches: &Switches) -> Option<HttpResponse> {
-    if switches.slow_ms > 0 {
-        tokio::time::sleep(Duration::from_millis(switches.slow_ms)).await;
-    }
-    if switches.down {
-        return Some(HttpResponse::ServiceUnavailable().finish());
+/// An answer that names the era of the state from which it is made.
+fn in_era(state: &State, mut answer: HttpResponseBuilder) -> HttpResponseBuilder {
+    let era = state.switches.era.clone().unwrap_or_else(|| state.era.to_string());
+    if !era.is_empty() {
+        answer.insert_header((ERA, era));
     }
-    switches.busy.then(|| HttpResponse::TooManyRequests().finish())
+    answer
 }
 
 fn take_one(count: &mut u32) -> bool {
@@ -330,7 +361,7 @@
     let has_more = found.next().is_some();
     let revision = state.clock;
     let list = json!({"items": items, "has_more": has_more, "store_revision": revision});
-    HttpResponse::Ok().json(list)
+    in_era(&state, HttpResponse::Ok()).json(list)
 }
 
 async fn watch(platform: &Platform, kind: &str, after: u64, wait_ms: Option<u64>) -> HttpResponse {
@@ -342,17 +373,18 @@
         {
             let state = platform.lock();
             if state.switches.down {
-                return HttpResponse::ServiceUnavailable().finish();
+                return in_era(&state, HttpResponse::ServiceUnavailable()).finish();
             }
-            if after < state.forgotten {
-                return HttpResponse::Gone().finish();
+            let is_ahead = after > state.clock && !state.switches.quiet;
+            if after < state.forgotten || is_ahead {
+                return in_era(&state, HttpResponse::Gone()).finish();
             }
             let events = state.events(kind, after);
             let waited = tokio::time::Instant::now() >= until;
             if waited || (!events.is_empty() && !state.switches.quiet) {
                 let events = if state.switches.quiet { Vec::new() } else { events };
                 let revision = if state.switches.quiet { after } else { state.clock };
-                return HttpResponse::Ok()
+                return in_era(&state, HttpResponse::Ok())
                     .json(json!({"events": events, "store_revision": revision}));
             }
         }
@@ -370,9 +402,10 @@
         return stop;
     }
     let (kind, name) = path.into_inner();
-    match platform.lock().get(&kind, &name) {
-        Some(object) => HttpResponse::Ok().json(object.shown(&name)),
-        None => HttpResponse::NotFound().finish(),
+    let state = platform.lock();
+    match state.get(&kind, &name) {
+        Some(object) => in_era(&state, HttpResponse::Ok()).json(object.shown(&name)),
+        None => in_era(&state, HttpResponse::NotFound()).finish(),
     }
 }
 
--- a/src/standin/platform/state.rs
+++ b/src/standin/platform/state.rs
@@ -7,7 +7,7 @@
 
 use super::{Calls, Rates, Switches};
 use crate::history::Event;
-use crate::unit::{Revision, Target, Workspace};
+use crate::unit::{Era, Revision, Target, Workspace};
 
 /// The object whose changes go to the history.
 pub const ROOT: (&str, &str) = ("config", "root");
@@ -42,6 +42,7 @@
 }
 
 /// A change that watches can ask for.
+#[derive(Clone)]
 pub struct Change {
     pub revision: u64,
     pub kind: String,
@@ -69,6 +70,15 @@
     }
 }
 
+/// A copy of the objects, from which the store can be restored.
+#[derive(Clone)]
+pub struct Snapshot {
+    objects: BTreeMap<(String, String), Object>,
+    changes: VecDeque<Change>,
+    forgotten: u64,
+    clock: u64,
+}
+
 /// All objects, and what the stand-in does wrong.
 pub struct State {
     pub objects: BTreeMap<(String, String), Object>,
@@ -76,6 +86,7 @@
     pub changes: VecDeque<Change>,
     pub forgotten: u64,
     pub clock: u64,
+    pub era: Era,
     pub switches: Switches,
     pub calls: Calls,
     pub writes: Bucket,
@@ -91,6 +102,7 @@
             changes: VecDeque::new(),
             forgotten: 0,
             clock: 0,
+            era: Era::default(),
             switches: Switches::default(),
             calls: Calls::default(),
             writes: bucket(rates.writes),
@@ -98,6 +110,24 @@
         }
     }
 
+    /// A copy of what stands now.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            objects: self.objects.clone(),
+            changes: self.changes.clone(),
+            forgotten: self.forgotten,
+            clock: self.clock,
+        }
+    }
+
+    /// Goes back to a copy; a new era begins.
+    pub fn restore(&mut self, snapshot: Snapshot) {
+        let Snapshot { objects, changes, forgotten, clock } = snapshot;
+        (self.objects, self.changes) = (objects, changes);
+        (self.forgotten, self.clock) = (forgotten, clock);
+        self.era.0 += 1;
+    }
+
     pub fn names(&self, kind: &str) -> Vec<String> {
         let of_kind = self.objects.keys().filter(|(of, _)| of == kind);
         of_kind.map(|(_, name)| name.clone()).collect()
--- a/src/unit/mod.rs
+++ b/src/unit/mod.rs
@@ -3,6 +3,7 @@
 mod digest;
 pub mod hash;
 mod id;
+mod position;
 mod quantity;
 mod time;
 
@@ -11,5 +12,6 @@
     DataCentre, Fault, Incarnation, Kind, Model, Region, RequestId, Revision, Server, Service,
     Target, Version, Vm, Workspace,
 };
+pub use position::{Era, Position};
 pub use quantity::{Cost, Millicores, Parts, Rate, Size};
 pub use time::{Date, Moment, Span};
