Log eras of the store and changes that are not passed on

The era is read from every answer: line `store restored`, gauge kitepulley_store_era, kitepulley_store_era_anomalies{why} for a header that is missing, unreadable, implausibly far ahead or older; line `change not passed on`. No decision changes.

--- /dev/null
+++ b/src/forward/era.rs
@@ -0,0 +1,109 @@
+//! Tracks the era of the platform's store from what its answers name.
+
+use std::cell::Cell;
+
+use tokio::sync::Notify;
+
+use crate::unit::Era;
+
+/// A rise by more than this counts only once a second answer names it: one garbled header must not
+/// make all later answers look old.
+const PLAUSIBLE_RISE: u64 = 16;
+
+/// Why an answer's era was not taken as it stood.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Anomaly {
+    /// The answer names none, though others did.
+    Missing,
+    /// It is not a number.
+    Unreadable,
+    /// It is far ahead of the newest.
+    Implausible,
+    /// It is older than the newest.
+    Older,
+}
+
+impl Anomaly {
+    /// All of them.
+    pub const ALL: [Anomaly; 4] =
+        [Anomaly::Missing, Anomaly::Unreadable, Anomaly::Implausible, Anomaly::Older];
+
+    /// Its name on the metrics page.
+    pub fn name(self) -> &'static str {
+        match self {
+            Anomaly::Missing => "missing",
+            Anomaly::Unreadable => "unreadable",
+            Anomaly::Implausible => "implausible",
+            Anomaly::Older => "older",
+        }
+    }
+}
+
+/// The newest era that is known.
+#[derive(Default)]
+pub struct Tracker {
+    newest: Cell<Option<Era>>,
+    /// An implausible era that one answer named.
+    candidate: Cell<Option<Era>>,
+    anomalies: [Cell<u64>; Anomaly::ALL.len()],
+    /// Wakes whoever waits for a new era or an anomaly.
+    pub changed: Notify,
+}
+
+impl Tracker {
+    /// The newest era; the first if none was named yet.
+    pub fn newest(&self) -> Era {
+        self.newest.get().unwrap_or_default()
+    }
+
+    /// Returns the era of an answer with this header, or none if it is older than the newest and must
+    /// change nothing. An answer whose era is unknown counts as one of the newest.
+    pub fn observe(&self, header: Option<&str>) -> Option<Era> {
+        match (header.map(str::parse::<Era>), self.newest.get()) {
+            (None, None) => Some(Era::default()),
+            (None, Some(newest)) => self.assume(newest, Anomaly::Missing),
+            (Some(Err(_)), newest) => self.assume(newest.unwrap_or_default(), Anomaly::Unreadable),
+            (Some(Ok(era)), Some(newest)) if era < newest => {
+                self.note(Anomaly::Older);
+                None
+            }
+            (Some(Ok(era)), Some(newest)) if !self.is_plausible(era, newest) => {
+                self.assume(newest, Anomaly::Implausible)
+            }
+            (Some(Ok(era)), _) => {
+                self.advance(era);
+                Some(era)
+            }
+        }
+    }
+
+    /// Takes an era that another VM has seen.
+    pub fn advance(&self, era: Era) {
+        self.candidate.set(None);
+        if self.newest.get().is_none_or(|newest| newest < era) {
+            self.newest.set(Some(era));
+            self.changed.notify_one();
+        }
+    }
+
+    /// Answers so far with an anomaly.
+    pub fn count(&self, anomaly: Anomaly) -> u64 {
+        self.anomalies[anomaly as usize].get()
+    }
+
+    fn is_plausible(&self, era: Era, newest: Era) -> bool {
+        let is_near = era.0 - newest.0 <= PLAUSIBLE_RISE;
+        is_near || self.candidate.replace(Some(era)) == Some(era)
+    }
+
+    fn assume(&self, newest: Era, anomaly: Anomaly) -> Option<Era> {
+        self.note(anomaly);
+        Some(newest)
+    }
+
+    fn note(&self, anomaly: Anomaly) {
+        let count = &self.anomalies[anomaly as usize];
+        count.set(count.get() + 1);
+        self.changed.notify_one();
+    }
+}
--- a/src/forward/feed.rs
+++ b/src/forward/feed.rs
@@ -173,6 +173,12 @@
         self.note(Changed { kind, name, lapsed: false });
     }
 
+    /// Returns true if followers get this revision of an object.
+    pub fn holds(&self, kind: Kind, object: &Object) -> bool {
+        let kept = self.objects.get(&(kind, object.metadata.name.clone()));
+        kept.is_some_and(|kept| kept.revision == object.metadata.revision)
+    }
+
     /// An object is gone, or lapsed.
     pub fn remove(&mut self, kind: Kind, name: &str, lapsed: bool) {
         if self.objects.remove(&(kind, name.to_owned())).is_some() {
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -53,7 +53,7 @@
 /// Follows a kind of objects until the process ends. While another VM reads the store for this one, own reading
 /// rests; when it begins it goes on from what is known, if the store still tells the changes since then.
 pub async fn follow(vm: Rc<Vm>, kind: Kind) {
-    let mut store = Objects::new(vm.settings.store);
+    let mut store = vm.store_client();
     let mut pause = Pause::default();
     let mut from: Option<u64> = None;
     let mut regained = vm.regained.subscribe();
--- a/src/forward/learn.rs
+++ b/src/forward/learn.rs
@@ -80,7 +80,7 @@
 
 /// Takes an object that is the newest; one of a server is told with its source, if there is one.
 fn put(vm: &Vm, kind: Kind, object: &Object, told: Option<&Source>) {
-    vm.feed.borrow_mut().put(kind, object);
+    pass_on(vm, kind, object);
     match kind {
         Kind::Config if object.metadata.name == MAIN => {
             put_table(vm, object);
@@ -97,6 +97,17 @@
     }
 }
 
+/// Adds an object to the changes that followers get.
+fn pass_on(vm: &Vm, kind: Kind, object: &Object) {
+    let mut feed = vm.feed.borrow_mut();
+    feed.put(kind, object);
+    if !feed.holds(kind, object) {
+        let name = ("name", object.metadata.name.as_str().into());
+        let revision = ("revision", object.metadata.revision.into());
+        vm.log("change not passed on", &[("kind", kind.name().into()), name, revision]);
+    }
+}
+
 /// Takes an order to empty a data centre.
 fn empty(vm: &Vm, object: &Object) {
     match object::emptied(object) {
@@ -169,7 +180,7 @@
 fn take_config(vm: &Vm, objects: &[Object]) -> bool {
     let main = objects.iter().find(|object| object.metadata.name == MAIN);
     main.is_some_and(|object| {
-        vm.feed.borrow_mut().put(Kind::Config, object);
+        pass_on(vm, Kind::Config, object);
         put_table(vm, object)
     })
 }
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -43,6 +43,10 @@
     pub limited: IntGaugeVec,
     /// Revision of the configuration in force.
     pub revision: IntGauge,
+    /// Era of the store.
+    pub era: IntGauge,
+    /// Answers of the store whose era was not taken as it stood, by reason.
+    pub era_anomalies: IntCounterVec,
     /// Age of the last proof that the configuration is the newest, in seconds.
     pub proof_age: Gauge,
 }
@@ -71,6 +75,7 @@
         let limited = Opts::new("kitepulley_limited_servers", limited);
         let limited = IntGaugeVec::new(limited, &["service"]);
         let revision = IntGauge::new("kitepulley_revision", "Revision in force.");
+        let era = IntGauge::new("kitepulley_store_era", "Era of the store.");
         let proof = Gauge::new("kitepulley_proof_age_seconds", "Age of the proof of freshness.");
         Metrics {
             requests: counter("kitepulley_requests", "Requests.", &["route", "outcome"]),
@@ -104,6 +109,12 @@
             cold: register(&registry, cold.expect("the name is well formed")),
             limited: register(&registry, limited.expect("the name is well formed")),
             revision: register(&registry, revision.expect("the name is well formed")),
+            era: register(&registry, era.expect("the name is well formed")),
+            era_anomalies: counter(
+                "kitepulley_store_era_anomalies",
+                "Answers of the store whose era was not taken as it stood.",
+                &["why"],
+            ),
             proof_age: register(&registry, proof.expect("the name is well formed")),
             registry,
         }
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -142,7 +142,7 @@
 /// Takes part until the process ends.
 pub async fn run(vm: Rc<Vm>) {
     let Some(address) = vm.settings.links else { return };
-    let mut store = Objects::new(vm.settings.store);
+    let mut store = vm.store_client();
     let key = roster::shared_key(&vm, &mut store).await;
     let (sender, incoming) = mpsc::unbounded_channel();
     let links = match Links::bind(address, key.as_bytes(), sender) {
--- a/src/forward/proof.rs
+++ b/src/forward/proof.rs
@@ -45,7 +45,7 @@
 /// Proves freshness ahead of the end of the last proof and whenever it is asked to, one read at a
 /// time. While another VM reads for this one it brings proofs too.
 pub async fn run(vm: Rc<Vm>) {
-    let mut store = Objects::new(vm.settings.store);
+    let mut store = vm.store_client();
     let mut pause = Pause::default();
     loop {
         if others_try(&vm) {
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -10,7 +10,7 @@
 use super::kind::Kind;
 use super::settings::Settings;
 use super::vm::Vm;
-use super::{door, follower, kept, peer, poison, proof, steps, wake};
+use super::{door, follower, kept, peer, poison, proof, restore, steps, wake};
 use crate::error::Error;
 use crate::platform;
 use crate::unit::Span;
@@ -47,6 +47,7 @@
         spawn(follow::follow(vm.clone(), kind));
     }
     spawn(proof::run(vm.clone()));
+    spawn(restore::run(vm.clone()));
     spawn(follow::expire(vm.clone()));
     spawn(steps::run(vm.clone()));
     spawn(kept::run(vm.clone()));
--- a/src/forward/steps.rs
+++ b/src/forward/steps.rs
@@ -42,7 +42,7 @@
 
 /// Looks for steps that are due until the process ends.
 pub async fn run(vm: Rc<Vm>) {
-    let mut store = Objects::new(vm.settings.store);
+    let mut store = vm.store_client();
     let mut retries: HashMap<Service, Retry> = HashMap::new();
     loop {
         tokio::time::sleep(LOOK).await;
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -6,6 +6,7 @@
 
 use tokio::sync::Notify;
 
+use super::era::Tracker;
 use super::feed::{Feed, Origin, Store};
 use super::kept::Kept;
 use super::kind::Kind;
@@ -25,7 +26,7 @@
 use crate::decide::poison::Exchange;
 use crate::decide::pressure::Pressure;
 use crate::decide::reader::Rank;
-use crate::platform::objects::Trouble;
+use crate::platform::objects::{Objects, Trouble};
 use crate::unit::{Model, Moment, Service, Span};
 use crate::vm::Clock;
 use crate::watch::line::{Lines, Value};
@@ -54,6 +55,8 @@
     pub started: Moment,
     /// Routes and keys in force; none before the first configuration was read.
     pub table: RefCell<Option<Rc<Table>>>,
+    /// Era of the store.
+    pub era: Rc<Tracker>,
     /// How new what it knows of the platform's objects is.
     pub known: RefCell<Known>,
     /// Backend servers.
@@ -133,6 +136,7 @@
             started: clock.now(),
             clock,
             table: RefCell::default(),
+            era: Rc::default(),
             known: RefCell::default(),
             fleet: RefCell::default(),
             rollouts: RefCell::default(),
@@ -177,6 +181,11 @@
         self.clock.now()
     }
 
+    /// A client of the store with a connection of its own.
+    pub fn store_client(&self) -> Objects {
+        Objects::new(self.settings.store, self.era.clone())
+    }
+
     /// Adds a log line.
     pub fn log(&self, event: &str, fields: &[(&str, Value)]) {
         self.lines.add(event, self.clock.date(), self.now(), fields);
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -1,6 +1,7 @@
 //! Client of the platform's object store.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use actix_http::header::{CONTENT_TYPE, HOST, HeaderValue};
 use actix_http::{Method, RequestHead, StatusCode};
@@ -12,6 +13,7 @@
 
 use super::object::{Metadata, Object};
 use crate::forward::connection::{Connection, Fault};
+use crate::forward::era::Tracker;
 use crate::unit::Span;
 
 /// Time to open a connection to the store. It is some milliseconds away, and a way that heals is
@@ -30,6 +32,9 @@
 /// What is added to a path to read what may be some seconds old.
 const STALE: &str = "stale_ok=1";
 
+/// Names the store's era on each of its answers.
+const ERA: &str = "Store-Era";
+
 /// How new an answer must be.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Read {
@@ -109,13 +114,15 @@
 /// A client with one connection; one call at a time.
 pub struct Objects {
     address: SocketAddr,
+    eras: Rc<Tracker>,
     connection: Option<Connection>,
 }
 
 impl Objects {
-    /// A client of the store at `address`; it connects at the first call.
-    pub fn new(address: SocketAddr) -> Objects {
-        Objects { address, connection: None }
+    /// A client of the store at `address`, whose answers tell `eras` their era; it connects at the
+    /// first call.
+    pub fn new(address: SocketAddr, eras: Rc<Tracker>) -> Objects {
+        Objects { address, eras, connection: None }
     }
 
     /// Forgets the connection, which may lead nowhere.
@@ -290,6 +297,8 @@
         };
         let head = self.head(method, path)?;
         let head = connection.ask(head, &body).await.map_err(no_answer)?;
+        let era = head.headers.get(ERA).map(|value| value.to_str().unwrap_or_default());
+        self.eras.observe(era);
         let body = connection.whole_body(LARGEST).await.map_err(no_answer)?;
         if connection.is_reusable() {
             self.connection = Some(connection);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -11,6 +11,7 @@
 use super::object::Object as Raw;
 use super::objects::{Objects, Read, Trouble};
 use crate::error::Error;
+use crate::forward::era::Tracker;
 use crate::standin::platform::Listed;
 use crate::unit::Span;
 
@@ -45,13 +46,14 @@
 #[derive(Clone)]
 pub struct Store {
     address: SocketAddr,
+    eras: Rc<Tracker>,
     resting: Rc<RefCell<Vec<Objects>>>,
 }
 
 impl Store {
     /// A client of the store at `address`.
     pub fn new(address: SocketAddr) -> Store {
-        Store { address, resting: Rc::default() }
+        Store { address, eras: Rc::default(), resting: Rc::default() }
     }
 
     /// An object, if there is one.
@@ -146,7 +148,7 @@
 
     fn take(&self) -> Objects {
         let resting = self.resting.borrow_mut().pop();
-        resting.unwrap_or_else(|| Objects::new(self.address))
+        resting.unwrap_or_else(|| Objects::new(self.address, self.eras.clone()))
     }
 
     fn rest(&self, client: Objects) {
