--- a/src/forward/era.rs
+++ b/src/forward/era.rs
@@ -6,9 +6,9 @@
 
 use crate::unit::Era;
 
-/// A rise by more than this counts only once a second answer names it: one garbled header must not
-/// make all later answers look old.
-const PLAUSIBLE_RISE: u64 = 16;
+/// A rise by more than this counts only once a second answer names the same era: one garbled header
+/// must not make all later answers look old.
+const PLAUSIBLE_RISE: u64 = 1;
 
 /// Why an answer's era was not taken as it stood.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,7 +17,7 @@
     Missing,
     /// It is not a number.
     Unreadable,
-    /// It is far ahead of the newest.
+    /// It is more than one ahead of the newest, and the first to be so.
     Implausible,
     /// It is older than the newest.
     Older,
@@ -56,19 +56,17 @@
         self.newest.get().unwrap_or_default()
     }
 
-    /// Returns the era of an answer with this header, or none if it is older than the newest and must
-    /// change nothing. An answer whose era is unknown counts as one of the newest.
+    /// Returns the era of an answer with this header, or none if the answer must change nothing, since
+    /// its era is older than the newest or not yet believed. Without a readable header it counts as one
+    /// of the newest.
     pub fn observe(&self, header: Option<&str>) -> Option<Era> {
         match (header.map(str::parse::<Era>), self.newest.get()) {
             (None, None) => Some(Era::default()),
             (None, Some(newest)) => self.assume(newest, Anomaly::Missing),
             (Some(Err(_)), newest) => self.assume(newest.unwrap_or_default(), Anomaly::Unreadable),
-            (Some(Ok(era)), Some(newest)) if era < newest => {
-                self.note(Anomaly::Older);
-                None
-            }
+            (Some(Ok(era)), Some(newest)) if era < newest => self.reject(Anomaly::Older),
             (Some(Ok(era)), Some(newest)) if !self.is_plausible(era, newest) => {
-                self.assume(newest, Anomaly::Implausible)
+                self.reject(Anomaly::Implausible)
             }
             (Some(Ok(era)), _) => {
                 self.advance(era);
@@ -101,6 +99,11 @@
         Some(newest)
     }
 
+    fn reject(&self, anomaly: Anomaly) -> Option<Era> {
+        self.note(anomaly);
+        None
+    }
+
     fn note(&self, anomaly: Anomaly) {
         let count = &self.anomalies[anomaly as usize];
         count.set(count.get() + 1);
--- a/src/forward/feed.rs
+++ b/src/forward/feed.rs
@@ -14,7 +14,7 @@
 use super::poison;
 use super::tally;
 use crate::platform::object::Object;
-use crate::unit::{Moment, Span, Vm};
+use crate::unit::{Era, Moment, Position, Span, Vm};
 
 /// Changes kept for followers; they ask a few times a second. Of each only the name is kept: an object is passed
 /// on as it stands now.
@@ -32,8 +32,8 @@
 /// How current a VM's knowledge of a kind is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reading {
-    /// The store's revision that it stands for.
-    pub revision: u64,
+    /// Position of the store that it stands for.
+    pub position: Position,
     /// When the read was sent that brought it; later changes may be missing.
     pub sent: Moment,
 }
@@ -43,8 +43,8 @@
 pub struct Told {
     /// The kind.
     pub kind: Kind,
-    /// The store's revision that it stands for.
-    pub revision: u64,
+    /// Position of the store that it stands for.
+    pub position: Position,
     /// How old it is when this is told.
     pub age: Span,
 }
@@ -97,6 +97,11 @@
     pub fn reading(&self, kind: Kind) -> Option<&Told> {
         self.readings.iter().find(|told| told.kind == kind)
     }
+
+    /// Returns the newest era of the store that any kind was read in.
+    pub fn era(&self) -> Era {
+        self.readings.iter().map(|told| told.position.era).max().unwrap_or_default()
+    }
 }
 
 /// What a VM knows of the store, apart from its objects.
@@ -127,7 +132,7 @@
 }
 
 struct Kept {
-    revision: u64,
+    position: Position,
     text: String,
 }
 
@@ -155,30 +160,24 @@
     }
 
     /// A read of a kind that was sent at `sent` was answered, and what it brought was taken.
-    pub fn note_read(&mut self, kind: Kind, revision: u64, sent: Moment) {
-        let known = self.readings.entry(kind).or_insert(Reading { revision, sent });
-        known.revision = known.revision.max(revision);
+    pub fn note_read(&mut self, kind: Kind, position: Position, sent: Moment) {
+        let known = self.readings.entry(kind).or_insert(Reading { position, sent });
+        known.position = known.position.max(position);
         known.sent = known.sent.max(sent);
     }
 
-    /// Takes an object, unless a newer state of it is known.
+    /// Replaces an object. Which of two states is the newer is for the caller to say: kinds differ in it.
     pub fn put(&mut self, kind: Kind, object: &Object) {
-        let (name, revision) = (object.metadata.name.clone(), object.metadata.revision);
+        let (name, position) = (object.metadata.name.clone(), object.metadata.position);
         let known = self.objects.get(&(kind, name.clone()));
-        if known.is_some_and(|known| known.revision >= revision) {
+        if known.is_some_and(|known| known.position == position) {
             return;
         }
         let text = object.to_json();
-        self.objects.insert((kind, name.clone()), Kept { revision, text });
+        self.objects.insert((kind, name.clone()), Kept { position, text });
         self.note(Changed { kind, name, lapsed: false });
     }
 
-    /// Returns true if followers get this revision of an object.
-    pub fn holds(&self, kind: Kind, object: &Object) -> bool {
-        let kept = self.objects.get(&(kind, object.metadata.name.clone()));
-        kept.is_some_and(|kept| kept.revision == object.metadata.revision)
-    }
-
     /// An object is gone, or lapsed.
     pub fn remove(&mut self, kind: Kind, name: &str, lapsed: bool) {
         if self.objects.remove(&(kind, name.to_owned())).is_some() {
@@ -243,7 +242,7 @@
     fn told(&self, now: Moment) -> Vec<Told> {
         let told = |(kind, reading): (&Kind, &Reading)| Told {
             kind: *kind,
-            revision: reading.revision,
+            position: reading.position,
             age: now.since(reading.sent),
         };
         self.readings.iter().map(told).collect()
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -11,7 +11,7 @@
 use crate::platform::objects::{
     ANSWER_SOON, ANSWER_WITHIN, Events, Listing, Objects, Read, Trouble,
 };
-use crate::unit::{Moment, Span};
+use crate::unit::{Moment, Position, Span};
 
 /// Longest wait of a watch. The store allows 30 s, but an answer may be lost without a word, and
 /// then nothing is heard for so long.
@@ -55,13 +55,13 @@
 pub async fn follow(vm: Rc<Vm>, kind: Kind) {
     let mut store = vm.store_client();
     let mut pause = Pause::default();
-    let mut from: Option<u64> = None;
+    let mut from: Option<Position> = None;
     let mut regained = vm.regained.subscribe();
     let mut role = vm.role.subscribe();
     loop {
         if !vm.reads() {
             let _ = role.wait_for(|role| *role == Role::Reads).await;
-            from = vm.feed.borrow().reading(kind).map(|reading| reading.revision);
+            from = vm.feed.borrow().reading(kind).map(|reading| reading.position);
             pause = Pause::default();
             // What was heard of the store while another read is no reason to ask later.
             regained.borrow_and_update();
@@ -71,15 +71,16 @@
             continue;
         }
         let sent = vm.now();
+        from = from.filter(|from| from.era == vm.era.newest());
         let result = match from {
             None => list(&vm, kind, &mut store).await,
-            Some(revision) => {
-                let watched = watch(&vm, kind, &mut store, revision, &pause);
+            Some(position) => {
+                let watched = watch(&vm, kind, &mut store, position, &pause);
                 tokio::select! {
                     watched = watched => watched.map(|events| {
                         note_events(&vm, kind, &events);
-                        vm.feed.borrow_mut().note_read(kind, events.store_revision, sent);
-                        (events.store_revision, !events.events.is_empty())
+                        vm.feed.borrow_mut().note_read(kind, events.position(), sent);
+                        (events.position(), !events.events.is_empty())
                     }),
                     _ = role.wait_for(|role| *role != Role::Reads) => {
                         store.disconnect();
@@ -89,7 +90,7 @@
                     // for anew, and the old connection may lead nowhere.
                     _ = regained.changed() => {
                         store.disconnect();
-                        Ok((revision, false))
+                        Ok((position, false))
                     }
                 }
             }
@@ -97,9 +98,9 @@
         let call = if from.is_some() { "watch" } else { "list" };
         vm.count_call(&format!("{call}-{}", kind.name()), &result);
         match result {
-            Ok((revision, some)) => {
+            Ok((position, some)) => {
                 vm.store_answered();
-                from = Some(from.map_or(revision, |known| known.max(revision)));
+                from = from.max(Some(position));
                 pause = Pause::default();
                 let rest = match kind {
                     Kind::Servers => servers_due(&vm, sent),
@@ -152,14 +153,14 @@
     vm: &Vm,
     kind: Kind,
     store: &mut Objects,
-    revision: u64,
+    from: Position,
     pause: &Pause,
 ) -> Result<Events, Trouble> {
     let wait = match kind {
         Kind::Servers => {
             // A connection that hangs is given up soon; a store that is slow has more time after that.
             let within = if pause.has_failed() { ANSWER_WITHIN } else { ANSWER_SOON };
-            let changes = store.changes(kind.name(), revision, within);
+            let changes = store.changes(kind.name(), from, within);
             return doubting(vm, changes).await;
         }
         Kind::Rollouts => WAIT.min(vm.settings.bounds.rollback.part(ROLLOUTS_WAIT)),
@@ -167,7 +168,7 @@
         // The proof reads the configuration itself, and nothing is due of VMs.
         Kind::Config | Kind::Vms => WAIT,
     };
-    store.watch(kind.name(), revision, wait).await
+    store.watch(kind.name(), from, wait).await
 }
 
 /// Waits for an answer; when it is late, those that follow this VM are told so, and may ask others.
@@ -186,20 +187,23 @@
     due.since(vm.now()).duration()
 }
 
-async fn list(vm: &Vm, kind: Kind, store: &mut Objects) -> Result<(u64, bool), Trouble> {
+async fn list(vm: &Vm, kind: Kind, store: &mut Objects) -> Result<(Position, bool), Trouble> {
     let sent = vm.now();
     let listing = store.list(kind.name(), Read::Newest).await?;
     note_list(vm, kind, &listing, sent);
-    Ok((listing.store_revision, false))
+    Ok((listing.position(), false))
 }
 
 /// Takes a list that was asked for at `sent`; one of the configuration proves that it is the newest.
 pub fn note_list(vm: &Vm, kind: Kind, listing: &Listing, sent: Moment) {
-    let source = Source { reader: None, as_of: listing.store_revision };
+    vm.enter(listing.position().era);
+    let source = Source { reader: None, as_of: listing.position() };
     let reads = learn::take_all(vm, kind, &listing.items, &source);
-    vm.feed.borrow_mut().note_read(kind, listing.store_revision, sent);
+    vm.feed.borrow_mut().note_read(kind, listing.position(), sent);
     match kind {
-        Kind::Config if reads => learn::prove(vm, sent),
+        Kind::Config if reads && listing.position().era == vm.era.newest() => {
+            learn::prove(vm, sent);
+        }
         Kind::Config => vm.proof.notify_waiters(),
         Kind::Servers | Kind::Rollouts | Kind::Evacuations | Kind::Vms => {}
     }
@@ -207,7 +211,7 @@
 
 fn note_events(vm: &Vm, kind: Kind, events: &Events) {
     let lapsed = vm.was_store_away(vm.now());
-    let source = Source { reader: None, as_of: events.store_revision };
+    let source = Source { reader: None, as_of: events.position() };
     for event in &events.events {
         if event.deleted {
             let name = event.object.metadata.name.as_str();
--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -234,6 +234,12 @@
                 return Worth::Old;
             }
         }
+        if news.era() < vm.era.newest() {
+            vm.log("news of an older era", &[("from", from.as_str().into())]);
+            self.asked.declined(from, vm.now());
+            return Worth::None;
+        }
+        vm.enter(news.era());
         let Some(changes) = news.changes.changes() else {
             let bytes = ("bytes", news.changes.size().into());
             vm.log("news not read", &[("from", from.as_str().into()), bytes]);
@@ -309,7 +315,7 @@
     }
     for told in &news.readings {
         if let Some(sent) = dated(asked, Some(told.age)) {
-            vm.feed.borrow_mut().note_read(told.kind, told.revision, sent);
+            vm.feed.borrow_mut().note_read(told.kind, told.position, sent);
         }
     }
     // A proof from before this process began proves nothing that it can count.
@@ -320,7 +326,7 @@
 
 /// News of a kind are what the teller knew when that kind had been read last.
 fn source<'a>(from: &'a Name, news: &News, kind: Kind) -> Source<'a> {
-    let as_of = news.reading(kind).map_or(0, |told| told.revision);
+    let as_of = news.reading(kind).map(|told| told.position).unwrap_or_default();
     Source { reader: Some(from), as_of }
 }
 
@@ -355,7 +361,7 @@
         ("origin", news.origin.reader.as_str().into()),
         ("hops", u64::from(news.origin.hops).into()),
         ("servers_age_ms", servers.map_or(-1.0, |told| told.age.as_millis()).into()),
-        ("servers_revision", servers.map_or(0, |told| told.revision).into()),
+        ("servers_revision", servers.map_or(0, |told| told.position.revision).into()),
         ("proof_age_ms", news.proof_age.map_or(-1.0, Span::as_millis).into()),
     ];
     vm.log("follows a reader", &fields);
--- a/src/forward/known.rs
+++ b/src/forward/known.rs
@@ -4,44 +4,45 @@
 use std::collections::{HashMap, HashSet};
 
 use super::kind::Kind;
+use crate::unit::Position;
 
 /// What is known of an object that is there.
 #[derive(Clone, Copy, Debug)]
 struct State {
-    /// The store's revision at which it was so.
-    as_of: u64,
-    /// Revision of the object's last change.
-    revision: u64,
+    /// Position of the store at which it was so.
+    as_of: Position,
+    /// Position of the object's last change.
+    changed: Position,
 }
 
 /// The objects that a VM knows.
 #[derive(Default)]
 pub struct Known {
     objects: HashMap<(Kind, String), State>,
-    /// The newest revision of the store at which objects of a kind were missing or gone: one that is not known
+    /// The newest position of the store at which objects of a kind were missing or gone: one that is not known
     /// was not there then.
-    gone_as_of: HashMap<Kind, u64>,
+    gone_as_of: HashMap<Kind, Position>,
 }
 
 impl Known {
-    /// Takes an object whose last change was at `revision`, as it stood at the store's revision `as_of`. Whether that is
-    /// as new as what is known.
-    pub fn put(&mut self, kind: Kind, name: &str, revision: u64, as_of: u64) -> bool {
+    /// Takes an object whose last change was at `changed`, as it stood at the store's position `as_of`. Returns true if
+    /// that is as new as what is known.
+    pub fn put(&mut self, kind: Kind, name: &str, changed: Position, as_of: Position) -> bool {
         let key = (kind, name.to_owned());
         let is_newest = match self.objects.get(&key) {
-            Some(known) => as_of >= known.as_of && revision >= known.revision,
+            Some(known) => as_of >= known.as_of && changed >= known.changed,
             None => as_of >= self.gone_as_of(kind),
         };
         if is_newest {
-            self.objects.insert(key, State { as_of, revision });
+            self.objects.insert(key, State { as_of, changed });
         }
         is_newest
     }
 
-    /// Takes that an object was gone at the store's revision `as_of`. Whether that is as new as what is known.
-    pub fn remove(&mut self, kind: Kind, name: &str, as_of: u64) -> bool {
+    /// Takes that an object was gone at the store's position `as_of`. Returns true if that is as new as what is known.
+    pub fn remove(&mut self, kind: Kind, name: &str, as_of: Position) -> bool {
         let key = (kind, name.to_owned());
-        let newer = |known: &State| as_of < known.as_of.max(known.revision);
+        let newer = |known: &State| as_of < known.as_of.max(known.changed);
         if self.objects.get(&key).is_some_and(newer) {
             return false;
         }
@@ -50,21 +51,21 @@
         true
     }
 
-    /// Takes that a list of the store's revision `as_of` names just `listed`. The objects that are known and were gone
+    /// Takes that a list of the store's position `as_of` names just `listed`. The objects that are known and were gone
     /// by then; each is still to be removed.
-    pub fn missing(&mut self, kind: Kind, listed: &HashSet<&str>, as_of: u64) -> Vec<String> {
+    pub fn missing(&mut self, kind: Kind, listed: &HashSet<&str>, as_of: Position) -> Vec<String> {
         self.note_gone(kind, as_of);
         let of_kind = self.objects.iter().filter(|((of, _), _)| *of == kind);
-        let older = of_kind.filter(|(_, known)| known.as_of.max(known.revision) <= as_of);
+        let older = of_kind.filter(|(_, known)| known.as_of.max(known.changed) <= as_of);
         let names = older.map(|((_, name), _)| name);
         names.filter(|name| !listed.contains(name.as_str())).cloned().collect()
     }
 
-    fn gone_as_of(&self, kind: Kind) -> u64 {
-        self.gone_as_of.get(&kind).copied().unwrap_or(0)
+    fn gone_as_of(&self, kind: Kind) -> Position {
+        self.gone_as_of.get(&kind).copied().unwrap_or_default()
     }
 
-    fn note_gone(&mut self, kind: Kind, as_of: u64) {
+    fn note_gone(&mut self, kind: Kind, as_of: Position) {
         let known = self.gone_as_of.entry(kind).or_insert(as_of);
         *known = as_of.max(*known);
     }
--- a/src/forward/learn.rs
+++ b/src/forward/learn.rs
@@ -8,21 +8,22 @@
 use super::roster;
 use super::vm::Vm;
 use crate::platform::object::{self, CONFIG, EVACUATIONS, MAIN, Object, ROLLOUTS, SERVERS};
-use crate::unit::{Moment, Vm as Name};
+use crate::unit::{Moment, Position, Vm as Name};
 use crate::watch::line::Value;
 
 /// Who read what this VM learns, and of when it is.
 pub struct Source<'a> {
     /// The VM that read it, if it was not this one.
     pub reader: Option<&'a Name>,
-    /// The store's revision at which it was so.
-    pub as_of: u64,
+    /// Position of the store at which it was so.
+    pub as_of: Position,
 }
 
 impl Source<'_> {
-    fn fields(&self) -> [(&'static str, Value<'_>); 2] {
+    fn fields(&self) -> [(&'static str, Value<'_>); 3] {
         let from = self.reader.map_or("store", |name| name.as_str());
-        [("from", from.into()), ("as_of", self.as_of.into())]
+        let Position { era, revision } = self.as_of;
+        [("from", from.into()), ("era", era.0.into()), ("as_of", revision.into())]
     }
 }
 
@@ -69,42 +70,35 @@
 /// Notes an object, if it is as new as what is known. Whether it is.
 fn is_newest(vm: &Vm, kind: Kind, object: &Object, source: &Source) -> bool {
     let metadata = &object.metadata;
-    vm.known.borrow_mut().put(kind, &metadata.name, metadata.revision, source.as_of)
+    vm.known.borrow_mut().put(kind, &metadata.name, metadata.position, source.as_of)
 }
 
 fn tell_older(vm: &Vm, kind: Kind, count: usize, source: &Source) {
-    let [from, as_of] = source.fields();
-    let fields = [("kind", kind.name().into()), ("count", count.into()), from, as_of];
+    let [from, era, as_of] = source.fields();
+    let fields = [("kind", kind.name().into()), ("count", count.into()), from, era, as_of];
     vm.log("older word passed over", &fields);
 }
 
 /// Takes an object that is the newest; one of a server is told with its source, if there is one.
 fn put(vm: &Vm, kind: Kind, object: &Object, told: Option<&Source>) {
-    pass_on(vm, kind, object);
     match kind {
         Kind::Config if object.metadata.name == MAIN => {
             put_table(vm, object);
         }
         Kind::Config => {}
-        Kind::Servers => put_server(vm, object, told),
-        Kind::Rollouts => {
-            if let Some(rollout) = read_rollout(vm, object) {
-                put_rollout(vm, rollout);
-            }
+        Kind::Servers => {
+            vm.feed.borrow_mut().put(kind, object);
+            put_server(vm, object, told);
+        }
+        Kind::Rollouts => put_rollout(vm, object),
+        Kind::Evacuations => {
+            vm.feed.borrow_mut().put(kind, object);
+            empty(vm, object);
+        }
+        Kind::Vms => {
+            vm.feed.borrow_mut().put(kind, object);
+            roster::take_entry(vm, object);
         }
-        Kind::Evacuations => empty(vm, object),
-        Kind::Vms => roster::take_entry(vm, object),
-    }
-}
-
-/// Adds an object to the changes that followers get.
-fn pass_on(vm: &Vm, kind: Kind, object: &Object) {
-    let mut feed = vm.feed.borrow_mut();
-    feed.put(kind, object);
-    if !feed.holds(kind, object) {
-        let name = ("name", object.metadata.name.as_str().into());
-        let revision = ("revision", object.metadata.revision.into());
-        vm.log("change not passed on", &[("kind", kind.name().into()), name, revision]);
     }
 }
 
@@ -113,7 +107,7 @@
     match object::emptied(object) {
         Ok(data_centre) => {
             if vm.fleet.borrow_mut().empty(&data_centre) {
-                let revision = object.metadata.revision;
+                let revision = object.metadata.position.revision;
                 let fields =
                     [("data_centre", data_centre.as_str().into()), ("revision", revision.into())];
                 vm.log("data centre emptied", &fields);
@@ -128,8 +122,8 @@
 fn take_back(vm: &Vm, name: &str, source: &Source) {
     let Ok(data_centre) = name.parse() else { return };
     if vm.fleet.borrow_mut().take_back(&data_centre, vm.now()) {
-        let [from, as_of] = source.fields();
-        vm.log("data centre taken back", &[("data_centre", name.into()), from, as_of]);
+        let [from, era, as_of] = source.fields();
+        vm.log("data centre taken back", &[("data_centre", name.into()), from, era, as_of]);
         vm.metrics.emptied.with_label_values(&[name]).set(0);
     }
 }
@@ -160,8 +154,9 @@
         Kind::Vms => roster::drop_entry(vm, name),
         Kind::Evacuations => take_back(vm, name, source),
         Kind::Servers | Kind::Config | Kind::Rollouts => {
-            let [from, as_of] = source.fields();
-            let fields = [("server", name.into()), ("may_be_back", lapsed.into()), from, as_of];
+            let [from, era, as_of] = source.fields();
+            let fields =
+                [("server", name.into()), ("may_be_back", lapsed.into()), from, era, as_of];
             vm.log("server gone", &fields);
             if let Ok(id) = name.parse() {
                 vm.fleet.borrow_mut().remove(&id, lapsed, vm.now());
@@ -179,10 +174,7 @@
 /// Takes the configuration of a list. Whether there is one that reads.
 fn take_config(vm: &Vm, objects: &[Object]) -> bool {
     let main = objects.iter().find(|object| object.metadata.name == MAIN);
-    main.is_some_and(|object| {
-        pass_on(vm, Kind::Config, object);
-        put_table(vm, object)
-    })
+    main.is_some_and(|object| put_table(vm, object))
 }
 
 /// Takes a configuration unless a newer one is known. Whether it reads.
@@ -201,6 +193,7 @@
         let fields = [("revision", table.revision.0.into()), ("routes", routes.into())];
         vm.log("configuration in force", &fields);
         *vm.table.borrow_mut() = Some(Rc::new(table));
+        vm.feed.borrow_mut().put(Kind::Config, object);
     }
     true
 }
@@ -212,9 +205,9 @@
 }
 
 fn tell_list(vm: &Vm, count: usize, may_lapse: bool, source: &Source) {
-    let [from, as_of] = source.fields();
-    let count = ("count", count.into());
-    vm.log("servers listed", &[count, ("missing_may_be_back", may_lapse.into()), from, as_of]);
+    let [from, era, as_of] = source.fields();
+    let (count, may_lapse) = (("count", count.into()), ("missing_may_be_back", may_lapse.into()));
+    vm.log("servers listed", &[count, may_lapse, from, era, as_of]);
 }
 
 fn put_server(vm: &Vm, object: &Object, told: Option<&Source>) {
@@ -225,7 +218,7 @@
             }
             let id = replica.id.clone();
             if vm.fleet.borrow_mut().put(replica, vm.now()) {
-                let revision = object.metadata.revision.into();
+                let revision = object.metadata.position.revision.into();
                 vm.log(
                     "server started again",
                     &[("server", id.as_str().into()), ("revision", revision)],
@@ -243,7 +236,7 @@
 }
 
 fn tell_entry(vm: &Vm, object: &Object, replica: &Replica, source: &Source) {
-    let [from, as_of] = source.fields();
+    let [from, era, as_of] = source.fields();
     let fields = [
         ("server", object.metadata.name.as_str().into()),
         ("service", replica.service.as_str().into()),
@@ -251,35 +244,34 @@
         ("born_ms", replica.born.unwrap_or_default().into()),
         ("ready", replica.ready.into()),
         ("cold_ms", replica.cold.as_millis().into()),
-        ("revision", object.metadata.revision.into()),
+        ("revision", object.metadata.position.revision.into()),
         from,
+        era,
         as_of,
     ];
     vm.log("server entry", &fields);
 }
 
-/// The roll-out of an object; one that does not read is counted and told.
-pub fn read_rollout(vm: &Vm, object: &Object) -> Option<Rollout> {
-    match object::rollout(object) {
-        Ok(rollout) => Some(rollout),
-        Err(why) => {
-            unreadable(vm, ROLLOUTS, object, &why);
-            None
-        }
-    }
-}
-
 fn take_rollouts(vm: &Vm, objects: &[Object]) {
     objects.iter().for_each(|object| put(vm, Kind::Rollouts, object, None));
 }
 
-/// Takes an order, unless a newer state of it is known.
-pub fn put_rollout(vm: &Vm, rollout: Rollout) {
-    let mut rollouts = vm.rollouts.borrow_mut();
-    let known = rollouts.get(&rollout.service);
-    if known.is_some_and(|known| known.revision >= rollout.revision) {
+/// Applies the state of a roll-out unless a newer one is known.
+pub fn put_rollout(vm: &Vm, object: &Object) {
+    let rollout = match object::rollout(object) {
+        Ok(rollout) => rollout,
+        Err(why) => return unreadable(vm, ROLLOUTS, object, &why),
+    };
+    let known = vm.rollouts.borrow().get(&rollout.service).map(|known| known.position);
+    if known.is_some_and(|known| known >= rollout.position) {
         return;
     }
+    vm.feed.borrow_mut().put(Kind::Rollouts, object);
+    apply_rollout(vm, rollout);
+}
+
+fn apply_rollout(vm: &Vm, rollout: Rollout) {
+    let mut rollouts = vm.rollouts.borrow_mut();
     let share = match rollout.phase {
         Some(Phase::Running { share }) => share,
         Some(Phase::Completed) => 1.0,
@@ -291,7 +283,8 @@
         ("version", rollout.version.as_str().into()),
         ("phase", phase.as_str().into()),
         ("share", share.into()),
-        ("store_revision", rollout.revision.into()),
+        ("era", rollout.position.era.0.into()),
+        ("store_revision", rollout.position.revision.into()),
     ];
     vm.log("roll-out", &fields);
     let mut trials = vm.trials.borrow_mut();
--- a/src/forward/replica.rs
+++ b/src/forward/replica.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::unit::{DataCentre, Server, Service, Span, Version};
+use crate::unit::{DataCentre, Position, Server, Service, Span, Version};
 
 /// One life of a backend server.
 #[derive(Clone, Debug, PartialEq)]
@@ -65,8 +65,8 @@
     pub within: Span,
     /// How far it has come; none before the first step.
     pub phase: Option<Phase>,
-    /// The object's revision, for a conditional update.
-    pub revision: u64,
+    /// The object's position, for a conditional update.
+    pub position: Position,
 }
 
 impl Rollout {
--- a/src/forward/roster.rs
+++ b/src/forward/roster.rs
@@ -103,7 +103,7 @@
     vm.count_call(call, &listed);
     match listed {
         Ok(listing) => {
-            let source = Source { reader: None, as_of: listing.store_revision };
+            let source = Source { reader: None, as_of: listing.position() };
             learn::take_all(vm, Kind::Vms, &listing.items, &source);
             let own = |one: &&Object| one.metadata.name == vm.settings.vm.as_str();
             let own = listing.items.iter().find(own);
@@ -136,7 +136,7 @@
             if old.spec == *entry {
                 return;
             }
-            written = store.replace(VMS, name, old.metadata.revision, entry.clone()).await;
+            written = store.replace(VMS, name, old.metadata.position, entry.clone()).await;
             vm.count_call("entry-replace", &written);
         }
         match written {
--- a/src/forward/steps.rs
+++ b/src/forward/steps.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::bounded;
-use super::learn::{put_rollout, read_rollout};
+use super::learn::put_rollout;
 use super::pause::Pause;
 use super::peer;
 use super::replica::{Phase, Rollout};
@@ -93,7 +93,7 @@
     // Another VM may have written it meanwhile.
     let Some(Due { rollout, phase, known }) = due(vm, service) else { return true };
     let status = object::progress(&rollout, phase);
-    let written = store.put_status(ROLLOUTS, service.as_str(), rollout.revision, status).await;
+    let written = store.put_status(ROLLOUTS, service.as_str(), rollout.position, status).await;
     vm.count_call("step", &written);
     let name = format!("{phase:?}");
     match written {
@@ -107,9 +107,9 @@
                 ("bad", known.bad.into()),
             ];
             vm.log("roll-out moved", &fields);
-            learn(vm, &object);
+            put_rollout(vm, &object);
         }
-        Err(Trouble::Conflict(Some(object))) => learn(vm, &object),
+        Err(Trouble::Conflict(Some(object))) => put_rollout(vm, &object),
         Err(trouble) => {
             let why = trouble.to_string();
             let fields = [
@@ -124,12 +124,6 @@
     true
 }
 
-fn learn(vm: &Vm, object: &object::Object) {
-    if let Some(rollout) = read_rollout(vm, object) {
-        put_rollout(vm, rollout);
-    }
-}
-
 /// A step that is due.
 struct Due {
     /// The order as it is known.
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -27,7 +27,7 @@
 use crate::decide::pressure::Pressure;
 use crate::decide::reader::Rank;
 use crate::platform::objects::{Objects, Trouble};
-use crate::unit::{Model, Moment, Service, Span};
+use crate::unit::{Era, Model, Moment, Service, Span};
 use crate::vm::Clock;
 use crate::watch::line::{Lines, Value};
 use crate::watch::name::Names;
@@ -55,8 +55,10 @@
     pub started: Moment,
     /// Routes and keys in force; none before the first configuration was read.
     pub table: RefCell<Option<Rc<Table>>>,
-    /// Era of the store.
+    /// Newest era of the store that any answer named.
     pub era: Rc<Tracker>,
+    /// Era that this VM has entered.
+    pub entered: Cell<Option<Era>>,
     /// How new what it knows of the platform's objects is.
     pub known: RefCell<Known>,
     /// Backend servers.
@@ -137,6 +139,7 @@
             clock,
             table: RefCell::default(),
             era: Rc::default(),
+            entered: Cell::new(None),
             known: RefCell::default(),
             fleet: RefCell::default(),
             rollouts: RefCell::default(),
@@ -221,6 +224,23 @@
         }
     }
 
+    /// Enters an era of the store. If it is a later one, the store was restored from a copy: entries of
+    /// backend servers may be missing for a while, and all kinds are to be listed again.
+    pub fn enter(&self, era: Era) {
+        self.era.advance(era);
+        let before = self.entered.get();
+        if before >= Some(era) {
+            return;
+        }
+        self.entered.set(Some(era));
+        self.metrics.era.set(era.0 as i64);
+        if before.is_some() {
+            self.log("store restored", &[("era", era.0.into())]);
+            self.store_back.set(Some(self.now()));
+            self.regained.send_modify(|times| *times += 1);
+        }
+    }
+
     /// Notes that a proof failed. While another VM reads for this one that changes nothing.
     pub fn store_failed(&self, why: &str) {
         if self.reads() && !self.store_lost.replace(true) {
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -85,7 +85,7 @@
     }
     let body = serde_json::to_vec(&next).expect("a root is plain data");
     let written = match &object {
-        Some(object) => store.replace(ROOT, object.version, body).await?,
+        Some(object) => store.replace(ROOT, object.position, body).await?,
         None => store.create(ROOT, body).await?,
     };
     if written == Written::Conflict {
--- a/src/platform/object.rs
+++ b/src/platform/object.rs
@@ -9,7 +9,9 @@
 use crate::config::{Holder, Limits, Part, Pool, Regions, Repeat, Route, Table};
 use crate::decide::cold::Bound;
 use crate::forward::replica::{Phase, Replica, Rollout};
-use crate::unit::{DataCentre, Model, Rate, Region, Revision, Service, Span, Version};
+use crate::unit::{
+    DataCentre, Era, Model, Position, Rate, Region, Revision, Service, Span, Version,
+};
 
 /// Kinds of objects, and the name of the operator's configuration.
 pub const CONFIG: &str = "config";
@@ -43,7 +45,7 @@
 /// An object of the store.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Object {
-    /// Name and revision.
+    /// Name and position.
     pub metadata: Metadata,
     /// What its owner wrote.
     #[serde(default)]
@@ -53,13 +55,39 @@
     pub status: Value,
 }
 
-/// Name and revision of an object.
+/// Name and position of an object.
 #[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(from = "Encoded", into = "Encoded")]
 pub struct Metadata {
     /// Its name among its kind.
     pub name: String,
-    /// Revision of its last change.
-    pub revision: u64,
+    /// Position of its last change.
+    pub position: Position,
+}
+
+/// Metadata as the store sends them, which leaves out the era, and as VMs pass them on.
+#[derive(Deserialize, Serialize)]
+struct Encoded {
+    name: String,
+    revision: u64,
+    #[serde(default, skip_serializing_if = "is_first")]
+    era: Era,
+}
+
+fn is_first(era: &Era) -> bool {
+    *era == Era::default()
+}
+
+impl From<Encoded> for Metadata {
+    fn from(Encoded { name, revision, era }: Encoded) -> Metadata {
+        Metadata { name, position: Position { era, revision } }
+    }
+}
+
+impl From<Metadata> for Encoded {
+    fn from(Metadata { name, position: Position { era, revision } }: Metadata) -> Encoded {
+        Encoded { name, revision, era }
+    }
 }
 
 impl Object {
@@ -312,7 +340,7 @@
         version: order.target_version,
         within: millis(order.duration_s * 1000.0),
         phase,
-        revision: object.metadata.revision,
+        position: object.metadata.position,
     })
 }
 
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -14,7 +14,7 @@
 use super::object::{Metadata, Object};
 use crate::forward::connection::{Connection, Fault};
 use crate::forward::era::Tracker;
-use crate::unit::Span;
+use crate::unit::{Era, Position, Span};
 
 /// Time to open a connection to the store. It is some milliseconds away, and a way that heals is
 /// noticed the sooner.
@@ -62,6 +62,8 @@
     Conflict(Option<Box<Object>>),
     /// The store refused, and did nothing.
     Refused(u16),
+    /// The answer is of an era of the store that is older than the newest, or not yet believed.
+    Outdated,
     /// No answer; a write may have been done, or may be done later.
     NoAnswer(String),
 }
@@ -72,6 +74,7 @@
             Trouble::HistoryGone => f.write_str("the history is gone"),
             Trouble::Conflict(_) => f.write_str("the object was changed meanwhile"),
             Trouble::Refused(status) => write!(f, "it answered {status}"),
+            Trouble::Outdated => f.write_str("the answer is not of the newest era of the store"),
             Trouble::NoAnswer(why) => write!(f, "no answer: {why}"),
         }
     }
@@ -86,8 +89,16 @@
     /// Whether there are more after the last.
     #[serde(default)]
     pub has_more: bool,
-    /// The store's revision.
-    pub store_revision: u64,
+    store_revision: u64,
+    #[serde(skip)]
+    era: Era,
+}
+
+impl Listing {
+    /// Returns the store's position at which these were all objects.
+    pub fn position(&self) -> Position {
+        Position::new(self.era, self.store_revision)
+    }
 }
 
 /// A change of an object.
@@ -107,8 +118,45 @@
     /// The changes in order; none if the wait ended before one.
     #[serde(default)]
     pub events: Vec<Event>,
-    /// The revision to go on from.
-    pub store_revision: u64,
+    store_revision: u64,
+    #[serde(skip)]
+    era: Era,
+}
+
+impl Events {
+    /// Returns the position to go on from. If its era is not that of the question, changes are missing.
+    pub fn position(&self) -> Position {
+        Position::new(self.era, self.store_revision)
+    }
+}
+
+/// An answer that took effect.
+struct Answer {
+    era: Era,
+    body: Bytes,
+}
+
+impl Answer {
+    fn listing(&self) -> Result<Listing, Trouble> {
+        let mut listing: Listing = read(&self.body)?;
+        listing.era = self.era;
+        listing.items.iter_mut().for_each(|object| object.metadata.position.era = self.era);
+        Ok(listing)
+    }
+
+    fn events(&self) -> Result<Events, Trouble> {
+        let mut events: Events = read(&self.body)?;
+        events.era = self.era;
+        let objects = events.events.iter_mut().map(|event| &mut event.object);
+        objects.for_each(|object| object.metadata.position.era = self.era);
+        Ok(events)
+    }
+
+    fn object(&self) -> Result<Object, Trouble> {
+        let mut object: Object = read(&self.body)?;
+        object.metadata.position.era = self.era;
+        Ok(object)
+    }
 }
 
 /// A client with one connection; one call at a time.
@@ -144,8 +192,10 @@
                 true => format!("/v1/objects/{kind}"),
                 false => format!("/v1/objects/{kind}?{}", query.join("&")),
             };
-            let body = self.call(Method::GET, &path, None, ANSWER_WITHIN).await?;
-            let page: Listing = read(&body)?;
+            let page = self.call(Method::GET, &path, None, ANSWER_WITHIN).await?.listing()?;
+            if whole.as_ref().is_some_and(|whole| whole.era != page.era) {
+                return Err(Trouble::NoAnswer("restored between two pages of a list".to_owned()));
+            }
             let more = page.has_more && !page.items.is_empty();
             match &mut whole {
                 // Changes between two pages are told by a watch from the first page's revision.
@@ -158,30 +208,47 @@
         }
     }
 
-    /// Changes of a kind after a revision, as soon as there is one, or none after `wait`.
+    /// Changes of a kind after a position, as soon as there is one, or none after `wait`.
     ///
     /// # Errors
     /// `HistoryGone` if the changes are no longer known; else if the store refuses or does not
     /// answer.
-    pub async fn watch(&mut self, kind: &str, from: u64, wait: Span) -> Result<Events, Trouble> {
-        let wait_ms = wait.0 / 1000;
-        let path = format!("/v1/objects/{kind}?watch={from}&wait_ms={wait_ms}");
-        let within = Span(wait.0 + ANSWER_WITHIN.0);
-        read(&self.call(Method::GET, &path, None, within).await?)
+    pub async fn watch(
+        &mut self,
+        kind: &str,
+        from: Position,
+        wait: Span,
+    ) -> Result<Events, Trouble> {
+        self.events(kind, from, wait, Span(wait.0 + ANSWER_WITHIN.0)).await
     }
 
-    /// Changes of a kind after a revision, as far as there are any now; the answer must come `within`.
+    /// Changes of a kind after a position, as far as there are any now; the answer must come `within`.
     ///
     /// # Errors
     /// As [`Objects::watch`].
     pub async fn changes(
         &mut self,
         kind: &str,
-        from: u64,
+        from: Position,
+        within: Span,
+    ) -> Result<Events, Trouble> {
+        self.events(kind, from, Span(0), within).await
+    }
+
+    async fn events(
+        &mut self,
+        kind: &str,
+        from: Position,
+        wait: Span,
         within: Span,
     ) -> Result<Events, Trouble> {
-        let path = format!("/v1/objects/{kind}?watch={from}&wait_ms=0");
-        read(&self.call(Method::GET, &path, None, within).await?)
+        let (from_revision, wait_ms) = (from.revision, wait.0 / 1000);
+        let path = format!("/v1/objects/{kind}?watch={from_revision}&wait_ms={wait_ms}");
+        let events = self.call(Method::GET, &path, None, within).await?.events()?;
+        match events.era == from.era {
+            true => Ok(events),
+            false => Err(Trouble::HistoryGone),
+        }
     }
 
     /// One object, if there is one.
@@ -197,7 +264,7 @@
         let query = read_as.query().map(|query| format!("?{query}")).unwrap_or_default();
         let path = format!("/v1/objects/{kind}/{name}{query}");
         match self.call(Method::GET, &path, None, ANSWER_WITHIN).await {
-            Ok(body) => Ok(Some(read(&body)?)),
+            Ok(answer) => Ok(Some(answer.object()?)),
             Err(Trouble::Refused(status)) if status == StatusCode::NOT_FOUND.as_u16() => Ok(None),
             Err(trouble) => Err(trouble),
         }
@@ -210,10 +277,10 @@
     pub async fn create(&mut self, kind: &str, name: &str, spec: Value) -> Result<Object, Trouble> {
         let path = format!("/v1/objects/{kind}");
         let body = json!({"metadata": {"name": name}, "spec": spec}).to_string();
-        read(&self.call(Method::POST, &path, Some(body.into()), ANSWER_WITHIN).await?)
+        self.call(Method::POST, &path, Some(body.into()), ANSWER_WITHIN).await?.object()
     }
 
-    /// Writes an object that must still be at `revision`.
+    /// Writes an object that must still be at `position`.
     ///
     /// # Errors
     /// `Conflict` if it is not; `NoAnswer` if it is not known whether it was written.
@@ -221,12 +288,13 @@
         &mut self,
         kind: &str,
         name: &str,
-        revision: u64,
+        position: Position,
         spec: Value,
     ) -> Result<Object, Trouble> {
         let path = format!("/v1/objects/{kind}/{name}");
-        let body = json!({"metadata": {"name": name, "revision": revision}, "spec": spec});
-        self.put(&path, &body).await
+        let metadata = json!({"name": name, "revision": position.revision});
+        let body = json!({"metadata": metadata, "spec": spec});
+        self.put(&path, position, &body).await
     }
 
     /// Removes an object; one that is not there is as good as removed.
@@ -242,7 +310,7 @@
         }
     }
 
-    /// Writes the status of an object that must still be at `revision`.
+    /// Writes the status of an object that must still be at `position`.
     ///
     /// # Errors
     /// `Conflict` if it is not; `NoAnswer` if it is not known whether it was written.
@@ -250,17 +318,32 @@
         &mut self,
         kind: &str,
         name: &str,
-        revision: u64,
+        position: Position,
         status: Value,
     ) -> Result<Object, Trouble> {
         let path = format!("/v1/objects/{kind}/{name}/status");
-        let body = json!({"metadata": {"name": name, "revision": revision}, "status": status});
-        self.put(&path, &body).await
+        let metadata = json!({"name": name, "revision": position.revision});
+        let body = json!({"metadata": metadata, "status": status});
+        self.put(&path, position, &body).await
     }
 
-    async fn put(&mut self, path: &str, body: &Value) -> Result<Object, Trouble> {
+    /// Writes what must still be at `position`. Its revision may name another state in another era, so
+    /// the write is not sent then, and its outcome is not known if the era began meanwhile.
+    async fn put(
+        &mut self,
+        path: &str,
+        position: Position,
+        body: &Value,
+    ) -> Result<Object, Trouble> {
+        if position.era != self.eras.newest() {
+            return Err(Trouble::Conflict(None));
+        }
         let body = Bytes::from(body.to_string());
-        read(&self.call(Method::PUT, path, Some(body), ANSWER_WITHIN).await?)
+        let answer = self.call(Method::PUT, path, Some(body), ANSWER_WITHIN).await?;
+        match answer.era == position.era {
+            true => answer.object(),
+            false => Err(Trouble::NoAnswer("the store was restored meanwhile".to_owned())),
+        }
     }
 
     async fn call(
@@ -269,7 +352,7 @@
         path: &str,
         body: Option<Bytes>,
         within: Span,
-    ) -> Result<Bytes, Trouble> {
+    ) -> Result<Answer, Trouble> {
         let exchange = self.exchange(method, path, body.unwrap_or_default());
         let answered = tokio::time::timeout(within.duration(), exchange).await;
         let answered =
@@ -286,7 +369,7 @@
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Result<Bytes, Trouble> {
+    ) -> Result<Answer, Trouble> {
         let no_answer = |fault: Fault| match fault {
             Fault::NotSent(why) | Fault::Broken(why) => Trouble::NoAnswer(why),
         };
@@ -298,17 +381,16 @@
         let head = self.head(method, path)?;
         let head = connection.ask(head, &body).await.map_err(no_answer)?;
         let era = head.headers.get(ERA).map(|value| value.to_str().unwrap_or_default());
-        self.eras.observe(era);
+        let era = self.eras.observe(era);
         let body = connection.whole_body(LARGEST).await.map_err(no_answer)?;
         if connection.is_reusable() {
             self.connection = Some(connection);
         }
+        let answer = Answer { era: era.ok_or(Trouble::Outdated)?, body };
         match head.status {
-            StatusCode::OK | StatusCode::CREATED => Ok(body),
+            StatusCode::OK | StatusCode::CREATED => Ok(answer),
             StatusCode::GONE => Err(Trouble::HistoryGone),
-            StatusCode::CONFLICT => {
-                Err(Trouble::Conflict(serde_json::from_slice(&body).ok().map(Box::new)))
-            }
+            StatusCode::CONFLICT => Err(Trouble::Conflict(answer.object().ok().map(Box::new))),
             other => Err(Trouble::Refused(other.as_u16())),
         }
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -13,7 +13,7 @@
 use crate::error::Error;
 use crate::forward::era::Tracker;
 use crate::standin::platform::Listed;
-use crate::unit::Span;
+use crate::unit::{Position, Span};
 
 /// Stands for `/` in the names of objects; no id of ours has it.
 const SEPARATOR: &str = "~";
@@ -27,8 +27,8 @@
 /// An object as it stands.
 #[derive(Clone, Debug)]
 pub struct Object {
-    /// Rises with each write.
-    pub version: u64,
+    /// Position of its last change.
+    pub position: Position,
     /// The value.
     pub body: Bytes,
 }
@@ -68,11 +68,16 @@
         Ok(answer.map_err(failed)?.map(|object| shown(&object)))
     }
 
-    /// Waits up to `wait` for a version after `after`; nothing if none came.
+    /// Waits up to `wait` for a change after `after`; nothing if none came.
     ///
     /// # Errors
     /// If the platform does not answer.
-    pub async fn watch(&self, key: &str, after: u64, wait: Span) -> Result<Option<Object>, Error> {
+    pub async fn watch(
+        &self,
+        key: &str,
+        after: Position,
+        wait: Span,
+    ) -> Result<Option<Object>, Error> {
         let (kind, name) = parts(key);
         let mut client = self.take();
         let watched = wait_for(&mut client, kind, &name, after, wait).await;
@@ -80,7 +85,7 @@
         match watched {
             Err(Trouble::HistoryGone) => {
                 let object = self.get(key).await?;
-                Ok(object.filter(|object| object.version > after))
+                Ok(object.filter(|object| object.position > after))
             }
             watched => Ok(watched.map_err(failed)?.map(|object| shown(&object))),
         }
@@ -99,15 +104,20 @@
         outcome(written)
     }
 
-    /// Writes an object that must still be at `version`.
+    /// Writes an object that must still be at `position`.
     ///
     /// # Errors
     /// If the platform does not answer; the write may have taken effect.
-    pub async fn replace(&self, key: &str, version: u64, body: Vec<u8>) -> Result<Written, Error> {
+    pub async fn replace(
+        &self,
+        key: &str,
+        position: Position,
+        body: Vec<u8>,
+    ) -> Result<Written, Error> {
         let (kind, name) = parts(key);
         let spec = value(&body)?;
         let mut client = self.take();
-        let written = client.replace(kind, &name, version, spec).await;
+        let written = client.replace(kind, &name, position, spec).await;
         self.rest(client);
         outcome(written)
     }
@@ -164,7 +174,7 @@
     client: &mut Objects,
     kind: &str,
     name: &str,
-    after: u64,
+    after: Position,
     wait: Span,
 ) -> Result<Option<Raw>, Trouble> {
     let begun = std::time::Instant::now();
@@ -172,13 +182,13 @@
     loop {
         let left = Span(wait.0.saturating_sub(begun.elapsed().as_micros() as u64));
         let events = client.watch(kind, from, left).await?;
-        let ours = |object: &Raw| object.metadata.name == name && object.metadata.revision > after;
+        let ours = |object: &Raw| object.metadata.name == name && object.metadata.position > after;
+        from = from.max(events.position());
         let changes = events.events.into_iter().filter(|event| !event.deleted);
         let newest = changes.map(|event| event.object).rfind(ours);
         if newest.is_some() || begun.elapsed() >= wait.duration() {
             return Ok(newest);
         }
-        from = from.max(events.store_revision);
     }
 }
 
@@ -189,7 +199,7 @@
 }
 
 fn shown(object: &Raw) -> Object {
-    Object { version: object.metadata.revision, body: Bytes::from(object.spec.to_string()) }
+    Object { position: object.metadata.position, body: Bytes::from(object.spec.to_string()) }
 }
 
 fn value(body: &[u8]) -> Result<Value, Error> {
--- a/src/vm/spread.rs
+++ b/src/vm/spread.rs
@@ -39,7 +39,7 @@
 
 /// Watches the root for as long as it is this VM's turn.
 pub async fn watch(control: Control) {
-    let mut version = 0;
+    let mut known = None;
     let mut listed = control.vm.clock.now();
     let mut read = listed;
     loop {
@@ -54,17 +54,18 @@
             read_list(&control).await;
         }
         let sent = control.vm.clock.now();
-        let due = version == 0 || sent.since(read) >= READ_EVERY;
-        let answer = if due {
-            read = sent;
-            control.store.get(ROOT).await
-        } else {
-            control.store.watch(ROOT, version, WATCH).await
+        let due = sent.since(read) >= READ_EVERY;
+        let answer = match known.filter(|_| !due) {
+            Some(position) => control.store.watch(ROOT, position, WATCH).await,
+            None => {
+                read = sent;
+                control.store.get(ROOT).await
+            }
         };
         match answer {
             Ok(Some(object)) => {
                 if take(&control, &object.body).await.is_ok() {
-                    version = object.version;
+                    known = Some(object.position);
                     control.gossip(|g| g.store_contact(sent));
                 } else {
                     tokio::time::sleep(PAUSE).await;
@@ -72,7 +73,7 @@
             }
             Ok(None) => {
                 control.gossip(|g| g.store_contact(sent));
-                if version == 0 {
+                if known.is_none() {
                     tokio::time::sleep(PAUSE).await;
                 }
             }
--- a/tests/entries.rs
+++ b/tests/entries.rs
@@ -10,7 +10,7 @@
 use kitepulley::platform::object::{self, Object};
 use kitepulley::platform::objects::Listing;
 use kitepulley::standin::replica::Act;
-use kitepulley::unit::{Moment, Span};
+use kitepulley::unit::{Era, Moment, Position, Span};
 use quickcheck::quickcheck;
 use serde_json::{Value, json};
 use site::{Site, are_ready, ask, bare_vm, eventually, head};
@@ -29,13 +29,18 @@
     serde_json::from_value(json!({"metadata": metadata, "spec": spec})).unwrap()
 }
 
+/// A position in the first era.
+fn at(revision: u64) -> Position {
+    Position::new(Era(0), revision)
+}
+
 fn takes_work(vm: &Vm, name: &str) -> bool {
     let fleet = vm.fleet.borrow();
     fleet.of(&"api".parse().unwrap(), vm.now()).any(|server| server.replica.id.as_str() == name)
 }
 
 fn take(vm: &Vm, object: &Object) {
-    let as_of = object.metadata.revision;
+    let as_of = object.metadata.position;
     learn::take(vm, Kind::Servers, object, &Source { reader: None, as_of });
 }
 
@@ -138,7 +143,7 @@
             server("x1", 2, spec.clone()),
             server("r2", 3, entry(json!({}))),
         ];
-        let source = Source { reader: None, as_of: 3 };
+        let source = Source { reader: None, as_of: at(3) };
         learn::take_all(&vm, Kind::Servers, &items, &source);
         assert!(takes_work(&vm, "r1") && takes_work(&vm, "r2"), "{number}: {shown}");
         assert!(!takes_work(&vm, "x1"), "{number}: {shown}");
@@ -195,10 +200,10 @@
         let vm = bare_vm();
         let kind = Kind::ALL[usize::from(kind) % Kind::ALL.len()];
         take(&vm, &server("r1", 1, entry(json!({}))));
-        for (at, bytes) in specs.iter().enumerate() {
-            let revision = at as u64 + 2;
-            let source = Source { reader: None, as_of: revision };
-            let object = server(&format!("x{at}"), revision, value(bytes));
+        for (number, bytes) in specs.iter().enumerate() {
+            let revision = number as u64 + 2;
+            let source = Source { reader: None, as_of: at(revision) };
+            let object = server(&format!("x{number}"), revision, value(bytes));
             learn::take(&vm, kind, &object, &source);
         }
         takes_work(&vm, "r1")
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -1,16 +1,20 @@
 //! What a reader of the store passes on: a follower that asks whenever it likes ends with the same
 //! objects, and whom a VM asks.
 
+mod site;
+
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use kitepulley::decide::reader::{Asked, Rank, is_stale, time_to_ask};
 use kitepulley::forward::feed::{Feed, News, Origin, Place, Stand, Store};
 use kitepulley::forward::kind::Kind;
 use kitepulley::forward::known::Known;
+use kitepulley::forward::learn::{self, Source};
 use kitepulley::platform::object::Object;
-use kitepulley::unit::{Millicores, Moment, Span, Vm};
+use kitepulley::unit::{Era, Millicores, Moment, Position, Span, Vm};
 use quickcheck::quickcheck;
 use serde_json::json;
+use site::bare_vm;
 
 fn object(name: u8, revision: u64) -> Object {
     let name = format!("o{}", name % 8);
@@ -18,6 +22,11 @@
     serde_json::from_value(value).unwrap()
 }
 
+/// A position in the first era.
+fn at(revision: u64) -> Position {
+    Position::new(Era(0), revision)
+}
+
 fn kind(number: u8) -> Kind {
     Kind::ALL[number as usize % Kind::ALL.len()]
 }
@@ -122,7 +131,7 @@
         let mut there = BTreeSet::new();
         let revisions: Vec<usize> = order.iter().map(|at| *at as usize % states.len()).collect();
         for revision in &revisions {
-            let (list, as_of) = (&states[*revision], *revision as u64);
+            let (list, as_of) = (&states[*revision], at(*revision as u64));
             let names: HashSet<&str> = list.keys().map(String::as_str).collect();
             for name in known.missing(Kind::Servers, &names, as_of) {
                 if known.remove(Kind::Servers, &name, as_of) {
@@ -130,7 +139,7 @@
                 }
             }
             for (name, changed) in list {
-                if known.put(Kind::Servers, name, *changed, as_of) {
+                if known.put(Kind::Servers, name, at(*changed), as_of) {
                     there.insert(name.clone());
                 }
             }
@@ -140,13 +149,40 @@
     }
 }
 
+/// An object of a kind that reads, whose content tells its revision.
+fn sound(kind: Kind, revision: u64) -> Object {
+    let (name, spec) = match kind {
+        Kind::Config => ("main", json!({"version": revision})),
+        Kind::Servers => (
+            "r1",
+            json!({"service": "api", "address": "127.0.0.1:9", "zone": "here", "version": "v1",
+                "capacity": revision, "state": "ready", "cold_remaining_ms": 0, "sequence": 1}),
+        ),
+        Kind::Rollouts => {
+            ("api", json!({"service": "api", "target_version": "v2", "duration_s": revision}))
+        }
+        Kind::Evacuations => ("here", json!({"n": revision})),
+        Kind::Vms => {
+            ("vm-b", json!({"address": "127.0.0.1:9", "data_centre": "here", "share": revision}))
+        }
+    };
+    let value = json!({"metadata": {"name": name, "revision": revision}, "spec": spec});
+    serde_json::from_value(value).unwrap()
+}
+
 #[test]
 fn an_older_state_of_an_object_changes_nothing() {
-    let mut feed = Feed::default();
-    feed.put(Kind::Servers, &object(1, 9));
-    let before = whole(&feed);
-    feed.put(Kind::Servers, &object(1, 8));
-    assert_eq!(whole(&feed), before);
+    for kind in Kind::ALL {
+        let vm = bare_vm();
+        let source = |revision| Source { reader: None, as_of: at(revision) };
+        learn::take(&vm, kind, &sound(kind, 9), &source(9));
+        let before = whole(&vm.feed.borrow());
+        assert_eq!(before.len(), 1, "{kind:?} is passed on");
+        learn::take(&vm, kind, &sound(kind, 8), &source(8));
+        assert_eq!(whole(&vm.feed.borrow()), before, "{kind:?} by an event");
+        learn::take_all(&vm, kind, &[sound(kind, 8)], &source(8));
+        assert_eq!(whole(&vm.feed.borrow()), before, "{kind:?} by a list");
+    }
 }
 
 #[test]
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -32,6 +32,7 @@
 use kitepulley::platform::object::Object;
 use kitepulley::standin::platform::Switches;
 use kitepulley::standin::replica::{Act, Replica};
+use kitepulley::unit::{Era, Position};
 use serde_json::json;
 use site::way::Way;
 use site::{Site, are_ready, ask, bare_vm, eventually, follows, head};
@@ -187,7 +188,7 @@
 }
 
 fn own(as_of: u64) -> Source<'static> {
-    Source { reader: None, as_of }
+    Source { reader: None, as_of: Position::new(Era(0), as_of) }
 }
 
 #[test]
