A proof of the configuration counts only for a VM that has that configuration

In the incident six VMs held a fresh proof that their configuration was the newest while it was not: the reader passed on the age of its proof without saying of what. They went on using a key that had been revoked. A proof now names its configuration; a VM that has an older one ignores it with a log line, lets its proof grow old and reads for itself. Ruled out as sufficient: positions alone, since any other way to miss one change would end the same way.

--- a/src/forward/feed.rs
+++ b/src/forward/feed.rs
@@ -14,7 +14,7 @@
 use super::poison;
 use super::tally;
 use crate::platform::object::Object;
-use crate::unit::{Era, Moment, Position, Span, Vm};
+use crate::unit::{Era, Moment, Position, Revision, Span, Vm};
 
 /// Changes kept for followers; they ask a few times a second. Of each only the name is kept: an object is passed
 /// on as it stands now.
@@ -60,6 +60,15 @@
     IsLost,
 }
 
+/// Proof that a configuration is the newest, as one VM passes it on to another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Proof {
+    /// Age of the read that proves it, when this is answered.
+    pub age: Span,
+    /// The configuration; the proof counts for no VM that has an older one.
+    pub configuration: Revision,
+}
+
 /// Who read what is told, and by how many VMs it was passed on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Origin {
@@ -82,8 +91,8 @@
     pub whole: bool,
     /// The changes in order.
     pub changes: Packed,
-    /// How old the proof is that the configuration is the newest, when this is answered.
-    pub proof_age: Option<Span>,
+    /// Proof that a configuration is the newest.
+    pub proof: Option<Proof>,
     /// How current each kind is.
     pub readings: Vec<Told>,
     /// What it makes of versions that are rolled out.
@@ -111,8 +120,8 @@
     pub origin: Origin,
     /// How the store does.
     pub store: Store,
-    /// How old the proof is that the configuration is the newest.
-    pub proof_age: Option<Span>,
+    /// Proof that a configuration is the newest.
+    pub proof: Option<Proof>,
     /// What it makes of versions that are rolled out.
     pub verdicts: Vec<tally::Told>,
     /// Contents that it holds back.
@@ -205,7 +214,7 @@
             place: self.place,
             whole: behind.is_none(),
             changes: self.packed(behind),
-            proof_age: stand.proof_age,
+            proof: stand.proof,
             readings: self.told(now),
             verdicts: stand.verdicts,
             held: stand.held,
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -198,14 +198,12 @@
 pub fn note_list(vm: &Vm, kind: Kind, listing: &Listing, sent: Moment) {
     vm.enter(listing.position().era);
     let source = Source { reader: None, as_of: listing.position() };
-    let reads = learn::take_all(vm, kind, &listing.items, &source);
+    let configuration = learn::take_all(vm, kind, &listing.items, &source);
     vm.feed.borrow_mut().note_read(kind, listing.position(), sent);
-    match kind {
-        Kind::Config if reads && listing.position().era == vm.era.newest() => {
-            learn::prove(vm, sent);
-        }
-        Kind::Config => vm.proof.notify_waiters(),
-        Kind::Servers | Kind::Rollouts | Kind::Evacuations | Kind::Vms => {}
+    if let Some(revision) = configuration
+        && listing.position().era == vm.era.newest()
+    {
+        learn::prove(vm, sent, revision);
     }
 }
 
--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -319,8 +319,10 @@
         }
     }
     // A proof from before this process began proves nothing that it can count.
-    if let Some(at) = news.proof_age.and_then(|age| asked.0.checked_sub(age.0)) {
-        learn::prove(vm, Moment(at));
+    if let Some(proof) = news.proof
+        && let Some(at) = asked.0.checked_sub(proof.age.0)
+    {
+        learn::prove(vm, Moment(at), proof.configuration);
     }
 }
 
@@ -362,7 +364,7 @@
         ("hops", u64::from(news.origin.hops).into()),
         ("servers_age_ms", servers.map_or(-1.0, |told| told.age.as_millis()).into()),
         ("servers_revision", servers.map_or(0, |told| told.position.revision).into()),
-        ("proof_age_ms", news.proof_age.map_or(-1.0, Span::as_millis).into()),
+        ("proof_age_ms", news.proof.map_or(-1.0, |proof| proof.age.as_millis()).into()),
     ];
     vm.log("follows a reader", &fields);
     if vm.store_lost.replace(false) {
--- a/src/forward/learn.rs
+++ b/src/forward/learn.rs
@@ -8,7 +8,7 @@
 use super::roster;
 use super::vm::Vm;
 use crate::platform::object::{self, CONFIG, EVACUATIONS, MAIN, Object, ROLLOUTS, SERVERS};
-use crate::unit::{Moment, Position, Vm as Name};
+use crate::unit::{Moment, Position, Revision, Vm as Name};
 use crate::watch::line::Value;
 
 /// Who read what this VM learns, and of when it is.
@@ -27,15 +27,15 @@
     }
 }
 
-/// Takes all objects of a kind. Whether the configuration is among them and reads.
-pub fn take_all(vm: &Vm, kind: Kind, objects: &[Object], source: &Source) -> bool {
-    let proves = take_kind(vm, kind, objects, source);
+/// Applies all objects of a kind. Returns the revision of the configuration, if it is among them and reads.
+pub fn take_all(vm: &Vm, kind: Kind, objects: &[Object], source: &Source) -> Option<Revision> {
+    let configuration = take_kind(vm, kind, objects, source);
     // Requests may wait for a VM that has just started to know all.
     vm.proof.notify_waiters();
-    proves
+    configuration
 }
 
-fn take_kind(vm: &Vm, kind: Kind, objects: &[Object], source: &Source) -> bool {
+fn take_kind(vm: &Vm, kind: Kind, objects: &[Object], source: &Source) -> Option<Revision> {
     match kind {
         // These bear numbers of their own, which only rise.
         Kind::Config => return take_config(vm, objects),
@@ -48,7 +48,7 @@
         Kind::Evacuations | Kind::Vms => replace(vm, kind, objects, false, source),
     }
     vm.listed.borrow_mut().insert(kind);
-    false
+    None
 }
 
 /// Takes a list, whose objects bear no order: what is known to be newer stays. A list of a reader that had been cut
@@ -165,37 +165,44 @@
     }
 }
 
-/// The configuration was the newest at `moment`.
-pub fn prove(vm: &Vm, moment: Moment) {
+/// Takes a proof that `configuration` was the newest at `moment`, unless this VM has an older one.
+pub fn prove(vm: &Vm, moment: Moment, configuration: Revision) {
+    let in_force = vm.routes().map(|table| table.revision).unwrap_or_default();
+    if in_force < configuration {
+        let fields = [("of", configuration.0.into()), ("in_force", in_force.0.into())];
+        vm.log("proof of a newer configuration ignored", &fields);
+        return;
+    }
     vm.proved.set(vm.proved.get().max(Some(moment)));
     vm.proof.notify_waiters();
 }
 
-/// Takes the configuration of a list. Whether there is one that reads.
-fn take_config(vm: &Vm, objects: &[Object]) -> bool {
+/// Applies the configuration of a list. Returns its revision, if there is one that reads.
+fn take_config(vm: &Vm, objects: &[Object]) -> Option<Revision> {
     let main = objects.iter().find(|object| object.metadata.name == MAIN);
-    main.is_some_and(|object| put_table(vm, object))
+    main.and_then(|object| put_table(vm, object))
 }
 
-/// Takes a configuration unless a newer one is known. Whether it reads.
-fn put_table(vm: &Vm, object: &Object) -> bool {
+/// Applies a configuration unless a newer one is in force. Returns its revision if it reads.
+fn put_table(vm: &Vm, object: &Object) -> Option<Revision> {
     let known = vm.routes().map(|table| table.revision);
     let table = match object::table(object) {
         Ok(table) => table,
         Err(why) => {
             unreadable(vm, CONFIG, object, &why);
-            return false;
+            return None;
         }
     };
-    if known.is_none_or(|known| table.revision > known) {
-        vm.metrics.revision.set(table.revision.0 as i64);
+    let revision = table.revision;
+    if known.is_none_or(|known| revision > known) {
+        vm.metrics.revision.set(revision.0 as i64);
         let routes = table.routes().count();
-        let fields = [("revision", table.revision.0.into()), ("routes", routes.into())];
+        let fields = [("revision", revision.0.into()), ("routes", routes.into())];
         vm.log("configuration in force", &fields);
         *vm.table.borrow_mut() = Some(Rc::new(table));
         vm.feed.borrow_mut().put(Kind::Config, object);
     }
-    true
+    Some(revision)
 }
 
 fn unreadable(vm: &Vm, kind: &str, object: &Object, why: &str) {
--- a/src/forward/reader.rs
+++ b/src/forward/reader.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::feed::{News, Origin, Place, Stand, Store};
+use super::feed::{News, Origin, Place, Proof, Stand, Store};
 use super::kind::Kind;
 use super::peer;
 use super::poison;
@@ -116,7 +116,10 @@
     let verdicts = tally::verdicts(vm);
     let store = store(vm, check_ages(vm, proof_age))?;
     let held = poison::held(vm);
-    let stand = Stand { origin: origin(vm), store, proof_age, verdicts, held };
+    let configuration = vm.routes().map(|table| table.revision);
+    let proof = proof_age.zip(configuration);
+    let proof = proof.map(|(age, configuration)| Proof { age, configuration });
+    let stand = Stand { origin: origin(vm), store, proof, verdicts, held };
     Ok(vm.feed.borrow().since(place, stand, now))
 }
 
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -61,7 +61,7 @@
 
 fn stand() -> Stand {
     let origin = Origin { reader: "vm".parse().unwrap(), hops: 0 };
-    Stand { origin, store: Store::Answers, proof_age: None, verdicts: Vec::new(), held: Vec::new() }
+    Stand { origin, store: Store::Answers, proof: None, verdicts: Vec::new(), held: Vec::new() }
 }
 
 /// Takes a list: what it lacks is removed, what it has is put.
--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -4,9 +4,13 @@
 
 use std::time::{Duration, Instant};
 
+use kitepulley::forward::kind::Kind;
+use kitepulley::forward::learn::{self, Source};
+use kitepulley::platform::object::Object;
 use kitepulley::standin::platform::{Snapshot, Switches};
-use serde_json::json;
-use site::{Site, Vm, are_ready, ask, eventually, follows, head};
+use kitepulley::unit::{Era, Position, Revision};
+use serde_json::{Value, json};
+use site::{Site, Vm, are_ready, ask, bare_vm, eventually, follows, head};
 
 /// VMs of a site.
 const VMS: usize = 5;
@@ -41,6 +45,22 @@
     site.store.switch(Switches::default());
 }
 
+/// What is known directly from the store at a position.
+fn at(era: u64, revision: u64) -> Source<'static> {
+    Source { reader: None, as_of: Position::new(Era(era), revision) }
+}
+
+/// An object as the store has it at a position.
+fn object(name: &str, Source { as_of, .. }: &Source, spec: Value) -> Object {
+    let metadata = json!({"name": name, "revision": as_of.revision, "era": as_of.era});
+    serde_json::from_value(json!({"metadata": metadata, "spec": spec})).unwrap()
+}
+
+/// A configuration without routes.
+fn configuration(version: u64) -> Object {
+    object("main", &at(0, version), json!({"version": version}))
+}
+
 fn status(vm: &Vm, key: &str) -> u16 {
     let more = format!("Authorization: Token {key}\r\n");
     ask(vm.callers, &head("GET /safe/x", "id", &more), b"").status
@@ -78,3 +98,14 @@
     replace_key(&mut site, "third");
     is_in_force(&vms, "third", "second");
 }
+
+#[test]
+fn a_proof_of_a_newer_configuration_than_the_one_in_force_does_not_count() {
+    let vm = bare_vm();
+    learn::take(&vm, Kind::Config, &configuration(4), &at(0, 4));
+    learn::prove(&vm, vm.now(), Revision(5));
+    assert_eq!(vm.proof_age(vm.now()), None);
+    learn::take(&vm, Kind::Config, &configuration(5), &at(0, 5));
+    learn::prove(&vm, vm.now(), Revision(5));
+    assert!(vm.proof_age(vm.now()).is_some());
+}
