--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -2,13 +2,17 @@
 
 mod site;
 
+use std::collections::{BTreeMap, HashSet};
 use std::time::{Duration, Instant};
 
+use kitepulley::forward::era::{Anomaly, Tracker};
 use kitepulley::forward::kind::Kind;
+use kitepulley::forward::known::Known;
 use kitepulley::forward::learn::{self, Source};
 use kitepulley::platform::object::Object;
 use kitepulley::standin::platform::{Snapshot, Switches};
 use kitepulley::unit::{Era, Position, Revision};
+use quickcheck::quickcheck;
 use serde_json::{Value, json};
 use site::{Site, Vm, are_ready, ask, bare_vm, eventually, follows, head};
 
@@ -109,3 +113,115 @@
     learn::prove(&vm, vm.now(), Revision(5));
     assert!(vm.proof_age(vm.now()).is_some());
 }
+
+#[test]
+fn a_watch_whose_revision_was_given_out_again_misses_nothing() {
+    let mut site = site();
+    let _server = site.replica("r1", "v1");
+    let vms = start(&mut site);
+    let copy = site.store.snapshot();
+    replace_key(&mut site, "lost");
+    is_in_force(&vms, "lost", "first");
+    // No call fails, and the revisions are past those of before when the watches go on.
+    site.store.switch(Switches { quiet: true, ..Switches::default() });
+    site.store.restore(copy);
+    replace_key(&mut site, "second");
+    (0..LOST).for_each(|number| drop(site.replica(&format!("more{number}"), "v1")));
+    site.store.switch(Switches::default());
+    is_in_force(&vms, "second", "lost");
+    let servers = |vm: &Vm| vm.lines().iter().rev().find_map(|line| line["count"].as_f64());
+    let all = (LOST + 1) as f64;
+    eventually("all servers are known", || vms.iter().any(|vm| servers(vm) == Some(all)));
+}
+
+/// Objects by name, with the positions of their last changes.
+type Objects = BTreeMap<String, Position>;
+
+/// The states of a store after each of these changes, and after restores from a copy that lacks some.
+fn history(steps: &[(u8, bool, u8)]) -> Vec<(Position, Objects)> {
+    let mut states = vec![(Position::default(), Objects::new())];
+    // Indices into `states` of the present era and of those that it goes back to.
+    let mut line = vec![0];
+    for (name, there, undone) in steps {
+        let (present, objects) = states[line[line.len() - 1]].clone();
+        if undone % 5 == 0 && line.len() > 1 {
+            let kept = line.len() - 1 - usize::from(undone / 5) % (line.len() - 1);
+            line.truncate(kept);
+            let (copy, objects) = states[line[kept - 1]].clone();
+            let position = Position::new(Era(present.era.0 + 1), copy.revision);
+            let stamp =
+                |(name, at): (String, Position)| (name, Position { era: position.era, ..at });
+            states.push((position, objects.into_iter().map(stamp).collect()));
+        } else {
+            let position = Position { revision: present.revision + 1, ..present };
+            let mut objects = objects;
+            match there {
+                true => drop(objects.insert(format!("o{}", name % 5), position)),
+                false => drop(objects.remove(&format!("o{}", name % 5))),
+            }
+            states.push((position, objects));
+        }
+        line.push(states.len() - 1);
+    }
+    states
+}
+
+quickcheck! {
+    /// Lists of any positions, in any order and again, leave the objects of the newest of them.
+    fn the_newest_list_of_the_newest_era_decides(steps: Vec<(u8, bool, u8)>, order: Vec<u8>) -> bool {
+        let states = history(&steps);
+        let (mut index, mut there) = (Known::default(), Objects::new());
+        let read: Vec<usize> = order.iter().map(|at| usize::from(*at) % states.len()).collect();
+        for (as_of, objects) in read.iter().map(|at| &states[*at]) {
+            let names: HashSet<&str> = objects.keys().map(String::as_str).collect();
+            for name in index.missing(Kind::Servers, &names, *as_of) {
+                if index.remove(Kind::Servers, &name, *as_of) {
+                    there.remove(&name);
+                }
+            }
+            for (name, changed) in objects {
+                if index.put(Kind::Servers, name, *changed, *as_of) {
+                    there.insert(name.clone(), *changed);
+                }
+            }
+        }
+        let newest = read.iter().map(|at| &states[*at]).max_by_key(|(position, _)| *position);
+        newest.is_none_or(|(_, objects)| there == *objects)
+    }
+
+    /// Whatever headers come, the era never falls, and no answer counts for an older one.
+    fn the_era_never_falls(headers: Vec<Option<String>>, eras: Vec<u8>) -> bool {
+        let tracker = Tracker::default();
+        let numbers = eras.iter().map(|era| Some((era / 16).to_string()));
+        numbers.chain(headers).all(|header| {
+            let before = tracker.newest();
+            let taken = tracker.observe(header.as_deref());
+            tracker.newest() >= before && taken.is_none_or(|taken| taken == tracker.newest())
+        })
+    }
+
+    fn a_position_reads_back_as_it_is_shown(era: u64, revision: u64) -> bool {
+        let position = Position::new(Era(era), revision);
+        position.to_string().parse::<Position>().ok() == Some(position)
+    }
+}
+
+#[test]
+fn a_garbled_era_neither_blocks_reading_nor_ends_what_is_known() {
+    let tracker = Tracker::default();
+    assert_eq!(tracker.observe(None), Some(Era(0)), "a store without eras");
+    assert_eq!(tracker.observe(Some("3")), Some(Era(3)));
+    for header in [None, Some(""), Some("three"), Some("-1"), Some("99999999999999999999999")] {
+        assert_eq!(tracker.observe(header), Some(Era(3)), "{header:?}");
+    }
+    assert_eq!(tracker.observe(Some("2")), None, "an answer of before changes nothing");
+    assert_eq!(tracker.observe(Some("90000")), None, "it is not believed at once");
+    assert_eq!(tracker.observe(Some("3")), Some(Era(3)), "reading goes on");
+    assert_eq!(tracker.observe(Some("4")), Some(Era(4)));
+    assert_eq!(tracker.observe(Some("7")), None, "two restores were missed");
+    assert_eq!(tracker.observe(Some("7")), Some(Era(7)), "a second answer says so");
+    assert_eq!(tracker.count(Anomaly::Missing), 1);
+    assert_eq!(tracker.count(Anomaly::Unreadable), 4);
+    assert_eq!(tracker.count(Anomaly::Implausible), 2);
+    assert_eq!(tracker.count(Anomaly::Older), 1);
+}
