A copy that the store was restored from takes nothing back that a server said

Four tests failed before: a server that had said that it leaves got work again because the copy calls it ready; so did one that had gone; a later life under an id was replaced by the earlier one, which would have ended its requests; a server that the copy lacks was dropped at once if no call to the store had failed. For 5 s after a restore objects that last changed at or before the first position read in the new era may stem from the copy: they add servers and leaves, and take nothing back. What nobody has written again by then counts. VMs pass on when they noticed the restore and that position.

--- a/src/forward/feed.rs
+++ b/src/forward/feed.rs
@@ -12,9 +12,10 @@
 use super::kind::Kind;
 use super::pack::{Change, Packed};
 use super::poison;
+use super::restore::Notice;
 use super::tally;
 use crate::platform::object::Object;
-use crate::unit::{Era, Moment, Position, Revision, Span, Vm};
+use crate::unit::{Moment, Position, Revision, Span, Vm};
 
 /// Changes kept for followers; they ask a few times a second. Of each only the name is kept: an object is passed
 /// on as it stands now.
@@ -95,6 +96,8 @@
     pub proof: Option<Proof>,
     /// How current each kind is.
     pub readings: Vec<Told>,
+    /// The last restore of the store, if owners may not have had time to write again.
+    pub restore: Option<Notice>,
     /// What it makes of versions that are rolled out.
     pub verdicts: Vec<tally::Told>,
     /// Contents that it holds back.
@@ -107,9 +110,9 @@
         self.readings.iter().find(|told| told.kind == kind)
     }
 
-    /// Returns the newest era of the store that any kind was read in.
-    pub fn era(&self) -> Era {
-        self.readings.iter().map(|told| told.position.era).max().unwrap_or_default()
+    /// Returns the newest position of the store at which any kind was read.
+    pub fn position(&self) -> Position {
+        self.readings.iter().map(|told| told.position).max().unwrap_or_default()
     }
 }
 
@@ -122,6 +125,8 @@
     pub store: Store,
     /// Proof that a configuration is the newest.
     pub proof: Option<Proof>,
+    /// The last restore of the store, if owners may not have had time to write again.
+    pub restore: Option<Notice>,
     /// What it makes of versions that are rolled out.
     pub verdicts: Vec<tally::Told>,
     /// Contents that it holds back.
@@ -194,6 +199,12 @@
         }
     }
 
+    /// The objects of a kind.
+    pub fn objects(&self, kind: Kind) -> impl Iterator<Item = Object> {
+        let of_kind = self.objects.iter().filter(move |((of, _), _)| *of == kind);
+        of_kind.filter_map(|(_, kept)| Object::from_json(&kept.text).ok())
+    }
+
     fn note(&mut self, change: Changed) {
         self.place.upto += 1;
         self.packed.get_mut().clear();
@@ -215,6 +226,7 @@
             whole: behind.is_none(),
             changes: self.packed(behind),
             proof: stand.proof,
+            restore: stand.restore,
             readings: self.told(now),
             verdicts: stand.verdicts,
             held: stand.held,
--- a/src/forward/follow.rs
+++ b/src/forward/follow.rs
@@ -196,7 +196,6 @@
 
 /// Takes a list that was asked for at `sent`; one of the configuration proves that it is the newest.
 pub fn note_list(vm: &Vm, kind: Kind, listing: &Listing, sent: Moment) {
-    vm.enter(listing.position().era);
     let source = Source { reader: None, as_of: listing.position() };
     let configuration = learn::take_all(vm, kind, &listing.items, &source);
     vm.feed.borrow_mut().note_read(kind, listing.position(), sent);
--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -234,12 +234,13 @@
                 return Worth::Old;
             }
         }
-        if news.era() < vm.era.newest() {
+        let position = news.position();
+        if position.era < vm.era.newest() {
             vm.log("news of an older era", &[("from", from.as_str().into())]);
             self.asked.declined(from, vm.now());
             return Worth::None;
         }
-        vm.enter(news.era());
+        vm.enter_with(position.era, news.restore.map(|restore| restore.at(asked)));
         let Some(changes) = news.changes.changes() else {
             let bytes = ("bytes", news.changes.size().into());
             vm.log("news not read", &[("from", from.as_str().into()), bytes]);
--- a/src/forward/learn.rs
+++ b/src/forward/learn.rs
@@ -29,6 +29,7 @@
 
 /// Applies all objects of a kind. Returns the revision of the configuration, if it is among them and reads.
 pub fn take_all(vm: &Vm, kind: Kind, objects: &[Object], source: &Source) -> Option<Revision> {
+    vm.enter_at(source.as_of);
     let configuration = take_kind(vm, kind, objects, source);
     // Requests may wait for a VM that has just started to know all.
     vm.proof.notify_waiters();
@@ -130,6 +131,7 @@
 
 /// Takes an object as it changed.
 pub fn take(vm: &Vm, kind: Kind, object: &Object, source: &Source) {
+    vm.enter_at(source.as_of);
     if matches!(kind, Kind::Config | Kind::Rollouts) {
         put(vm, kind, object, None);
     } else if is_newest(vm, kind, object, source) {
@@ -141,6 +143,7 @@
 
 /// An object is gone; a backend server may only have lapsed while the store was away.
 pub fn drop_object(vm: &Vm, kind: Kind, name: &str, lapsed: bool, source: &Source) {
+    vm.enter_at(source.as_of);
     // The operator takes neither away; what stands last stays in force.
     if matches!(kind, Kind::Config | Kind::Rollouts) {
         return;
@@ -165,6 +168,12 @@
     }
 }
 
+/// Applies what was ignored because the store had been restored, and nobody has written again.
+pub fn accept_copy(vm: &Vm) {
+    let servers: Vec<Object> = vm.feed.borrow().objects(Kind::Servers).collect();
+    servers.iter().for_each(|object| put_server(vm, object, None));
+}
+
 /// Takes a proof that `configuration` was the newest at `moment`, unless this VM has an older one.
 pub fn prove(vm: &Vm, moment: Moment, configuration: Revision) {
     let in_force = vm.routes().map(|table| table.revision).unwrap_or_default();
@@ -224,7 +233,12 @@
                 tell_entry(vm, object, &replica, source);
             }
             let id = replica.id.clone();
-            if vm.fleet.borrow_mut().put(replica, vm.now()) {
+            let mut fleet = vm.fleet.borrow_mut();
+            if vm.may_be_outdated(object.metadata.position) && !fleet.put_outdated(&replica) {
+                vm.log("entry of a restored store ignored", &[("server", id.as_str().into())]);
+                return;
+            }
+            if fleet.put(replica, vm.now()) {
                 let revision = object.metadata.position.revision.into();
                 vm.log(
                     "server started again",
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -31,7 +31,7 @@
 pub mod reader;
 mod relay;
 pub mod replica;
-mod restore;
+pub mod restore;
 pub mod role;
 mod roster;
 mod run;
--- a/src/forward/reader.rs
+++ b/src/forward/reader.rs
@@ -13,6 +13,7 @@
 use super::kind::Kind;
 use super::peer;
 use super::poison;
+use super::restore::Notice;
 use super::role::Decline;
 use super::tally::{self, Seen};
 use super::vm::Vm;
@@ -119,7 +120,8 @@
     let configuration = vm.routes().map(|table| table.revision);
     let proof = proof_age.zip(configuration);
     let proof = proof.map(|(age, configuration)| Proof { age, configuration });
-    let stand = Stand { origin: origin(vm), store, proof, verdicts, held };
+    let restore = Notice::of(vm, now);
+    let stand = Stand { origin: origin(vm), store, proof, restore, verdicts, held };
     Ok(vm.feed.borrow().since(place, stand, now))
 }
 
--- a/src/forward/restore.rs
+++ b/src/forward/restore.rs
@@ -1,9 +1,64 @@
-//! Notices that the platform's store was restored from a copy.
+//! What holds after the platform's store was restored from a copy.
+//!
+//! The copy lacks what was written last, and its owners write that again within a short time. Until then
+//! the copy does not undo what this VM knows to be newer.
 
 use std::rc::Rc;
 
+use serde::{Deserialize, Serialize};
+
 use super::era::Anomaly;
+use super::learn;
 use super::vm::Vm;
+use crate::unit::{Moment, Position, Span};
+
+/// Time after a restore within which owners write again what the copy lacks. Servers write every second
+/// or so; an operator's tool may take longer to notice.
+pub const REWRITTEN_WITHIN: Span = Span::secs(5);
+
+/// A restore that this VM noticed.
+#[derive(Clone, Copy, Debug)]
+pub struct Restore {
+    /// When.
+    pub at: Moment,
+    /// First position that was read in the new era; objects that changed later were written in it.
+    pub base: Option<Position>,
+}
+
+impl Restore {
+    /// Returns true if an object that last changed at `position` may stem from the copy, and its owner
+    /// may not have had time to write again.
+    pub fn covers(&self, position: Position, now: Moment) -> bool {
+        self.is_recent(now) && self.base.is_none_or(|base| position <= base)
+    }
+
+    /// Returns true if owners may not have had time to write again.
+    pub fn is_recent(&self, now: Moment) -> bool {
+        now.since(self.at) < REWRITTEN_WITHIN
+    }
+}
+
+/// A restore as one VM passes it on to another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// Time since it was noticed, when this is answered.
+    age: Span,
+    base: Position,
+}
+
+impl Notice {
+    /// Returns the notice of the last restore, if owners may not have had time to write again.
+    pub fn of(vm: &Vm, now: Moment) -> Option<Notice> {
+        let restore = (*vm.restored.borrow()).filter(|restore| restore.is_recent(now))?;
+        Some(Notice { age: now.since(restore.at), base: restore.base? })
+    }
+
+    /// Returns the restore, dated so that it cannot look later than it was if the question was sent at
+    /// `asked`.
+    pub fn at(self, asked: Moment) -> Restore {
+        Restore { at: Moment(asked.0.saturating_sub(self.age.0)), base: Some(self.base) }
+    }
+}
 
 /// Enters each new era of the store, whichever call it was that met it, and counts anomalies of the
 /// header until the process ends.
@@ -23,3 +78,21 @@
         vm.log("era of the store not taken", &[("why", anomaly.name().into())]);
     }
 }
+
+/// Applies what the copy says once its time is over, after each restore, until the process ends.
+pub async fn settle(vm: Rc<Vm>) {
+    let mut restored = vm.restored.subscribe();
+    loop {
+        let Ok(Some(restore)) = restored.wait_for(Option::is_some).await.map(|one| *one) else {
+            return;
+        };
+        let left = (restore.at + REWRITTEN_WITHIN).since(vm.now());
+        if left > Span(0) {
+            // A second restore begins a time of its own.
+            tokio::time::sleep(left.duration()).await;
+            continue;
+        }
+        vm.restored.send_if_modified(|one| one.take().is_some());
+        learn::accept_copy(&vm);
+    }
+}
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -156,6 +156,20 @@
         }
     }
 
+    /// Takes an entry that may be older than what is known of its server. Returns true if it counts: nothing is known
+    /// that it could take back. A life that leaves does so for good, so a word of that is never too old.
+    pub fn put_outdated(&mut self, replica: &Replica) -> bool {
+        let is_same = |known: &Replica| known.is_life_of(replica);
+        match (self.servers.get_mut(&replica.id), self.past.get(&replica.id)) {
+            (Some(server), _) if is_same(&server.replica) => {
+                server.lapsed = false;
+                server.replica == *replica || !replica.ready
+            }
+            (Some(_), _) => false,
+            (None, past) => !past.is_some_and(|past| is_same(&past.replica)),
+        }
+    }
+
     /// An entry went. With `in_outage` it may have lapsed and is kept a while.
     pub fn remove(&mut self, id: &Id, in_outage: bool, now: Moment) {
         if !in_outage {
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -14,6 +14,7 @@
 use super::metrics::Metrics;
 use super::peer::Peers;
 use super::replica::Rollout;
+use super::restore::Restore;
 use super::role::{Decline, Role};
 use super::server::{Fleet, LAPSED_FOR};
 use super::session::Sessions;
@@ -27,7 +28,7 @@
 use crate::decide::pressure::Pressure;
 use crate::decide::reader::Rank;
 use crate::platform::objects::{Objects, Trouble};
-use crate::unit::{Era, Model, Moment, Service, Span};
+use crate::unit::{Era, Model, Moment, Position, Service, Span};
 use crate::vm::Clock;
 use crate::watch::line::{Lines, Value};
 use crate::watch::name::Names;
@@ -59,6 +60,8 @@
     pub era: Rc<Tracker>,
     /// Era that this VM has entered.
     pub entered: Cell<Option<Era>>,
+    /// The last restore of the store, until owners have had time to write again what the copy lacks.
+    pub restored: tokio::sync::watch::Sender<Option<Restore>>,
     /// How new what it knows of the platform's objects is.
     pub known: RefCell<Known>,
     /// Backend servers.
@@ -140,6 +143,7 @@
             table: RefCell::default(),
             era: Rc::default(),
             entered: Cell::new(None),
+            restored: tokio::sync::watch::Sender::new(None),
             known: RefCell::default(),
             fleet: RefCell::default(),
             rollouts: RefCell::default(),
@@ -224,9 +228,15 @@
         }
     }
 
-    /// Enters an era of the store. If it is a later one, the store was restored from a copy: entries of
-    /// backend servers may be missing for a while, and all kinds are to be listed again.
+    /// Enters an era of the store that an answer named.
     pub fn enter(&self, era: Era) {
+        self.enter_with(era, Some(Restore { at: self.now(), base: None }));
+    }
+
+    /// Enters an era of the store. If it is a later one, the store was restored from a copy: entries of
+    /// backend servers may be missing for a while, and all kinds are to be listed again. `restore` is
+    /// none if owners have had time to write again what the copy lacks.
+    pub fn enter_with(&self, era: Era, restore: Option<Restore>) {
         self.era.advance(era);
         let before = self.entered.get();
         if before >= Some(era) {
@@ -237,10 +247,28 @@
         if before.is_some() {
             self.log("store restored", &[("era", era.0.into())]);
             self.store_back.set(Some(self.now()));
+            self.restored.send_replace(restore);
             self.regained.send_modify(|times| *times += 1);
         }
     }
 
+    /// Enters the era of a position that was read.
+    pub fn enter_at(&self, position: Position) {
+        self.enter(position.era);
+        let is_first = |restore: &mut Restore| {
+            let is_first = restore.base.is_none() && self.entered.get() == Some(position.era);
+            restore.base = restore.base.or(is_first.then_some(position));
+            is_first
+        };
+        self.restored.send_if_modified(|restore| restore.as_mut().is_some_and(is_first));
+    }
+
+    /// Returns true if an object that last changed at `position` may stem from a copy that the store was
+    /// restored from, and its owner may not have had time to write again.
+    pub fn may_be_outdated(&self, position: Position) -> bool {
+        self.restored.borrow().is_some_and(|restore| restore.covers(position, self.now()))
+    }
+
     /// Notes that a proof failed. While another VM reads for this one that changes nothing.
     pub fn store_failed(&self, why: &str) {
         if self.reads() && !self.store_lost.replace(true) {
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -61,7 +61,8 @@
 
 fn stand() -> Stand {
     let origin = Origin { reader: "vm".parse().unwrap(), hops: 0 };
-    Stand { origin, store: Store::Answers, proof: None, verdicts: Vec::new(), held: Vec::new() }
+    let (verdicts, held) = (Vec::new(), Vec::new());
+    Stand { origin, store: Store::Answers, proof: None, restore: None, verdicts, held }
 }
 
 /// Takes a list: what it lacks is removed, what it has is put.
--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -5,6 +5,7 @@
 use std::collections::{BTreeMap, HashSet};
 use std::time::{Duration, Instant};
 
+use kitepulley::forward::Vm as Inner;
 use kitepulley::forward::era::{Anomaly, Tracker};
 use kitepulley::forward::kind::Kind;
 use kitepulley::forward::known::Known;
@@ -65,6 +66,33 @@
     object("main", &at(0, version), json!({"version": version}))
 }
 
+/// The entry of a sound backend server with these fields.
+fn entry(fields: Value) -> Value {
+    let mut entry = json!({"service": "api", "address": "127.0.0.1:9", "zone": "here",
+        "version": "v1", "capacity": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": 1});
+    for (name, value) in fields.as_object().into_iter().flatten() {
+        entry[name] = value.clone();
+    }
+    entry
+}
+
+/// Applies one entry of a backend server, as it changed at a position.
+fn enter(vm: &Inner, changed: &Source, fields: Value) {
+    learn::take(vm, Kind::Servers, &object("r1", changed, entry(fields)), changed);
+}
+
+/// Applies a list of the store in its second era, in which the server's entry is as it was at an older
+/// revision.
+fn restore_entry(vm: &Inner, fields: Value) {
+    let entry = object("r1", &at(1, 3), entry(fields));
+    learn::take_all(vm, Kind::Servers, &[entry], &at(1, 5));
+}
+
+fn takes_work(vm: &Inner) -> bool {
+    let fleet = vm.fleet.borrow();
+    fleet.of(&"api".parse().unwrap(), vm.now()).any(|server| server.replica.id.as_str() == "r1")
+}
+
 fn status(vm: &Vm, key: &str) -> u16 {
     let more = format!("Authorization: Token {key}\r\n");
     ask(vm.callers, &head("GET /safe/x", "id", &more), b"").status
@@ -225,3 +253,44 @@
     assert_eq!(tracker.count(Anomaly::Implausible), 2);
     assert_eq!(tracker.count(Anomaly::Older), 1);
 }
+
+#[test]
+fn a_server_that_leaves_is_not_used_again_because_a_copy_calls_it_ready() {
+    let vm = bare_vm();
+    enter(&vm, &at(0, 3), json!({}));
+    enter(&vm, &at(0, 9), json!({"state": "draining"}));
+    restore_entry(&vm, json!({}));
+    assert!(!takes_work(&vm));
+    enter(&vm, &at(1, 6), json!({}));
+    assert!(takes_work(&vm), "it says in this era that it is ready");
+}
+
+#[test]
+fn a_server_that_has_gone_is_not_used_again_because_a_copy_names_it() {
+    let vm = bare_vm();
+    enter(&vm, &at(0, 3), json!({}));
+    learn::drop_object(&vm, Kind::Servers, "r1", false, &at(0, 9));
+    restore_entry(&vm, json!({}));
+    assert!(!takes_work(&vm));
+    enter(&vm, &at(1, 6), json!({"sequence": 9}));
+    assert!(takes_work(&vm), "it writes in this era");
+}
+
+#[test]
+fn a_later_life_of_a_server_goes_on_when_a_copy_names_the_earlier_one() {
+    let vm = bare_vm();
+    enter(&vm, &at(0, 3), json!({"born": 1000}));
+    enter(&vm, &at(0, 9), json!({"born": 2000}));
+    restore_entry(&vm, json!({"born": 1000}));
+    let fleet = vm.fleet.borrow();
+    assert_eq!(fleet.get(&"r1".parse().unwrap()).unwrap().replica.born, Some(2000));
+}
+
+#[test]
+fn a_server_that_a_copy_lacks_is_used_until_it_had_time_to_write_again() {
+    let vm = bare_vm();
+    learn::take_all(&vm, Kind::Servers, &[], &at(0, 2));
+    enter(&vm, &at(0, 9), json!({}));
+    learn::take_all(&vm, Kind::Servers, &[], &at(1, 5));
+    assert!(takes_work(&vm));
+}
