Orders and VMs that a copy lacks hold on until their owners had time to write them again

What a kind lacks in the new era is dropped 5 s after the restore, if the kind was read by then; an order that was withdrawn counts again then, if nobody has withdrawn it again.

--- a/src/forward/known.rs
+++ b/src/forward/known.rs
@@ -4,7 +4,7 @@
 use std::collections::{HashMap, HashSet};
 
 use super::kind::Kind;
-use crate::unit::Position;
+use crate::unit::{Era, Position};
 
 /// What is known of an object that is there.
 #[derive(Clone, Copy, Debug)]
@@ -61,6 +61,13 @@
         names.filter(|name| !listed.contains(name.as_str())).cloned().collect()
     }
 
+    /// Returns the objects of a kind that no answer of this era named.
+    pub fn of_earlier_eras(&self, kind: Kind, era: Era) -> Vec<String> {
+        let of_kind = self.objects.iter().filter(|((of, _), _)| *of == kind);
+        let earlier = of_kind.filter(|(_, known)| known.as_of.era < era);
+        earlier.map(|((_, name), _)| name.clone()).collect()
+    }
+
     fn gone_as_of(&self, kind: Kind) -> Position {
         self.gone_as_of.get(&kind).copied().unwrap_or_default()
     }
--- a/src/forward/learn.rs
+++ b/src/forward/learn.rs
@@ -57,8 +57,12 @@
 fn replace(vm: &Vm, kind: Kind, objects: &[Object], may_lapse: bool, source: &Source) {
     let listed: HashSet<&str> = objects.iter().map(|one| one.metadata.name.as_str()).collect();
     let missing = vm.known.borrow_mut().missing(kind, &listed, source.as_of);
-    for name in missing {
-        drop_object(vm, kind, &name, may_lapse, source);
+    // A server that a copy lacks counts as lapsed, and what else it lacks stays until its owner has had
+    // time to write it again.
+    if kind == Kind::Servers || vm.restored.borrow().is_none() {
+        for name in missing {
+            drop_object(vm, kind, &name, may_lapse, source);
+        }
     }
     let (newest, older): (Vec<&Object>, Vec<&Object>) =
         objects.iter().partition(|object| is_newest(vm, kind, object, source));
@@ -107,6 +111,12 @@
 fn empty(vm: &Vm, object: &Object) {
     match object::emptied(object) {
         Ok(data_centre) => {
+            let is_outdated = vm.may_be_outdated(object.metadata.position);
+            if is_outdated && vm.fleet.borrow().was_refilled(&data_centre) {
+                let data_centre = ("data_centre", data_centre.as_str().into());
+                vm.log("order of a restored store ignored", &[data_centre]);
+                return;
+            }
             if vm.fleet.borrow_mut().empty(&data_centre) {
                 let revision = object.metadata.position.revision;
                 let fields =
@@ -170,8 +180,19 @@
 
 /// Applies what was ignored because the store had been restored, and nobody has written again.
 pub fn accept_copy(vm: &Vm) {
-    let servers: Vec<Object> = vm.feed.borrow().objects(Kind::Servers).collect();
-    servers.iter().for_each(|object| put_server(vm, object, None));
+    let Some(restore) = vm.restored.send_replace(None) else { return };
+    let as_of = restore.base.unwrap_or(Position::new(vm.era.newest(), 0));
+    for kind in [Kind::Evacuations, Kind::Vms] {
+        let read = vm.feed.borrow().reading(kind);
+        if read.is_some_and(|reading| reading.position.era == as_of.era) {
+            let missing = vm.known.borrow().of_earlier_eras(kind, as_of.era);
+            let source = Source { reader: None, as_of };
+            missing.iter().for_each(|name| drop_object(vm, kind, name, false, &source));
+        }
+    }
+    let objects = |kind| -> Vec<Object> { vm.feed.borrow().objects(kind).collect() };
+    objects(Kind::Evacuations).iter().for_each(|object| empty(vm, object));
+    objects(Kind::Servers).iter().for_each(|object| put_server(vm, object, None));
 }
 
 /// Takes a proof that `configuration` was the newest at `moment`, unless this VM has an older one.
--- a/src/forward/restore.rs
+++ b/src/forward/restore.rs
@@ -92,7 +92,6 @@
             tokio::time::sleep(left.duration()).await;
             continue;
         }
-        vm.restored.send_if_modified(|one| one.take().is_some());
         learn::accept_copy(&vm);
     }
 }
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -120,6 +120,8 @@
     past: HashMap<Id, Past>,
     /// Data centres whose servers get nothing new.
     emptied: HashSet<DataCentre>,
+    /// Data centres of which an order to empty them was withdrawn last.
+    refilled: HashSet<DataCentre>,
     /// The version of a service that is in use when no roll-out says otherwise.
     usual: HashMap<Service, Version>,
 }
@@ -217,14 +219,21 @@
 
     /// Takes an order to empty a data centre. Whether it is news.
     pub fn empty(&mut self, data_centre: &DataCentre) -> bool {
+        self.refilled.remove(data_centre);
         self.emptied.insert(data_centre.clone())
     }
 
+    /// Returns true if the last order to empty a data centre was withdrawn.
+    pub fn was_refilled(&self, data_centre: &DataCentre) -> bool {
+        self.refilled.contains(data_centre)
+    }
+
     /// The order to empty a data centre is withdrawn. Whether there was one. Its servers may have gone cold meanwhile,
     /// and their entries that say so may still be on the way.
     pub fn take_back(&mut self, data_centre: &DataCentre, now: Moment) -> bool {
         let was_emptied = self.emptied.remove(data_centre);
         if was_emptied {
+            self.refilled.insert(data_centre.clone());
             let there = |one: &&mut Server| one.replica.data_centre == *data_centre;
             let servers = self.servers.values_mut().filter(there);
             servers.for_each(|server| server.doubted_since = Some(now));
--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -294,3 +294,61 @@
     learn::take_all(&vm, Kind::Servers, &[], &at(1, 5));
     assert!(takes_work(&vm));
 }
+
+/// Applies a list of a kind that the store answered.
+fn list(vm: &Inner, kind: Kind, items: &[Object], read: &Source) {
+    learn::take_all(vm, kind, items, read);
+    vm.feed.borrow_mut().note_read(kind, read.as_of, vm.now());
+}
+
+/// The order to empty the data centre of the server.
+fn order(changed: &Source) -> [Object; 1] {
+    [object("here", changed, json!({}))]
+}
+
+#[test]
+fn an_order_to_empty_a_data_centre_holds_on_when_a_copy_lacks_it() {
+    let vm = bare_vm();
+    enter(&vm, &at(0, 3), json!({}));
+    list(&vm, Kind::Evacuations, &order(&at(0, 8)), &at(0, 9));
+    list(&vm, Kind::Evacuations, &[], &at(1, 5));
+    assert!(!takes_work(&vm));
+    learn::accept_copy(&vm);
+    assert!(takes_work(&vm), "nobody has ordered it again");
+    list(&vm, Kind::Evacuations, &order(&at(1, 9)), &at(1, 9));
+    assert!(!takes_work(&vm), "it is ordered again");
+}
+
+#[test]
+fn an_order_to_empty_a_data_centre_holds_on_until_the_restored_store_was_read() {
+    let vm = bare_vm();
+    enter(&vm, &at(0, 3), json!({}));
+    list(&vm, Kind::Evacuations, &order(&at(0, 8)), &at(0, 9));
+    list(&vm, Kind::Vms, &[], &at(1, 5));
+    learn::accept_copy(&vm);
+    assert!(!takes_work(&vm));
+}
+
+#[test]
+fn an_order_that_was_withdrawn_does_not_come_back_because_a_copy_names_it() {
+    let vm = bare_vm();
+    enter(&vm, &at(0, 3), json!({}));
+    list(&vm, Kind::Evacuations, &order(&at(0, 4)), &at(0, 4));
+    list(&vm, Kind::Evacuations, &[], &at(0, 9));
+    list(&vm, Kind::Evacuations, &order(&at(1, 4)), &at(1, 5));
+    assert!(takes_work(&vm));
+    learn::accept_copy(&vm);
+    assert!(!takes_work(&vm), "nobody has withdrawn it again");
+}
+
+#[test]
+fn a_vm_that_a_copy_lacks_stays_a_peer_until_it_had_time_to_write_again() {
+    let vm = bare_vm();
+    let place = json!({"address": "127.0.0.1:9", "data_centre": "here", "share": 250});
+    let is_named = |vm: &Inner| vm.peers.borrow().names().any(|name| name.as_str() == "vm-b");
+    list(&vm, Kind::Vms, &[object("vm-b", &at(0, 9), place)], &at(0, 9));
+    list(&vm, Kind::Vms, &[], &at(1, 5));
+    assert!(is_named(&vm));
+    learn::accept_copy(&vm);
+    assert!(!is_named(&vm));
+}
