An older copy does not take a roll-out back, and its status is written again

The phase of one order only advances across a restore; VMs that know more than the store write it, the reader at once and its followers a second later if nobody did. Nothing is written at a revision of another era.

--- a/src/forward/learn.rs
+++ b/src/forward/learn.rs
@@ -190,6 +190,8 @@
             missing.iter().for_each(|name| drop_object(vm, kind, name, false, &source));
         }
     }
+    let put_off = vm.put_off.take();
+    put_off.values().for_each(|object| put_rollout(vm, object));
     let objects = |kind| -> Vec<Object> { vm.feed.borrow().objects(kind).collect() };
     objects(Kind::Evacuations).iter().for_each(|object| empty(vm, object));
     objects(Kind::Servers).iter().for_each(|object| put_server(vm, object, None));
@@ -300,14 +302,30 @@
 
 /// Applies the state of a roll-out unless a newer one is known.
 pub fn put_rollout(vm: &Vm, object: &Object) {
-    let rollout = match object::rollout(object) {
+    let mut rollout = match object::rollout(object) {
         Ok(rollout) => rollout,
         Err(why) => return unreadable(vm, ROLLOUTS, object, &why),
     };
-    let known = vm.rollouts.borrow().get(&rollout.service).map(|known| known.position);
-    if known.is_some_and(|known| known >= rollout.position) {
-        return;
+    let known = vm.rollouts.borrow().get(&rollout.service).cloned();
+    if let Some(known) = known {
+        let is_restored = known.position.era < rollout.position.era;
+        if known.position >= rollout.position {
+            return;
+        }
+        if known.is_same_order(&rollout) {
+            if is_restored || vm.restored.borrow().is_some() {
+                rollout.keep_progress(&known);
+            }
+        } else if is_restored && vm.may_be_outdated(rollout.position) {
+            vm.log(
+                "order of a restored store ignored",
+                &[("service", known.service.as_str().into())],
+            );
+            vm.put_off.borrow_mut().insert(known.service, object.clone());
+            return;
+        }
     }
+    vm.put_off.borrow_mut().remove(&rollout.service);
     vm.feed.borrow_mut().put(Kind::Rollouts, object);
     apply_rollout(vm, rollout);
 }
@@ -325,6 +343,7 @@
         ("version", rollout.version.as_str().into()),
         ("phase", phase.as_str().into()),
         ("share", share.into()),
+        ("unwritten", rollout.is_unwritten().into()),
         ("era", rollout.position.era.0.into()),
         ("store_revision", rollout.position.revision.into()),
     ];
--- a/src/forward/replica.rs
+++ b/src/forward/replica.rs
@@ -63,15 +63,44 @@
     pub version: Version,
     /// Time in which it is to be done.
     pub within: Span,
-    /// How far it has come; none before the first step.
+    /// How far it has come, as far as this VM knows; none before the first step.
     pub phase: Option<Phase>,
+    /// The phase that the store has.
+    pub stored: Option<Phase>,
     /// The object's position, for a conditional update.
     pub position: Position,
 }
 
 impl Rollout {
+    /// Returns true if this is the same order as another.
+    pub fn is_same_order(&self, other: &Rollout) -> bool {
+        let order = |one: &Rollout| (one.service.clone(), one.version.clone(), one.within);
+        order(self) == order(other)
+    }
+
+    /// Keeps the phase of an earlier state of the same order if that has come further.
+    pub fn keep_progress(&mut self, earlier: &Rollout) {
+        if progress(earlier.phase) >= progress(self.phase) {
+            self.phase = earlier.phase;
+        }
+    }
+
+    /// Returns true if the store does not have the phase that this VM knows.
+    pub fn is_unwritten(&self) -> bool {
+        self.phase != self.stored
+    }
+
     /// Whether it has not ended, in either way.
     pub fn is_open(&self) -> bool {
         !matches!(self.phase, Some(Phase::Completed | Phase::RolledBack))
     }
 }
+
+/// Orders the phases of one order by how far it has come; both ends are as far.
+fn progress(phase: Option<Phase>) -> (u8, f64) {
+    match phase {
+        None => (0, 0.0),
+        Some(Phase::Running { share }) => (1, share),
+        Some(Phase::Completed | Phase::RolledBack) => (2, 0.0),
+    }
+}
--- a/src/forward/steps.rs
+++ b/src/forward/steps.rs
@@ -48,7 +48,8 @@
         tokio::time::sleep(LOOK).await;
         let open: Vec<Service> = {
             let rollouts = vm.rollouts.borrow();
-            rollouts.values().filter(|one| one.is_open()).map(|one| one.service.clone()).collect()
+            let is_due = |one: &&Rollout| one.is_open() || one.is_unwritten();
+            rollouts.values().filter(is_due).map(|one| one.service.clone()).collect()
         };
         for service in open {
             tell_news(&vm, &service);
@@ -138,7 +139,8 @@
 fn due(vm: &Vm, service: &Service) -> Option<Due> {
     let now = vm.now();
     let rollouts = vm.rollouts.borrow();
-    let rollout = rollouts.get(service)?;
+    // The revision of another era would name another state.
+    let rollout = rollouts.get(service).filter(|one| one.position.era == vm.era.newest())?;
     let trials = vm.trials.borrow();
     let trial = trials.get(service)?;
     let fleet = vm.fleet.borrow();
@@ -157,8 +159,9 @@
         seen,
         evidence,
     };
-    match canary::next(&known) {
-        Step::Hold => None,
-        Step::Move(phase) => Some(Due { rollout: rollout.clone(), phase, known }),
-    }
+    let phase = match canary::next(&known) {
+        Step::Hold => rollout.phase.filter(|_| rollout.is_unwritten())?,
+        Step::Move(phase) => phase,
+    };
+    Some(Due { rollout: rollout.clone(), phase, known })
 }
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -27,6 +27,7 @@
 use crate::decide::poison::Exchange;
 use crate::decide::pressure::Pressure;
 use crate::decide::reader::Rank;
+use crate::platform::object::Object;
 use crate::platform::objects::{Objects, Trouble};
 use crate::unit::{Era, Model, Moment, Position, Service, Span};
 use crate::vm::Clock;
@@ -68,6 +69,8 @@
     pub fleet: RefCell<Fleet>,
     /// Roll-outs by service.
     pub rollouts: RefCell<HashMap<Service, Rollout>>,
+    /// Roll-outs of a copy that the store was restored from, while a later order is known.
+    pub put_off: RefCell<HashMap<Service, Object>>,
     /// What was seen of roll-outs.
     pub trials: RefCell<HashMap<Service, Trials>>,
     /// Sessions seen of late.
@@ -147,6 +150,7 @@
             known: RefCell::default(),
             fleet: RefCell::default(),
             rollouts: RefCell::default(),
+            put_off: RefCell::default(),
             trials: RefCell::default(),
             sessions: RefCell::default(),
             kept: RefCell::default(),
--- a/src/platform/object.rs
+++ b/src/platform/object.rs
@@ -340,6 +340,7 @@
         version: order.target_version,
         within: millis(order.duration_s * 1000.0),
         phase,
+        stored: phase,
         position: object.metadata.position,
     })
 }
--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -10,6 +10,7 @@
 use kitepulley::forward::kind::Kind;
 use kitepulley::forward::known::Known;
 use kitepulley::forward::learn::{self, Source};
+use kitepulley::forward::replica::Phase;
 use kitepulley::platform::object::Object;
 use kitepulley::standin::platform::{Snapshot, Switches};
 use kitepulley::unit::{Era, Position, Revision};
@@ -352,3 +353,96 @@
     learn::accept_copy(&vm);
     assert!(!is_named(&vm));
 }
+
+/// A roll-out of the service to a version, as it stood after a change.
+fn rollout(changed: &Source, version: &str, state: Value) -> Object {
+    let spec = json!({"service": "api", "target_version": version, "duration_s": 60});
+    let mut rollout = object("api", changed, spec);
+    if !state.is_null() {
+        rollout.status = json!({"target_version": version, "state": state, "share": 0.1});
+    }
+    rollout
+}
+
+fn list_rollout(vm: &Inner, rollout: Object, read: &Source) {
+    list(vm, Kind::Rollouts, &[rollout], read);
+}
+
+/// Version and phase of the roll-out as a VM knows them.
+fn known_rollout(vm: &Inner) -> (String, Option<Phase>) {
+    let rollouts = vm.rollouts.borrow();
+    let rollout = &rollouts[&"api".parse().unwrap()];
+    (rollout.version.to_string(), rollout.phase)
+}
+
+#[test]
+fn a_roll_out_that_has_ended_does_not_go_on_because_a_copy_is_older() {
+    for (state, phase) in [("rolled_back", Phase::RolledBack), ("completed", Phase::Completed)] {
+        for copy in [json!("in_progress"), Value::Null] {
+            let vm = bare_vm();
+            list_rollout(&vm, rollout(&at(0, 8), "v2", json!(state)), &at(0, 9));
+            list_rollout(&vm, rollout(&at(1, 4), "v2", copy.clone()), &at(1, 5));
+            assert_eq!(known_rollout(&vm), ("v2".into(), Some(phase)), "{copy}");
+            learn::accept_copy(&vm);
+            assert_eq!(known_rollout(&vm), ("v2".into(), Some(phase)), "{copy}");
+        }
+    }
+}
+
+#[test]
+fn the_share_of_a_roll_out_does_not_fall_because_a_copy_is_older() {
+    let vm = bare_vm();
+    list_rollout(&vm, rollout(&at(0, 8), "v2", json!("in_progress")), &at(0, 9));
+    list_rollout(&vm, rollout(&at(1, 4), "v2", Value::Null), &at(1, 5));
+    assert_eq!(known_rollout(&vm).1, Some(Phase::Running { share: 0.1 }));
+}
+
+#[test]
+fn an_order_of_a_roll_out_holds_on_when_a_copy_names_an_earlier_one() {
+    let vm = bare_vm();
+    list_rollout(&vm, rollout(&at(0, 8), "v3", json!("in_progress")), &at(0, 9));
+    list_rollout(&vm, rollout(&at(1, 4), "v2", json!("completed")), &at(1, 5));
+    assert_eq!(known_rollout(&vm), ("v3".into(), Some(Phase::Running { share: 0.1 })));
+    learn::take(&vm, Kind::Rollouts, &rollout(&at(1, 6), "v3", Value::Null), &at(1, 6));
+    assert_eq!(known_rollout(&vm), ("v3".into(), Some(Phase::Running { share: 0.1 })));
+}
+
+#[test]
+fn an_order_of_a_roll_out_that_nobody_gives_again_ends() {
+    let vm = bare_vm();
+    list_rollout(&vm, rollout(&at(0, 8), "v3", Value::Null), &at(0, 9));
+    list_rollout(&vm, rollout(&at(1, 4), "v2", json!("completed")), &at(1, 5));
+    learn::accept_copy(&vm);
+    assert_eq!(known_rollout(&vm), ("v2".into(), Some(Phase::Completed)));
+}
+
+#[test]
+fn a_version_found_bad_stays_out_of_use_and_its_status_is_written_again_once() {
+    let mut site = site();
+    let _old = site.replica("r1", "v1");
+    let bad = site.replica("r2", "v2");
+    let order = json!({"service": "api", "target_version": "v2", "duration_s": 60});
+    site.store.put("rollouts", "api", order.clone());
+    let running = json!({"target_version": "v2", "state": "in_progress", "share": 1.0});
+    site.store.set_status("rollouts", "api", running);
+    let copy = site.store.snapshot();
+    let back = json!({"target_version": "v2", "state": "rolled_back"});
+    site.store.set_status("rollouts", "api", back);
+    let vms = start(&mut site);
+    let before = bad.seen().len();
+    site.store.restore(copy);
+    let state = |site: &Site| site.store.status("rollouts", "api")["state"].clone();
+    assert_eq!(state(&site), "in_progress");
+    // The copy lacks the configuration too; the operator writes it again.
+    site.publish();
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(3) {
+        for vm in &vms {
+            status(vm, "first");
+        }
+    }
+    assert_eq!(state(&site), "rolled_back");
+    assert_eq!(bad.seen().len(), before);
+    let moved = |vm: &Vm| vm.lines().iter().filter(|one| one["event"] == "roll-out moved").count();
+    assert_eq!(vms.iter().map(moved).sum::<usize>(), 1);
+}
