VMs write their entries and the key of their links again when a copy lacks them

After a restore each VM looks once whether the restored store names it, and the VM that reads writes the key unless there is one.

--- a/src/forward/known.rs
+++ b/src/forward/known.rs
@@ -61,6 +61,12 @@
         names.filter(|name| !listed.contains(name.as_str())).cloned().collect()
     }
 
+    /// Returns true if an answer of this era named an object.
+    pub fn is_of_era(&self, kind: Kind, name: &str, era: Era) -> bool {
+        let known = self.objects.get(&(kind, name.to_owned()));
+        known.is_some_and(|known| known.as_of.era == era)
+    }
+
     /// Returns the objects of a kind that no answer of this era named.
     pub fn of_earlier_eras(&self, kind: Kind, era: Era) -> Vec<String> {
         let of_kind = self.objects.iter().filter(|((of, _), _)| *of == kind);
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -158,8 +158,12 @@
     spawn(hear(vm.clone(), incoming));
     roster::join(&vm, &mut store, address).await;
     vm.peers_named.notify_one();
+    let mut joined = vm.era.newest();
     loop {
         look(&vm, &mut store).await;
+        if joined < vm.era.newest() {
+            joined = roster::rejoin(&vm, &mut store, address, &key).await.unwrap_or(joined);
+        }
         tokio::time::sleep(LOOK).await;
     }
 }
--- a/src/forward/roster.rs
+++ b/src/forward/roster.rs
@@ -12,7 +12,7 @@
 use super::vm::Vm;
 use crate::platform::object::Object;
 use crate::platform::objects::{Objects, Read, Trouble};
-use crate::unit::{Span, Vm as Name};
+use crate::unit::{Era, Span, Vm as Name};
 
 /// The kind and name of the object that holds the key of the links between VMs. The deploy file
 /// is public, so the first VM makes a key and all take it from there.
@@ -96,6 +96,40 @@
     names(vm, store, &entry, Read::Newest).await;
 }
 
+/// Writes again what this VM wrote and a copy that the store was restored from lacks. Returns the era in which the store
+/// has it, or none if the VMs that the restored store names are not known yet.
+pub async fn rejoin(vm: &Vm, store: &mut Objects, address: SocketAddr, key: &str) -> Option<Era> {
+    let era = vm.era.newest();
+    let read = vm.feed.borrow().reading(Kind::Vms)?;
+    if read.position.era < era {
+        return None;
+    }
+    if vm.reads() {
+        restore_key(vm, store, key).await;
+    }
+    let is_named = vm.known.borrow().is_of_era(Kind::Vms, vm.settings.vm.as_str(), era);
+    if !is_named {
+        vm.log("entry written again", &[("era", era.0.into())]);
+        register(vm, store, &json!(Place::of(&vm.settings, address))).await;
+    }
+    Some(era)
+}
+
+/// Writes the key of the links unless the store has one.
+async fn restore_key(vm: &Vm, store: &mut Objects, key: &str) {
+    let created = store.create(KEYS, LINKS, json!({"key": key})).await;
+    vm.count_call("key-create", &created);
+    match created {
+        Ok(_) => vm.log("key of the links written again", &[]),
+        Err(Trouble::Conflict(Some(object))) if object.spec["key"] == key => {}
+        Err(Trouble::Conflict(_)) => vm.log("the store has another key of the links", &[]),
+        Err(trouble) => {
+            let why = trouble.to_string();
+            vm.log("key of the links not written", &[("why", why.as_str().into())]);
+        }
+    }
+}
+
 /// Takes the VMs that the store names. Whether this one's entry is among them.
 async fn names(vm: &Vm, store: &mut Objects, entry: &Place, read: Read) -> bool {
     let call = if read == Read::Newest { "list-vms" } else { "list-vms-stale" };
--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -446,3 +446,23 @@
     let moved = |vm: &Vm| vm.lines().iter().filter(|one| one["event"] == "roll-out moved").count();
     assert_eq!(vms.iter().map(moved).sum::<usize>(), 1);
 }
+
+#[test]
+fn vms_write_again_what_they_wrote_and_a_copy_lacks() {
+    let mut site = site();
+    let _server = site.replica("r1", "v1");
+    site.publish();
+    let copy = site.store.snapshot();
+    let vms = start(&mut site);
+    let written = |kind: &str| site.store.bodies(kind);
+    let (entries, keys) = (written("kitepulley-vms/"), written("kitepulley-keys/"));
+    assert_eq!((entries.len(), keys.len()), (VMS, 1));
+    site.store.restore(copy);
+    assert!(written("kitepulley-vms/").is_empty() && written("kitepulley-keys/").is_empty());
+    eventually("all entries are there", || written("kitepulley-vms/") == entries);
+    eventually("the key is there", || written("kitepulley-keys/") == keys);
+    // The configuration that the copy lacks is in force on a VM that starts now.
+    let late = site.start();
+    eventually("it is ready", || late.is_ready());
+    assert!(vms.iter().chain([&late]).all(|vm| status(vm, "first") == 200));
+}
