A VM that starts again after a kill resets the connections of the process before

The key of QUIC's stateless resets now follows from the fleet's key instead of being drawn by each process.

--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -1,12 +1,17 @@
 //! Links between VMs: QUIC with mutual TLS from the fleet's key.
 
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use hmac::{Hmac, Mac};
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
-use quinn::{ClientConfig, Connection, Endpoint, ServerConfig, TransportConfig};
+use quinn::crypto::{CryptoError, HmacKey};
+use quinn::{
+    ClientConfig, Connection, ConnectionId, ConnectionIdGenerator, Endpoint, EndpointConfig,
+    ServerConfig, TransportConfig,
+};
 use rcgen::{BasicConstraints, CertificateParams, DnType, IsCa, Issuer, KeyPair};
 use rustls::RootCertStore;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, PrivatePkcs8KeyDer};
@@ -25,6 +30,9 @@
 /// A link without traffic is closed after this; neighbours probe more often.
 const IDLE: Duration = Duration::from_secs(20);
 
+/// Bytes of a connection's id.
+const ID_BYTES: usize = 8;
+
 /// A call that takes longer is given up.
 const CALL_WITHIN: Duration = Duration::from_millis(1000);
 
@@ -36,6 +44,52 @@
     Call(Vec<u8>, tokio::sync::oneshot::Sender<Vec<u8>>),
 }
 
+/// Key of stateless resets. It follows from the fleet's key, so that a process that starts again at its
+/// address resets the connections of the one before, which would else lose all messages until they idle out.
+struct ResetKey([u8; 32]);
+
+impl ResetKey {
+    fn of(fleet_key: &[u8]) -> ResetKey {
+        let seed = Sha256::new().chain_update(b"kitepulley resets ").chain_update(fleet_key);
+        ResetKey(seed.finalize().into())
+    }
+
+    fn mac(&self, data: &[u8]) -> Hmac<Sha256> {
+        Hmac::<Sha256>::new_from_slice(&self.0).expect("any length does").chain_update(data)
+    }
+}
+
+impl HmacKey for ResetKey {
+    fn sign(&self, data: &[u8], signature: &mut [u8]) {
+        signature.copy_from_slice(&self.mac(data).finalize().into_bytes());
+    }
+
+    fn signature_len(&self) -> usize {
+        Sha256::output_size()
+    }
+
+    fn verify(&self, data: &[u8], signature: &[u8]) -> Result<(), CryptoError> {
+        self.mac(data).verify_slice(signature).map_err(|_| CryptoError)
+    }
+}
+
+/// Draws the ids of connections. All ids are valid, so that those of the process before are reset.
+struct RandomIds;
+
+impl ConnectionIdGenerator for RandomIds {
+    fn generate_cid(&mut self) -> ConnectionId {
+        ConnectionId::new(&rand::random::<[u8; ID_BYTES]>())
+    }
+
+    fn cid_len(&self) -> usize {
+        ID_BYTES
+    }
+
+    fn cid_lifetime(&self) -> Option<Duration> {
+        None
+    }
+}
+
 /// The links of one VM.
 #[derive(Clone)]
 pub struct Links {
@@ -120,7 +174,13 @@
     ) -> Result<Links, Error> {
         let fault = |cause: String| Error::Bind(address.to_string(), cause);
         let (server, client) = configs(fleet_key).map_err(|e| fault(e.to_string()))?;
-        let mut endpoint = Endpoint::server(server, address).map_err(|e| fault(e.to_string()))?;
+        let reset_key = ResetKey::of(fleet_key);
+        let mut config = EndpointConfig::new(Arc::new(reset_key));
+        config.cid_generator(|| Box::new(RandomIds));
+        let runtime = quinn::default_runtime().ok_or_else(|| fault("no runtime".to_owned()))?;
+        let socket = UdpSocket::bind(address).map_err(|e| fault(e.to_string()))?;
+        let endpoint = Endpoint::new(config, Some(server), socket, runtime);
+        let mut endpoint = endpoint.map_err(|e| fault(e.to_string()))?;
         endpoint.set_default_client_config(client);
         let links =
             Links { endpoint, open: Arc::default(), cut: Arc::default(), bytes: Arc::default() };
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -901,3 +901,18 @@
     let told = || vm.lines().iter().filter(|line| line["event"] == "unknown header").count();
     eventually("one line a name, and one for the others", || told() == 33);
 }
+
+#[test]
+fn a_vm_that_starts_again_after_a_kill_is_told_things_at_once() {
+    let mut site = site();
+    site.replica("r1", "v1");
+    let mut vms = [site.start_ready(), site.start(), site.start()];
+    let heard =
+        |vm: &site::Vm| vm.lines().iter().filter(|one| one["event"] == "peer heard").count();
+    eventually("all hear one another", || vms.iter().all(|vm| heard(vm) == 2));
+    vms[0].kill();
+    vms[0].start_again();
+    let started = Instant::now();
+    eventually("it hears the others", || heard(&vms[0]) == 4);
+    assert!(started.elapsed() < Duration::from_secs(4), "{:?}", started.elapsed());
+}
