--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -240,7 +240,7 @@
             self.asked.declined(from, vm.now());
             return Worth::None;
         }
-        vm.enter_with(position.era, news.restore.map(|restore| restore.at(asked)));
+        vm.enter_with(position.era, news.restore.as_ref().map(|restore| restore.at(asked)));
         let Some(changes) = news.changes.changes() else {
             let bytes = ("bytes", news.changes.size().into());
             vm.log("news not read", &[("from", from.as_str().into()), bytes]);
@@ -254,6 +254,8 @@
         tally::hear_verdicts(&vm, &news.verdicts);
         poison::hear_held(&vm, from.as_str(), &news.held, asked);
         apply(&vm, asked, from, news, &changes);
+        let disputed = news.restore.iter().flat_map(|restore| &restore.disputed);
+        disputed.for_each(|life| vm.fleet.borrow_mut().dispute(life, vm.now()));
         let age = news.reading(Kind::Servers).map(|told| told.age);
         self.known = self.known.max(dated(asked, age));
         vm.origin.replace(Some(Origin { reader: reader.clone(), hops: hops + 1 }));
--- a/src/forward/learn.rs
+++ b/src/forward/learn.rs
@@ -190,6 +190,7 @@
             missing.iter().for_each(|name| drop_object(vm, kind, name, false, &source));
         }
     }
+    vm.fleet.borrow_mut().settle_disputes();
     let put_off = vm.put_off.take();
     put_off.values().for_each(|object| put_rollout(vm, object));
     let objects = |kind| -> Vec<Object> { vm.feed.borrow().objects(kind).collect() };
@@ -258,7 +259,10 @@
             let id = replica.id.clone();
             let mut fleet = vm.fleet.borrow_mut();
             if vm.may_be_outdated(object.metadata.position) && !fleet.put_outdated(&replica) {
-                vm.log("entry of a restored store ignored", &[("server", id.as_str().into())]);
+                if fleet.get(&id).is_none_or(|known| known.replica != replica) {
+                    vm.log("entry of a restored store ignored", &[("server", id.as_str().into())]);
+                    vm.disputes.notify_one();
+                }
                 return;
             }
             if fleet.put(replica, vm.now()) {
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -218,9 +218,7 @@
         }
         Word::Kept { service, version, draws } => kept::hear(vm, &service, &version, draws),
         Word::Poison(news) => poison::hear(vm, from.as_str(), &news),
-        Word::Leaves { server, born, address } => {
-            said::hear_leave(vm, from.as_str(), &server, born, address);
-        }
+        Word::Leaves(life) => said::hear_leave(vm, from.as_str(), &life),
         Word::Limit { server, born, address, rate, age } => {
             let from = from.as_str();
             said::hear_limit(vm, &Told { from, server: &server, born, address, rate, age });
--- a/src/forward/replica.rs
+++ b/src/forward/replica.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::unit::{DataCentre, Position, Server, Service, Span, Version};
 
 /// One life of a backend server.
@@ -34,12 +36,28 @@
         self.is_life(&other.id, other.born, other.address)
     }
 
+    /// Returns what names this life.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation { server: self.id.clone(), born: self.born, address: self.address }
+    }
+
     /// The same, of a life that is told of by what names it.
     pub fn is_life(&self, id: &Server, born: Option<u64>, address: SocketAddr) -> bool {
         (&self.id, self.born, self.address) == (id, born, address)
     }
 }
 
+/// What names one life of a server between VMs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Incarnation {
+    /// Its id.
+    pub server: Server,
+    /// When that life began, by its own clock.
+    pub born: Option<u64>,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
 /// How far a roll-out has come, as it stands in the store.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Phase {
--- a/src/forward/restore.rs
+++ b/src/forward/restore.rs
@@ -4,11 +4,14 @@
 //! the copy does not undo what this VM knows to be newer.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::era::Anomaly;
 use super::learn;
+use super::peer::{self, Word};
+use super::replica::Incarnation;
 use super::vm::Vm;
 use crate::unit::{Moment, Position, Span};
 
@@ -16,6 +19,9 @@
 /// or so; an operator's tool may take longer to notice.
 pub const REWRITTEN_WITHIN: Span = Span::secs(5);
 
+/// Time between two messages about the same servers; one that is sent to a VM just after its start may be lost.
+const REPEATED_EVERY: Duration = Duration::from_secs(1);
+
 /// A restore that this VM noticed.
 #[derive(Clone, Copy, Debug)]
 pub struct Restore {
@@ -39,23 +45,26 @@
 }
 
 /// A restore as one VM passes it on to another.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Notice {
     /// Time since it was noticed, when this is answered.
     age: Span,
     base: Position,
+    /// Lives of servers that leave or have gone, and that the copy calls ready.
+    pub disputed: Vec<Incarnation>,
 }
 
 impl Notice {
     /// Returns the notice of the last restore, if owners may not have had time to write again.
     pub fn of(vm: &Vm, now: Moment) -> Option<Notice> {
         let restore = (*vm.restored.borrow()).filter(|restore| restore.is_recent(now))?;
-        Some(Notice { age: now.since(restore.at), base: restore.base? })
+        let disputed = vm.fleet.borrow().disputed().cloned().collect();
+        Some(Notice { age: now.since(restore.at), base: restore.base?, disputed })
     }
 
     /// Returns the restore, dated so that it cannot look later than it was if the question was sent at
     /// `asked`.
-    pub fn at(self, asked: Moment) -> Restore {
+    pub fn at(&self, asked: Moment) -> Restore {
         Restore { at: Moment(asked.0.saturating_sub(self.age.0)), base: Some(self.base) }
     }
 }
@@ -79,6 +88,19 @@
     }
 }
 
+/// Tells other VMs, for as long as that may be so, which servers the copy wrongly calls ready: one that
+/// starts meanwhile and reads the copy knows no better.
+pub async fn broadcast_disputes(vm: Rc<Vm>) {
+    loop {
+        let disputed: Vec<Incarnation> = vm.fleet.borrow().disputed().cloned().collect();
+        let pause = if disputed.is_empty() { Duration::MAX } else { REPEATED_EVERY };
+        for life in disputed {
+            peer::tell(&vm, &Word::Leaves(life));
+        }
+        let _ = tokio::time::timeout(pause, vm.disputes.notified()).await;
+    }
+}
+
 /// Applies what the copy says once its time is over, after each restore, until the process ends.
 pub async fn settle(vm: Rc<Vm>) {
     let mut restored = vm.restored.subscribe();
--- a/src/forward/roster.rs
+++ b/src/forward/roster.rs
@@ -74,7 +74,11 @@
 /// # Errors
 /// If the store refuses or does not answer.
 pub async fn probe(store: &mut Objects) -> Result<(), Trouble> {
-    store.get(KEYS, LINKS, Read::Stale).await.map(drop)
+    match store.get(KEYS, LINKS, Read::Stale).await {
+        // What may be old may be of an older era too; the store answers all the same.
+        Ok(_) | Err(Trouble::Outdated) => Ok(()),
+        Err(trouble) => Err(trouble),
+    }
 }
 
 /// Learns the VMs that the store names, and writes this one's entry if it is not among them.
@@ -97,15 +101,15 @@
 }
 
 /// Writes again what this VM wrote and a copy that the store was restored from lacks. Returns the era in which the store
-/// has it, or none if the VMs that the restored store names are not known yet.
+/// has it, or none if it is to be tried again.
 pub async fn rejoin(vm: &Vm, store: &mut Objects, address: SocketAddr, key: &str) -> Option<Era> {
     let era = vm.era.newest();
     let read = vm.feed.borrow().reading(Kind::Vms)?;
     if read.position.era < era {
         return None;
     }
-    if vm.reads() {
-        restore_key(vm, store, key).await;
+    if vm.reads() && !restore_key(vm, store, key).await {
+        return None;
     }
     let is_named = vm.known.borrow().is_of_era(Kind::Vms, vm.settings.vm.as_str(), era);
     if !is_named {
@@ -115,8 +119,8 @@
     Some(era)
 }
 
-/// Writes the key of the links unless the store has one.
-async fn restore_key(vm: &Vm, store: &mut Objects, key: &str) {
+/// Writes the key of the links unless the store has one. Returns false if the store did not answer.
+async fn restore_key(vm: &Vm, store: &mut Objects, key: &str) -> bool {
     let created = store.create(KEYS, LINKS, json!({"key": key})).await;
     vm.count_call("key-create", &created);
     match created {
@@ -126,8 +130,10 @@
         Err(trouble) => {
             let why = trouble.to_string();
             vm.log("key of the links not written", &[("why", why.as_str().into())]);
+            return false;
         }
     }
+    true
 }
 
 /// Takes the VMs that the store names. Whether this one's entry is among them.
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -49,6 +49,7 @@
     spawn(proof::run(vm.clone()));
     spawn(restore::run(vm.clone()));
     spawn(restore::settle(vm.clone()));
+    spawn(restore::broadcast_disputes(vm.clone()));
     spawn(follow::expire(vm.clone()));
     spawn(steps::run(vm.clone()));
     spawn(kept::run(vm.clone()));
--- a/src/forward/said.rs
+++ b/src/forward/said.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use super::peer::{self, Word};
-use super::replica::Replica;
+use super::replica::{Incarnation, Replica};
 use super::vm::Vm;
 use crate::decide::bound::{Audience, News};
 use crate::decide::standing::Said;
@@ -16,15 +16,15 @@
 
 /// Tells the other VMs that a life of a server leaves.
 pub fn tell_leave(vm: &Rc<Vm>, replica: &Replica) {
-    let (server, born, address) = (replica.id.clone(), replica.born, replica.address);
-    peer::tell(vm, &Word::Leaves { server, born, address });
+    peer::tell(vm, &Word::Leaves(replica.incarnation()));
 }
 
 /// Takes another VM's word that a life of a server leaves, and passes it on if it is news.
-pub fn hear_leave(vm: &Rc<Vm>, from: &str, id: &Server, born: Option<u64>, address: SocketAddr) {
+pub fn hear_leave(vm: &Rc<Vm>, from: &str, life: &Incarnation) {
+    let Incarnation { server: id, born, address } = life;
     let replica = {
         let mut fleet = vm.fleet.borrow_mut();
-        let server = fleet.get_mut(id).filter(|one| one.replica.is_life(id, born, address));
+        let server = fleet.get_mut(id).filter(|one| one.replica.is_life(id, *born, *address));
         let Some(server) = server else { return };
         let leaves = Said { leaves: true, ..Said::default() };
         if !server.standing.hear(leaves, vm.now()) {
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -7,7 +7,7 @@
 
 use super::life::Life;
 use super::pool::Pool;
-use super::replica::Replica;
+use super::replica::{Incarnation, Replica};
 use crate::decide::backlog::Backlog;
 use crate::decide::bound::Turns;
 use crate::decide::cold::Bound;
@@ -118,6 +118,8 @@
     servers: HashMap<Id, Server>,
     /// Servers whose entries went of late, and may come back in the same life.
     past: HashMap<Id, Past>,
+    /// Lives that leave or have gone, and that a copy of the store calls ready.
+    disputed: HashMap<Id, Incarnation>,
     /// Data centres whose servers get nothing new.
     emptied: HashSet<DataCentre>,
     /// Data centres of which an order to empty them was withdrawn last.
@@ -162,13 +164,42 @@
     /// that it could take back. A life that leaves does so for good, so a word of that is never too old.
     pub fn put_outdated(&mut self, replica: &Replica) -> bool {
         let is_same = |known: &Replica| known.is_life_of(replica);
-        match (self.servers.get_mut(&replica.id), self.past.get(&replica.id)) {
-            (Some(server), _) if is_same(&server.replica) => {
-                server.lapsed = false;
-                server.replica == *replica || !replica.ready
-            }
-            (Some(_), _) => false,
-            (None, past) => !past.is_some_and(|past| is_same(&past.replica)),
+        let (counts, is_disputed) =
+            match (self.servers.get_mut(&replica.id), self.past.get(&replica.id)) {
+                (Some(server), _) if is_same(&server.replica) => {
+                    server.lapsed = false;
+                    let counts = server.replica == *replica || !replica.ready;
+                    (counts, !counts && server.standing.leaves())
+                }
+                (Some(_), _) => (false, false),
+                (None, Some(past)) if is_same(&past.replica) => (false, true),
+                (None, _) => (true, false),
+            };
+        if is_disputed {
+            self.disputed.insert(replica.id.clone(), replica.incarnation());
+        }
+        counts
+    }
+
+    /// Returns the lives that leave or have gone, and that a copy of the store calls ready.
+    pub fn disputed(&self) -> impl Iterator<Item = &Incarnation> {
+        self.disputed.values()
+    }
+
+    /// Ends disputes: what the store says counts.
+    pub fn settle_disputes(&mut self) {
+        self.disputed.clear();
+    }
+
+    /// Takes another VM's word that a life of a server leaves or has gone, until its entry says otherwise.
+    pub fn dispute(&mut self, life: &Incarnation, now: Moment) {
+        let Incarnation { server, born, address } = life;
+        let server = self.servers.get_mut(server);
+        if let Some(server) =
+            server.filter(|one| one.replica.is_life(&life.server, *born, *address))
+        {
+            server.standing.enter(false, now);
+            self.disputed.insert(life.server.clone(), life.clone());
         }
     }
 
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -69,6 +69,8 @@
     pub fleet: RefCell<Fleet>,
     /// Roll-outs by service.
     pub rollouts: RefCell<HashMap<Service, Rollout>>,
+    /// Wakes the task that tells other VMs which servers a copy wrongly calls ready.
+    pub disputes: Notify,
     /// Roll-outs of a copy that the store was restored from, while a later order is known.
     pub put_off: RefCell<HashMap<Service, Object>>,
     /// What was seen of roll-outs.
@@ -150,6 +152,7 @@
             known: RefCell::default(),
             fleet: RefCell::default(),
             rollouts: RefCell::default(),
+            disputes: Notify::new(),
             put_off: RefCell::default(),
             trials: RefCell::default(),
             sessions: RefCell::default(),
--- a/src/forward/word.rs
+++ b/src/forward/word.rs
@@ -6,6 +6,7 @@
 
 use super::kept::Draw;
 use super::poison;
+use super::replica::Incarnation;
 use super::settings::Settings;
 use super::trial::Totals;
 use crate::unit::{DataCentre, Millicores, Rate, Server, Service, Span, Version, Vm as Name};
@@ -45,14 +46,7 @@
     /// Contents under which servers crashed, or did not.
     Poison(poison::News),
     /// A life of a server has said that it leaves.
-    Leaves {
-        /// Its id.
-        server: Server,
-        /// When that life began, by its own clock.
-        born: Option<u64>,
-        /// Where it listens.
-        address: SocketAddr,
-    },
+    Leaves(Incarnation),
     /// A life of a server names a limit, or no longer does.
     Limit {
         /// Its id.
