A life that began later than the known one counts, also in a restored store; VMs that join during a restore look again

A server that started anew between the restore and the first list of the new era was ignored for up to 5 s (found by reading; the test failed before). A VM that wrote its entry just before a restore took the new era for the one that it had joined in.

--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -156,9 +156,9 @@
     };
     vm.peers.borrow_mut().links = Some(links);
     spawn(hear(vm.clone(), incoming));
+    let mut joined = vm.era.newest();
     roster::join(&vm, &mut store, address).await;
     vm.peers_named.notify_one();
-    let mut joined = vm.era.newest();
     loop {
         look(&vm, &mut store).await;
         if joined < vm.era.newest() {
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -171,7 +171,8 @@
                     let counts = server.replica == *replica || !replica.ready;
                     (counts, !counts && server.standing.leaves())
                 }
-                (Some(_), _) => (false, false),
+                // A life that began later was written after the restore.
+                (Some(server), _) => (replica.born > server.replica.born, false),
                 (None, Some(past)) if is_same(&past.replica) => (false, true),
                 (None, _) => (true, false),
             };
--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -286,8 +286,10 @@
     enter(&vm, &at(0, 3), json!({"born": 1000}));
     enter(&vm, &at(0, 9), json!({"born": 2000}));
     restore_entry(&vm, json!({"born": 1000}));
-    let fleet = vm.fleet.borrow();
-    assert_eq!(fleet.get(&"r1".parse().unwrap()).unwrap().replica.born, Some(2000));
+    let born = || vm.fleet.borrow().get(&"r1".parse().unwrap()).unwrap().replica.born;
+    assert_eq!(born(), Some(2000));
+    restore_entry(&vm, json!({"born": 3000}));
+    assert_eq!(born(), Some(3000), "it was written before the first list of the new era");
 }
 
 #[test]
