--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -3,6 +3,7 @@
 mod site;
 
 use std::collections::{BTreeMap, HashSet};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use kitepulley::forward::Vm as Inner;
@@ -12,6 +13,7 @@
 use kitepulley::forward::learn::{self, Source};
 use kitepulley::forward::replica::Phase;
 use kitepulley::platform::object::Object;
+use kitepulley::platform::objects::{Objects, Read, Trouble};
 use kitepulley::standin::platform::{Snapshot, Switches};
 use kitepulley::standin::replica::Replica;
 use kitepulley::unit::{Era, Position, Revision};
@@ -167,11 +169,11 @@
 }
 
 /// Objects by name, with the positions of their last changes.
-type Objects = BTreeMap<String, Position>;
+type State = BTreeMap<String, Position>;
 
 /// The states of a store after each of these changes, and after restores from a copy that lacks some.
-fn history(steps: &[(u8, bool, u8)]) -> Vec<(Position, Objects)> {
-    let mut states = vec![(Position::default(), Objects::new())];
+fn history(steps: &[(u8, bool, u8)]) -> Vec<(Position, State)> {
+    let mut states = vec![(Position::default(), State::new())];
     // Indices into `states` of the present era and of those that it goes back to.
     let mut line = vec![0];
     for (name, there, undone) in steps {
@@ -202,7 +204,7 @@
     /// Lists of any positions, in any order and again, leave the objects of the newest of them.
     fn the_newest_list_of_the_newest_era_decides(steps: Vec<(u8, bool, u8)>, order: Vec<u8>) -> bool {
         let states = history(&steps);
-        let (mut index, mut there) = (Known::default(), Objects::new());
+        let (mut index, mut there) = (Known::default(), State::new());
         let read: Vec<usize> = order.iter().map(|at| usize::from(*at) % states.len()).collect();
         for (as_of, objects) in read.iter().map(|at| &states[*at]) {
             let names: HashSet<&str> = objects.keys().map(String::as_str).collect();
@@ -471,3 +473,24 @@
     eventually("it is ready", || late.is_ready());
     assert!(vms.iter().chain([&late]).all(|vm| status(vm, "first") == 200));
 }
+
+#[actix_web::test]
+async fn a_write_that_is_based_on_another_era_is_not_sent() {
+    let site = Site::new();
+    site.store.put("kind", "one", json!("a"));
+    let copy = site.store.snapshot();
+    let mut client = Objects::new(site.store_server.address, Rc::default());
+    let read = client.get("kind", "one", Read::Newest).await.unwrap().unwrap();
+    site.store.restore(copy.clone());
+    // The revision is the same, and may mean another state.
+    let again = client.get("kind", "one", Read::Newest).await.unwrap().unwrap();
+    assert_eq!(again.metadata.position.revision, read.metadata.position.revision);
+    let before = site.store.calls().writes;
+    let written = client.replace("kind", "one", read.metadata.position, json!("b")).await;
+    assert!(matches!(written, Err(Trouble::Conflict(None))), "{written:?}");
+    assert_eq!(site.store.calls().writes, before);
+    // One that the restore overtakes may mean another state too, and is to be read again.
+    site.store.restore(copy);
+    let written = client.replace("kind", "one", again.metadata.position, json!("b")).await;
+    assert!(matches!(written, Err(Trouble::NoAnswer(_))), "{written:?}");
+}
--- a/tests/restores.rs
+++ b/tests/restores.rs
@@ -1,5 +1,6 @@
-//! Restores of the platform's store in series, among changes, drains and starts of VMs: what VMs did is
-//! judged from what callers and backend servers saw.
+//! Restores of the platform's store in series, among changes, drains, orders to empty a data centre, a
+//! roll-out of a bad version and starts of VMs: what VMs did is judged from what callers and backend
+//! servers saw.
 //!
 //! `RESTORE_SEEDS` is the number of seeds to run, `RESTORE_SEED` the first of them.
 
@@ -12,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use kitepulley::standin::platform::{Snapshot, Switches};
-use kitepulley::standin::replica::Replica;
+use kitepulley::standin::replica::{Act, Replica};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::json;
@@ -29,6 +30,13 @@
 const IN_FORCE: Duration = Duration::from_secs(2);
 const REVOKED: Duration = Duration::from_secs(5);
 const DRAINED: Duration = Duration::from_secs(2);
+const EMPTIED: Duration = Duration::from_secs(5);
+
+/// A version is out of use this long after the store was told that it is bad.
+const OUT_OF_USE: Duration = Duration::from_secs(1);
+
+/// Servers of the data centre that is emptied.
+const FAR: &str = "there";
 
 /// A server that leaves ends this long after it said so, and the entry of a silent one goes after this.
 const ENDS: Duration = Duration::from_secs(3);
@@ -56,6 +64,7 @@
 struct Server {
     id: String,
     replica: Replica,
+    data_centre: &'static str,
     /// Since when it says that it leaves.
     leaves: Option<Instant>,
     gone: bool,
@@ -82,6 +91,11 @@
     over: AtomicBool,
 }
 
+/// VMs and servers are in two data centres by turns; a VM prefers servers of its own.
+fn data_centre(number: usize) -> &'static str {
+    if number.is_multiple_of(2) { "here" } else { FAR }
+}
+
 fn key(number: usize) -> String {
     format!("key{number}")
 }
@@ -108,6 +122,7 @@
 enum Task {
     Configure,
     Write(usize),
+    Order,
     Remove(usize),
     End(usize),
     Restore,
@@ -130,6 +145,12 @@
     closed: Vec<Option<Instant>>,
     /// When a VM was started again.
     started: Vec<Instant>,
+    /// When the order to empty the data centre was given or withdrawn, and when that may have been lost.
+    orders: Vec<(Instant, bool)>,
+    /// A server of a version whose answers are failures.
+    bad: Option<Replica>,
+    /// When the store was first told that the version is bad.
+    rolled_back: Option<Instant>,
 }
 
 impl Run<'_> {
@@ -157,8 +178,9 @@
 
     fn start_server(&mut self) {
         let id = format!("r{}", self.servers.len());
-        let replica = self.site.replica(&id, "v1");
-        self.servers.push(Server { id, replica, leaves: None, gone: false });
+        let data_centre = data_centre(self.servers.len());
+        let replica = self.site.replica_with(&id, json!({"zone": data_centre}));
+        self.servers.push(Server { id, replica, data_centre, leaves: None, gone: false });
         self.closed.push(None);
     }
 
@@ -178,17 +200,48 @@
 
     /// Writes the entry of a server, unless it has gone.
     fn write(&mut self, at: usize) {
-        let Server { id, replica, gone, leaves, .. } = &self.servers[at];
+        let Server { id, replica, gone, leaves, data_centre } = &self.servers[at];
         if *gone {
             return;
         }
-        self.site.list(id, "v1", self.servers[at].state(), replica.address);
+        let fields = json!({"zone": data_centre, "state": self.servers[at].state()});
+        self.site.list_with(id, replica.address, fields);
         if leaves.is_some() {
             let closed = Instant::now() + DRAINED;
             self.closed[at] = Some(self.closed[at].map_or(closed, |known| known.min(closed)));
         }
     }
 
+    /// Whether the data centre is to be empty.
+    fn is_ordered(&self) -> bool {
+        self.orders.last().is_some_and(|(_, ordered)| *ordered)
+    }
+
+    fn change_order(&mut self) {
+        let ordered = !self.is_ordered();
+        self.orders.push((Instant::now(), ordered));
+        self.write_order();
+    }
+
+    /// Writes what the operator has ordered.
+    fn write_order(&mut self) {
+        match self.is_ordered() {
+            true => drop(self.site.store.put("evacuations", FAR, json!({}))),
+            false => self.site.store.remove("evacuations", FAR),
+        }
+        let order = json!({"service": "api", "target_version": "v2", "duration_s": 60});
+        if self.bad.is_some() {
+            self.site.store.put("rollouts", "api", order);
+        }
+    }
+
+    fn start_bad_version(&mut self) {
+        let bad = self.site.replica_with("bad", json!({"version": "v2"}));
+        bad.usually(Act::Whole(500, "bad".to_owned()));
+        self.bad = Some(bad);
+        self.write_order();
+    }
+
     /// Restores the store from a copy, which its owners notice a little later.
     fn restore(&mut self) {
         let at = self.random.random_range(0..self.copies.len());
@@ -209,7 +262,17 @@
                 *closed = None;
             }
         }
+        // VMs may not know an order that was given just before.
+        if let Some((at, ordered)) = self.orders.last().copied()
+            && begun < at + KNOWN
+        {
+            self.orders.push((Instant::now(), ordered));
+        }
         self.later(100, 1000, Task::Configure);
+        self.later(100, 1000, Task::Order);
+        if let Some(bad) = &self.bad {
+            self.site.list_with("bad", bad.address, json!({"version": "v2"}));
+        }
         for at in 0..self.servers.len() {
             let task = if self.servers[at].gone { Task::Remove(at) } else { Task::Write(at) };
             match task {
@@ -223,6 +286,7 @@
         match task {
             Task::Configure => self.configure(),
             Task::Write(at) => self.write(at),
+            Task::Order => self.write_order(),
             Task::Remove(at) => {
                 let id = self.servers[at].id.clone();
                 self.site.store.remove("servers", &id);
@@ -257,6 +321,8 @@
         let (mut keys, mut drains, mut restores) =
             (self.after(200, 800), self.after(1000, 2000), self.after(2000, 3500));
         let mut kills = self.after(3000, 10_000);
+        let mut orders = self.after(500, 2000);
+        self.start_bad_version();
         while begun.elapsed() < LASTS {
             self.perform_due();
             let now = Instant::now();
@@ -279,6 +345,14 @@
                 }
                 restores = self.after(3000, 5000);
             }
+            if now >= orders {
+                self.change_order();
+                orders = self.after(2500, 7000);
+            }
+            let state = &self.site.store.status("rollouts", "api")["state"];
+            if self.rolled_back.is_none() && state == "rolled_back" {
+                self.rolled_back = Some(now);
+            }
             if now >= kills {
                 self.kill_reader();
                 kills = self.after(8000, 20_000);
@@ -287,6 +361,9 @@
         }
         let settled = Instant::now();
         self.due.retain(|(_, task)| !matches!(task, Task::Restore));
+        if self.is_ordered() {
+            self.change_order();
+        }
         while settled.elapsed() < SETTLES {
             self.perform_due();
             std::thread::sleep(Duration::from_millis(10));
@@ -359,12 +436,36 @@
             }
             let last = seen.iter().map(|one| one.at).max();
             let is_used = last.is_some_and(|last| last.elapsed() < Duration::from_secs(2));
+            let emptied = seen.iter().filter(|one| {
+                server.data_centre == FAR && self.is_emptied(one.at) && !self.is_starting(one.at)
+            });
+            let emptied = emptied.count();
+            if emptied > 0 {
+                faults.push(format!("{}: {emptied} requests in an emptied data centre", server.id));
+            }
             if server.leaves.is_none() && !is_used {
                 faults.push(format!("{}: it is ready and gets no requests", server.id));
             }
         }
+        if let (Some(bad), Some(back)) = (&self.bad, self.rolled_back) {
+            let is_late = |at: Instant| at > back + OUT_OF_USE && !self.is_starting(at);
+            let late = bad.seen().iter().filter(|one| is_late(one.at)).count();
+            if late > 0 {
+                faults.push(format!("{late} requests at a version that was found bad"));
+            }
+        }
         faults
     }
+
+    /// Returns true if no VM in touch may send anything to the emptied data centre.
+    fn is_emptied(&self, at: Instant) -> bool {
+        let orders = self.orders.iter().rev();
+        let (since, ordered) = match orders.clone().find(|(since, _)| *since <= at) {
+            Some(order) => *order,
+            None => return false,
+        };
+        ordered && at > since + EMPTIED
+    }
 }
 
 fn run(seed: u64) -> Vec<String> {
@@ -374,7 +475,7 @@
     site.bounds["retry_budget_extra"] = json!(10_000);
     let mut site = site.workspace("roasters", &[&key(0)]);
     site.publish();
-    let vms: Vec<Vm> = (0..VMS).map(|_| site.start()).collect();
+    let vms: Vec<Vm> = (0..VMS).map(|number| site.start_in(data_centre(number))).collect();
     let targets = vms.iter().map(|vm| Target { address: vm.callers, incarnation: 0 }).collect();
     let board = Board {
         targets: Mutex::new(targets),
@@ -396,6 +497,9 @@
         restored: Vec::new(),
         closed: Vec::new(),
         started: Vec::new(),
+        orders: Vec::new(),
+        bad: None,
+        rolled_back: None,
     };
     (0..SERVERS).for_each(|_| run.start_server());
     are_ready(&run.vms);
@@ -410,9 +514,9 @@
     });
     let faults = run.faults();
     let calls = board.calls.lock().unwrap().len();
+    let (restores, rolled_back) = (run.restored.len() / 2, run.rolled_back.is_some());
     println!(
-        "seed {seed}: {calls} calls, {} restores, {} faults",
-        run.restored.len() / 2,
+        "seed {seed}: {calls} calls, {restores} restores, rolled back: {rolled_back}, {} faults",
         faults.len()
     );
     if !faults.is_empty() {
