--- a/src/forward/era.rs
+++ b/src/forward/era.rs
@@ -43,6 +43,8 @@
 #[derive(Default)]
 pub struct Tracker {
     newest: Cell<Option<Era>>,
+    /// Whether any answer had the header.
+    is_named: Cell<bool>,
     /// An implausible era that one answer named.
     candidate: Cell<Option<Era>>,
     anomalies: [Cell<u64>; Anomaly::ALL.len()],
@@ -60,9 +62,10 @@
     /// its era is older than the newest or not yet believed. Without a readable header it counts as one
     /// of the newest.
     pub fn observe(&self, header: Option<&str>) -> Option<Era> {
+        self.is_named.set(self.is_named.get() || header.is_some());
         match (header.map(str::parse::<Era>), self.newest.get()) {
-            (None, None) => Some(Era::default()),
-            (None, Some(newest)) => self.assume(newest, Anomaly::Missing),
+            (None, newest) if !self.is_named.get() => Some(newest.unwrap_or_default()),
+            (None, newest) => self.assume(newest.unwrap_or_default(), Anomaly::Missing),
             (Some(Err(_)), newest) => self.assume(newest.unwrap_or_default(), Anomaly::Unreadable),
             (Some(Ok(era)), Some(newest)) if era < newest => self.reject(Anomaly::Older),
             (Some(Ok(era)), Some(newest)) if !self.is_plausible(era, newest) => {
--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -240,6 +240,16 @@
     }
 }
 
+#[test]
+fn a_store_that_names_no_era_is_no_anomaly() {
+    let tracker = Tracker::default();
+    assert_eq!(tracker.observe(None), Some(Era(0)));
+    tracker.advance(Era(0));
+    assert_eq!(tracker.observe(None), Some(Era(0)), "once a position was read");
+    assert_eq!(tracker.count(Anomaly::Missing), 0);
+    assert_eq!(tracker.observe(Some("1")), Some(Era(1)), "its first restore");
+}
+
 #[test]
 fn a_garbled_era_neither_blocks_reading_nor_ends_what_is_known() {
     let tracker = Tracker::default();
