Report usage to the platform, by one VM at a time under a lease in the store

Change: `decide::lease` and `decide::usage` decide, `forward::duty` holds the lease and reports, `forward::usage` counts and passes totals on with the polls, `platform::duty` makes the call. The stand-in of the platform records reports. Off where the settings name no such duty.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -11,8 +11,7 @@
 use super::job::{Job, OpenRequestGuard, PendingPrompt};
 use super::replica::Replica;
 use super::sse::{Batch, EventBuffer};
-use super::vm::Vm;
-use super::{announce, crash, pool};
+use super::{announce, crash, pool, usage};
 use crate::config::RetryPolicy;
 use crate::decide::outcome::AttemptOutcome;
 use crate::decide::{poison, server_limit};
@@ -226,7 +225,10 @@
         );
     }
     if head.status.is_success() && job.route.is_streaming {
-        return read_first_event(vm, connection, open, head, response).await;
+        return read_first_event(job, connection, open, head, response).await;
+    }
+    if !response.not_run {
+        usage::record_run(job);
     }
     let body = match connection.read_body(MAX_BODY_SIZE).await {
         Ok(body) => body,
@@ -358,12 +360,13 @@
 
 /// Reads until the first complete event, or the end of the stream, has arrived.
 async fn read_first_event(
-    vm: &Vm,
+    job: &Job,
     connection: Connection,
     open: OpenRequestGuard,
     head: ResponseHead,
     response: Response,
 ) -> Outcome {
+    let vm = &job.vm;
     let events = EventBuffer::default();
     let started_at = vm.now();
     let mut stream =
@@ -378,6 +381,7 @@
         }
     }
     stream.started_at = vm.now();
+    usage::record_run(job);
     Outcome {
         end: AttemptOutcome::Good,
         reason: String::new(),
--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -268,6 +268,12 @@
             && self.is_idle()
     }
 
+    /// Closes the connection with a reset, which discards what was not delivered yet.
+    pub fn abort(self) {
+        // If the option cannot be set, the connection is closed in the usual way.
+        let _ = socket2::SockRef::from(&self.io).set_linger(Some(Duration::ZERO));
+    }
+
     /// Reads more bytes into the buffer; `at_end` is the error if the connection has ended.
     async fn fill(&mut self, at_end: &str) -> Result<(), Fault> {
         self.read.reserve(READ_SIZE);
--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -15,7 +15,7 @@
 use super::rollout_counts::{self, Observations, SentCounts};
 use super::rollout_trial::RolloutTrial;
 use super::vm::Vm;
-use super::{peer, poison};
+use super::{peer, poison, usage};
 use crate::decide::reader::{
     self as decide, FAST_POLL_INTERVAL, FIRST_POLL_TIMEOUT, FollowerState, POLL_INTERVAL, Rank,
     STARTUP_WAIT, STORE_LOSS_CONFIRMED_AFTER, SourceHistory, may_accept_update, poll_timeout,
@@ -90,6 +90,8 @@
     requested_at: Moment,
     /// Answer counts of the trials of running rollouts, as sent with the request.
     counts: Vec<Observations>,
+    /// Usage, as sent with the request.
+    usage: Option<usage::Batch>,
     reply: Response,
 }
 
@@ -218,23 +220,29 @@
         let cursor = self.cursors.get(&name).copied().unwrap_or_default();
         let is_first = vm.first_in_group_since.get().is_some();
         let counts = self.sent_counts.unsent(vm, &name, is_first);
+        let usage = usage::unsent(vm, &name, is_first);
         let address = vm.peers.borrow().address(&name);
         let reply = match address {
-            Some(address) => poll::request_updates(vm, address, cursor, &counts, within).await,
+            Some(address) => {
+                poll::request_updates(vm, address, cursor, &counts, usage.as_ref(), within).await
+            }
             None => Response::NoAnswer,
         };
-        Some(Outcome { name, requested_at, counts, reply })
+        Some(Outcome { name, requested_at, counts, usage, reply })
     }
 
     /// Applies the outcome of a poll, if there was one, and records how the VM answered.
     fn apply_outcome(&mut self, answer: Option<Outcome>) -> Gain {
-        let Some(Outcome { name, requested_at, counts, reply }) = answer else {
+        let Some(Outcome { name, requested_at, counts, usage, reply }) = answer else {
             return Gain::None;
         };
         let now = self.vm.now();
         if !matches!(reply, Response::NoAnswer) {
             peer::on_contact(&self.vm, &name);
             self.sent_counts.record_sent(&name, counts);
+            if let Some(batch) = usage {
+                usage::on_acknowledged(&self.vm, &name, batch);
+            }
         }
         match reply {
             Response::Update(update) => return self.apply_update(&name, requested_at, &update),
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -166,6 +166,8 @@
     proof_age: Option<Span>,
     outcome: RefCell<String>,
     attempts: Cell<u32>,
+    /// True once a server has begun to run the request.
+    has_run: Cell<bool>,
     /// Readable list of the attempts, waits and escalation checks, with their times and ends.
     trail: RefCell<String>,
     /// Time from the request's arrival to the start of the response to the caller.
@@ -188,6 +190,7 @@
             proof_age: vm.proof_age(arrived),
             outcome: RefCell::new("caller left".to_owned()),
             attempts: Cell::new(0),
+            has_run: Cell::new(false),
             trail: RefCell::default(),
             response_time: Cell::new(None),
             vm,
@@ -204,6 +207,11 @@
         self.content = Some(content);
     }
 
+    /// Marks that a server has begun to run the request. Returns true the first time.
+    pub fn mark_ran(&self) -> bool {
+        !self.has_run.replace(true)
+    }
+
     /// Returns the number of attempts so far.
     pub fn attempts(&self) -> u32 {
         self.attempts.get()
--- a/src/forward/message.rs
+++ b/src/forward/message.rs
@@ -6,6 +6,7 @@
 
 use super::pinned_sessions::Draw;
 use super::poison;
+use super::usage;
 use super::replica::Incarnation;
 use super::rollout_trial::Totals;
 use super::settings::Settings;
@@ -45,6 +46,8 @@
     },
     /// Request contents under which servers crashed, or that were served well.
     Poison(poison::Message),
+    /// Requests of the sender's workspaces that began to run.
+    Usage(usage::Batch),
     /// An incarnation of a server (one lifetime of its process) announced that it drains.
     ServerDraining(Incarnation),
     /// An incarnation of a server announced a rate limit, or the end of one.
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -36,6 +36,10 @@
     pub store_calls: IntCounterVec,
     /// Objects of the platform that could not be decoded, by kind.
     pub unreadable: IntCounterVec,
+    /// Calls of duties to the platform, by duty and outcome.
+    pub duty_calls: IntCounterVec,
+    /// Fencing token of each duty that this VM holds; 0 if it does not hold the duty.
+    pub duty_fence: IntGaugeVec,
     /// Requests in flight.
     pub running: IntGauge,
     /// 1 for a data centre that is evacuated.
@@ -80,6 +84,8 @@
         let limited = IntGaugeVec::new(limited, &["service"]);
         let revision = IntGauge::new("kitepulley_revision", "Revision in force.");
         let era = IntGauge::new("kitepulley_store_era", "Era of the store.");
+        let fence = Opts::new("kitepulley_duty_fence", "Fencing token of a duty that is held.");
+        let fence = IntGaugeVec::new(fence, &["duty"]);
         let proof = Gauge::new("kitepulley_proof_age_seconds", "Age of the proof of freshness.");
         Metrics {
             requests: counter("kitepulley_requests", "Requests.", &["route", "outcome"]),
@@ -115,6 +121,12 @@
                 &registry,
                 Histogram::with_opts(added).expect("a well formed name"),
             ),
+            duty_calls: counter(
+                "kitepulley_duty_calls",
+                "Calls of duties to the platform.",
+                &["duty", "outcome"],
+            ),
+            duty_fence: register(&registry, fence.expect("the name is well formed")),
             running: register(&registry, running.expect("the name is well formed")),
             evacuated: register(&registry, emptied.expect("the name is well formed")),
             cold_servers: register(&registry, cold.expect("the name is well formed")),
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -18,6 +18,7 @@
 //! - Cold: said of a server that has started recently and accepts few requests per second.
 //! - Trial: comparison of a service's old and new version while a rollout runs.
 //! - Content: what a request asks for, identified by a digest; see [`content`].
+//! - Duty: calls to the platform that one VM at a time makes for the fleet, under a lease.
 //! - Evacuation: an order to send no more requests to the servers of a data centre.
 
 mod announce;
@@ -29,6 +30,7 @@
 pub mod content;
 mod crash;
 pub mod dispatch;
+mod duty;
 pub mod era;
 pub mod feed;
 mod follower;
@@ -64,8 +66,9 @@
 pub mod sse;
 pub mod store_watch;
 pub mod suspension;
+pub mod usage;
 mod vm;
 
 pub use run::run;
-pub use settings::{Bounds, Settings};
+pub use settings::{Bounds, Duties, Settings};
 pub use vm::Vm;
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -16,7 +16,7 @@
 use super::role::Role;
 use super::rollout_trial::Source;
 use super::vm::Vm;
-use super::{membership, pinned_sessions, poison, poll};
+use super::{membership, pinned_sessions, poison, poll, usage};
 use crate::decide::reader::Rank;
 use crate::decide::server_limit;
 use crate::peer::wire::{decode, encode};
@@ -232,6 +232,7 @@
         Message::PinnedSessions { service, version, draws } => {
             pinned_sessions::on_pinned_sessions(vm, &service, &version, draws)
         }
+        Message::Usage(batch) => usage::on_batch(vm, &from, &batch),
         Message::Poison(news) => poison::on_message(vm, from.as_str(), &news),
         Message::ServerDraining(life) => announce::on_drain(vm, from.as_str(), &life),
         Message::ServerLimit { server, started_at_ms, address, rate, age } => {
--- a/src/forward/poll.rs
+++ b/src/forward/poll.rs
@@ -18,10 +18,10 @@
 use super::role::Decline;
 use super::rollout_counts::{self, Observations};
 use super::vm::Vm;
-use super::{peer, poison};
+use super::{peer, poison, usage};
 use crate::decide::reader::is_too_old_to_forward;
 use crate::peer::wire::{decode, encode};
-use crate::unit::{Span, Vm as Name};
+use crate::unit::{Date, Span, Vm as Name};
 
 /// Largest age of its proof at which a VM serves updates, as a fraction of the age up to which
 /// requests with a key may be forwarded ([`Vm::max_proof_age`]). A VM with an older proof has lost
@@ -46,6 +46,18 @@
     counts: Vec<Observations>,
     /// Request contents that the sender has quarantined, since servers crashed under them.
     quarantined: Vec<poison::QuarantinedContent>,
+    /// The sender's usage, if the recipient has not received it yet; `None` if usage is not
+    /// reported.
+    usage: Option<usage::Batch>,
+}
+
+/// Answer to a [`Request`].
+#[derive(Serialize, Deserialize)]
+struct Answer {
+    /// The update, or the reason why none is served.
+    update: Result<Update, Decline>,
+    /// Date on which the VMs agree; `None` if usage is not reported.
+    date: Option<Date>,
 }
 
 /// Outcome of a request for updates.
@@ -59,39 +71,49 @@
 }
 
 /// Requests the changes since `cursor` from the VM at `to`, and sends it the answer `counts`
-/// of the trials of running rollouts. Waits for the response for the time `within`.
+/// of the trials of running rollouts, and usage. Waits for the response for the time `within`.
 pub async fn request_updates(
     vm: &Vm,
     to: SocketAddr,
     cursor: Cursor,
     counts: &[Observations],
+    usage: Option<&usage::Batch>,
     within: Span,
 ) -> Response {
     let Some(links) = vm.peers.borrow().links() else { return Response::NoAnswer };
     let from = vm.settings.vm.clone();
     let (counts, quarantined) = (counts.to_vec(), poison::quarantined(vm));
-    let request = encode(&Request { from, cursor, counts, quarantined });
+    let usage = usage.cloned();
+    let request = encode(&Request { from, cursor, counts, quarantined, usage });
     let answer = tokio::time::timeout(within.duration(), links.call(to, request)).await;
-    match answer.ok().flatten().and_then(|bytes| decode::<Result<Update, Decline>>(&bytes)) {
-        Some(Ok(update)) => Response::Update(Box::new(update)),
-        Some(Err(why)) => Response::Declined(why),
-        None => Response::NoAnswer,
+    let answer = answer.ok().flatten().and_then(|bytes| decode::<Answer>(&bytes));
+    let Some(Answer { update, date }) = answer else { return Response::NoAnswer };
+    match update {
+        Ok(update) => {
+            usage::on_upstream_date(vm, date);
+            Response::Update(Box::new(update))
+        }
+        Err(why) => Response::Declined(why),
     }
 }
 
 /// Returns the encoded answer to a request for updates: an update, or the reason why this VM
 /// serves none.
 pub fn respond(vm: &Rc<Vm>, request: &[u8]) -> Vec<u8> {
-    let Some(Request { from, cursor, counts, quarantined }) = decode::<Request>(request) else {
+    let Some(request) = decode::<Request>(request) else {
         vm.log("invalid poll request", &[("bytes", request.len().into())]);
-        return encode(&Err::<Update, Decline>(Decline::Unreadable));
+        return encode(&Answer { update: Err(Decline::Unreadable), date: None });
     };
+    let Request { from, cursor, counts, quarantined, usage } = request;
     peer::on_contact(vm, &from);
     rollout_counts::merge_counts(vm, counts);
     poison::on_quarantine_list(vm, from.as_str(), &quarantined, vm.now());
+    if let Some(batch) = &usage {
+        usage::on_batch(vm, &from, batch);
+    }
     let update = update(vm, cursor);
     log_decline(vm, update.as_ref().err().copied());
-    encode(&update)
+    encode(&Answer { update, date: usage::agreed_date(vm) })
 }
 
 /// Logs why this VM serves no updates, when the reason changes.
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -10,8 +10,8 @@
 use super::settings::Settings;
 use super::vm::Vm;
 use super::{
-    follower, listener, peer, pinned_sessions, poison, proof, restore, rollout_steps, store_watch,
-    suspension,
+    duty, follower, listener, peer, pinned_sessions, poison, proof, restore, rollout_steps,
+    store_watch, suspension, usage,
 };
 use crate::error::Error;
 use crate::platform;
@@ -57,6 +57,8 @@
     spawn(rollout_steps::run(vm.clone()));
     spawn(pinned_sessions::run(vm.clone()));
     spawn(suspension::run(vm.clone()));
+    spawn(usage::run(vm.clone()));
+    spawn(duty::run(vm.clone()));
     spawn(peer::run(vm.clone()));
     spawn(follower::run(vm.clone()));
     spawn(listener::serve_callers(vm.clone(), callers));
@@ -162,8 +164,11 @@
         was_idle = idle;
         tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
     }
+    usage::send_own_counts(vm);
     if !was_idle {
         peer::broadcast(vm, &peer::Message::Goodbye);
+    }
+    if !was_idle || vm.usage.is_some() {
         tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
     }
     let took = vm.now().since(started).as_millis();
--- a/src/forward/settings.rs
+++ b/src/forward/settings.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 
+use crate::decide::{lease, usage};
 use crate::unit::{DataCentre, Millicores, Region, Span, Vm};
 
 /// Settings of one entry VM.
@@ -33,6 +34,19 @@
     pub keep_confidence: f64,
     /// Guarantees of the site.
     pub bounds: Bounds,
+    /// Duties of the fleet towards the platform; `None` if it has none.
+    pub duties: Option<Duties>,
+}
+
+/// Duties that one VM at a time performs for the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Duties {
+    /// Address of the platform that receives the calls.
+    pub platform: SocketAddr,
+    /// Durations of the lease on a duty.
+    pub lease: lease::Terms,
+    /// Windows in which usage is reported.
+    pub usage: usage::Schedule,
 }
 
 /// Times and fractions that the operators promise to their users.
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -20,6 +20,7 @@
 use super::server::{Fleet, LAPSED_ENTRY_GRACE};
 use super::session::Sessions;
 use super::settings::Settings;
+use super::usage::Usage;
 use crate::config::Table;
 use crate::decide::budget::RetryBudget;
 use crate::decide::limit;
@@ -136,6 +137,8 @@
     pub running: Cell<usize>,
     /// The other VMs, as far as known.
     pub peers: RefCell<Peers>,
+    /// Requests of the workspaces that began to run; `None` if usage is not reported.
+    pub usage: Option<RefCell<Usage>>,
     /// Buffered log lines.
     pub logger: Logger,
     /// Metrics of the process.
@@ -153,6 +156,10 @@
 impl Vm {
     /// Returns a VM that has not read the store yet.
     pub fn new(settings: Settings, clock: Clock, lines: Logger) -> Vm {
+        let usage = settings.duties.map(|duties| {
+            let vm = settings.vm.clone();
+            RefCell::new(Usage::new(duties.usage, vm, clock.now(), clock.date()))
+        });
         Vm {
             settings,
             started: clock.now(),
@@ -193,6 +200,7 @@
             stopping_since: tokio::sync::watch::Sender::new(None),
             running: Cell::new(0),
             peers: RefCell::default(),
+            usage,
             logger: lines,
             metrics: Metrics::new(),
             unknown_headers: RefCell::default(),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,7 +1,8 @@
-//! Adapter to the platform: clients of its object store and rating service, and the decoding of its
+//! Adapter to the platform: clients of its object store, duties and rating service, and the decoding of its
 //! headers, objects and settings file into types of this program.
 
 pub mod client;
+pub mod duty;
 pub mod header;
 pub mod object;
 mod rating;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -7,9 +7,11 @@
 use serde::Deserialize;
 use serde_json::Value;
 
+use super::duty;
 use crate::decide::escalate::KEEP_CONFIDENCE;
+use crate::decide::{lease, usage};
 use crate::error::Error;
-use crate::forward::{Bounds, Settings};
+use crate::forward::{Bounds, Duties, Settings};
 use crate::unit::{DataCentre, Millicores, Region, Span};
 
 /// Environment variable with the path of the settings file.
@@ -28,6 +30,15 @@
 const RETRY_EXTRA: f64 = 54.0;
 const RETRY_WINDOW_S: f64 = 10.0;
 const EXPOSURE_SHARE: f64 = 0.15;
+const LEASE_MS: f64 = 3000.0;
+const REPORT_WINDOW_S: f64 = 5.0;
+const USAGE_LATE_S: f64 = 10.0;
+
+/// Name of the duty to report usage.
+const USAGE_DUTY: &str = "usage_report";
+
+/// Shortest lease and shortest reporting window. Calls of a duty must arrive within the lease.
+const MIN_DUTY_MS: f64 = 1000.0;
 
 /// Processor quota of a VM whose file sets none, as a share of each core.
 const DEFAULT_QUOTA: f64 = 1.0;
@@ -52,6 +63,16 @@
     limits: Limits,
     #[serde(default)]
     bounds: serde_json::Map<String, Value>,
+    cloud: Option<Cloud>,
+}
+
+/// The platform as the receiver of the calls of duties.
+#[derive(Deserialize)]
+struct Cloud {
+    address: Option<String>,
+    /// Names of the duties; those that are not known are ignored.
+    #[serde(default)]
+    duties: Vec<String>,
 }
 
 #[derive(Default, Deserialize)]
@@ -119,9 +140,47 @@
         metrics: None,
         keep_confidence: KEEP_CONFIDENCE,
         bounds: parse_bounds(&file.bounds),
+        duties: file
+            .cloud
+            .map(|cloud| parse_duties(path, cloud, &file.bounds))
+            .transpose()?
+            .flatten(),
     })
 }
 
+/// Reads the duties; none if the file names no duty that is known.
+fn parse_duties(
+    path: &str,
+    cloud: Cloud,
+    fields: &serde_json::Map<String, Value>,
+) -> Result<Option<Duties>, Error> {
+    if !cloud.duties.iter().any(|duty| duty == USAGE_DUTY) {
+        return Ok(None);
+    }
+    let at_least_min = |ms: f64| bound_span(ms.max(MIN_DUTY_MS));
+    Ok(Some(Duties {
+        platform: parse_address(path, "cloud.address", cloud.address)?,
+        lease: lease::Terms {
+            duration: at_least_min(bound(fields, "lease_ms", LEASE_MS)),
+            call_time: duty::CALL_TIME,
+        },
+        usage: usage::Schedule {
+            length: at_least_min(bound(fields, "report_window_s", REPORT_WINDOW_S) * 1000.0),
+            due_after: bound_span(bound(fields, "usage_late_s", USAGE_LATE_S) * 1000.0),
+        },
+    }))
+}
+
+/// Returns a bound of the file. One that is missing, not a number or negative gets its default.
+fn bound(fields: &serde_json::Map<String, Value>, name: &str, default: f64) -> f64 {
+    let value = fields.get(name).and_then(Value::as_f64);
+    value.filter(|value| *value >= 0.0).unwrap_or(default)
+}
+
+fn bound_span(ms: f64) -> Span {
+    Span((ms.min(MAX_BOUND_MS) * 1000.0) as u64)
+}
+
 fn regions(
     path: &str,
     zones: &HashMap<String, String>,
@@ -163,13 +222,10 @@
     parse_field(path, field, required(path, field, value)?)
 }
 
-/// Reads the bounds. One that is missing, not a number or negative gets its default.
+/// Reads the bounds; see [`bound`].
 fn parse_bounds(fields: &serde_json::Map<String, Value>) -> Bounds {
-    let number = |name: &str, default: f64| {
-        let value = fields.get(name).and_then(Value::as_f64);
-        value.filter(|value| *value >= 0.0).unwrap_or(default)
-    };
-    let millis = |value: f64| Span((value.min(MAX_BOUND_MS) * 1000.0) as u64);
+    let number = |name: &str, default: f64| bound(fields, name, default);
+    let millis = bound_span;
     let strict = fields.get("strict_revocation").and_then(Value::as_bool).unwrap_or(true);
     Bounds {
         settling_time: millis(number("contact_ms", CONTACT_MS)),
--- a/src/standin/platform/mod.rs
+++ b/src/standin/platform/mod.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use actix_web::web::{Bytes, Data, Json, Path, Query, ServiceConfig};
-use actix_web::{HttpResponse, HttpResponseBuilder, web};
+use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder, web};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::sync::Notify;
@@ -58,6 +58,8 @@
     /// Watches report no changes.
     #[serde(rename = "quiet")]
     pub hides_changes: bool,
+    /// Responds to every call of a duty with 503.
+    pub duties_down: bool,
     /// Era that responses name instead of the true one; an empty one omits the header.
     pub era: Option<String>,
 }
@@ -77,6 +79,29 @@
     pub refused: u64,
 }
 
+/// A usage report that was received.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UsageReport {
+    /// VM that holds the duty, as the report names it.
+    pub holder: String,
+    /// Fencing token of the holder.
+    pub fence: u64,
+    /// Number of the reporting window.
+    pub window: u64,
+    /// Body of the report.
+    pub body: String,
+    /// When the report was received.
+    pub received_at: Instant,
+}
+
+impl UsageReport {
+    /// Returns the count of a workspace.
+    pub fn count(&self, workspace: &str) -> u64 {
+        let body: Value = serde_json::from_str(&self.body).unwrap_or_default();
+        body["counts"][workspace].as_u64().unwrap_or_default()
+    }
+}
+
 /// An entry of the platform's list of VMs.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct VmEntry {
@@ -136,6 +161,11 @@
         self.lock().calls.clone()
     }
 
+    /// Returns the usage reports that were accepted so far, in the order of their arrival.
+    pub fn usage_reports(&self) -> Vec<UsageReport> {
+        self.lock().usage_reports.clone()
+    }
+
     /// Replaces the list of VMs.
     pub fn set_vms(&self, listed: Vec<VmEntry>) {
         let mut state = self.lock();
@@ -221,6 +251,7 @@
             .route("/v1/objects/{kind}/{name}", web::put().to(replace))
             .route("/v1/objects/{kind}/{name}", web::delete().to(delete))
             .route("/v1/objects/{kind}/{name}/status", web::put().to(replace_status))
+            .route("/usage", web::post().to(report_usage))
             .route("/calls", web::get().to(calls))
             .route("/switches", web::put().to(set_switches));
     }
@@ -423,6 +454,30 @@
     }
 }
 
+/// Records a usage report. As on the platform, the fencing token is not compared.
+async fn report_usage(
+    platform: Data<Platform>,
+    request: HttpRequest,
+    body: String,
+) -> HttpResponse {
+    let mut state = platform.lock();
+    if state.switches.duties_down {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    let header = |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok());
+    let fence = header("X-Fencing-Token").and_then(|fence| fence.parse().ok());
+    let decoded: Value = serde_json::from_str(&body).unwrap_or_default();
+    let (Some(holder), Some(fence), Some(window)) =
+        (header("X-Duty-Holder"), fence, decoded["window_id"].as_u64())
+    else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let holder = holder.to_owned();
+    let received_at = Instant::now();
+    state.usage_reports.push(UsageReport { holder, fence, window, body, received_at });
+    HttpResponse::Ok().finish()
+}
+
 #[derive(Default, Deserialize)]
 struct Body {
     #[serde(default)]
--- a/src/standin/platform/state.rs
+++ b/src/standin/platform/state.rs
@@ -5,7 +5,7 @@
 
 use serde_json::{Value, json};
 
-use super::{Calls, Rates, Switches};
+use super::{Calls, Rates, Switches, UsageReport};
 use crate::history::Event;
 use crate::unit::{Era, Revision, Target, Workspace};
 
@@ -95,6 +95,8 @@
     pub era: Era,
     pub switches: Switches,
     pub calls: Calls,
+    /// Usage reports, in the order of their arrival.
+    pub usage_reports: Vec<UsageReport>,
     pub writes: Bucket,
     pub reads: Bucket,
 }
@@ -111,6 +113,7 @@
             era: Era::default(),
             switches: Switches::default(),
             calls: Calls::default(),
+            usage_reports: Vec::new(),
             writes: bucket(rates.writes),
             reads: bucket(rates.reads),
         }
--- a/src/unit/id.rs
+++ b/src/unit/id.rs
@@ -146,6 +146,15 @@
     Incarnation
 );
 
+numeric_id!(
+    /// Number of a reporting window: windows of equal length, counted from the start of 1970.
+    Window
+);
+numeric_id!(
+    /// Fencing token: a number that rises whenever another VM takes over a duty.
+    Fence
+);
+
 /// One version of a model, for which requests are meant; written as `MODEL@VERSION`. A target is
 /// not a backend server: several servers can serve one target.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/src/unit/mod.rs
+++ b/src/unit/mod.rs
@@ -9,8 +9,8 @@
 
 pub use digest::{Digest, digest};
 pub use id::{
-    DataCentre, Incarnation, Kind, Model, ParseError, Region, RequestId, Revision, Server, Service,
-    Target, Version, Vm, Workspace,
+    DataCentre, Fence, Incarnation, Kind, Model, ParseError, Region, RequestId, Revision, Server,
+    Service, Target, Version, Vm, Window, Workspace,
 };
 pub use position::{Era, Position};
 pub use quantity::{Cost, Millicores, Rate, Size, TrafficShare};
--- a/src/unit/time.rs
+++ b/src/unit/time.rs
@@ -94,6 +94,14 @@
     }
 }
 
+impl Add for Span {
+    type Output = Span;
+
+    fn add(self, other: Span) -> Span {
+        Span(self.0.saturating_add(other.0))
+    }
+}
+
 impl Add<Span> for Moment {
     type Output = Moment;
 
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -48,6 +48,7 @@
 
 /// Process of an entry VM. It is killed when dropped.
 pub struct Vm {
+    pub name: String,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
     pub metrics: SocketAddr,
@@ -120,6 +121,8 @@
     pub store_server: Instance,
     pub config: Value,
     pub bounds: Value,
+    /// Fields of the VMs' settings besides the usual ones.
+    pub settings: Value,
     version: u64,
 }
 
@@ -141,7 +144,7 @@
         });
         let bounds = json!({"revoke_ms": 2000, "strict_revocation": true, "grace_s": 4,
             "session_s": 1, "retry_budget_extra": 1000, "exposure_share": 0.5});
-        Site { store, store_server, config, bounds, version: 1 }
+        Site { store, store_server, config, bounds, settings: json!({}), version: 1 }
     }
 
     /// Adds a route under `/NAME/` of the host `h.example` to the service `api`, with the fields
@@ -236,7 +239,7 @@
         let (callers, readiness, metrics) = (free_address(), free_address(), free_address());
         let settings = std::env::temp_dir().join(format!("{name}.json"));
         let log = std::env::temp_dir().join(format!("{name}.log"));
-        let text = json!({
+        let mut text = json!({
             "node_name": format!("vm{number:04}"), "ip": "127.0.0.1", "zone": data_centre,
             "zones": {"here": "north", "there": "south"},
             "listen": {"frontend": callers.to_string(), "readiness": readiness.to_string()},
@@ -244,9 +247,11 @@
             "bounds": self.bounds, "something_new": {"unknown": true},
             "platform": {"address": store.to_string()},
         });
+        merge(&mut text, self.settings.clone());
         std::fs::write(&settings, text.to_string()).unwrap();
         let process = process(&settings, &log, metrics);
-        Vm { callers, readiness, metrics, process, log, settings }
+        let name = format!("vm{number:04}");
+        Vm { name, callers, readiness, metrics, process, log, settings }
     }
 
     /// Starts an entry VM and waits until it is ready.
@@ -533,6 +538,7 @@
         metrics: None,
         keep_confidence: 60.0,
         bounds,
+        duties: None,
     };
     Rc::new(Inner::new(settings, clock, Logger::default()))
 }
