Choose a backend server from a bounded number of them, by an index

Cause: each choice passed about eight times over all servers of the fleet and built a candidate for each of the service; each end of an attempt passed over them once more. The work of a request grew with the servers.

Ruled out: slow or full servers (busiest of tellimus-api 1.4 times the mean), the network.

Change: an index by service, version and data centre. A service of more than 256 servers is not searched: 68 are drawn from hash rings, 48 of the VM's data centre and 16 of any from the VM's own point, 4 from the point of the prompt. All are searched only if none of these can be used. Smaller services are searched completely, as before.

--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -11,6 +11,7 @@
 use kitepulley::decide::sequential::Count;
 use kitepulley::forward::replica::Replica as Life;
 use kitepulley::forward::server::Fleet;
+use kitepulley::forward::server_index::{Draw, Viewpoint};
 use kitepulley::unit::{Moment, Span, TrafficShare};
 
 fn replicas(count: u64) -> Vec<Replica> {
@@ -122,5 +123,31 @@
     }
 }
 
-criterion_group!(benches, replica, rollout, cascade, gate, standing);
+/// Selects the server of a request with a prompt, among the servers of one service.
+fn selection(bench: &mut Criterion) {
+    let mut group = bench.benchmark_group("selection");
+    let now = Moment(10_000_000);
+    for count in [30, 300, 3000, 10_000, 20_000] {
+        let viewpoint = Viewpoint { data_centre: "here".parse().expect("a name"), point: 7 };
+        let mut fleet = Fleet::new(viewpoint);
+        for at in 0..count {
+            fleet.upsert(life(at), now);
+        }
+        let service = life(0).service;
+        let mut prompt = 0u64;
+        group.bench_function(BenchmarkId::from_parameter(count), |b| {
+            b.iter(|| {
+                prompt = prompt.wrapping_add(0x9e37_79b9_7f4a_7c15);
+                let draw = Draw { is_version: &|_| true, trial_share: None, prompt: Some(prompt) };
+                let considered = fleet.considered(&service, &draw);
+                let open = considered.servers.iter().filter(|one| fleet.is_eligible(one, now));
+                black_box(open.count());
+                black_box(fleet.failure_rate(&service, now))
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, replica, rollout, cascade, gate, standing, selection);
 criterion_main!(benches);
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -61,6 +61,7 @@
 mod run;
 pub mod selection;
 pub mod server;
+pub mod server_index;
 pub mod session;
 mod settings;
 pub mod sse;
--- a/src/forward/rate_limit.rs
+++ b/src/forward/rate_limit.rs
@@ -3,7 +3,6 @@
 //! [`crate::decide::server_limit`] decides which VMs may send to a server, and how far apart.
 
 use std::cell::{Cell, OnceCell};
-use std::collections::HashSet;
 use std::fmt;
 use std::rc::Rc;
 
@@ -24,13 +23,13 @@
 pub fn update_gauges(vm: &Vm) {
     let fleet = vm.fleet.borrow();
     let now = vm.now();
-    let services: HashSet<&Service> = fleet.all().map(|server| &server.replica.service).collect();
-    for service in services {
+    for service in fleet.services() {
         let limiter = limiter(vm, service, now);
-        let of_service = || fleet.all().filter(|server| server.replica.service == *service);
-        let cold = of_service().filter(|server| limiter.is_cold(server)).count();
-        let limited =
-            of_service().filter(|one| one.availability.rate_limit.rate(now).is_some()).count();
+        let (mut cold, mut limited) = (0, 0);
+        for server in fleet.of_service(service) {
+            cold += usize::from(limiter.is_cold(server));
+            limited += usize::from(server.availability.rate_limit.rate(now).is_some());
+        }
         vm.metrics.cold_servers.with_label_values(&[service.as_str()]).set(cold as i64);
         vm.metrics.limited_servers.with_label_values(&[service.as_str()]).set(limited as i64);
     }
--- a/src/forward/selection/mod.rs
+++ b/src/forward/selection/mod.rs
@@ -6,13 +6,14 @@
 use std::rc::Rc;
 
 use prompt::Prompt;
-use version::{eligible_versions, rollout_servers};
+use version::{eligible_versions, rollout_servers, trial_share};
 
 use super::call::Call;
 use super::peer;
 use super::rate_limit::{self, Limiter, Permit};
 use super::replica::{Phase, Replica};
-use super::server::{Fleet, Server};
+use super::server::{Considered, Fleet, Server};
+use super::server_index::Draw;
 use super::vm::Vm;
 use crate::config::Regions;
 use crate::decide::availability::{self, Unavailable};
@@ -69,7 +70,7 @@
     pub reason: Reason,
     /// Permit to send to the rate-limited server, if the request has waited for one.
     pub permit: Option<Rc<Permit>>,
-    /// Number of the service's servers that could not be selected, by reason; draining ones are not
+    /// Number of the considered servers that could not be selected, by reason; draining ones are not
     /// counted.
     pub skipped: Skipped,
 }
@@ -90,17 +91,24 @@
 }
 
 impl Skipped {
-    /// Counts the servers of a service that may not receive a request of this VM now.
-    fn count(fleet: &Fleet, limiter: &Limiter, service: &Service, now: Moment) -> Skipped {
-        let (mut cold, mut limited) = (0, 0);
-        for server in fleet.eligible(service, now).filter(|one| !limiter.allows(one)) {
-            match limiter.is_cold(server) {
-                true => cold += 1,
-                false => limited += 1,
+    /// Counts the servers that may not receive a request of this VM now.
+    fn count(fleet: &Fleet, limiter: &Limiter, servers: &[&Server], now: Moment) -> Skipped {
+        let mut skipped = Skipped::default();
+        for server in servers {
+            match fleet.server_unavailable_reason(server, now) {
+                Some(Unavailable::Evacuated) if !server.availability.is_draining() => {
+                    skipped.evacuated += 1;
+                }
+                Some(Unavailable::BackingOff(_) | Unavailable::Probing(_)) => {
+                    skipped.backing_off += 1;
+                }
+                Some(reason) if reason.is_hard() => {}
+                _ if limiter.allows(server) => {}
+                _ if limiter.is_cold(server) => skipped.cold += 1,
+                _ => skipped.limited += 1,
             }
         }
-        let backing_off = fleet.backing_off(service, now).count();
-        Skipped { evacuated: fleet.count_evacuated(service), cold, limited, backing_off }
+        skipped
     }
 }
 
@@ -115,6 +123,21 @@
     }
 }
 
+/// Returns the servers of the service that a decision for a request on these versions considers.
+fn considered<'a>(
+    vm: &Vm,
+    fleet: &'a Fleet,
+    criteria: &Criteria,
+    versions: &Versions,
+) -> Considered<'a> {
+    let draw = Draw {
+        is_version: &|version| versions.contains(version),
+        trial_share: trial_share(vm, criteria.service, versions),
+        prompt: prompt::affinity(criteria),
+    };
+    fleet.considered(criteria.service, &draw)
+}
+
 /// What a request waits for if no server takes it at once: a permit at a rate-limited server, or
 /// the end of a server's backoff, after which the selection is repeated.
 pub struct Wait {
@@ -135,13 +158,14 @@
 fn backoff_wait(vm: &Vm, criteria: &Criteria, until: Moment, now: Moment) -> Option<Wait> {
     let (versions, _) = eligible_versions(vm, criteria.service, criteria.call, now);
     let fleet = vm.fleet.borrow();
-    let backing_off = fleet.backing_off(criteria.service, now).filter(|(one, _)| {
+    let considered = considered(vm, &fleet, criteria, &versions).servers;
+    let allowed = considered.into_iter().filter(|one| {
         let replica = &one.replica;
         versions.contains(&replica.version)
             && criteria.allows_region(vm, one)
             && !criteria.has_tried(replica)
     });
-    let left = backing_off.map(|(_, left)| left).min()?;
+    let left = allowed.filter_map(|one| fleet.backoff_left(one, now)).min()?;
     let at = now + left + WAKE_JITTER.mul_f64(rand::random());
     (at <= until).then_some(Wait { until: at, permit: None })
 }
@@ -151,9 +175,11 @@
     let (versions, _) = eligible_versions(vm, criteria.service, criteria.call, now);
     let limiter = rate_limit::limiter(vm, criteria.service, now);
     let mut fleet = vm.fleet.borrow_mut();
-    let allowed = fleet.eligible(criteria.service, now).filter(|one| {
+    let considered = considered(vm, &fleet, criteria, &versions).servers;
+    let allowed = considered.into_iter().filter(|one| {
         let replica = &one.replica;
-        versions.contains(&replica.version)
+        fleet.is_eligible(one, now)
+            && versions.contains(&replica.version)
             && criteria.allows_region(vm, one)
             && !criteria.has_tried(replica)
     });
@@ -177,14 +203,14 @@
     let permit = wait.permit?;
     let (versions, reason) = eligible_versions(vm, criteria.service, criteria.call, now);
     let fleet = vm.fleet.borrow();
-    let server =
-        fleet.eligible(criteria.service, now).find(|one| one.replica.id == permit.server().id);
-    let server = server.filter(|one| {
-        versions.contains(&one.replica.version)
+    let server = fleet.get(&permit.server().id).filter(|one| {
+        one.replica.service == *criteria.service
+            && fleet.is_eligible(one, now)
+            && versions.contains(&one.replica.version)
             && one.availability.unavailable_reason(now).is_none()
     });
     let placement = server.map(|server| {
-        let prompt = Prompt::new(criteria, &[server]);
+        let prompt = Prompt::new(criteria, &[server], None);
         Placement::of(server, &candidate(vm, criteria, &prompt, server, now), reason)
     });
     // Dropping an unused permit borrows the fleet mutably to release its reservation.
@@ -252,11 +278,12 @@
     let is_eligible =
         |one: &Server| versions.contains(&one.replica.version) && criteria.allows_region(vm, one);
     let is_limited = |one: &Server| one.availability.rate_limit.rate(now).is_some();
-    let mut backing_off = fleet.backing_off(criteria.service, now);
-    let mut serving = fleet.eligible(criteria.service, now);
-    backing_off.any(|(one, _)| is_eligible(one))
-        || (!matches!(reason, Reason::Drawn { .. })
-            && serving.any(|one| is_eligible(one) && is_limited(one)))
+    let waits_for_permit = !matches!(reason, Reason::Drawn { .. });
+    considered(vm, &fleet, criteria, versions).servers.into_iter().any(|one| {
+        let is_backing_off = fleet.backoff_left(one, now).is_some();
+        let is_limited = waits_for_permit && is_limited(one) && fleet.is_eligible(one, now);
+        is_eligible(one) && (is_backing_off || is_limited)
+    })
 }
 
 /// Returns the time after which a refused caller should retry, when the first backoff ends or the
@@ -265,18 +292,20 @@
 pub fn retry_after(vm: &Vm, criteria: &Criteria, now: Moment) -> Option<Span> {
     let fleet = vm.fleet.borrow();
     let limiter = rate_limit::limiter(vm, criteria.service, now);
-    let is_eligible = |one: &&Server| criteria.allows_region(vm, one);
-    let serving = || fleet.eligible(criteria.service, now).filter(is_eligible);
+    let mut considered = considered(vm, &fleet, criteria, &Versions::Any).servers;
+    considered.retain(|one| criteria.allows_region(vm, one));
+    let serving = || considered.iter().filter(|one| fleet.is_eligible(one, now));
     if serving().any(|one| limiter.rate_limit(one).is_none()) {
         return None;
     }
-    let backing_off = fleet.backing_off(criteria.service, now).filter(|(one, _)| is_eligible(one));
+    let backoffs = considered.iter().filter_map(|one| fleet.backoff_left(one, now));
     let permits =
         serving().filter_map(|one| limiter.next_permit(one)).map(|permit| permit.since(now));
-    availability::retry_after(backing_off.map(|(_, left)| left).chain(permits), rand::random())
+    availability::retry_after(backoffs.chain(permits), rand::random())
 }
 
 /// Selects the server among those of the given versions; `reason` is why the request goes to them.
+/// If none of the servers drawn from a large service can be used, searches all of them.
 fn select_among(
     vm: &Vm,
     criteria: &Criteria,
@@ -285,20 +314,42 @@
     now: Moment,
 ) -> Option<Placement> {
     let fleet = vm.fleet.borrow();
+    let considered = considered(vm, &fleet, criteria, versions);
+    let found = select_considered(vm, &fleet, criteria, versions, &considered, reason, now);
+    if found.is_some() || considered.affine.is_none() {
+        return found;
+    }
+    let servers = fleet.of_service(criteria.service).collect();
+    let all = Considered { servers, affine: None };
+    select_considered(vm, &fleet, criteria, versions, &all, reason, now)
+}
+
+/// Selects the server for a request among the considered ones.
+fn select_considered(
+    vm: &Vm,
+    fleet: &Fleet,
+    criteria: &Criteria,
+    versions: &Versions,
+    considered: &Considered,
+    reason: Reason,
+    now: Moment,
+) -> Option<Placement> {
     let limiter = rate_limit::limiter(vm, criteria.service, now);
     let of_version = || {
-        let allowed = |one: &&Server| versions.contains(&one.replica.version);
-        let within = |one: &&Server| criteria.allows_region(vm, one);
-        fleet
-            .eligible(criteria.service, now)
-            .filter(allowed)
-            .filter(within)
-            .filter(|one| limiter.allows(one))
+        considered.servers.iter().copied().filter(|one| {
+            versions.contains(&one.replica.version)
+                && fleet.is_eligible(one, now)
+                && criteria.allows_region(vm, one)
+                && limiter.allows(one)
+        })
     };
     let is_available = |one: &&Server| one.availability.unavailable_reason(now).is_none();
-    // While a rollout runs, only some servers of the new version take part; `None` if all do.
-    let trial_servers =
-        rollout_servers(vm, criteria.service, versions, of_version().filter(is_available));
+    // While a rollout runs, only some servers of the new version take part; `None` if all do, or if
+    // only those were drawn.
+    let trial_servers = match considered.affine {
+        Some(_) => None,
+        None => rollout_servers(vm, criteria.service, versions, of_version().filter(is_available)),
+    };
     let max_open = max_open_per_server(vm, criteria.service, now);
     let untried = |one: &&Server| !criteria.has_tried(&one.replica) && one.load.open() < max_open;
     let in_trial =
@@ -314,7 +365,7 @@
     if servers.is_empty() {
         servers = of_version().filter(untried).collect();
     }
-    let prompt = Prompt::new(criteria, &servers);
+    let prompt = Prompt::new(criteria, &servers, considered.affine.as_deref());
     let candidates: Vec<Candidate> =
         servers.iter().map(|server| candidate(vm, criteria, &prompt, server, now)).collect();
     let at = match criteria.call.prompt.is_empty() {
@@ -322,7 +373,7 @@
         false => placement::select_soonest(&candidates, criteria.body_bytes),
     };
     at.map(|at| {
-        let skipped = Skipped::count(&fleet, &limiter, criteria.service, now);
+        let skipped = Skipped::count(fleet, &limiter, &considered.servers, now);
         Placement { skipped, ..Placement::of(servers[at], &candidates[at], reason) }
     })
 }
--- a/src/forward/selection/prompt.rs
+++ b/src/forward/selection/prompt.rs
@@ -27,16 +27,21 @@
         Prompt { parts: parts(call, model), preferred: None }
     }
 
-    /// Returns the prompt of a request with the preferred one of these servers, by rendezvous
+    /// Returns the prompt of a request with the preferred one of these servers: the first `affine`
+    /// one among them or, if they are all servers of the service, the one chosen by rendezvous
     /// hashing.
-    pub fn new(criteria: &Criteria, servers: &[&Server]) -> Prompt {
+    pub fn new(criteria: &Criteria, servers: &[&Server], affine: Option<&[&Id]>) -> Prompt {
         let parts = parts(criteria.call, criteria.model);
-        let Some(last_shared) = parts.len().checked_sub(2) else {
+        let Some(shared) = shared_hash(&parts) else {
             return Prompt { parts, preferred: None };
         };
-        let name = parts[last_shared].hash.to_string();
+        let name = shared.to_string();
         let rank = |server: &&&Server| hash::stable(&[&name, server.replica.id.as_str()]);
-        let preferred = servers.iter().max_by_key(rank).map(|server| server.replica.id.clone());
+        let is_left = |id: &&&Id| servers.iter().any(|server| server.replica.id == ***id);
+        let preferred = match affine {
+            Some(affine) => affine.iter().find(is_left).copied().cloned(),
+            None => servers.iter().max_by_key(rank).map(|server| server.replica.id.clone()),
+        };
         Prompt { parts, preferred }
     }
 
@@ -65,6 +70,17 @@
     }
 }
 
+/// Returns the hash by which requests that share all but the last part of their prompt are sent to
+/// the same servers; `None` if nothing is shared.
+pub fn affinity(criteria: &Criteria) -> Option<u64> {
+    shared_hash(&parts(criteria.call, criteria.model))
+}
+
+/// Returns the hash of the last shared part.
+fn shared_hash(parts: &[Part]) -> Option<u64> {
+    Some(parts[parts.len().checked_sub(2)?].hash)
+}
+
 /// Returns the parts of a call's prompt, hashed with the model.
 fn parts(call: &Call, model: Option<&Model>) -> Vec<Part> {
     let model = model.map_or("", |model| model.as_str());
--- a/src/forward/selection/version.rs
+++ b/src/forward/selection/version.rs
@@ -116,6 +116,16 @@
     }
 }
 
+/// Returns the share of the new version's servers that take part in its trial while a rollout runs,
+/// or `None` if all servers of `versions` may serve.
+pub fn trial_share(vm: &Vm, service: &Service, versions: &Versions) -> Option<f64> {
+    let rollouts = vm.rollouts.borrow();
+    let rollout = rollouts.get(service)?;
+    let Some(Phase::Running { share }) = rollout.phase else { return None };
+    let is_new = *versions == Versions::Only(rollout.version.clone());
+    (is_new && share < 1.0).then_some(share)
+}
+
 /// Returns the ids of the servers that share the requests for the new version while a rollout runs,
 /// or `None` if all servers of `versions` may serve. All VMs compute the same ids.
 pub fn rollout_servers<'a>(
@@ -124,12 +134,7 @@
     versions: &Versions,
     servers: impl Iterator<Item = &'a Server>,
 ) -> Option<Vec<Id>> {
-    let rollouts = vm.rollouts.borrow();
-    let rollout = rollouts.get(service)?;
-    let Some(Phase::Running { share }) = rollout.phase else { return None };
-    if *versions != Versions::Only(rollout.version.clone()) || share >= 1.0 {
-        return None;
-    }
+    let share = trial_share(vm, service, versions)?;
     let mut ranked: Vec<(u64, Id)> = servers
         .map(|server| server.replica.id.clone())
         .map(|id| (hash::stable(&[service.as_str(), id.as_str()]), id))
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -8,6 +8,7 @@
 use super::liveness::Liveness;
 use super::pool::Pool;
 use super::replica::{Incarnation, Replica};
+use super::server_index::{self, Draw, ServerIndex, Viewpoint};
 use crate::decide::availability::{Availability, Unavailable};
 use crate::decide::backlog::Backlog;
 use crate::decide::cold_start::ColdStart;
@@ -21,6 +22,10 @@
 /// those with many four.
 pub const LAPSED_ENTRY_GRACE: Span = Span::millis(2000);
 
+/// Services with more servers than this are not searched completely: a decision considers a bounded
+/// number of their servers, so that it takes no longer in a larger fleet.
+const MAX_SEARCHED: usize = 256;
+
 /// Maximum number of prompt prefixes remembered for one server.
 const MAX_PREFIXES: usize = 1000;
 /// Time for which a prompt prefix is assumed to be cached by a server. Servers evict the oldest
@@ -117,10 +122,23 @@
     removed_at: Moment,
 }
 
+/// Servers of one service that a decision considers.
+#[derive(Default)]
+pub struct Considered<'a> {
+    /// The servers, each once.
+    pub servers: Vec<&'a Server>,
+    /// Ids of the servers that all VMs of the data centre prefer for the prompt, in that order;
+    /// `None` if `servers` are all servers of the service, so that all VMs know the same ones.
+    pub affine: Option<Vec<&'a Id>>,
+}
+
 /// All backend servers, and the orders that apply to them.
 #[derive(Default)]
 pub struct Fleet {
     servers: HashMap<Id, Server>,
+    index: ServerIndex,
+    /// Where this VM stands among the servers; `None` if all are always considered.
+    viewpoint: Option<Viewpoint>,
     /// Servers whose entries were removed recently, and may come back as the same incarnation.
     removed: HashMap<Id, RemovedServer>,
     /// Disputed incarnations: known to be draining or gone, but listed as ready by a store that was
@@ -135,12 +153,35 @@
 }
 
 impl Fleet {
+    /// Returns a fleet without servers, for a VM that stands at `viewpoint`.
+    pub fn new(viewpoint: Viewpoint) -> Fleet {
+        Fleet { viewpoint: Some(viewpoint), ..Fleet::default() }
+    }
+
+    /// Sets where this VM stands among the servers.
+    pub fn set_viewpoint(&mut self, viewpoint: Viewpoint) {
+        self.viewpoint = Some(viewpoint);
+    }
+
+    /// Returns the servers of a service that a decision considers: all of them, also of versions
+    /// that were not asked for, or those that are drawn from a service that has too many.
+    pub fn considered(&self, service: &Service, draw: &Draw) -> Considered<'_> {
+        let from = self.viewpoint.as_ref();
+        let Some(from) = from.filter(|_| self.index.count(service) > MAX_SEARCHED) else {
+            return Considered { servers: self.of_service(service).collect(), affine: None };
+        };
+        let drawn = self.index.draw(service, from, draw);
+        let servers = drawn.all.into_iter().filter_map(|id| self.servers.get(id)).collect();
+        Considered { servers, affine: Some(drawn.affine) }
+    }
+
     /// Inserts or updates the entry of a server. Returns true if the entry belongs to a later
     /// incarnation of a known server, to which nothing that was known of the earlier one applies.
     pub fn upsert(&mut self, replica: Replica, now: Moment) -> bool {
         self.default_versions
             .entry(replica.service.clone())
             .or_insert_with(|| replica.version.clone());
+        self.update_index(&replica);
         match self.servers.get_mut(&replica.id) {
             Some(server) if server.replica.is_same_incarnation(&replica) => {
                 let is_changed = server.replica != replica;
@@ -169,6 +210,17 @@
         }
     }
 
+    /// Puts a server into the index, or moves it if its entry has changed so.
+    fn update_index(&mut self, replica: &Replica) {
+        if let Some(server) = self.servers.get(&replica.id) {
+            if server_index::has_same_place(&server.replica, replica) {
+                return;
+            }
+            self.index.remove(&server.replica);
+        }
+        self.index.insert(replica);
+    }
+
     /// Checks an entry that may come from a backup and be older than what is known of its server.
     /// Returns true if the entry is to be applied, because it undoes nothing that is known. An
     /// incarnation drains for good, so an entry that shows it as draining is never too old. An
@@ -243,6 +295,7 @@
     /// incarnation.
     fn move_to_removed(&mut self, id: &Id, now: Moment) {
         let Some(Server { replica, availability, .. }) = self.servers.remove(id) else { return };
+        self.index.remove(&replica);
         if self.removed.len() >= MAX_REMOVED {
             self.removed.retain(|_, removed| now.since(removed.removed_at) < REMOVED_TTL);
         }
@@ -295,17 +348,6 @@
         was_evacuated
     }
 
-    /// Returns the number of servers of a service that are evacuated and not draining: they would
-    /// receive requests but for the evacuation.
-    pub fn count_evacuated(&self, service: &Service) -> usize {
-        if self.evacuated.is_empty() {
-            return 0;
-        }
-        let not_draining =
-            self.of_service(service).filter(|server| !server.availability.is_draining());
-        not_draining.filter(|server| self.is_evacuated(server)).count()
-    }
-
     /// Returns the servers of a service that may receive requests, including those that are ejected
     /// after failures: they are still used if no other is left.
     pub fn eligible<'a>(
@@ -313,32 +355,29 @@
         service: &'a Service,
         now: Moment,
     ) -> impl Iterator<Item = &'a Server> {
-        let is_open = move |one: &&Server| {
-            !self.server_unavailable_reason(one, now).is_some_and(Unavailable::is_hard)
-        };
-        self.of_service(service).filter(is_open)
+        self.of_service(service).filter(move |one| self.is_eligible(one, now))
     }
 
-    /// Returns the servers of a service that are backing off or being probed after a backoff, and
-    /// the time until the next request may go to the server.
-    pub fn backing_off<'a>(
-        &'a self,
-        service: &'a Service,
-        now: Moment,
-    ) -> impl Iterator<Item = (&'a Server, Span)> {
-        self.of_service(service).filter_map(move |server| {
-            match self.server_unavailable_reason(server, now) {
-                Some(Unavailable::BackingOff(left) | Unavailable::Probing(left)) => {
-                    Some((server, left))
-                }
-                _ => None,
-            }
-        })
+    /// Returns true if a server may receive requests, perhaps only if no other is left.
+    pub fn is_eligible(&self, server: &Server, now: Moment) -> bool {
+        !self.server_unavailable_reason(server, now).is_some_and(Unavailable::is_hard)
+    }
+
+    /// Returns the time until the next request may go to a server that is backing off or being
+    /// probed after a backoff; `None` for another server.
+    pub fn backoff_left(&self, server: &Server, now: Moment) -> Option<Span> {
+        match self.server_unavailable_reason(server, now) {
+            Some(Unavailable::BackingOff(left) | Unavailable::Probing(left)) => Some(left),
+            _ => None,
+        }
     }
 
     /// Returns all servers of a service, including those that may not receive requests.
-    fn of_service<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = &'a Server> {
-        self.servers.values().filter(move |one| one.replica.service == *service)
+    pub fn of_service<'a>(
+        &'a self,
+        service: &Service,
+    ) -> impl Iterator<Item = &'a Server> + use<'a> {
+        self.index.ids(service).filter_map(|id| self.servers.get(id))
     }
 
     /// Returns true if the data centre of the server is evacuated.
@@ -347,7 +386,7 @@
     }
 
     /// Returns why a server may not receive requests now.
-    fn server_unavailable_reason(&self, server: &Server, now: Moment) -> Option<Unavailable> {
+    pub fn server_unavailable_reason(&self, server: &Server, now: Moment) -> Option<Unavailable> {
         let by_order = self.is_evacuated(server).then_some(Unavailable::Evacuated);
         by_order.or_else(|| server.availability.unavailable_reason(now))
     }
@@ -384,11 +423,18 @@
         self.servers.values()
     }
 
-    /// Returns the mean failure rate of the servers of a service that may receive requests, from 0
-    /// to 1.
+    /// Returns the names of the services that have servers.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.index.services()
+    }
+
+    /// Returns the mean failure rate, from 0 to 1, of the servers of a service that may receive
+    /// requests; of a service with many servers, of those to which this VM usually sends.
     pub fn failure_rate(&self, service: &Service, now: Moment) -> f64 {
         let (mut sum, mut count) = (0.0, 0.0);
-        for server in self.eligible(service, now) {
+        let any = Draw { is_version: &|_| true, trial_share: None, prompt: None };
+        let considered = self.considered(service, &any);
+        for server in considered.servers.into_iter().filter(|one| self.is_eligible(one, now)) {
             sum += server.availability.failure_rate();
             count += 1.0;
         }
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -18,6 +18,7 @@
 use super::role::{Decline, Role};
 use super::rollout_trial::RolloutTrial;
 use super::server::{Fleet, LAPSED_ENTRY_GRACE};
+use super::server_index::Viewpoint;
 use super::session::Sessions;
 use super::settings::Settings;
 use super::usage::Usage;
@@ -30,7 +31,7 @@
 use crate::decide::reader::Rank;
 use crate::platform::client::{Client, StoreError};
 use crate::platform::object::Object;
-use crate::unit::{Era, Model, Moment, Position, Service, Span};
+use crate::unit::{Era, Model, Moment, Position, Service, Span, hash};
 use crate::vm::Clock;
 use crate::watch::label::LabelSet;
 use crate::watch::log::{Logger, Value};
@@ -160,6 +161,10 @@
             let vm = settings.vm.clone();
             RefCell::new(Usage::new(duties.usage, vm, clock.now(), clock.date()))
         });
+        let viewpoint = Viewpoint {
+            data_centre: settings.data_centre.clone(),
+            point: hash::stable(&[settings.vm.as_str()]),
+        };
         Vm {
             settings,
             started: clock.now(),
@@ -169,7 +174,7 @@
             active_era: Cell::new(None),
             recent_restore: tokio::sync::watch::Sender::new(None),
             positions: RefCell::default(),
-            fleet: RefCell::default(),
+            fleet: RefCell::new(Fleet::new(viewpoint)),
             rollouts: RefCell::default(),
             disputes_changed: Notify::new(),
             deferred_rollouts: RefCell::default(),
