Keep the ring neighbours of a VM until VMs come or go

Cause: each message to the neighbours hashed and sorted the names of all VMs: work per message grew with the fleet.

Change: the neighbours are determined again only when the known VMs have changed. Addresses are looked up by name rather than by a pass over all VMs.

--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -2,6 +2,7 @@
 //! and which of them get a message. Messages speed up what a VM would find out by itself; losing
 //! one only delays that.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -86,9 +87,38 @@
     links: Option<Links>,
     /// The other VMs by name, including those that may be gone.
     known: HashMap<Name, Peer>,
+    /// This VM's neighbours on the ring; `None` if VMs were added or removed since they were
+    /// determined.
+    neighbours: RefCell<Option<Rc<[Name]>>>,
 }
 
 impl Peers {
+    /// Returns the peer of this name, which is added if it is not known.
+    fn get_or_insert(&mut self, name: Name, info: &PeerInfo, now: Moment) -> &mut Peer {
+        if !self.known.contains_key(&name) {
+            self.neighbours.take();
+        }
+        self.known.entry(name).or_insert_with(|| Peer::new(info.clone(), now))
+    }
+
+    /// Removes the peers that `is_kept` does not select.
+    fn retain(&mut self, is_kept: impl Fn(&Name, &Peer) -> bool) {
+        let before = self.known.len();
+        self.known.retain(|name, peer| is_kept(name, peer));
+        if self.known.len() != before {
+            self.neighbours.take();
+        }
+    }
+
+    /// Returns the neighbours of the VM `own` on the ring of all VMs.
+    fn neighbours(&self, own: &Name) -> Rc<[Name]> {
+        let determine = || {
+            let all: Vec<Name> = self.known.keys().chain([own]).cloned().collect();
+            neighbours(own, &all).into()
+        };
+        self.neighbours.borrow_mut().get_or_insert_with(determine).clone()
+    }
+
     /// Returns true if there are so few VMs that each sends its messages to all others.
     pub fn is_full_mesh(&self) -> bool {
         self.known.len() <= FULL_MESH_MAX
@@ -131,7 +161,7 @@
     /// Inserts a VM that the store lists. In a full mesh the VM counts as live from its first
     /// message.
     pub fn insert_listed(&mut self, vm: Name, info: PeerInfo, now: Moment) {
-        let peer = self.known.entry(vm).or_insert_with(|| Peer::new(info.clone(), now));
+        let peer = self.get_or_insert(vm, &info, now);
         if !peer.is_live(now) {
             peer.info = info;
         }
@@ -139,7 +169,7 @@
 
     /// Removes VMs that the store does not list and that are silent.
     pub fn retain_listed(&mut self, is_listed: impl Fn(&Name) -> bool, now: Moment) {
-        self.known.retain(|name, peer| is_listed(name) || peer.is_live(now));
+        self.retain(|name, peer| is_listed(name) || peer.is_live(now));
     }
 
     /// Returns the links to the other VMs, or `None` before they are open.
@@ -207,7 +237,7 @@
     }
     let known = {
         let mut peers = vm.peers.borrow_mut();
-        let peer = peers.known.entry(from.clone()).or_insert(Peer::new(info.clone(), now));
+        let peer = peers.get_or_insert(from.clone(), &info, now);
         let known = peer.is_live(now) && peer.info.address == info.address;
         peer.info = info.clone();
         peer.last_received = Some(now);
@@ -261,7 +291,7 @@
 fn on_goodbye(vm: &Vm, name: &Name) {
     let mut peers = vm.peers.borrow_mut();
     if peers.is_full_mesh() {
-        peers.known.remove(name);
+        peers.retain(|known, _| known != name);
     }
     vm.log("peer left", &[("peer", name.as_str().into())]);
 }
@@ -290,9 +320,7 @@
                 heartbeats.push(peer.info.address);
             }
         }
-        for name in &gone {
-            peers.known.remove(name);
-        }
+        peers.retain(|name, _| !gone.contains(name));
     }
     for address in heartbeats {
         send(vm, address, Message::Hello);
@@ -310,12 +338,10 @@
 
 /// Returns the peers that get broadcasts of this VM: all, or its neighbours on the ring.
 fn broadcast_targets(vm: &Vm, peers: &Peers) -> Vec<Name> {
-    let mut names: Vec<Name> = peers.known.keys().cloned().collect();
-    if peers.is_full_mesh() {
-        return names;
+    match peers.is_full_mesh() {
+        true => peers.known.keys().cloned().collect(),
+        false => peers.neighbours(&vm.settings.vm).to_vec(),
     }
-    names.push(vm.settings.vm.clone());
-    neighbours(&vm.settings.vm, &names)
 }
 
 /// Sends a message to one VM, without waiting for it.
@@ -374,13 +400,12 @@
     let now = vm.now();
     let addresses: Vec<SocketAddr> = {
         let mut peers = vm.peers.borrow_mut();
-        let targets = peers.known.iter_mut().filter(|(name, _)| names.contains(name));
-        targets
-            .map(|(_, peer)| {
-                peer.last_sent = Some(now);
-                peer.info.address
-            })
-            .collect()
+        let send_to = |name: &Name| {
+            let peer = peers.known.get_mut(name)?;
+            peer.last_sent = Some(now);
+            Some(peer.info.address)
+        };
+        names.iter().filter_map(send_to).collect()
     };
     for address in addresses {
         send(vm, address, message.clone());
