Let the kept changes and removed servers follow the size of the fleet

Cause: 2,000 changes and 2,400 removed servers were kept at any size. A burst grows with the servers, so in a fleet of 10,000 a release or an outage made every follower take all objects again, and what servers had announced was forgotten.

Change: as many changes are kept as there are objects, and as many removed servers as there have been servers; the former figures are the minimum.

--- a/src/forward/feed.rs
+++ b/src/forward/feed.rs
@@ -16,9 +16,11 @@
 use crate::platform::object::Object;
 use crate::unit::{Moment, Position, Revision, Span, Vm};
 
-/// Number of changes kept for followers, which poll a few times a second. Only the object's name is
-/// kept for each change: a follower gets the object in its present state.
-const MAX_CHANGES: usize = 2000;
+/// Minimum number of changes kept for followers, which poll a few times a second. Only the object's
+/// name is kept for each change: a follower gets the object in its present state. As many changes
+/// are kept as there are objects, if there are more of them, since a follower that lacks fewer
+/// changes would otherwise get all objects.
+const MIN_CHANGES: usize = 2000;
 
 /// Position of a follower in the feed of another VM.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -140,7 +142,7 @@
 pub struct Feed {
     cursor: Cursor,
     objects: BTreeMap<(Kind, String), Stored>,
-    /// The latest changes, oldest first, at most [`MAX_CHANGES`].
+    /// The latest changes, oldest first; see [`MIN_CHANGES`].
     changes: VecDeque<ChangeRecord>,
     freshness: BTreeMap<Kind, Freshness>,
     /// Cache of packed changes by the number of latest changes they contain, or `None` for all
@@ -216,12 +218,12 @@
         of_kind.filter_map(|(_, kept)| Object::from_json(&kept.text).ok())
     }
 
-    /// Appends a change, and drops the oldest one if there are too many.
+    /// Appends a change, and drops the oldest ones if there are too many.
     fn push_change(&mut self, change: ChangeRecord) {
         self.cursor.sequence += 1;
         self.packed_cache.get_mut().clear();
         self.changes.push_back(change);
-        if self.changes.len() > MAX_CHANGES {
+        while self.changes.len() > MIN_CHANGES.max(self.objects.len()) {
             self.changes.pop_front();
         }
     }
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -32,10 +32,10 @@
 /// prefixes when their cache is full, which takes some ten seconds under load.
 const PREFIX_TTL: Span = Span::secs(20);
 
-/// Maximum number of removed servers that are remembered. Sites are expected to have 600 servers in
-/// two years; one takes about 300 bytes.
-const MAX_REMOVED: usize = 2400;
-/// Age from which removed servers are dropped once [`MAX_REMOVED`] of them are remembered.
+/// Number of removed servers that are remembered in any case; one takes about 300 bytes. As many are
+/// remembered as there have been servers, if there were more: an outage may remove all at once.
+const MIN_REMOVED: usize = 2400;
+/// Age from which removed servers are dropped once [`MIN_REMOVED`] of them are remembered.
 const REMOVED_TTL: Span = Span::secs(60);
 
 /// One incarnation of a backend server (a lifetime of its process), with what this VM knows of it.
@@ -139,6 +139,8 @@
     index: ServerIndex,
     /// Where this VM stands among the servers; `None` if all are always considered.
     viewpoint: Option<Viewpoint>,
+    /// Largest number of servers so far.
+    peak_count: usize,
     /// Servers whose entries were removed recently, and may come back as the same incarnation.
     removed: HashMap<Id, RemovedServer>,
     /// Disputed incarnations: known to be draining or gone, but listed as ready by a store that was
@@ -202,6 +204,7 @@
                 server.availability.apply_entry(server.replica.ready, now);
                 server.update_cold_until(now);
                 let earlier = self.servers.insert(server.replica.id.clone(), server);
+                self.peak_count = self.peak_count.max(self.servers.len());
                 if let Some(earlier) = &earlier {
                     earlier.superseded.notify_waiters();
                 }
@@ -296,10 +299,11 @@
     fn move_to_removed(&mut self, id: &Id, now: Moment) {
         let Some(Server { replica, availability, .. }) = self.servers.remove(id) else { return };
         self.index.remove(&replica);
-        if self.removed.len() >= MAX_REMOVED {
+        let limit = MIN_REMOVED.max(self.peak_count);
+        if self.removed.len() >= limit {
             self.removed.retain(|_, removed| now.since(removed.removed_at) < REMOVED_TTL);
         }
-        if self.removed.len() < MAX_REMOVED {
+        if self.removed.len() < limit {
             self.removed
                 .insert(id.clone(), RemovedServer { replica, availability, removed_at: now });
         }
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -258,3 +258,20 @@
     asked.clear_declined();
     assert_eq!(asked.next_source(&own, group.iter(), now), Some(&group[1].vm));
 }
+
+#[test]
+fn a_follower_that_missed_a_change_of_every_object_gets_no_full_update() {
+    for count in [100, 3000, 12_000] {
+        let mut feed = Feed::new(7);
+        let named = |at: usize, revision: u64| -> Object {
+            let metadata = json!({"name": format!("o{at}"), "revision": revision});
+            serde_json::from_value(json!({"metadata": metadata, "spec": {}})).unwrap()
+        };
+        (0..count).for_each(|at| feed.upsert(Kind::Servers, &named(at, 1)));
+        let cursor = feed.update_since(Cursor::default(), status(), Moment(0)).cursor;
+        (0..count).for_each(|at| feed.upsert(Kind::Servers, &named(at, 2)));
+        let update = feed.update_since(cursor, status(), Moment(0));
+        assert!(!update.is_full, "all of {count} objects changed");
+        assert_eq!(update.changes.changes().map(|changes| changes.len()), Some(count));
+    }
+}
--- a/tests/selection.rs
+++ b/tests/selection.rs
@@ -157,3 +157,20 @@
         assert!(!of_new.is_empty() && of_new.len() <= most, "{} at {share}", of_new.len());
     }
 }
+
+#[test]
+fn what_all_servers_announced_is_kept_while_their_entries_are_gone() {
+    let mut fleet = fleet("vm-a", "here", 6000);
+    let draining = Signal { draining: true, ..Signal::default() };
+    for at in 0..6000 {
+        let replica = replica(at, "v1");
+        let server = fleet.incarnation_mut(&replica).expect("just inserted");
+        server.availability.observe(draining, NOW);
+        fleet.remove(&replica.id, false, NOW);
+    }
+    (0..6000).for_each(|at| {
+        fleet.upsert(replica(at, "v1"), NOW);
+    });
+    let service = "api".parse().unwrap();
+    assert_eq!(fleet.eligible(&service, NOW).count(), 0, "servers that drain are used again");
+}
