--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -11,7 +11,7 @@
 use kitepulley::decide::sequential::Count;
 use kitepulley::forward::replica::Replica as Life;
 use kitepulley::forward::server::Fleet;
-use kitepulley::forward::server_index::{Draw, Viewpoint};
+use kitepulley::forward::server_index::{Query, Viewpoint};
 use kitepulley::unit::{Moment, Span, TrafficShare};
 
 fn replicas(count: u64) -> Vec<Replica> {
@@ -138,8 +138,8 @@
         group.bench_function(BenchmarkId::from_parameter(count), |b| {
             b.iter(|| {
                 prompt = prompt.wrapping_add(0x9e37_79b9_7f4a_7c15);
-                let draw = Draw { is_version: &|_| true, trial_share: None, prompt: Some(prompt) };
-                let considered = fleet.considered(&service, &draw);
+                let query = Query { is_version: &|_| true, trial_share: None, prompt: Some(prompt) };
+                let considered = fleet.considered(&service, &query);
                 let open = considered.servers.iter().filter(|one| fleet.is_eligible(one, now));
                 black_box(open.count());
                 black_box(fleet.failure_rate(&service, now))
--- a/src/forward/selection/mod.rs
+++ b/src/forward/selection/mod.rs
@@ -13,7 +13,7 @@
 use super::rate_limit::{self, Limiter, Permit};
 use super::replica::{Phase, Replica};
 use super::server::{Considered, Fleet, Server};
-use super::server_index::Draw;
+use super::server_index::Query;
 use super::vm::Vm;
 use crate::config::Regions;
 use crate::decide::availability::{self, Unavailable};
@@ -130,12 +130,12 @@
     criteria: &Criteria,
     versions: &Versions,
 ) -> Considered<'a> {
-    let draw = Draw {
+    let query = Query {
         is_version: &|version| versions.contains(version),
         trial_share: trial_share(vm, criteria.service, versions),
         prompt: prompt::affinity(criteria),
     };
-    fleet.considered(criteria.service, &draw)
+    fleet.considered(criteria.service, &query)
 }
 
 /// What a request waits for if no server takes it at once: a permit at a rate-limited server, or
@@ -305,7 +305,7 @@
 }
 
 /// Selects the server among those of the given versions; `reason` is why the request goes to them.
-/// If none of the servers drawn from a large service can be used, searches all of them.
+/// If none of the servers sampled from a large service can be used, searches all of them.
 fn select_among(
     vm: &Vm,
     criteria: &Criteria,
@@ -345,7 +345,7 @@
     };
     let is_available = |one: &&Server| one.availability.unavailable_reason(now).is_none();
     // While a rollout runs, only some servers of the new version take part; `None` if all do, or if
-    // only those were drawn.
+    // only those were sampled.
     let trial_servers = match considered.affine {
         Some(_) => None,
         None => rollout_servers(vm, criteria.service, versions, of_version().filter(is_available)),
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -8,7 +8,7 @@
 use super::liveness::Liveness;
 use super::pool::Pool;
 use super::replica::{Incarnation, Replica};
-use super::server_index::{self, Draw, ServerIndex, Viewpoint};
+use super::server_index::{self, Query, ServerIndex, Viewpoint};
 use crate::decide::availability::{Availability, Unavailable};
 use crate::decide::backlog::Backlog;
 use crate::decide::cold_start::ColdStart;
@@ -166,15 +166,15 @@
     }
 
     /// Returns the servers of a service that a decision considers: all of them, also of versions
-    /// that were not asked for, or those that are drawn from a service that has too many.
-    pub fn considered(&self, service: &Service, draw: &Draw) -> Considered<'_> {
+    /// that were not asked for, or those that are sampled from a service that has too many.
+    pub fn considered(&self, service: &Service, query: &Query) -> Considered<'_> {
         let from = self.viewpoint.as_ref();
         let Some(from) = from.filter(|_| self.index.count(service) > MAX_SEARCHED) else {
             return Considered { servers: self.of_service(service).collect(), affine: None };
         };
-        let drawn = self.index.draw(service, from, draw);
-        let servers = drawn.all.into_iter().filter_map(|id| self.servers.get(id)).collect();
-        Considered { servers, affine: Some(drawn.affine) }
+        let sample = self.index.sample(service, from, query);
+        let servers = sample.all.into_iter().filter_map(|id| self.servers.get(id)).collect();
+        Considered { servers, affine: Some(sample.affine) }
     }
 
     /// Inserts or updates the entry of a server. Returns true if the entry belongs to a later
@@ -436,7 +436,7 @@
     /// requests; of a service with many servers, of those to which this VM usually sends.
     pub fn failure_rate(&self, service: &Service, now: Moment) -> f64 {
         let (mut sum, mut count) = (0.0, 0.0);
-        let any = Draw { is_version: &|_| true, trial_share: None, prompt: None };
+        let any = Query { is_version: &|_| true, trial_share: None, prompt: None };
         let considered = self.considered(service, &any);
         for server in considered.servers.into_iter().filter(|one| self.is_eligible(one, now)) {
             sum += server.availability.failure_rate();
--- a/src/forward/server_index.rs
+++ b/src/forward/server_index.rs
@@ -1,9 +1,9 @@
 //! Index of the backend servers by service, version and data centre, from which a bounded number of
-//! servers is drawn for a decision.
+//! servers is sampled for a decision.
 //!
-//! The servers of each version are arranged on a hash ring that is the same on all VMs. A VM draws
+//! The servers of each version are arranged on a hash ring that is the same on all VMs. A VM samples
 //! those that follow its own point, so that it uses the same servers again and again and the VMs
-//! spread over all servers. For a prompt it draws those that follow the hash of the shared part, so
+//! spread over all servers. For a prompt it samples those that follow the hash of the shared part, so
 //! that all VMs of a data centre send equal prompts to the same servers.
 
 use std::collections::{BTreeSet, HashMap, HashSet};
@@ -12,12 +12,12 @@
 use crate::decide::canary;
 use crate::unit::{DataCentre, Server as Id, Service, Version, hash};
 
-/// Servers of the VM's own data centre that are drawn for a decision.
+/// Servers of the VM's own data centre that are sampled for a decision.
 const LOCAL_SERVERS: usize = 48;
-/// Servers of all data centres that are drawn in addition, for the case that the own one has none
+/// Servers of all data centres that are sampled in addition, for the case that the own one has none
 /// left.
 const OTHER_SERVERS: usize = 16;
-/// Servers that are drawn for a prompt: the one that has probably cached it, and those that stand in
+/// Servers that are sampled for a prompt: the one that has probably cached it, and those that stand in
 /// for it.
 const AFFINE_SERVERS: usize = 4;
 
@@ -111,9 +111,9 @@
     by_version: HashMap<Version, VersionServers>,
 }
 
-/// Which servers of a service to draw.
-pub struct Draw<'a> {
-    /// Returns true for the versions whose servers are drawn.
+/// Which servers of a service to sample.
+pub struct Query<'a> {
+    /// Returns true for the versions whose servers are sample.
     pub is_version: &'a dyn Fn(&Version) -> bool,
     /// Share of the servers that take part in a trial of their version; `None` without a trial.
     pub trial_share: Option<f64>,
@@ -121,12 +121,12 @@
     pub prompt: Option<u64>,
 }
 
-/// Servers that were drawn for a decision.
+/// Servers that were sampled for a decision.
 #[derive(Debug, Default)]
-pub struct Drawn<'a> {
-    /// Servers that all VMs of the data centre draw for the prompt, the first one preferred.
+pub struct Sample<'a> {
+    /// Servers that all VMs of the data centre sample for the prompt, the first one preferred.
     pub affine: Vec<&'a Id>,
-    /// All drawn servers, each once, the affine ones first.
+    /// All sampled servers, each once, the affine ones first.
     pub all: Vec<&'a Id>,
 }
 
@@ -172,27 +172,27 @@
         self.services.get(service).map_or(0, |service| service.ids.len())
     }
 
-    /// Draws servers of a service for one decision; their number does not depend on how many the
+    /// Samples servers of a service for one decision; their number does not depend on how many the
     /// service has.
-    pub fn draw(&self, service: &Service, from: &Viewpoint, draw: &Draw) -> Drawn<'_> {
-        let mut drawn = Drawn::default();
-        let Some(service) = self.services.get(service) else { return drawn };
-        let versions = service.by_version.iter().filter(|(version, _)| (draw.is_version)(version));
+    pub fn sample(&self, service: &Service, from: &Viewpoint, query: &Query) -> Sample<'_> {
+        let mut sample = Sample::default();
+        let Some(service) = self.services.get(service) else { return sample };
+        let versions = service.by_version.iter().filter(|(version, _)| (query.is_version)(version));
         let versions: Vec<(&VersionServers, u64)> =
-            versions.map(|(_, servers)| (servers, servers.trial_end(draw.trial_share))).collect();
+            versions.map(|(_, servers)| (servers, servers.trial_end(query.trial_share))).collect();
         for (servers, end) in &versions {
-            let Some(prompt) = draw.prompt else { break };
+            let Some(prompt) = query.prompt else { break };
             let affine = servers.local(&from.data_centre).starting_at(prompt, *end);
-            drawn.affine.extend(affine.take(AFFINE_SERVERS));
+            sample.affine.extend(affine.take(AFFINE_SERVERS));
         }
-        let mut seen: HashSet<&Id> = drawn.affine.iter().copied().collect();
-        drawn.all.clone_from(&drawn.affine);
+        let mut seen: HashSet<&Id> = sample.affine.iter().copied().collect();
+        sample.all.clone_from(&sample.affine);
         for (servers, end) in &versions {
             let local = servers.local(&from.data_centre).starting_at(from.point, *end);
             let others = servers.all.starting_at(from.point, *end);
             let both = local.take(LOCAL_SERVERS).chain(others.take(OTHER_SERVERS));
-            drawn.all.extend(both.filter(|id| seen.insert(*id)));
+            sample.all.extend(both.filter(|id| seen.insert(*id)));
         }
-        drawn
+        sample
     }
 }
--- a/tests/selection.rs
+++ b/tests/selection.rs
@@ -10,7 +10,7 @@
 use kitepulley::forward::replica::{Phase, Replica, Rollout};
 use kitepulley::forward::selection::{self, Criteria};
 use kitepulley::forward::server::Fleet;
-use kitepulley::forward::server_index::{Draw, Viewpoint};
+use kitepulley::forward::server_index::{Query, Viewpoint};
 use kitepulley::unit::{Moment, Position, Server, Span, Version, hash};
 use site::{bare_vm, job};
 
@@ -52,42 +52,42 @@
     true
 }
 
-fn draw(prompt: Option<u64>) -> Draw<'static> {
-    Draw { is_version: &any_version, trial_share: None, prompt }
+fn query(prompt: Option<u64>) -> Query<'static> {
+    Query { is_version: &any_version, trial_share: None, prompt }
 }
 
-fn considered(fleet: &Fleet, draw: &Draw) -> Vec<Server> {
-    let considered = fleet.considered(&"api".parse().unwrap(), draw);
+fn considered(fleet: &Fleet, query: &Query) -> Vec<Server> {
+    let considered = fleet.considered(&"api".parse().unwrap(), query);
     considered.servers.iter().map(|server| server.replica.id.clone()).collect()
 }
 
 #[test]
 fn a_decision_considers_as_many_of_20_000_servers_as_of_300() {
     for count in [300, 10_000, 20_000] {
-        let ids = considered(&fleet("vm-a", "here", count), &draw(Some(7)));
+        let ids = considered(&fleet("vm-a", "here", count), &query(Some(7)));
         let different: HashSet<&Server> = ids.iter().collect();
         assert_eq!(different.len(), ids.len(), "a server is considered twice");
         assert!((50..=MAX_CONSIDERED).contains(&ids.len()), "{} of {count}", ids.len());
     }
-    assert_eq!(considered(&fleet("vm-a", "here", 200), &draw(Some(7))).len(), 200);
+    assert_eq!(considered(&fleet("vm-a", "here", 200), &query(Some(7))).len(), 200);
 }
 
 #[test]
 fn vms_spread_over_all_servers() {
-    let mut drawn: HashMap<Server, usize> = HashMap::new();
+    let mut sampled: HashMap<Server, usize> = HashMap::new();
     let mut fleet = fleet("vm-a", "here", 10_000);
     for vm in 0..985 {
         let data_centre = DATA_CENTRES[vm % DATA_CENTRES.len()];
         fleet.set_viewpoint(viewpoint(&format!("vm{vm}"), data_centre));
-        for id in considered(&fleet, &draw(None)) {
-            *drawn.entry(id).or_default() += 1;
+        for id in considered(&fleet, &query(None)) {
+            *sampled.entry(id).or_default() += 1;
         }
     }
-    let mean = drawn.values().sum::<usize>() as f64 / 10_000.0;
-    let most = drawn.values().max().copied().unwrap_or_default();
-    println!("{} of 10,000 drawn, {mean:.1} times on average, {most} at most", drawn.len());
-    assert!(drawn.len() > 9_500, "{} servers are drawn by any VM", drawn.len());
-    assert!((most as f64) < 5.0 * mean, "one server is drawn {most} times, {mean:.1} on average");
+    let mean = sampled.values().sum::<usize>() as f64 / 10_000.0;
+    let most = sampled.values().max().copied().unwrap_or_default();
+    println!("{} of 10,000 sampled, {mean:.1} times on average, {most} at most", sampled.len());
+    assert!(sampled.len() > 9_500, "{} servers are sampled by any VM", sampled.len());
+    assert!((most as f64) < 5.0 * mean, "one server is sampled {most} times, {mean:.1} on average");
 }
 
 #[test]
@@ -97,7 +97,7 @@
     for vm in 0..20 {
         fleet.set_viewpoint(viewpoint(&format!("vm{vm}"), "here"));
         let service = "api".parse().unwrap();
-        let considered = fleet.considered(&service, &draw(Some(4242)));
+        let considered = fleet.considered(&service, &query(Some(4242)));
         let affine = considered.affine.expect("the service is large");
         preferred.insert(affine[0].clone());
         let server = fleet.get(affine[0]).expect("the server is known");
