Revert "Send updates between VMs in parts that a small link carries in time"

Cause: when the store forgets its history, followers are told that it is lost and turn to another VM, whose feed has an epoch of its own, so all of them ask it for all objects. As one message that timed out, and they went on with what they had; in parts it succeeds, at a second and more of a small VM's processor. A follower that changes its source must not need all objects; only then parts are of use.

--- a/src/forward/feed.rs
+++ b/src/forward/feed.rs
@@ -6,7 +6,6 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
-use std::ops::Bound;
 
 use serde::{Deserialize, Serialize};
 
@@ -23,11 +22,6 @@
 /// changes would otherwise get all objects.
 const MIN_CHANGES: usize = 2000;
 
-/// Text of the objects in one part of an update, in bytes; a part has at least one object. A part
-/// must arrive within the time limit of a poll over a link of 10 Mbit/s. The objects of a large
-/// fleet do not, even if they are compressed.
-const MAX_PART_BYTES: usize = 200_000;
-
 /// Position of a follower in the feed of another VM.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cursor {
@@ -37,16 +31,6 @@
     pub sequence: u64,
 }
 
-/// Where an update goes on.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Resume {
-    /// The follower's cursor in the feed.
-    pub cursor: Cursor,
-    /// The last object that the follower has, in an update with all objects; `None` before the
-    /// first part.
-    pub after: Option<(Kind, String)>,
-}
-
 /// How current a VM's state of a kind of objects is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Freshness {
@@ -97,22 +81,17 @@
     pub hops: u8,
 }
 
-/// Answer to a follower's poll: what changed since its cursor, or a part of that, and the state of
-/// the store.
+/// Answer to a follower's poll: what changed since its cursor, and the state of the store.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Update {
     /// The VM that read the state from the store, and the number of VMs that relayed it.
     pub origin: Origin,
     /// State of the store, as the sender knows it.
     pub store: Reachability,
-    /// The follower's cursor once it has applied the changes of all parts up to this one.
+    /// The follower's cursor once it has applied the changes.
     pub cursor: Cursor,
-    /// True if the parts have all objects that exist, rather than only those that changed.
+    /// True if `changes` has all objects that exist, rather than only those that changed.
     pub is_full: bool,
-    /// True if this part continues an update with all objects; false for the first part of one.
-    pub continues: bool,
-    /// Where the next part begins; `None` after the last one.
-    pub resume: Option<Resume>,
     /// The changes, in the order in which they are applied.
     pub changes: Packed,
     /// Proof that a configuration is the newest, if the sender has one.
@@ -166,28 +145,10 @@
     /// The latest changes, oldest first; see [`MIN_CHANGES`].
     changes: VecDeque<ChangeRecord>,
     freshness: BTreeMap<Kind, Freshness>,
-    /// Largest text of the objects in one part of an update, in bytes.
-    max_part_bytes: usize,
-    /// Cache of packed parts by where they begin. Cleared at each change. Many followers, say fifty,
-    /// poll at the same time and lack the same changes.
-    packed_cache: RefCell<HashMap<Start, Part>>,
-}
-
-/// Where a part of an update begins.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-enum Start {
-    /// After the change with this number.
-    Change(u64),
-    /// After this object, or with the first one.
-    Object(Option<(Kind, String)>),
-}
-
-/// A part of an update.
-#[derive(Clone)]
-struct Part {
-    packed: Packed,
-    /// Where the next part begins; `None` after the last one.
-    next: Option<Start>,
+    /// Cache of packed changes by the number of latest changes they contain, or `None` for all
+    /// objects. Cleared at each change. Many followers, say fifty, poll at the same time and lack
+    /// the same changes.
+    packed_cache: RefCell<HashMap<Option<u64>, Packed>>,
 }
 
 /// An object in JSON, with the position of its last change.
@@ -208,12 +169,7 @@
 impl Feed {
     /// Creates an empty feed for a process with this epoch.
     pub fn new(epoch: u64) -> Feed {
-        Feed::with_max_part(epoch, MAX_PART_BYTES)
-    }
-
-    /// Creates an empty feed whose updates have parts of at most this many bytes.
-    pub fn with_max_part(epoch: u64, max_part_bytes: usize) -> Feed {
-        Feed { cursor: Cursor { epoch, sequence: 0 }, max_part_bytes, ..Feed::default() }
+        Feed { cursor: Cursor { epoch, sequence: 0 }, ..Feed::default() }
     }
 
     /// Returns true if every kind was read at least once.
@@ -272,33 +228,18 @@
         }
     }
 
-    /// Returns the part of an update that begins at `from`. The update has all objects if the cursor
-    /// belongs to another epoch, or if some changes since then are no longer kept.
-    ///
-    /// The cursor of an update with all objects is that of its first part: what changes while the
-    /// other parts are sent is among the changes after it.
-    pub fn update_since(&self, from: &Resume, status: Status, now: Moment) -> Update {
-        let (start, cursor) = self.start(from);
-        let is_full = matches!(start, Start::Object(_));
-        let continues = matches!(start, Start::Object(Some(_)));
-        let part = self.part(&start);
-        let (cursor, resume) = match part.next {
-            None if is_full => (cursor, None),
-            None => (self.cursor, None),
-            Some(Start::Change(sequence)) => {
-                let cursor = Cursor { sequence, ..self.cursor };
-                (cursor, Some(Resume { cursor, after: None }))
-            }
-            Some(Start::Object(after)) => (cursor, Some(Resume { cursor, after })),
-        };
+    /// Returns the update for a follower at `cursor`. It has all objects if the cursor belongs to
+    /// another epoch, or if some changes since then are no longer kept.
+    pub fn update_since(&self, cursor: Cursor, status: Status, now: Moment) -> Update {
+        let behind = self.cursor.sequence.checked_sub(cursor.sequence).filter(|behind| {
+            cursor.epoch == self.cursor.epoch && *behind <= self.changes.len() as u64
+        });
         Update {
             origin: status.origin,
             store: status.store,
-            cursor,
-            is_full,
-            continues,
-            resume,
-            changes: part.packed,
+            cursor: self.cursor,
+            is_full: behind.is_none(),
+            changes: self.packed(behind),
             proof: status.proof,
             restore: status.restore,
             freshness: self.staleness(now),
@@ -307,66 +248,25 @@
         }
     }
 
-    /// Returns where the part of an update begins, and the cursor at the start of that update.
-    fn start(&self, from: &Resume) -> (Start, Cursor) {
-        let Resume { cursor, after } = from;
-        if cursor.epoch != self.cursor.epoch {
-            return (Start::Object(None), self.cursor);
-        }
-        if after.is_some() {
-            return (Start::Object(after.clone()), *cursor);
-        }
-        let behind = self.cursor.sequence.checked_sub(cursor.sequence);
-        match behind.is_some_and(|behind| behind <= self.changes.len() as u64) {
-            true => (Start::Change(cursor.sequence), *cursor),
-            false => (Start::Object(None), self.cursor),
-        }
-    }
-
-    /// Returns the part of an update that begins at `start`.
-    fn part(&self, start: &Start) -> Part {
+    /// Returns the last `behind` changes packed for sending, or all objects if `behind` is `None`.
+    fn packed(&self, behind: Option<u64>) -> Packed {
         let mut packed = self.packed_cache.borrow_mut();
-        let make = || match start {
-            Start::Change(sequence) => self.changes_after(*sequence),
-            Start::Object(after) => self.objects_after(after.as_ref()),
-        };
-        packed.entry(start.clone()).or_insert_with(make).clone()
+        let made = packed.entry(behind).or_insert_with(|| {
+            let changes = behind
+                .map_or_else(|| self.all_objects(), |behind| self.latest_changes(behind as usize));
+            Packed::new(&changes)
+        });
+        made.clone()
     }
 
-    /// Returns a part with the changes after the one with this number, each object once and in its
-    /// present state.
-    fn changes_after(&self, sequence: u64) -> Part {
-        let behind = (self.cursor.sequence - sequence) as usize;
-        let records = self.changes.iter().skip(self.changes.len() - behind);
-        let (mut seen, mut changes, mut bytes) = (HashSet::new(), Vec::new(), 0);
-        for (record, at) in records.zip(sequence..) {
-            if bytes >= self.max_part_bytes {
-                return Part { packed: Packed::new(&changes), next: Some(Start::Change(at)) };
-            }
-            if seen.insert((record.kind, &record.name)) {
-                let change = self.to_change(record);
-                bytes += change.object.as_ref().map_or(0, String::len);
-                changes.push(change);
-            }
-        }
-        Part { packed: Packed::new(&changes), next: None }
-    }
-
-    /// Returns a part with the objects after this one, in the order of their keys.
-    fn objects_after(&self, after: Option<&(Kind, String)>) -> Part {
-        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
-        let (mut changes, mut bytes) = (Vec::new(), 0);
-        for ((kind, name), kept) in self.objects.range((from, Bound::Unbounded)) {
-            if bytes >= self.max_part_bytes {
-                let last: Option<&Change> = changes.last();
-                let next = last.map(|last| (last.kind, last.name.clone()));
-                return Part { packed: Packed::new(&changes), next: Some(Start::Object(next)) };
-            }
-            bytes += kept.text.len();
-            let (kind, name, object) = (*kind, name.clone(), Some(kept.text.clone()));
-            changes.push(Change { kind, name, object, lapsed: false });
-        }
-        Part { packed: Packed::new(&changes), next: None }
+    /// Returns the objects of the last `behind` changes, each once and in its present state.
+    fn latest_changes(&self, behind: usize) -> Vec<Change> {
+        let mut seen = HashSet::new();
+        let newest_first = self.changes.iter().rev().take(behind);
+        let once = newest_first.filter(|changed| seen.insert((changed.kind, &changed.name)));
+        let mut changes: Vec<Change> = once.map(|changed| self.to_change(changed)).collect();
+        changes.reverse();
+        changes
     }
 
     /// Returns a change with the present state of its object.
@@ -386,4 +286,15 @@
         };
         self.freshness.iter().map(staleness).collect()
     }
+
+    /// Returns all objects as changes.
+    fn all_objects(&self) -> Vec<Change> {
+        let change = |((kind, name), kept): (&(Kind, String), &Stored)| Change {
+            kind: *kind,
+            name: name.clone(),
+            object: Some(kept.text.clone()),
+            lapsed: false,
+        };
+        self.objects.iter().map(change).collect()
+    }
 }
--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -10,7 +10,7 @@
 use super::feed::{Cursor, Origin, Reachability, Update};
 use super::kind::Kind;
 use super::pack::Change;
-use super::poll::{self, Received, Response, STALL_THRESHOLD};
+use super::poll::{self, Response, STALL_THRESHOLD};
 use super::role::{Decline, Role};
 use super::rollout_counts::{self, Observations, SentCounts};
 use super::rollout_trial::RolloutTrial;
@@ -245,7 +245,7 @@
             }
         }
         match reply {
-            Response::Update(received) => return self.apply_update(&name, requested_at, &received),
+            Response::Update(update) => return self.apply_update(&name, requested_at, &update),
             Response::Declined(Decline::KnowsTooLittle) => {
                 self.source_history.on_not_ready(&name, now)
             }
@@ -268,9 +268,8 @@
     /// Returns `None` if the update was rejected, `Stale` if it comes from a sender that reports
     /// the store as lost, whether it was applied or put off until the loss is confirmed, and
     /// `Fresh` if it was applied and this VM follows the sender.
-    fn apply_update(&mut self, from: &Name, requested_at: Moment, received: &Received) -> Gain {
+    fn apply_update(&mut self, from: &Name, requested_at: Moment, update: &Update) -> Gain {
         let vm = self.vm.clone();
-        let update = &received.first;
         let Origin { reader, hops } = &update.origin;
         let is_lost = update.store == Reachability::Down;
         if !may_accept_update(reader, *hops, &vm.settings.vm) || (is_lost && vm.is_reader()) {
@@ -298,19 +297,19 @@
             position.era,
             update.restore.as_ref().map(|restore| restore.to_restore(requested_at)),
         );
-        let Some(changes) = &received.changes else {
+        let Some(changes) = update.changes.changes() else {
             let bytes = ("bytes", update.changes.size().into());
             vm.log("invalid update ignored", &[("from", from.as_str().into()), bytes]);
             self.source_history.on_declined(from, vm.now());
             return Gain::None;
         };
-        self.cursors.insert(from.clone(), received.cursor);
+        self.cursors.insert(from.clone(), update.cursor);
         if !is_lost {
             vm.on_store_report(update.store, requested_at);
         }
         rollout_counts::apply_verdicts(&vm, &update.verdicts);
         poison::on_quarantine_list(&vm, from.as_str(), &update.quarantined, requested_at);
-        apply_contents(&vm, requested_at, from, update, changes);
+        apply_contents(&vm, requested_at, from, update, &changes);
         // Incarnations that the sender knows as draining or gone although the restored store lists
         // them as ready.
         let disputed = update.restore.iter().flat_map(|restore| &restore.disputed);
--- a/src/forward/poll.rs
+++ b/src/forward/poll.rs
@@ -12,9 +12,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::feed::{Cursor, Origin, Proof, Reachability, Resume, Status, Update};
+use super::feed::{Cursor, Origin, Proof, Reachability, Status, Update};
 use super::kind::Kind;
-use super::pack::Change;
 use super::restore::Notice;
 use super::role::Decline;
 use super::rollout_counts::{self, Observations};
@@ -29,9 +28,6 @@
 /// contact with the store, or with the VM that it follows.
 const MAX_PROOF_AGE_FRACTION: f64 = 0.75;
 
-/// Maximum number of parts of an update; a VM that sends more is not believed.
-const MAX_PARTS: usize = 4096;
-
 /// A VM whose sleep between two polls took this much too long was stalled. Its state may be
 /// outdated, so it serves no updates for `STALL_QUARANTINE`.
 pub const STALL_THRESHOLD: Span = Span::millis(400);
@@ -43,8 +39,8 @@
 struct Request {
     /// The VM that sends the request.
     from: Name,
-    /// Where the update begins in the feed of the recipient.
-    resume: Resume,
+    /// The sender's cursor in the feed of the recipient.
+    cursor: Cursor,
     /// The sender's answer counts of the trials of running rollouts, if the recipient has not
     /// received them yet.
     counts: Vec<Observations>,
@@ -64,20 +60,10 @@
     date: Option<Date>,
 }
 
-/// An update whose parts have all arrived.
-pub struct Received {
-    /// The first part, with the state of the store; the objects are at least as new.
-    pub first: Update,
-    /// The follower's cursor once it has applied the changes.
-    pub cursor: Cursor,
-    /// The changes of all parts, in order; `None` if a part does not decode.
-    pub changes: Option<Vec<Change>>,
-}
-
 /// Outcome of a request for updates.
 pub enum Response {
     /// The changes since the cursor, and the state of the store.
-    Update(Box<Received>),
+    Update(Box<Update>),
     /// The VM serves no updates now.
     Declined(Decline),
     /// No answer in time, or none that could be decoded.
@@ -85,8 +71,7 @@
 }
 
 /// Requests the changes since `cursor` from the VM at `to`, and sends it the answer `counts`
-/// of the trials of running rollouts, and usage. Waits for each part of the response for the time
-/// `within`.
+/// of the trials of running rollouts, and usage. Waits for the response for the time `within`.
 pub async fn request_updates(
     vm: &Vm,
     to: SocketAddr,
@@ -95,54 +80,20 @@
     usage: Option<&usage::Batch>,
     within: Span,
 ) -> Response {
-    let mut request = Request {
-        from: vm.settings.vm.clone(),
-        resume: Resume { cursor, after: None },
-        counts: counts.to_vec(),
-        quarantined: poison::quarantined(vm),
-        usage: usage.cloned(),
-    };
-    let mut parts: Vec<Update> = Vec::new();
-    while parts.len() < MAX_PARTS {
-        let Some(Answer { update, date }) = request_part(vm, to, &request, within).await else {
-            return Response::NoAnswer;
-        };
-        let part = match update {
-            Ok(part) => part,
-            Err(why) => return Response::Declined(why),
-        };
-        if part.is_full && !part.continues {
-            // The sender has started again, or no longer has the changes of the earlier parts.
-            parts.clear();
-        }
-        let resume = part.resume.clone();
-        parts.push(part);
-        let Some(resume) = resume else {
+    let Some(links) = vm.peers.borrow().links() else { return Response::NoAnswer };
+    let from = vm.settings.vm.clone();
+    let (counts, quarantined) = (counts.to_vec(), poison::quarantined(vm));
+    let usage = usage.cloned();
+    let request = encode(&Request { from, cursor, counts, quarantined, usage });
+    let answer = tokio::time::timeout(within.duration(), links.call(to, request)).await;
+    let answer = answer.ok().flatten().and_then(|bytes| decode::<Answer>(&bytes));
+    let Some(Answer { update, date }) = answer else { return Response::NoAnswer };
+    match update {
+        Ok(update) => {
             usage::on_upstream_date(vm, date);
-            return Response::Update(Box::new(assemble(parts)));
-        };
-        let (counts, quarantined) = (Vec::new(), Vec::new());
-        request = Request { resume, counts, quarantined, usage: None, ..request };
-    }
-    Response::NoAnswer
-}
-
-/// Requests one part of an update. Returns `None` if there is no answer in time.
-async fn request_part(vm: &Vm, to: SocketAddr, request: &Request, within: Span) -> Option<Answer> {
-    let links = vm.peers.borrow().links()?;
-    let call = links.call(to, encode(request));
-    decode(&tokio::time::timeout(within.duration(), call).await.ok()??)
-}
-
-/// Returns the update that consists of these parts.
-fn assemble(mut parts: Vec<Update>) -> Received {
-    let cursor = parts.last().map(|part| part.cursor).unwrap_or_default();
-    let changes: Option<Vec<Vec<Change>>> =
-        parts.iter().map(|part| part.changes.changes()).collect();
-    Received {
-        first: parts.swap_remove(0),
-        cursor,
-        changes: changes.map(|parts| parts.into_iter().flatten().collect()),
+            Response::Update(Box::new(update))
+        }
+        Err(why) => Response::Declined(why),
     }
 }
 
@@ -153,14 +104,14 @@
         vm.log("invalid poll request", &[("bytes", request.len().into())]);
         return encode(&Answer { update: Err(Decline::Unreadable), date: None });
     };
-    let Request { from, resume, counts, quarantined, usage } = request;
+    let Request { from, cursor, counts, quarantined, usage } = request;
     peer::on_contact(vm, &from);
     rollout_counts::merge_counts(vm, counts);
     poison::on_quarantine_list(vm, from.as_str(), &quarantined, vm.now());
     if let Some(batch) = &usage {
         usage::on_batch(vm, &from, batch);
     }
-    let update = update(vm, &resume);
+    let update = update(vm, cursor);
     log_decline(vm, update.as_ref().err().copied());
     encode(&Answer { update, date: usage::agreed_date(vm) })
 }
@@ -182,8 +133,8 @@
     vm.log("serving of updates changed", &fields);
 }
 
-/// Returns the part of an update that begins at `from`, or the reason why this VM serves none.
-fn update(vm: &Vm, from: &Resume) -> Result<Update, Decline> {
+/// Returns the update for a follower at `cursor`, or the reason why this VM serves none.
+fn update(vm: &Vm, cursor: Cursor) -> Result<Update, Decline> {
     let now = vm.now();
     if !vm.feed.borrow().is_complete() {
         return Err(Decline::KnowsTooLittle);
@@ -208,7 +159,7 @@
     let proof = proof.map(|(age, configuration)| Proof { age, configuration });
     let restore = Notice::of(vm, now);
     let status = Status { origin: origin(vm), store, proof, restore, verdicts, quarantined };
-    Ok(vm.feed.borrow().update_since(from, status, now))
+    Ok(vm.feed.borrow().update_since(cursor, status, now))
 }
 
 /// Returns the state of the store to report, or why no update is served; `current` is the result of
