--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -138,7 +138,8 @@
         group.bench_function(BenchmarkId::from_parameter(count), |b| {
             b.iter(|| {
                 prompt = prompt.wrapping_add(0x9e37_79b9_7f4a_7c15);
-                let query = Query { is_version: &|_| true, trial_share: None, prompt: Some(prompt) };
+                let query =
+                    Query { is_version: &|_| true, trial_share: None, prompt: Some(prompt) };
                 let considered = fleet.considered(&service, &query);
                 let open = considered.servers.iter().filter(|one| fleet.is_eligible(one, now));
                 black_box(open.count());
--- a/src/forward/message.rs
+++ b/src/forward/message.rs
@@ -6,10 +6,10 @@
 
 use super::pinned_sessions::Draw;
 use super::poison;
-use super::usage;
 use super::replica::Incarnation;
 use super::rollout_trial::Totals;
 use super::settings::Settings;
+use super::usage;
 use crate::unit::{DataCentre, Millicores, Rate, Server, Service, Span, Version, Vm as Name};
 
 /// A message from one VM to another.
