Put the message of usage after all others

Messages go by position: in the middle it moved the numbers of two others, so a VM of an earlier build would have read a report on a draining server as one on a rate limit. Nothing else changes.

--- a/src/forward/message.rs
+++ b/src/forward/message.rs
@@ -46,8 +46,6 @@
     },
     /// Request contents under which servers crashed, or that were served well.
     Poison(poison::Message),
-    /// Requests of the sender's workspaces that began to run.
-    Usage(usage::Batch),
     /// An incarnation of a server (one lifetime of its process) announced that it drains.
     ServerDraining(Incarnation),
     /// An incarnation of a server announced a rate limit, or the end of one.
@@ -63,6 +61,8 @@
         /// Time since the server announced the rate limit or its end.
         age: Span,
     },
+    /// Requests of the sender's workspaces that began to run.
+    Usage(usage::Batch),
 }
 
 /// A message with its sender.
