Build the heads of requests to the platform in one place

The client of duties had written again how the store's client makes a head and reuses its connection. Both call `platform::request::head` and `pool::reuse_or_open`.

--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -3,8 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use actix_http::header::{CONTENT_TYPE, HOST, HeaderValue};
-use actix_http::{Method, RequestHead, StatusCode};
+use actix_http::{Method, StatusCode};
 use bytes::Bytes;
 use serde::de::{DeserializeOwned, Error as _};
 use serde::{Deserialize, Deserializer};
@@ -12,8 +11,10 @@
 use serde_json::{Value, json};
 
 use super::object::{Metadata, Object};
+use super::request;
 use crate::forward::connection::{Connection, Fault};
 use crate::forward::era::Tracker;
+use crate::forward::pool;
 use crate::unit::{Era, Position, Span};
 
 /// Timeout for opening a connection to the store. The store is some milliseconds away, and a short
@@ -399,12 +400,12 @@
         let no_answer = |fault: Fault| match fault {
             Fault::NotSent(reason) | Fault::Broken(reason) => StoreError::NoAnswer(reason),
         };
+        let malformed =
+            |what: String| StoreError::NoAnswer(format!("the request is malformed: {what}"));
         let idle = self.connection.take().filter(Connection::is_idle);
-        let mut connection = match idle {
-            Some(connection) => connection,
-            None => Connection::open(self.address, CONNECT_TIMEOUT).await.map_err(no_answer)?,
-        };
-        let head = self.head(method, path)?;
+        let connection = pool::reuse_or_open(idle, self.address, CONNECT_TIMEOUT);
+        let mut connection = connection.await.map_err(no_answer)?;
+        let head = request::head(method, self.address, path).map_err(malformed)?;
         let head = connection.send(head, &body).await.map_err(no_answer)?;
         let era = head.headers.get(ERA_HEADER).map(|value| value.to_str().unwrap_or_default());
         let era = self.eras.observe(era);
@@ -420,18 +421,6 @@
             other => Err(StoreError::Refused(other.as_u16())),
         }
     }
-
-    fn head(&self, method: Method, path: &str) -> Result<RequestHead, StoreError> {
-        let mut head = RequestHead::default();
-        let malformed =
-            |what: String| StoreError::NoAnswer(format!("the request is malformed: {what}"));
-        head.method = method;
-        head.uri = path.parse().map_err(|fault| malformed(format!("{fault}")))?;
-        let host = HeaderValue::from_str(&self.address.to_string());
-        head.headers.insert(HOST, host.map_err(|fault| malformed(format!("{fault}")))?);
-        head.headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        Ok(head)
-    }
 }
 
 /// Decodes the body of a response. Invalid UTF-8 is replaced: any writer may put it into an object,
--- a/src/platform/duty.rs
+++ b/src/platform/duty.rs
@@ -2,13 +2,15 @@
 
 use std::net::SocketAddr;
 
-use actix_http::header::{CONTENT_TYPE, HOST, HeaderName, HeaderValue};
+use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead};
 use bytes::Bytes;
 use serde::Serialize;
 
+use super::request;
 use crate::decide::usage::Counts;
 use crate::forward::connection::{Connection, Fault};
+use crate::forward::pool;
 use crate::unit::{Fence, Span, Vm, Window};
 
 /// Timeout of a call on an open connection. The lease must last that much longer when the call is
@@ -100,7 +102,9 @@
         let body = serde_json::to_vec(&Report { window_id: window, counts });
         let body = body.map_err(|fault| CallError::NotSent(fault.to_string()))?;
         let head = self.head(USAGE_PATH, caller)?;
-        let mut connection = self.connect().await?;
+        let idle = self.connection.take().filter(Connection::is_idle);
+        let connection = pool::reuse_or_open(idle, self.address, CONNECT_TIMEOUT);
+        let mut connection = connection.await.map_err(call_error)?;
         if !may_send() {
             self.connection = Some(connection);
             return Err(CallError::NotSent("the lease is about to end".to_owned()));
@@ -120,22 +124,12 @@
         }
     }
 
-    async fn connect(&mut self) -> Result<Connection, CallError> {
-        match self.connection.take().filter(Connection::is_idle) {
-            Some(connection) => Ok(connection),
-            None => Connection::open(self.address, CONNECT_TIMEOUT).await.map_err(call_error),
-        }
-    }
-
     fn head(&self, path: &str, caller: Caller) -> Result<RequestHead, CallError> {
         let value = |text: String| {
             HeaderValue::from_str(&text).map_err(|fault| CallError::NotSent(fault.to_string()))
         };
-        let mut head = RequestHead::default();
-        head.method = Method::POST;
-        head.uri = path.parse().map_err(|fault| CallError::NotSent(format!("{fault}")))?;
-        head.headers.insert(HOST, value(self.address.to_string())?);
-        head.headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let head = request::head(Method::POST, self.address, path);
+        let mut head = head.map_err(CallError::NotSent)?;
         let (holder, fence) = (caller.vm.to_string(), caller.fence.to_string());
         head.headers.insert(HeaderName::from_static(HOLDER), value(holder)?);
         head.headers.insert(HeaderName::from_static(FENCE), value(fence)?);
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,11 +1,12 @@
-//! Adapter to the platform: clients of its object store, duties and rating service, and the decoding of its
-//! headers, objects and settings file into types of this program.
+//! Adapter to the platform: clients of its object store, its duties and its rating service, and the
+//! decoding of its headers, objects and settings file into types of this program.
 
 pub mod client;
 pub mod duty;
 pub mod header;
 pub mod object;
 mod rating;
+mod request;
 pub mod settings;
 mod store;
 
