Simplify the duty's task

An object is only read while none is known, so a comparison with the known one was dead, as was clearing it after an error. A write needs the position alone. The draw of the delay uses `hash::to_unit_interval`.

--- a/src/forward/duty.rs
+++ b/src/forward/duty.rs
@@ -143,15 +143,14 @@
                 self.observe(&object);
                 Ok(())
             }
-            Ok(None) => match self.held_record() {
-                Some(held) => self.put(None, held.last, held.reports).await,
+            Ok(None) => {
                 // A restored store may have lost the object, and with it which windows were
-                // reported, so only later ones are.
-                None => {
-                    let last = self.duties.usage.last_settled(date);
-                    self.put(None, last, BTreeMap::new()).await
-                }
-            },
+                // reported, so only later ones are, unless this process knows better.
+                let settled = self.duties.usage.last_settled(date);
+                let held = self.held_record().map(|held| (held.last, held.reports));
+                let (last, reports) = held.unwrap_or((settled, BTreeMap::new()));
+                self.put(None, last, reports).await
+            }
             Err(error) => Err(self.on_store_error(&error)),
         }
     }
@@ -182,8 +181,7 @@
     fn takeover_grace(&self) -> Span {
         let fence = self.lease.fence().unwrap_or_default().to_string();
         let draw = hash::stable(&[self.vm.settings.vm.as_str(), &fence]);
-        let point = draw as f64 / u64::MAX as f64;
-        Span(TAKEOVER_GRACE.0 + TAKEOVER_GRACE.mul_f64(point).0)
+        TAKEOVER_GRACE.mul_f64(1.0 + hash::to_unit_interval(draw))
     }
 
     /// Returns the windows whose reports the platform has not acknowledged to this process.
@@ -204,7 +202,7 @@
         if record.era < self.vm.era.newest() && !self.lease.may_call(self.vm.now()) {
             last = last.max(settled);
         }
-        let mut reports = record.reports.clone();
+        let mut reports = record.reports;
         reports.retain(|window, _| !self.done.contains(window) && *window >= first_kept);
         for window in (last.0 + 1).max(first_kept.0)..=settled.0 {
             if reports.len() >= MAX_REPORTS {
@@ -213,13 +211,14 @@
             reports.insert(Window(window), usage::fleet_sum(&self.vm, Window(window)));
             last = Window(window);
         }
-        self.put(Some(Known { position, record }), last, reports).await
+        self.put(Some(position), last, reports).await
     }
 
-    /// Writes the object on condition that it is as known, or does not exist yet.
+    /// Writes the object on condition that it is still at `position`; without one, that it does not
+    /// exist yet. Until the outcome is known, the object has to be read again.
     async fn put(
         &mut self,
-        known: Option<Known>,
+        position: Option<Position>,
         last: Window,
         reports: BTreeMap<Window, Counts>,
     ) -> Result<(), Span> {
@@ -241,8 +240,8 @@
             self.writes.pop_first();
         }
         let spec = json!(record);
-        let written = match &known {
-            Some(known) => self.store.replace(KIND, NAME, known.position, spec).await,
+        let written = match position {
+            Some(position) => self.store.replace(KIND, NAME, position, spec).await,
             None => self.store.create(KIND, NAME, spec).await,
         };
         vm.count_store_call("duty-write", &written);
@@ -256,14 +255,12 @@
                 self.observe(&object);
                 Ok(())
             }
-            // The object is read before the next write.
             Err(error) => Err(self.on_store_error(&error)),
         }
     }
 
     /// Takes over the object as it stands in the store.
     fn observe(&mut self, object: &Object) {
-        let now = self.vm.now();
         let position = object.metadata.position;
         let Ok(record) = serde_json::from_value::<Record>(object.spec.clone()) else {
             self.vm.log("invalid duty ignored", &[("duty", NAME.into())]);
@@ -281,11 +278,8 @@
         match own_write {
             Some(sent_at) => self.adopt(position, record, sent_at),
             None => {
-                let is_same = self.known.as_ref().is_some_and(|known| known.position == position);
-                if !is_same {
-                    self.log_other_holder(&record);
-                    self.lease.on_other_holder(record.fence, now);
-                }
+                self.log_other_holder(&record);
+                self.lease.on_other_holder(record.fence, self.vm.now());
                 self.vm.metrics.duty_fence.with_label_values(&[NAME]).set(0);
                 self.known = Some(Known { position, record });
             }
@@ -322,41 +316,30 @@
         self.vm.log(event, &fields);
     }
 
-    /// Logs a failed call to the store and returns the delay before the next step. The object must
-    /// be read again, as a write may have taken effect.
+    /// Logs a failed call to the store and returns the delay before the next step.
     fn on_store_error(&mut self, error: &StoreError) -> Span {
         let why = error.to_string();
         let fields = [("duty", NAME.into()), ("why", why.as_str().into())];
         self.vm.log("duty not renewed", &fields);
-        self.known = None;
         self.backoff.next_delay(MAX_BACKOFF)
     }
 
     /// Sends the reports that the platform has not acknowledged, as long as the lease runs.
     async fn send_reports(&mut self) -> Result<(), Span> {
-        let Some(record) = self.known.as_ref().map(|known| known.record.clone()) else {
-            return Ok(());
-        };
-        for window in self.pending(&record) {
-            if !self.lease.may_call(self.vm.now()) {
+        let Some(Known { record, .. }) = &self.known else { return Ok(()) };
+        let may_send = || self.lease.may_call(self.vm.now());
+        for window in self.pending(record) {
+            if !may_send() {
                 break;
             }
+            let caller = Caller { vm: &self.vm.settings.vm, fence: record.fence };
             let counts = &record.reports[&window];
-            let vm = self.vm.clone();
-            let caller = Caller { vm: &vm.settings.vm, fence: record.fence };
-            let lease = self.lease;
-            let may_send = || lease.may_call(vm.now());
             let sent = self.platform.report_usage(caller, window, counts, may_send).await;
-            self.log_report(&record, window, &sent);
-            match sent {
-                Ok(()) => {
-                    self.done.insert(window);
-                }
-                Err(error) if error.is_final() => {
-                    self.done.insert(window);
-                }
-                Err(_) => return Err(self.backoff.next_delay(MAX_BACKOFF)),
+            self.log_report(record, window, &sent);
+            if sent.is_err_and(|error| !error.is_final()) {
+                return Err(self.backoff.next_delay(MAX_BACKOFF));
             }
+            self.done.insert(window);
         }
         self.backoff = Backoff::default();
         let last = self.duties.usage.first_kept(Date(record.last.0 * self.duties.usage.length.0));
