--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -166,7 +166,7 @@
     proof_age: Option<Span>,
     outcome: RefCell<String>,
     attempts: Cell<u32>,
-    /// True once a server has begun to run the request.
+    /// True once a server has started to run the request.
     has_run: Cell<bool>,
     /// Readable list of the attempts, waits and escalation checks, with their times and ends.
     trail: RefCell<String>,
@@ -207,7 +207,7 @@
         self.content = Some(content);
     }
 
-    /// Marks that a server has begun to run the request. Returns true the first time.
+    /// Marks that a server has started to run the request. Returns true the first time.
     pub fn mark_ran(&self) -> bool {
         !self.has_run.replace(true)
     }
--- a/src/forward/usage.rs
+++ b/src/forward/usage.rs
@@ -97,7 +97,7 @@
     Some(usage.clock.agreed_date(vm.now(), is_follower(vm)))
 }
 
-/// Counts a request that a server has begun to run. A request is counted once, however many servers
+/// Counts a request that a server has started to run. A request is counted once, however many servers
 /// run it.
 pub fn record_run(job: &Job) {
     let vm = &job.vm;
