Log whether a restored store has the entry of this VM

After a restore each VM looks whether the store still has its entry, and nothing told what it found: a VM that wrote its entry again logged so, one that did not was silent. The line names the era and the position of the list that decided.

--- a/src/forward/membership.rs
+++ b/src/forward/membership.rs
@@ -128,8 +128,11 @@
         return None;
     }
     let is_registered = vm.positions.borrow().was_seen_in(Kind::Vms, vm.settings.vm.as_str(), era);
-    if !is_registered {
-        vm.log("VM registered again after a restore", &[("era", era.0.into())]);
+    let fields = [("era", era.0.into()), ("listed_as_of", read.position.revision.into())];
+    if is_registered {
+        vm.log("VM is registered in the restored store", &fields);
+    } else {
+        vm.log("VM registered again after a restore", &fields);
         register(vm, store, &json!(PeerInfo::of(&vm.settings, address))).await;
     }
     Some(era)
