Tell objects that another VM keeps from those in a restored store

Symptom: after the store was restored from a backup, VMs were missing from the list of VMs until they were restarted. Other VMs dropped them 5 s after the restore: they got no messages, and counted for no share of limits and budgets.

Cause: a VM that knew an object which the backup lacks keeps it for 5 s and sends it to others meanwhile. A VM that got all objects in one update recorded the kept ones as seen at the position of the update, in the new era. So a VM took its own kept entry for one in the restored store and did not write it. The same held for an order to evacuate a data centre that nobody gave again: it ended after 5 s on the VM that reads the store and on no VM that had got all objects from it.

Load matters since it makes followers change their source.

Ruled out: a lost write (the VMs without the entry made one `entry-create` each, that of their start), and a VM that did not notice the restore (all log it).

Fix: all objects of a restored store count as changed in its era. An object of an earlier era is recorded as last seen when it was known before. Both new tests failed before; in one of them the order stays in force for good.

Sought elsewhere: orders to evacuate (mended here), entries of servers (not kept, they count as expired), configuration and roll-outs (ordered by their own contents).

--- a/src/forward/positions.rs
+++ b/src/forward/positions.rs
@@ -26,15 +26,23 @@
 }
 
 impl Positions {
-    /// Records an object that last changed at `changed`, as seen at the store's position `as_of`.
+    /// Records an object that last changed at `changed`, as known at the store's position `as_of`.
     /// Returns false, and records nothing, if a newer state is known.
+    ///
+    /// All objects of a restored store count as changed in its new era. An object of an earlier era
+    /// is therefore missing from the store: a VM that knew it keeps it until its owner has had time
+    /// to write it again, and sends it to others meanwhile.
     pub fn record(&mut self, kind: Kind, name: &str, changed: Position, as_of: Position) -> bool {
         let key = (kind, name.to_owned());
-        let is_newest = match self.objects.get(&key) {
+        let known = self.objects.get(&key);
+        let is_newest = match known {
             Some(known) => as_of >= known.as_of && changed >= known.changed,
             None => as_of >= self.gone_as_of(kind),
         };
         if is_newest {
+            let is_missing = changed.era < as_of.era;
+            let last_seen = known.map_or(changed, |known| known.as_of);
+            let as_of = if is_missing { last_seen } else { as_of };
             self.objects.insert(key, Entry { as_of, changed });
         }
         is_newest
--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -378,6 +378,51 @@
     assert!(!is_peer(&vm));
 }
 
+/// Applies all objects of a kind as another VM sends them, which keeps objects that a restored
+/// backup lacks.
+fn receive_all(vm: &Inner, kind: Kind, items: &[Object], as_of: Position) {
+    let sender = "vm-b".parse().unwrap();
+    apply::apply_list(vm, kind, items, &Source { reader: Some(&sender), as_of });
+    vm.feed.borrow_mut().record_read(kind, as_of, vm.now());
+}
+
+/// Guards against a VM that takes the entry kept by another VM for one in the restored store, and
+/// never writes its own again.
+#[test]
+fn an_entry_that_another_vm_keeps_is_not_taken_for_one_in_the_restored_store() {
+    let vm = bare_vm();
+    let name = vm.settings.vm.as_str();
+    let entry = json!({"address": "127.0.0.1:9", "data_centre": "here", "share": 250});
+    let is_in_store = |era| vm.positions.borrow().was_seen_in(Kind::Vms, name, Era(era));
+    list(&vm, Kind::Vms, &[object(name, &at(0, 9), entry.clone())], &at(0, 9));
+    assert!(is_in_store(0));
+    let kept = [object(name, &at(0, 9), entry.clone())];
+    receive_all(&vm, Kind::Vms, &kept, Position::new(Era(1), 5));
+    assert!(!is_in_store(1));
+    let written = [object(name, &at(1, 6), entry)];
+    receive_all(&vm, Kind::Vms, &written, Position::new(Era(1), 6));
+    assert!(is_in_store(1));
+}
+
+/// Guards against orders and VMs that a backup lacks and that stay in force for good on a VM that
+/// got them from another one.
+#[test]
+fn objects_that_another_vm_keeps_and_nobody_writes_again_end_after_the_restore() {
+    for knows_them_before in [true, false] {
+        let vm = bare_vm();
+        apply_entry(&vm, &at(0, 3), json!({}));
+        if knows_them_before {
+            list(&vm, Kind::Evacuations, &evacuation(&at(0, 8)), &at(0, 9));
+        } else {
+            list(&vm, Kind::Evacuations, &[], &at(0, 2));
+        }
+        receive_all(&vm, Kind::Evacuations, &evacuation(&at(0, 8)), Position::new(Era(1), 5));
+        assert!(!is_available(&vm), "it is kept until the operator had time to write it again");
+        apply::accept_restored(&vm);
+        assert!(is_available(&vm), "nobody has written it again");
+    }
+}
+
 /// A roll-out of a version of the service, in its state after a change.
 fn rollout(changed: &Source, version: &str, state: Value) -> Object {
     let spec = json!({"service": "api", "target_version": version, "duration_s": 60});
