Replace the entry of a VM if a restored store has an earlier one

Symptom: after a restore from a backup that is older than the last start of a VM, the store kept an address that the VM no longer uses; VMs that start later sent their messages there.

An entry under the VM's name was enough to leave it alone, whatever it said.

Fix: the entry that the VM knows must be of the new era and have its present content. The list at a start compares contents in the same way, by the same function. `Positions::was_seen_in` has no caller any more.

--- a/src/forward/feed.rs
+++ b/src/forward/feed.rs
@@ -212,6 +212,12 @@
         }
     }
 
+    /// Returns an object in its newest known state, or none if it does not exist.
+    pub fn get(&self, kind: Kind, name: &str) -> Option<Object> {
+        let stored = self.objects.get(&(kind, name.to_owned()))?;
+        Object::from_json(&stored.text).ok()
+    }
+
     /// Returns the objects of a kind, in order of their names.
     pub fn objects(&self, kind: Kind) -> impl Iterator<Item = Object> {
         let of_kind = self.objects.iter().filter(move |((of, _), _)| *of == kind);
--- a/src/forward/membership.rs
+++ b/src/forward/membership.rs
@@ -112,7 +112,8 @@
 }
 
 /// After a restore of the store, writes this VM's entry and the shared key again if the backup
-/// lacks them. Returns the era in which the store has both, or `None` if the caller must retry.
+/// lacks them or has an earlier entry. Returns the era in which the store has both, or `None` if
+/// the caller must retry.
 pub async fn reregister(
     vm: &Vm,
     store: &mut Client,
@@ -127,17 +128,28 @@
     if vm.is_reader() && !restore_key(vm, store, key).await {
         return None;
     }
-    let is_registered = vm.positions.borrow().was_seen_in(Kind::Vms, vm.settings.vm.as_str(), era);
+    let entry = PeerInfo::of(&vm.settings, address);
     let fields = [("era", era.0.into()), ("listed_as_of", read.position.revision.into())];
-    if is_registered {
+    if has_entry_in(vm, era, &entry) {
         vm.log("VM is registered in the restored store", &fields);
     } else {
         vm.log("VM registered again after a restore", &fields);
-        register(vm, store, &json!(PeerInfo::of(&vm.settings, address))).await;
+        register(vm, store, &json!(entry)).await;
     }
     Some(era)
 }
 
+/// Returns true if the store has this entry of this VM in its era `era`, as far as known.
+fn has_entry_in(vm: &Vm, era: Era, entry: &PeerInfo) -> bool {
+    let own = vm.feed.borrow().get(Kind::Vms, vm.settings.vm.as_str());
+    own.is_some_and(|own| own.metadata.position.era == era && describes(&own, entry))
+}
+
+/// Returns true if an object of the store has this entry as its content.
+fn describes(object: &Object, entry: &PeerInfo) -> bool {
+    serde_json::from_value(object.spec.clone()).ok().as_ref() == Some(entry)
+}
+
 /// Writes the key of the links unless the store has one. Returns false if the store did not answer.
 async fn restore_key(vm: &Vm, store: &mut Client, key: &str) -> bool {
     let created = store.create(KEY_KIND, LINK_KEY, json!({"key": key})).await;
@@ -172,10 +184,7 @@
             let source = Source { reader: None, as_of: listing.position() };
             apply::apply_list(vm, Kind::Vms, &listing.items, &source);
             let own = |one: &&Object| one.metadata.name == vm.settings.vm.as_str();
-            let own = listing.items.iter().find(own);
-            own.is_some_and(|own| {
-                serde_json::from_value(own.spec.clone()).ok().as_ref() == Some(entry)
-            })
+            listing.items.iter().find(own).is_some_and(|own| describes(own, entry))
         }
         Err(error) => {
             let why = error.to_string();
--- a/src/forward/positions.rs
+++ b/src/forward/positions.rs
@@ -77,12 +77,6 @@
         names.filter(|name| !listed.contains(name.as_str())).cloned().collect()
     }
 
-    /// Returns true if an object was last seen in this era of the store.
-    pub fn was_seen_in(&self, kind: Kind, name: &str, era: Era) -> bool {
-        let known = self.objects.get(&(kind, name.to_owned()));
-        known.is_some_and(|known| known.as_of.era == era)
-    }
-
     /// Returns the objects of a kind that were last seen before this era of the store.
     pub fn last_seen_before(&self, kind: Kind, era: Era) -> Vec<String> {
         let of_kind = self.objects.iter().filter(|((of, _), _)| *of == kind);
--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -393,7 +393,10 @@
     let vm = bare_vm();
     let name = vm.settings.vm.as_str();
     let entry = json!({"address": "127.0.0.1:9", "data_centre": "here", "share": 250});
-    let is_in_store = |era| vm.positions.borrow().was_seen_in(Kind::Vms, name, Era(era));
+    let is_in_store = |era| {
+        let earlier = vm.positions.borrow().last_seen_before(Kind::Vms, Era(era));
+        !earlier.iter().any(|earlier| earlier == name)
+    };
     list(&vm, Kind::Vms, &[object(name, &at(0, 9), entry.clone())], &at(0, 9));
     assert!(is_in_store(0));
     let kept = [object(name, &at(0, 9), entry.clone())];
@@ -536,6 +539,29 @@
     assert!(vms.iter().chain([&late]).all(|vm| status(vm, "first") == 200));
 }
 
+/// Guards against a VM that finds an entry under its name in the restored store and leaves it as it
+/// is, although the backup has an address that the VM no longer uses.
+#[test]
+fn a_vm_replaces_its_entry_if_a_backup_has_an_earlier_one() {
+    let mut site = site();
+    let vms = start(&mut site);
+    let entries = site.store.specs_with_prefix("kitepulley-vms/");
+    for (key, entry) in &entries {
+        let (kind, name) = key.split_once('/').unwrap();
+        let entry: Value = serde_json::from_slice(entry).unwrap();
+        let mut earlier = entry.clone();
+        earlier["address"] = json!("127.0.0.1:9");
+        site.store.write_spec(kind, name, earlier);
+        let copy = site.store.snapshot();
+        site.store.write_spec(kind, name, entry);
+        site.store.restore(copy);
+        eventually("the entry is that of the VM", || {
+            site.store.specs_with_prefix("kitepulley-vms/") == entries
+        });
+    }
+    assert!(vms.iter().all(Vm::is_ready));
+}
+
 #[actix_web::test]
 async fn a_write_that_is_based_on_another_era_is_not_sent() {
     let site = Site::new();
