Register a VM again whose entry was removed from the store

Symptom: a VM that the others had not heard from for a minute (a partition, a suspended machine) stayed missing from the list of VMs after it was back, until it was restarted: in a large fleet only its neighbours on the ring knew it.

Cause: others delete the entry of a VM that is silent for 60 s, and a VM looked for its own entry only at its start and after a restore.

The silence itself was not played.

Fix: a VM that learns that its entry was removed writes it at its next check of the peers, a second later at most, with one call. A VM that reaches the store and no other VM is removed and registers again once a minute.

--- a/src/forward/membership.rs
+++ b/src/forward/membership.rs
@@ -128,15 +128,27 @@
     if vm.is_reader() && !restore_key(vm, store, key).await {
         return None;
     }
+    register_if_missing(vm, store, address, "VM registered again after a restore").await;
+    Some(era)
+}
+
+/// Writes this VM's entry again after it was removed from the store, as other VMs do if they have
+/// not heard from this one for long.
+pub async fn register_after_removal(vm: &Vm, store: &mut Client, address: SocketAddr) {
+    register_if_missing(vm, store, address, "VM registered again after a removal").await;
+}
+
+/// Writes this VM's entry and logs `event`, unless the newest known state of the store has the
+/// entry.
+async fn register_if_missing(vm: &Vm, store: &mut Client, address: SocketAddr, event: &str) {
+    let era = vm.era.newest();
     let entry = PeerInfo::of(&vm.settings, address);
-    let fields = [("era", era.0.into()), ("listed_as_of", read.position.revision.into())];
     if has_entry_in(vm, era, &entry) {
-        vm.log("VM is registered in the restored store", &fields);
+        vm.log("VM is still registered", &[("era", era.0.into())]);
     } else {
-        vm.log("VM registered again after a restore", &fields);
+        vm.log(event, &[("era", era.0.into())]);
         register(vm, store, &json!(entry)).await;
     }
-    Some(era)
 }
 
 /// Returns true if the store has this entry of this VM in its era `era`, as far as known.
@@ -241,7 +253,13 @@
     vm.peers.borrow_mut().insert_listed(name, entry, vm.now());
 }
 
-/// Removes the peer whose entry was removed from the store.
+/// Removes the peer whose entry was removed from the store. If it is this VM's own entry, the VM
+/// registers again.
 pub fn remove_entry(vm: &Vm, name: &str) {
+    if name == vm.settings.vm.as_str() {
+        vm.log("entry of this VM removed from the store", &[]);
+        vm.is_unregistered.set(true);
+        return;
+    }
     vm.peers.borrow_mut().retain_listed(|known| known.as_str() != name, vm.now());
 }
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -203,6 +203,8 @@
         check_peers(&vm, &mut store).await;
         if joined < vm.era.newest() {
             joined = membership::reregister(&vm, &mut store, address, &key).await.unwrap_or(joined);
+        } else if vm.is_unregistered.take() {
+            membership::register_after_removal(&vm, &mut store, address).await;
         }
         tokio::time::sleep(PEER_CHECK_INTERVAL).await;
     }
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -138,6 +138,8 @@
     pub running: Cell<usize>,
     /// The other VMs, as far as known.
     pub peers: RefCell<Peers>,
+    /// True if this VM's entry was removed from the store and must be written again.
+    pub is_unregistered: Cell<bool>,
     /// Requests of the workspaces that began to run; `None` if usage is not reported.
     pub usage: Option<RefCell<Usage>>,
     /// Buffered log lines.
@@ -205,6 +207,7 @@
             stopping_since: tokio::sync::watch::Sender::new(None),
             running: Cell::new(0),
             peers: RefCell::default(),
+            is_unregistered: Cell::new(false),
             usage,
             logger: lines,
             metrics: Metrics::new(),
--- a/tests/restore.rs
+++ b/tests/restore.rs
@@ -562,6 +562,24 @@
     assert!(vms.iter().all(Vm::is_ready));
 }
 
+/// Guards against a VM that is missing from the list of VMs for good after others removed its
+/// entry, as they do for a VM that they have not heard from for a minute.
+#[test]
+fn a_vm_whose_entry_was_removed_registers_again() {
+    let mut site = site();
+    let vms = start(&mut site);
+    let entries = site.store.specs_with_prefix("kitepulley-vms/");
+    assert_eq!(entries.len(), VMS);
+    for (key, _) in &entries {
+        let (kind, name) = key.split_once('/').unwrap();
+        site.store.delete_object(kind, name);
+        eventually("the entry is there again", || {
+            site.store.specs_with_prefix("kitepulley-vms/") == entries
+        });
+    }
+    assert!(vms.iter().all(Vm::is_ready));
+}
+
 #[actix_web::test]
 async fn a_write_that_is_based_on_another_era_is_not_sent() {
     let site = Site::new();
