Log how many better ranked VMs a new reader knows and finds silent

The line `reads the store itself` told the VM's place among those that answer. A VM that knows nobody yet and one whose sources do not answer were both `First`, so the log could not tell the two suspects of too many readers at a start apart.

--- a/src/decide/reader.rs
+++ b/src/decide/reader.rs
@@ -268,6 +268,19 @@
         group.filter(|rank| !self.is_silent(&rank.vm, now)).min()
     }
 
+    /// Returns how many VMs of a group rank before the VM `own`, and how many of these are known as
+    /// unresponsive.
+    pub fn count_ranked_before<'a>(
+        &'a self,
+        own: &'a Rank,
+        group: impl Iterator<Item = &'a Rank>,
+        now: Moment,
+    ) -> RankedBefore {
+        let before: Vec<&Rank> = group.filter(|rank| *rank < own).collect();
+        let silent = before.iter().filter(|rank| self.is_silent(&rank.vm, now)).count();
+        RankedBefore { known: before.len(), silent }
+    }
+
     /// Returns the position of the VM `own` among the responsive VMs of its group.
     pub fn group_position<'a>(
         &'a self,
@@ -283,6 +296,15 @@
     }
 }
 
+/// Number of VMs of a group that rank before a given one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RankedBefore {
+    /// All that are known.
+    pub known: usize,
+    /// Those of them that do not answer.
+    pub silent: usize,
+}
+
 /// Position of a VM in its group, by the number of responsive VMs of higher rank. It decides if the
 /// VM reads the store when its sources have no update.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -18,7 +18,8 @@
 use super::{peer, poison, usage};
 use crate::decide::reader::{
     self as decide, FAST_POLL_INTERVAL, FIRST_POLL_TIMEOUT, FollowerState, POLL_INTERVAL, Rank,
-    STARTUP_WAIT, STORE_LOSS_CONFIRMED_AFTER, SourceHistory, may_accept_update, poll_timeout,
+    RankedBefore, STARTUP_WAIT, STORE_LOSS_CONFIRMED_AFTER, SourceHistory, may_accept_update,
+    poll_timeout,
 };
 use crate::platform::object::Object;
 use crate::unit::{Moment, Span, Vm as Name};
@@ -350,7 +351,12 @@
             is_overdue: poll_timeout(self.servers_as_of, bound, now).is_none(),
         };
         if decide::should_read_store(&without) {
-            become_reader(vm, &without);
+            let before = self.source_history.count_ranked_before(
+                &candidates.own,
+                candidates.group.iter(),
+                now,
+            );
+            become_reader(vm, &without, before);
             self.servers_as_of = None;
             return true;
         }
@@ -450,13 +456,17 @@
     vm.role.send_replace(role);
 }
 
-/// Makes this VM read the store itself, and requests a proof at once.
-fn become_reader(vm: &Vm, without: &FollowerState) {
+/// Makes this VM read the store itself, and requests a proof at once. `before` are the VMs of its
+/// group that it would rather follow.
+fn become_reader(vm: &Vm, without: &FollowerState, before: RankedBefore) {
     let place = format!("{:?}", without.group_position);
     let fields = [
         ("place", place.as_str().into()),
         ("told_lost", without.is_store_unavailable.into()),
         ("overdue", without.is_overdue.into()),
+        ("starting", without.is_starting.into()),
+        ("ranked_before", before.known.into()),
+        ("silent", before.silent.into()),
     ];
     vm.log("reads the store itself", &fields);
     vm.upstream_store_lost.set(false);
