Let the setup of a connection between VMs outlive the call that waits for it

Symptom: where many VMs start on a busy machine, more of them read the store than need to: `a_start_of_many_costs_each_few_calls` and `a_reader_that_falls_is_followed_by_one` fail beside load.

Cause, the first of several: each message to a VM without an open connection began a handshake of its own, which ended with the message's time limit. A VM that needs longer for a handshake than a caller waits (250 ms at a start, 450 ms later) began another one with each poll, finished none, and looked silent to all that polled it.

Fix: one handshake to an address at a time, which goes on for a second whoever waits for it. Its first packet may reach a VM that does not listen yet, so it is sent again after 150 ms rather than a second. No message changes.

--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -6,6 +6,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use futures_util::FutureExt;
+use futures_util::future::{BoxFuture, Shared};
 use hmac::{Hmac, Mac};
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use quinn::crypto::{CryptoError, HmacKey};
@@ -37,6 +39,13 @@
 /// Time limit for one message or call, with the connection setup.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// Time limit for the setup of a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Round-trip time assumed before the first measurement. The first packet of a connection to a VM
+/// that is still starting is lost, and sent again after three times this.
+const INITIAL_ROUND_TRIP: Duration = Duration::from_millis(50);
+
 /// A message received from another VM.
 pub enum Incoming {
     /// A one-way message.
@@ -95,11 +104,15 @@
     }
 }
 
+/// Setup of a connection, which all messages to its address wait for; `None` if it failed.
+type Connecting = Shared<BoxFuture<'static, Option<Connection>>>;
+
 /// The connections of one VM to other VMs. Clones share them.
 #[derive(Clone)]
 pub struct Links {
     endpoint: Endpoint,
     open: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
+    connecting: Arc<Mutex<HashMap<SocketAddr, Connecting>>>,
     blocked: Arc<Mutex<HashSet<SocketAddr>>>,
     bytes_sent: Arc<std::sync::atomic::AtomicU64>,
 }
@@ -163,6 +176,7 @@
         .with_client_auth_cert(identity.chain, key())?;
     let mut transport = TransportConfig::default();
     transport.max_idle_timeout(Some(IDLE_TIMEOUT.try_into()?));
+    transport.initial_rtt(INITIAL_ROUND_TRIP);
     let transport = Arc::new(transport);
     let mut server = ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(server)?));
     server.transport_config(transport.clone());
@@ -197,6 +211,7 @@
         let links = Links {
             endpoint,
             open: Arc::default(),
+            connecting: Arc::default(),
             blocked: Arc::default(),
             bytes_sent: Arc::default(),
         };
@@ -244,9 +259,35 @@
         if let Some(open) = open.filter(|open| open.close_reason().is_none()) {
             return Some(open);
         }
-        let connection = self.endpoint.connect(to, SERVER_NAME).ok()?.await.ok()?;
-        self.open.lock().expect("no panic while held").insert(to, connection.clone());
-        Some(connection)
+        self.connecting(to).await
+    }
+
+    /// Returns the setup of a connection that is under way, or starts one. It goes on if a message
+    /// that waits for it is given up: otherwise a VM that needs longer for a handshake than its
+    /// callers wait for an answer would begin another one with each call, and finish none.
+    fn connecting(&self, to: SocketAddr) -> Connecting {
+        let mut all = self.connecting.lock().expect("no panic while held");
+        if let Some(connecting) = all.get(&to) {
+            return connecting.clone();
+        }
+        let connecting = self.clone().connect(to).boxed().shared();
+        all.insert(to, connecting.clone());
+        actix_web::rt::spawn(connecting.clone());
+        connecting
+    }
+
+    async fn connect(self, to: SocketAddr) -> Option<Connection> {
+        let connection = self.handshake(to).await;
+        if let Some(connection) = &connection {
+            self.open.lock().expect("no panic while held").insert(to, connection.clone());
+        }
+        self.connecting.lock().expect("no panic while held").remove(&to);
+        connection
+    }
+
+    async fn handshake(&self, to: SocketAddr) -> Option<Connection> {
+        let connecting = self.endpoint.connect(to, SERVER_NAME).ok()?;
+        tokio::time::timeout(CONNECT_TIMEOUT, connecting).await.ok()?.ok()
     }
 
     fn count_sent(&self, bytes: &[u8]) {
--- /dev/null
+++ b/tests/links.rs
@@ -0,0 +1,87 @@
+//! Links between VMs of which one is slow at the setup of connections.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+use kitepulley::peer::{Incoming, Links};
+
+/// Delay of the packets with which a connection is set up.
+const HANDSHAKE_DELAY: Duration = Duration::from_millis(180);
+
+/// Bit of a packet's first byte that is set during the setup of a QUIC connection alone.
+const LONG_HEADER: u8 = 0x80;
+
+/// Time for which a caller waits for an answer, shorter than the setup of a connection takes.
+const PATIENCE: Duration = Duration::from_millis(250);
+
+/// Maximum number of calls of a patient caller until one is answered.
+const MAX_CALLS: usize = 4;
+
+const FLEET_KEY: &[u8] = b"a fleet key";
+
+/// Delivers packets from one socket to another address, those of a setup after
+/// [`HANDSHAKE_DELAY`].
+fn deliver(from: UdpSocket, by: UdpSocket, to: impl Fn() -> Option<SocketAddr> + Send + 'static) {
+    let (sender, packets) = mpsc::channel::<(Instant, Vec<u8>)>();
+    std::thread::spawn(move || {
+        for (sent, packet) in packets {
+            if packet[0] & LONG_HEADER != 0 {
+                let due = sent + HANDSHAKE_DELAY;
+                std::thread::sleep(due.saturating_duration_since(Instant::now()));
+            }
+            if let Some(to) = to() {
+                let _ = by.send_to(&packet, to);
+            }
+        }
+    });
+    std::thread::spawn(move || {
+        let mut buffer = [0; 65536];
+        while let Ok(size) = from.recv(&mut buffer) {
+            if sender.send((Instant::now(), buffer[..size].to_vec())).is_err() {
+                return;
+            }
+        }
+    });
+}
+
+/// Returns the address of a relay between `client` and `server` that delays the setup of connections.
+fn slow_path(client: SocketAddr, server: SocketAddr) -> SocketAddr {
+    let front = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let back = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let address = front.local_addr().unwrap();
+    let copy = |socket: &UdpSocket| socket.try_clone().unwrap();
+    deliver(copy(&front), copy(&back), move || Some(server));
+    deliver(back, front, move || Some(client));
+    address
+}
+
+/// Binds links that answer each call with its own bytes.
+fn echo() -> Links {
+    let (sender, mut incoming) = tokio::sync::mpsc::unbounded_channel();
+    let links = Links::bind("127.0.0.1:0".parse().unwrap(), FLEET_KEY, sender).unwrap();
+    actix_web::rt::spawn(async move {
+        while let Some(message) = incoming.recv().await {
+            if let Incoming::Call(bytes, answer) = message {
+                let _ = answer.send(bytes);
+            }
+        }
+    });
+    links
+}
+
+/// Guards against a VM that needs longer for the setup of a connection than its callers wait for an
+/// answer, begins another one with each call, and finishes none.
+#[actix_web::test]
+async fn a_connection_is_set_up_although_the_calls_that_wait_for_it_are_given_up() {
+    let (caller, called) = (echo(), echo());
+    let to = slow_path(caller.address().unwrap(), called.address().unwrap());
+    let mut answers = Vec::new();
+    for _ in 0..MAX_CALLS {
+        let call = caller.call(to, b"hello".to_vec());
+        let answer = tokio::time::timeout(PATIENCE, call).await.ok().flatten();
+        answers.push(answer);
+    }
+    assert_eq!(answers[0], None, "the setup takes longer than the caller waits");
+    assert_eq!(answers[MAX_CALLS - 1], Some(b"hello".to_vec()), "{answers:?}");
+}
