List the VMs again while a VM that starts waits for its first update

Cause, the second of several: a VM that registers lists the VMs before most of those that start at the same moment have registered. If the list has one that ranks before it, the VM relied on that one alone. When that one was slow to answer, the VM found itself the first of its group and read the whole store: four calls and more, then a call each 0.4 s.

Fix: such a VM repeats the stale list, a tenth of a call, each half second until it follows another, the list is from after its registration, or two seconds are over.

--- a/src/forward/membership.rs
+++ b/src/forward/membership.rs
@@ -1,14 +1,17 @@
 //! Registration of the VMs in the store, and the shared key that protects the links between them.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
+use actix_web::rt::spawn;
 use serde_json::{Value, json};
 
 use super::apply::{self, Source};
 use super::backoff::Backoff;
 use super::kind::{Kind, VMS};
 use super::peer::PeerInfo;
+use super::role::Role;
 use super::vm::Vm;
 use crate::platform::client::{Client, Consistency, StoreError};
 use crate::platform::object::Object;
@@ -90,16 +93,17 @@
 ///
 /// A VM that finds its own entry in the first list is done: it was registered before. A new VM must
 /// also learn of the VMs that start at the same time. If another VM of its group has a better rank,
-/// this VM will poll that one and learns of them by its updates. Otherwise it repeats stale lists
-/// until one has its own entry, and thus is from after the registration; if none has, a
-/// linearizable list follows, which is the newest.
-pub async fn join(vm: &Vm, store: &mut Client, address: SocketAddr) {
+/// this VM will poll that one and learns of them by its updates, or by [`relist_until_following`].
+/// Otherwise it repeats stale lists until one has its own entry, and thus is from after the
+/// registration; if none has, a linearizable list follows, which is the newest.
+pub async fn join(vm: &Rc<Vm>, store: &mut Client, address: SocketAddr) {
     let entry = PeerInfo::of(&vm.settings, address);
     if list_and_check_own_entry(vm, store, &entry, Consistency::Stale).await {
         return;
     }
     register(vm, store, &json!(entry)).await;
     if has_better_ranked_peer(vm) {
+        spawn(relist_until_following(vm.clone(), entry));
         return;
     }
     for _ in 0..STALE_RELISTS {
@@ -111,6 +115,21 @@
     list_and_check_own_entry(vm, store, &entry, Consistency::Strong).await;
 }
 
+/// Repeats stale lists of the VMs while this VM has no update yet, until one list is from after the
+/// registration. A VM that knows only one of the VMs that rank before it, of those that start at the
+/// same time, would read the store itself if that one is slow to answer.
+async fn relist_until_following(vm: Rc<Vm>, entry: PeerInfo) {
+    let mut store = vm.store_client();
+    for _ in 0..STALE_RELISTS {
+        tokio::time::sleep(RELIST_INTERVAL).await;
+        let is_done = *vm.role.borrow() != Role::Joins
+            || list_and_check_own_entry(&vm, &mut store, &entry, Consistency::Stale).await;
+        if is_done {
+            return;
+        }
+    }
+}
+
 /// After a restore of the store, writes this VM's entry and the shared key again if the backup
 /// lacks them or has an earlier entry. Returns the era in which the store has both, or `None` if
 /// the caller must retry.
