Serve updates after a stall during the start of a VM

Cause, the third: a VM whose event loop stands still for 0.4 s serves no updates for 1.5 s, since what it knows may be outdated. At a start the first VMs of both groups stalled just when they had read the store, and answered `HeldUp`. All others had nothing yet, ran out of their two seconds and read for themselves.

--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -50,7 +50,9 @@
             follower.source_history.clear_declined();
         }
         let now = follower.vm.now();
-        if now.since(expected) >= STALL_THRESHOLD {
+        // All that a VM knows during its start was read since then, so a stall can't outdate it. If
+        // the first VM of a group served no updates after one, the whole group would read the store.
+        if now.since(expected) >= STALL_THRESHOLD && !follower.is_in_startup_wait() {
             follower.vm.stalled_at.set(Some(now));
         }
     }
