Give a source that starts at the same time a second to answer

The source may have just started too.

Fix: a source counts as unresponsive to such a VM a second after the first unanswered poll. Weighed: two seconds, the whole wait. A fleet whose first VM does not come back would then serve nothing for as long; a second is the price now. `a_vm_that_starts_gives_the_first_of_its_group_time_to_start_too` fails without.

--- a/src/decide/reader.rs
+++ b/src/decide/reader.rs
@@ -62,6 +62,10 @@
 /// started too.
 const STARTUP_NO_RESPONSE_BACKOFF: Span = Span::millis(300);
 
+/// Time after the first unanswered poll of a VM that has just started at which the source counts as
+/// unresponsive.
+pub const STARTUP_SILENCE: Span = Span::millis(1000);
+
 /// Maximum time that a follower waits for the answer to a poll.
 pub const POLL_TIMEOUT: Span = Span::millis(450);
 
@@ -128,6 +132,11 @@
 enum BackoffReason {
     /// The source did not answer this number of polls in a row.
     Silent(u32),
+    /// The source did not answer a VM that has just started. It may have just started too.
+    Starting {
+        /// When the first of the unanswered polls ended.
+        since: Moment,
+    },
     /// The source had no update.
     Declined,
     /// The source reported that the store is unavailable.
@@ -166,7 +175,9 @@
     /// Clears the backoff of all sources that declined or reported the store as unavailable. Called
     /// when the store answers again.
     pub fn clear_declined(&mut self) {
-        self.backoffs.retain(|_, backoff| matches!(backoff.reason, BackoffReason::Silent(_)));
+        let is_unanswered =
+            |reason| matches!(reason, BackoffReason::Silent(_) | BackoffReason::Starting { .. });
+        self.backoffs.retain(|_, backoff| is_unanswered(backoff.reason));
     }
 
     /// Returns true if the last answer of any source of the VM `own` was that the store is
@@ -204,9 +215,16 @@
         self.set_backoff(vm, BackoffReason::Silent(timeouts_before + 1), now + doubled);
     }
 
-    /// Backs off briefly from a source that did not answer a VM which has just started.
+    /// Backs off briefly from a source that did not answer a VM which has just started. The source
+    /// counts as unresponsive only after [`STARTUP_SILENCE`], since it may need longer for its
+    /// start than this VM.
     pub fn on_startup_timeout(&mut self, vm: &Vm, now: Moment) {
-        self.set_backoff(vm, BackoffReason::Silent(0), now + STARTUP_NO_RESPONSE_BACKOFF);
+        let since = match self.backoffs.get(vm) {
+            Some(Backoff { reason: BackoffReason::Starting { since }, .. }) => *since,
+            _ => now,
+        };
+        let reason = BackoffReason::Starting { since };
+        self.set_backoff(vm, reason, now + STARTUP_NO_RESPONSE_BACKOFF);
     }
 
     fn set_backoff(&mut self, vm: &Vm, reason: BackoffReason, until: Moment) {
@@ -220,7 +238,11 @@
     }
 
     fn is_silent(&self, vm: &Vm, now: Moment) -> bool {
-        matches!(self.backoff_reason(vm, now), Some(BackoffReason::Silent(_)))
+        match self.backoff_reason(vm, now) {
+            Some(BackoffReason::Silent(_)) => true,
+            Some(BackoffReason::Starting { since }) => now.since(since) >= STARTUP_SILENCE,
+            Some(BackoffReason::Declined | BackoffReason::StoreLost) | None => false,
+        }
     }
 
     /// Returns the responsive sources of higher rank than `own`, the highest first, at most
