Let VMs behind the first three of their group wait longer at a start

Symptom: where the first VMs need over two seconds to read the store, all VMs of the fleet read it at that moment: the load on an overloaded store rises with the fleet, and delays those that read for all.

The two next to the first are meant to replace it, and had no time to.

Fix: VMs behind the first three wait four seconds. They answer requests no later than before if one of the three has read the store by then, and otherwise up to two seconds later. `when_the_first_are_slow_at_a_start_those_next_to_them_read_before_all_others` fails without: 300 readers where 18 are enough.

--- a/src/decide/reader.rs
+++ b/src/decide/reader.rs
@@ -340,6 +340,17 @@
     Behind,
 }
 
+/// Returns how long a VM which has just started waits for its first update before it reads the
+/// store itself. Those that come behind the first three of their group leave these the time to read
+/// it: otherwise a first one that is too slow, maybe as the store is overloaded, would make all VMs
+/// read it at the same moment.
+pub fn startup_wait(position: GroupPosition) -> Span {
+    match position {
+        GroupPosition::First | GroupPosition::Next => STARTUP_WAIT,
+        GroupPosition::Behind => Span(2 * STARTUP_WAIT.0),
+    }
+}
+
 /// State of a VM that got no update from its sources: the inputs of [`should_read_store`].
 #[derive(Clone, Copy, Debug)]
 pub struct FollowerState {
--- a/src/experiment/reading/simulation.rs
+++ b/src/experiment/reading/simulation.rs
@@ -10,8 +10,8 @@
 use super::snapshot::snapshot_bytes;
 use crate::decide::reader::{
     FAST_POLL_INTERVAL, FIRST_POLL_TIMEOUT, FollowerState, GroupPosition, POLL_INTERVAL,
-    POLL_TIMEOUT, Rank, STARTUP_WAIT, STORE_LOSS_CONFIRMED_AFTER, may_accept_update, poll_timeout,
-    should_read_store,
+    POLL_TIMEOUT, Rank, STORE_LOSS_CONFIRMED_AFTER, may_accept_update, poll_timeout,
+    should_read_store, startup_wait,
 };
 use crate::unit::{Moment, Span, Vm as Name};
 
@@ -331,8 +331,9 @@
         if node.role == Role::Reader {
             return true;
         }
+        let group_position = self.place(at);
         let state = FollowerState {
-            group_position: self.place(at),
+            group_position,
             has_other_groups: self.strategy == Strategy::Relayed,
             has_source: self.next_source(at).is_some(),
             is_store_unavailable: node.sources.is_store_reported_unavailable(
@@ -341,7 +342,7 @@
                 self.now,
             ),
             has_snapshot: node.synced_at.is_some(),
-            is_starting: self.now.since(node.started_at) < STARTUP_WAIT,
+            is_starting: self.now.since(node.started_at) < startup_wait(group_position),
             is_overdue: poll_timeout(node.synced_at, DRAIN_WINDOW, self.now).is_none(),
         };
         let reads_store = match self.strategy {
--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -19,7 +19,7 @@
 use crate::decide::reader::{
     self as decide, FAST_POLL_INTERVAL, FIRST_POLL_TIMEOUT, FollowerState, POLL_INTERVAL, Rank,
     RankedBefore, STARTUP_WAIT, STORE_LOSS_CONFIRMED_AFTER, SourceHistory, may_accept_update,
-    poll_timeout,
+    poll_timeout, startup_wait,
 };
 use crate::platform::object::Object;
 use crate::unit::{Moment, Span, Vm as Name};
@@ -343,13 +343,14 @@
         self.update_rank(candidates);
         let now = vm.now();
         let bound = vm.settings.bounds.drain_within;
+        let group_position = self.own_place(candidates);
         let without = FollowerState {
-            group_position: self.own_place(candidates),
+            group_position,
             has_other_groups: !candidates.firsts.is_empty(),
             has_source: self.next_target(candidates).is_some(),
             is_store_unavailable: self.is_store_reported_down(candidates),
             has_snapshot: self.servers_as_of.is_some(),
-            is_starting: self.is_in_startup_wait(),
+            is_starting: now.since(self.started) < startup_wait(group_position),
             is_overdue: poll_timeout(self.servers_as_of, bound, now).is_none(),
         };
         if decide::should_read_store(&without) {
--- a/tests/reading.rs
+++ b/tests/reading.rs
@@ -5,7 +5,8 @@
 use std::collections::BTreeMap;
 
 use kitepulley::decide::reader::{
-    FollowerState, GroupPosition, Rank, SourceHistory, may_accept_update, should_read_store,
+    FollowerState, GroupPosition, Rank, STARTUP_SILENCE, STARTUP_WAIT, SourceHistory,
+    may_accept_update, should_read_store, startup_wait,
 };
 use kitepulley::forward::rollout_trial::Source;
 use kitepulley::forward::rollout_trial::{RolloutTrial, Sample, Verdict};
@@ -81,6 +82,51 @@
     }
 }
 
+/// Guards against a VM that takes the first of its group for gone after one unanswered poll, when
+/// both have just started.
+#[test]
+fn a_vm_that_starts_gives_the_first_of_its_group_time_to_start_too() {
+    let groups = &fleet(60)[..1];
+    let (first, own) = (&groups[0][0], &groups[0][1]);
+    let mut history = SourceHistory::default();
+    let asked = Moment(1);
+    let reads = |history: &SourceHistory| {
+        let state = follower_state(history, groups, 0, own);
+        should_read_store(&FollowerState { has_snapshot: false, is_starting: true, ..state })
+    };
+    history.on_startup_timeout(&first.vm, asked);
+    assert!(!reads(&history));
+    let later = asked + STARTUP_SILENCE;
+    history.on_startup_timeout(&first.vm, later);
+    let place = history.group_position(own, groups[0].iter(), later);
+    assert_eq!(place, GroupPosition::First, "it has not answered for long");
+}
+
+/// Guards against a whole fleet that reads the store at the same moment, since the first VMs of the
+/// groups take too long for it at a start.
+#[test]
+fn when_the_first_are_slow_at_a_start_those_next_to_them_read_before_all_others() {
+    let readers_after = |time: Span| {
+        let groups = fleet(300);
+        let not_ready = |history: &mut SourceHistory, vm: &Vm| history.on_not_ready(vm, Moment(0));
+        let mut readers = 0;
+        for (at, group) in groups.iter().enumerate() {
+            for own in group {
+                let mut history = SourceHistory::default();
+                let others = groups.iter().flatten().filter(|other| *other != own);
+                others.for_each(|other| not_ready(&mut history, &other.vm));
+                let state = follower_state(&history, &groups, at, own);
+                let is_starting = time < startup_wait(state.group_position);
+                let state = FollowerState { has_snapshot: false, is_starting, ..state };
+                readers += usize::from(should_read_store(&state));
+            }
+        }
+        readers
+    };
+    assert_eq!(readers_after(STARTUP_WAIT), 3 * DATA_CENTRES);
+    assert_eq!(readers_after(Span(2 * STARTUP_WAIT.0)), 300);
+}
+
 #[test]
 fn while_the_store_is_lost_the_first_of_each_data_centre_tries() {
     for vms in [60, 300, 1000] {
