Leave the version in service alone when another one is withdrawn

Symptom: with v4 of a model in service and v3 before it, the withdrawal of v5, a version that serves nothing, moved all new work to v3.

Cause: the fall-back to the version before the last finished roll-out did not ask whether the withdrawn version was in service; only the removal of the override did.

Evidence: `a_withdrawal_of_another_version_leaves_the_one_in_service` failed (v3 where v4 is due) and passes; the fall-back itself has a test beside it.

Fix: both happen only for the version in service.

--- a/src/config/plan.rs
+++ b/src/config/plan.rs
@@ -355,16 +355,16 @@
     root.serving.retain(|model, version| declared.get(model).is_some_and(|d| d != version));
 }
 
-/// Withdraws a version and ends its roll-out. The version in service before the last finished
-/// roll-out is put into service again, unless it is the withdrawn one.
+/// Withdraws a version and ends its roll-out. If it is in service, the version before the last
+/// finished roll-out is put into service again, unless that is the withdrawn one too.
 fn withdraw(root: &mut Root, target: &Target) {
     root.withdrawn.insert(target.clone());
     root.rollouts.retain(|rollout| rollout.to != *target);
-    let was_serving = root.serving.get(&target.model) == Some(&target.version);
-    let previous = root.previous.get(&target.model).cloned();
-    if was_serving {
-        root.serving.remove(&target.model);
+    if root.serving.get(&target.model) != Some(&target.version) {
+        return;
     }
+    root.serving.remove(&target.model);
+    let previous = root.previous.get(&target.model).cloned();
     if let Some(previous) = previous.filter(|previous| *previous != target.version) {
         root.serving.insert(target.model.clone(), previous);
     }
