Keep the newest report that a VM enforces a revision

Symptom: a configuration counted as accepted later than it was in force.

Cause: a report of an older revision that came after that of a newer one replaced it, and the revision was pending until the VM repeated its report.

Evidence: `a_report_that_comes_late_does_not_take_back_a_newer_one` failed and passes. It also checks that a later process of the VM has to report anew.

Fix: reports are ordered by the process's incarnation, then by the revision.

--- a/src/peer/gossip/mod.rs
+++ b/src/peer/gossip/mod.rs
@@ -439,7 +439,10 @@
                 Vec::new()
             }
             Frame::Adopted { me, status, enforced_revision } => {
-                self.adopted.insert(from.clone(), (me.incarnation, enforced_revision));
+                // Frames may arrive out of order.
+                let reported = (me.incarnation, enforced_revision);
+                let newest = self.adopted.entry(from.clone()).or_insert(reported);
+                *newest = reported.max(*newest);
                 self.merge_member(me.clone(), now);
                 self.try_accept(now);
                 let ack =
