Read an idle timeout only from the parameter that names it

Symptom: a server's `Keep-Alive: 5` set an idle timeout of five seconds for its connections; so did any number in the header that came before `timeout=`.

Cause: a part without `timeout=` was read as if it had it.

Evidence: `a_keep_alive_header_without_a_named_timeout_sets_none` failed and passes.

Fix: only `timeout=N` counts, at any place among the parameters.

--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -264,10 +264,9 @@
 
 /// Parses the idle timeout in seconds of `Keep-Alive: timeout=N`.
 fn parse_keep_alive(text: &str) -> Option<Span> {
-    let parts = text.split(',').map(str::trim);
-    let mut seconds =
-        parts.filter_map(|part| part.strip_prefix("timeout=").unwrap_or(part).parse().ok());
-    seconds.next().map(Span::secs)
+    let mut parameters = text.split(',').map(str::trim);
+    let seconds = parameters.find_map(|parameter| parameter.strip_prefix("timeout="))?;
+    seconds.parse().ok().map(Span::secs)
 }
 
 /// Returns the headers of a server's response to forward to the caller: all but hop-by-hop headers
