Bound the outcomes of the request counter, and separate waits in the trail

Symptom: `kitepulley_requests{outcome}` grew by a series for each text of a socket error and each event number at which a stream broke off. In the log, the trail of a request ran a wait into the end of the attempt before it.

Cause: the reason was part of the outcome, which is also the label; and a wait was added to the trail without the separator that an attempt adds.

Evidence: `a_stream_that_breaks_off_counts_under_one_label_whatever_the_reason` (two series where one is due) and `a_wait_is_apart_from_what_came_before_it_in_the_trail` failed and pass.

Fix: the label is `broken off`, the log line has the reason as before. Both texts use the same separator.

--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -165,6 +165,8 @@
     /// Age of the proof that the configuration is the newest, when the request arrived.
     proof_age: Option<Span>,
     outcome: RefCell<String>,
+    /// Why the request ended like that, for the log; may be empty.
+    outcome_reason: RefCell<String>,
     attempts: Cell<u32>,
     /// True once a server has started to run the request.
     has_run: Cell<bool>,
@@ -189,6 +191,7 @@
             revision: vm.routes().map_or(0, |table| table.revision.0),
             proof_age: vm.proof_age(arrived),
             outcome: RefCell::new("caller left".to_owned()),
+            outcome_reason: RefCell::default(),
             attempts: Cell::new(0),
             has_run: Cell::new(false),
             trail: RefCell::default(),
@@ -229,9 +232,7 @@
         *self.version.borrow_mut() = Some(placement.replica.version.clone());
         self.record_session(now);
         let mut trail = self.trail.borrow_mut();
-        if !trail.is_empty() {
-            trail.push_str("; ");
-        }
+        separate(&mut trail);
         let after = now.since(self.arrived).0 / 1000;
         // Writing to a string cannot fail.
         let _ = write!(trail, "{after}ms {}", placement.replica.id);
@@ -278,8 +279,10 @@
             Some(_) => "permit of a rate-limited server",
             None => "end of a backoff",
         };
+        let mut trail = self.trail.borrow_mut();
+        separate(&mut trail);
         // Writing to a string cannot fail.
-        let _ = write!(self.trail.borrow_mut(), "{what} in {}", wait.until.since(now));
+        let _ = write!(trail, "{what} in {}", wait.until.since(now));
     }
 
     /// Adds the inputs of the decision on an escalation to a larger model.
@@ -309,12 +312,31 @@
         self.response_time.set(Some(now.since(self.arrived)));
     }
 
+    /// Returns the attempts, waits and escalation checks so far, as text for the log.
+    pub fn trail(&self) -> String {
+        self.trail.borrow().clone()
+    }
+
+    /// Sets that the stream to the caller broke off. The reason, which may hold any text of an
+    /// error, is logged and is not part of the metric's label.
+    pub fn set_broken_off(&self, reason: &str) {
+        self.set_outcome("broken off");
+        *self.outcome_reason.borrow_mut() = reason.to_owned();
+    }
+
     /// Sets how the request ended. The text is also the `outcome` label of a metric.
     pub fn set_outcome(&self, outcome: impl Into<String>) {
         *self.outcome.borrow_mut() = outcome.into();
     }
 }
 
+/// Ends the last step of a trail, if there is one, before the next is added.
+fn separate(trail: &mut String) {
+    if !trail.is_empty() {
+        trail.push_str("; ");
+    }
+}
+
 impl Drop for Record {
     fn drop(&mut self) {
         let vm = &self.vm;
@@ -332,6 +354,10 @@
         // A hash tells sessions apart without disclosing their names.
         let session = self.session.as_deref().map(hash::fingerprint).unwrap_or_default();
         let content = self.content.map(|content| content.to_string()).unwrap_or_default();
+        let logged_outcome = match self.outcome_reason.borrow().as_str() {
+            "" => outcome.clone(),
+            reason => format!("{outcome}: {reason}"),
+        };
         vm.log(
             "request",
             &[
@@ -339,7 +365,7 @@
                 ("session", session.as_str().into()),
                 ("content", content.as_str().into()),
                 ("route", self.route.as_str().into()),
-                ("outcome", outcome.as_str().into()),
+                ("outcome", logged_outcome.as_str().into()),
                 ("attempts", self.attempts.get().into()),
                 ("trail", self.trail.borrow().as_str().into()),
                 ("revision", self.revision.into()),
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -51,7 +51,7 @@
         match relay.next().await {
             Some(Ok(bytes)) => Some((Ok(bytes), Some(relay))),
             Some(Err(reason)) => {
-                relay.job.record.set_outcome(format!("broken off: {reason}"));
+                relay.job.record.set_broken_off(&reason.to_string());
                 // When a body fails, the HTTP server drops what it has not written yet. While the
                 // body is pending, it writes.
                 tokio::task::yield_now().await;
