Refuse a broken request once other VMs know the servers that crashed under it

Symptom: at the product's own door a prompt that crashes engines ended a fourth one, where three are allowed (`a_prompt_that_crashes_engines_is_held_back_by_all_vms`).

Cause: a server whose answer ends early is checked in a task of its own, and the refusal did not wait for it. The caller's repeat at another VM came before that VM heard that the content is quarantined.

Ruled out: a check that finds a crashed engine alive (all four checks say `IsGone`).

A message from a VM is answered already; the answer was not waited for.

--- a/src/entry/dispatch/mod.rs
+++ b/src/entry/dispatch/mod.rs
@@ -8,6 +8,7 @@
 
 use actix_web::web::Data;
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 
 use super::refusal::{Kind as Refused, Refusal};
 use crate::chart::{self, Machine};
@@ -112,6 +113,8 @@
     head_sent: bool,
     /// True if a failed attempt may have run without returning a token.
     may_have_run: bool,
+    /// Checks of servers whose answers ended early.
+    crash_checks: Vec<JoinHandle<()>>,
     /// When the first token was sent to the client.
     first_token: Option<Moment>,
 }
@@ -140,6 +143,7 @@
         attempts: 0,
         head_sent: false,
         may_have_run: false,
+        crash_checks: Vec::new(),
         first_token: None,
     };
     dispatcher.vm.record_first_attempt();
--- a/src/vm/command.rs
+++ b/src/vm/command.rs
@@ -41,8 +41,9 @@
     ProbeServer(Server),
     /// Ask all VMs for the decision record of a request.
     Explain(String, oneshot::Sender<Option<String>>),
-    /// Send other VMs a message about request contents that crash servers.
-    SendPoison(poison::Outgoing),
+    /// Send other VMs a message about request contents that crash servers; the reply comes when
+    /// they have answered or could not be reached.
+    SendPoison(poison::Outgoing, oneshot::Sender<()>),
     /// Collect from all other VMs the counts for the report on error budgets, as JSON.
     CollectBurn(oneshot::Sender<Vec<String>>),
 }
--- a/src/vm/control.rs
+++ b/src/vm/control.rs
@@ -221,7 +221,12 @@
                     let _ = reply.send(claims::use_reserved_key(&control, key_use, holder).await);
                 });
             }
-            Command::SendPoison(outgoing) => poison::send_outgoing(&control, outgoing),
+            Command::SendPoison(outgoing, reply) => {
+                actix_web::rt::spawn(async move {
+                    poison::send_outgoing(&control, outgoing).await;
+                    let _ = reply.send(());
+                });
+            }
             Command::SubmitSample(sample) => ratings::enqueue(control, sample),
             Command::CatchUp(revision, reply) => {
                 actix_web::rt::spawn(async move {
--- a/src/vm/poison.rs
+++ b/src/vm/poison.rs
@@ -6,12 +6,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use rand::seq::IndexedRandom;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 
 use super::control::Control;
 use super::{Command, Vm};
 use crate::decide::poison::{
-    Effects, Message, OpenRequest, Outgoing, Recipients, ServerIncarnation, Topology, Transition,
+    Effects, Exchange, Message, OpenRequest, Outgoing, Recipients, ServerIncarnation, Topology,
+    Transition,
 };
 use crate::engine::check::{self, ProcessState};
 use crate::peer::wire::Call;
@@ -50,13 +54,14 @@
 }
 
 /// Checks, after a response ended early, if the process of the server has crashed, and then records
-/// the crash for the content of the request.
+/// the crash for the content of the request. Returns the task, which ends when the other VMs know
+/// of the crash too.
 pub fn on_broken_response(
     vm: &Arc<Vm>,
     server: &Server,
     address: SocketAddr,
     request: OpenRequest,
-) {
+) -> JoinHandle<()> {
     let (vm, server) = (vm.clone(), server.clone());
     actix_web::rt::spawn(async move {
         let found = check::check_process(address).await;
@@ -68,12 +73,14 @@
         if found == ProcessState::IsGone {
             let incarnation = incarnation_at(&server, vm.clock.date());
             let now = vm.clock.now();
-            let mut poison = vm.poison.lock().expect("no panic while held");
-            let effects = poison.on_server_crash(incarnation, &[request], Topology::Direct, now);
-            drop(poison);
-            apply_effects(&vm, effects);
+            let record = |poison: &mut Exchange| {
+                poison.on_server_crash(incarnation, &[request], Topology::Direct, now)
+            };
+            let effects = record(&mut vm.poison.lock().expect("no panic while held"));
+            // Fails for messages that were not sent because this VM stops.
+            let _ = join_all(apply_effects(&vm, effects)).await;
         }
-    });
+    })
 }
 
 /// Records that a request with this content completed, which clears the content of suspicion.
@@ -91,8 +98,9 @@
     apply_effects(vm, effects);
 }
 
-/// Logs the start and end of quarantines, and queues the messages for other VMs.
-fn apply_effects(vm: &Vm, effects: Effects) {
+/// Logs the start and end of quarantines, and queues the messages for other VMs. Returns for each
+/// message the end of its delivery.
+fn apply_effects(vm: &Vm, effects: Effects) -> Vec<oneshot::Receiver<()>> {
     for transition in effects.transitions {
         match transition {
             Transition::Quarantined(content, crashes) => {
@@ -106,21 +114,23 @@
             }
         }
     }
-    effects
-        .messages
-        .into_iter()
-        .for_each(|outgoing| vm.send_command(Command::SendPoison(outgoing)));
+    let queue = |outgoing| {
+        let (delivered, delivery) = oneshot::channel();
+        vm.send_command(Command::SendPoison(outgoing, delivered));
+        delivery
+    };
+    effects.messages.into_iter().map(queue).collect()
 }
 
-/// Sends a message to its recipients.
-pub fn send_outgoing(control: &Control, outgoing: Outgoing) {
+/// Sends a message to its recipients and waits for their answers.
+pub async fn send_outgoing(control: &Control, outgoing: Outgoing) {
     let others = control.other_vms();
     let to = match outgoing.to {
         Recipients::All => others,
         Recipients::Aggregators(_) if others.len() <= FULL_MESH_LIMIT => others,
         Recipients::Aggregators(content) => aggregators(control, others, content),
     };
-    to.into_iter().for_each(|member| send(control, member, outgoing.message.clone()));
+    join_all(to.into_iter().map(|member| send(control, member, outgoing.message.clone()))).await;
 }
 
 /// Returns the other VMs that aggregate the observations of a content.
@@ -132,9 +142,9 @@
     others.into_iter().filter(|member| chosen.contains(&member.vm)).collect()
 }
 
-fn send(control: &Control, to: Member, message: Message) {
-    let control = control.clone();
-    actix_web::rt::spawn(async move { control.call(to.address, Call::Poison(message)).await });
+/// Sends a message to a VM, which answers unless it can't be reached.
+async fn send(control: &Control, to: Member, message: Message) {
+    control.call(to.address, Call::Poison(message)).await;
 }
 
 /// Sends the quarantined contents to a few random VMs at each interval, so that a VM that starts
@@ -152,8 +162,9 @@
             continue;
         }
         let others = control.other_vms();
-        for member in others.choose_multiple(&mut rand::rng(), REMINDER_FANOUT) {
-            send(&control, member.clone(), Message::Quarantined(quarantined.clone()));
+        for member in others.choose_multiple(&mut rand::rng(), REMINDER_FANOUT).cloned() {
+            let (control, message) = (control.clone(), Message::Quarantined(quarantined.clone()));
+            actix_web::rt::spawn(async move { send(&control, member, message).await });
         }
     }
 }
