Plainer names and a scope in place of a closure, after reading the change again

No decision changes. The reason why a stream broke off is forgotten if the request ends in another way after all, so that the log can't join the two.

--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -354,12 +354,12 @@
             is_overdue: poll_timeout(self.servers_as_of, bound, now).is_none(),
         };
         if decide::should_read_store(&without) {
-            let before = self.source_history.count_ranked_before(
+            let ranked_before = self.source_history.count_ranked_before(
                 &candidates.own,
                 candidates.group.iter(),
                 now,
             );
-            become_reader(vm, &without, before);
+            become_reader(vm, &without, ranked_before);
             self.servers_as_of = None;
             return true;
         }
@@ -459,17 +459,17 @@
     vm.role.send_replace(role);
 }
 
-/// Makes this VM read the store itself, and requests a proof at once. `before` are the VMs of its
-/// group that it would rather follow.
-fn become_reader(vm: &Vm, without: &FollowerState, before: RankedBefore) {
+/// Makes this VM read the store itself, and requests a proof at once. `ranked_before` counts the
+/// VMs of its group that it would rather follow, for the log.
+fn become_reader(vm: &Vm, without: &FollowerState, ranked_before: RankedBefore) {
     let place = format!("{:?}", without.group_position);
     let fields = [
         ("place", place.as_str().into()),
         ("told_lost", without.is_store_unavailable.into()),
         ("overdue", without.is_overdue.into()),
         ("starting", without.is_starting.into()),
-        ("ranked_before", before.known.into()),
-        ("silent", before.silent.into()),
+        ("ranked_before", ranked_before.known.into()),
+        ("silent", ranked_before.silent.into()),
     ];
     vm.log("reads the store itself", &fields);
     vm.upstream_store_lost.set(false);
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -232,7 +232,7 @@
         *self.version.borrow_mut() = Some(placement.replica.version.clone());
         self.record_session(now);
         let mut trail = self.trail.borrow_mut();
-        separate(&mut trail);
+        start_step(&mut trail);
         let after = now.since(self.arrived).0 / 1000;
         // Writing to a string cannot fail.
         let _ = write!(trail, "{after}ms {}", placement.replica.id);
@@ -280,7 +280,7 @@
             None => "end of a backoff",
         };
         let mut trail = self.trail.borrow_mut();
-        separate(&mut trail);
+        start_step(&mut trail);
         // Writing to a string cannot fail.
         let _ = write!(trail, "{what} in {}", wait.until.since(now));
     }
@@ -327,11 +327,12 @@
     /// Sets how the request ended. The text is also the `outcome` label of a metric.
     pub fn set_outcome(&self, outcome: impl Into<String>) {
         *self.outcome.borrow_mut() = outcome.into();
+        self.outcome_reason.borrow_mut().clear();
     }
 }
 
-/// Ends the last step of a trail, if there is one, before the next is added.
-fn separate(trail: &mut String) {
+/// Separates the next step of a trail from the one before, if there is one.
+fn start_step(trail: &mut String) {
     if !trail.is_empty() {
         trail.push_str("; ");
     }
--- a/src/vm/poison.rs
+++ b/src/vm/poison.rs
@@ -14,8 +14,7 @@
 use super::control::Control;
 use super::{Command, Vm};
 use crate::decide::poison::{
-    Effects, Exchange, Message, OpenRequest, Outgoing, Recipients, ServerIncarnation, Topology,
-    Transition,
+    Effects, Message, OpenRequest, Outgoing, Recipients, ServerIncarnation, Topology, Transition,
 };
 use crate::engine::check::{self, ProcessState};
 use crate::peer::wire::Call;
@@ -73,10 +72,10 @@
         if found == ProcessState::IsGone {
             let incarnation = incarnation_at(&server, vm.clock.date());
             let now = vm.clock.now();
-            let record = |poison: &mut Exchange| {
+            let effects = {
+                let mut poison = vm.poison.lock().expect("no panic while held");
                 poison.on_server_crash(incarnation, &[request], Topology::Direct, now)
             };
-            let effects = record(&mut vm.poison.lock().expect("no panic while held"));
             // Fails for messages that were not sent because this VM stops.
             let _ = join_all(apply_effects(&vm, effects)).await;
         }
