Log what the trial of a rollout has counted when it takes a step

`roll-out moved` now tells the answers by route, version and kind, the number of other VMs whose counts are known, and the answers of the new version that this VM could not call fast or slow.

--- a/src/forward/rollout_steps.rs
+++ b/src/forward/rollout_steps.rs
@@ -107,6 +107,7 @@
     let written = store.put_status(ROLLOUTS, service.as_str(), rollout.position, status).await;
     vm.count_store_call("step", &written);
     let name = format!("{phase:?}");
+    let (counts, sources, unclassified) = describe_trial(vm, service);
     match written {
         Ok(object) => {
             let fields = [
@@ -116,6 +117,9 @@
                 ("seen", inputs.answers_seen.into()),
                 ("evidence", inputs.evidence.into()),
                 ("bad", inputs.is_found_bad.into()),
+                ("counts", counts.as_str().into()),
+                ("sources", sources.into()),
+                ("unclassified", unclassified.into()),
             ];
             vm.log("roll-out moved", &fields);
             apply_rollout(vm, &object);
@@ -135,6 +139,16 @@
     true
 }
 
+/// Returns what the trial of a service has counted, for the log: all counts, the number of other
+/// sources, and the number of own answers that could not be compared.
+fn describe_trial(vm: &Vm, service: &Service) -> (String, usize, u64) {
+    let trials = vm.rollout_trials.borrow();
+    let trial = trials.get(service);
+    trial.map_or_else(Default::default, |trial| {
+        (trial.describe_counts(), trial.sources(), trial.unclassified())
+    })
+}
+
 /// A step that is due.
 struct DueStep {
     /// The rollout to advance.
--- a/src/forward/rollout_trial.rs
+++ b/src/forward/rollout_trial.rs
@@ -51,9 +51,14 @@
         self.seen += 1;
     }
 
+    /// Returns true once the estimate is based on enough answers.
+    fn is_known(&self) -> bool {
+        self.seen >= MIN_MEDIAN_SAMPLES
+    }
+
     /// Returns the number of levels at which a time is slow.
     fn slow_levels(&self, time: f64) -> usize {
-        if self.seen < MIN_MEDIAN_SAMPLES || time <= self.value + MIN_SLOW_EXCESS.0 as f64 {
+        if !self.is_known() || time <= self.value + MIN_SLOW_EXCESS.0 as f64 {
             return 0;
         }
         SLOW_FACTORS.iter().filter(|times| time > self.value * **times).count()
@@ -118,6 +123,17 @@
     }
 }
 
+impl std::fmt::Display for Totals {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let of = |count: fn(&Comparison) -> Count| {
+            let slow = self.slow.map(|comparison| count(&comparison).bad.to_string()).join("/");
+            let failures = count(&self.failures);
+            format!("{} failed {} slow {slow}", failures.all, failures.bad)
+        };
+        write!(f, "new {}, old {}", of(|both| both.new), of(|both| both.old))
+    }
+}
+
 /// Counts by route. A version may be bad on a single route with few requests: one VM sees only some
 /// answers of that route during a trial, but all VMs together see enough.
 pub type TotalsByRoute = HashMap<String, Totals>;
@@ -141,6 +157,9 @@
     upstream_verdict: Option<Verdict>,
     /// Counts of this VM as they were last sent to the other VMs.
     sent: TotalsByRoute,
+    /// Answers of the new version that this VM could not compare, since it did not know yet how
+    /// long answers of the route usually take.
+    unclassified: u64,
 }
 
 /// Judgement on a new version from the counts of its answers.
@@ -197,6 +216,7 @@
         if !is_new {
             median.record(time.0 as f64);
         }
+        self.unclassified += u64::from(is_new && !median.is_known());
         level
     }
 
@@ -286,6 +306,26 @@
         (!changed.is_empty()).then_some((version, changed))
     }
 
+    /// Returns the number of answers of the new version that this VM received but could not compare
+    /// with the usual time of their route.
+    pub fn unclassified(&self) -> u64 {
+        self.unclassified
+    }
+
+    /// Returns the number of other VMs and data centres whose counts are known.
+    pub fn sources(&self) -> usize {
+        self.others.len()
+    }
+
+    /// Returns the counts of all known sources by route, for the log: answers of the new version,
+    /// failed ones and slow ones by level, then the same of the old version.
+    pub fn describe_counts(&self) -> String {
+        let mut routes: Vec<(String, Totals)> = self.sum(|_| true).into_iter().collect();
+        routes.sort_by(|(one, _), (other, _)| one.cmp(other));
+        let routes = routes.iter().map(|(route, totals)| format!("{route} {totals}"));
+        routes.collect::<Vec<_>>().join("; ")
+    }
+
     /// Returns true once this VM has found the version bad.
     pub fn is_bad(&self) -> bool {
         self.found_bad
