Compare versions route by route, and count a request that fails twice once

The old version's share of bad answers is now weighted like the new one's requests. A request that failed may fail at every server, and each further attempt counted as one more failed answer of the version.

--- a/src/decide/canary.rs
+++ b/src/decide/canary.rs
@@ -110,6 +110,22 @@
         Comparison { new: self.new.plus(other.new), old: self.old.plus(other.old) }
     }
 
+    /// Returns the comparison over several routes. The old version's share of bad answers is the
+    /// one it would have if its requests were spread over the routes like those of the new version.
+    /// Otherwise a trial with many requests on a route where either version often fails would speak
+    /// against the new one.
+    pub fn pooled(routes: impl Iterator<Item = Comparison>) -> Comparison {
+        let (mut sum, mut expected_bad) = (Comparison::default(), 0.0);
+        for route in routes {
+            sum = sum.plus(route);
+            expected_bad += route.new.all * route.old.rate(BASELINE_BAD_SHARE);
+        }
+        if sum.new.all > 0.0 {
+            sum.old.bad = sum.old.all * expected_bad / sum.new.all;
+        }
+        sum
+    }
+
     /// Returns the evidence that the new version is worse, as a log likelihood ratio; zero while
     /// the new version has few bad answers, or hardly a larger share of them than the old one.
     pub fn evidence(&self) -> f64 {
--- a/src/forward/dispatch.rs
+++ b/src/forward/dispatch.rs
@@ -98,7 +98,7 @@
         vm.metrics.added_latency.observe(now.since(job.arrived).as_secs());
         let left = job.route.max_attempts.saturating_sub(counted_attempts(job, &progress));
         let until = job.attempt_deadline(left, placement.until_prefilled, now);
-        let outcome = attempt_at(job, &placement, model.as_ref(), until).await;
+        let outcome = attempt_at(job, &placement, model.as_ref(), until, &progress).await;
         progress.tried.push(replica.clone());
         let ended = vm.now();
         if outcome.end == AttemptOutcome::Good
@@ -163,16 +163,24 @@
     placement: &Placement,
     model: Option<&Model>,
     until: Moment,
+    progress: &Progress,
 ) -> Outcome {
     let replica = &placement.replica;
     let vm = &job.vm;
     let started = vm.now();
     let named = model.or(job.call.model.as_ref());
     let (estimate, pending) = job.begin_attempt(placement, model);
-    let mut trial = RolloutAttempt::new(job, replica, started, estimate.expected_time);
     let attempt = attempt::run(job, replica, model, job.call.last_event_id, pending, until);
-    let outcome = trial.wait(attempt).await;
-    trial.on_end(outcome.end);
+    // A request that failed may fail at any server: a second answer to it says little about the
+    // version.
+    let outcome = if progress.failure.is_some() {
+        attempt.await
+    } else {
+        let mut trial = RolloutAttempt::new(job, replica, started, estimate.expected_time);
+        let outcome = trial.wait(attempt).await;
+        trial.on_end(outcome.end);
+        outcome
+    };
     if outcome.end == AttemptOutcome::Good {
         let took = vm.now().since(started);
         vm.record_prefill(named, estimate.uncached_tokens, took);
--- a/src/forward/rollout_trial.rs
+++ b/src/forward/rollout_trial.rs
@@ -171,6 +171,16 @@
     pub evidence: f64,
 }
 
+/// Returns the pooled counts of all routes.
+fn pool(routes: &TotalsByRoute) -> Totals {
+    let failures = routes.values().map(|route| route.failures);
+    let slow = |level: usize| routes.values().map(move |route| route.slow[level]);
+    Totals {
+        failures: Comparison::pooled(failures),
+        slow: std::array::from_fn(|level| Comparison::pooled(slow(level))),
+    }
+}
+
 impl RolloutTrial {
     /// Sets the version that is rolled out, seen at the moment `now`. Counts restart if the version
     /// differs from the last one.
@@ -246,7 +256,7 @@
     /// fewer answers, good versions would be found bad by chance.
     pub fn verdict(&self) -> Verdict {
         let sums = self.sum(|_| true);
-        let all = sums.values().fold(Totals::default(), |sum, one| sum.plus(*one));
+        let all = pool(&sums);
         let evidence = sums.values().map(Totals::evidence).fold(all.evidence(), f64::max);
         let counted = Verdict { seen: all.failures.new.all, evidence };
         self.upstream_verdict
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -673,3 +673,22 @@
         young.evidence_of_slowness()
     );
 }
+
+/// Guards against a trial that gets many requests of a route where either version often fails.
+#[test]
+fn a_version_is_not_accused_of_what_the_old_one_does_as_often() {
+    let (old, new): (Version, Version) = ("v1".parse().unwrap(), "v2".parse().unwrap());
+    let mut trials = RolloutTrial::default();
+    trials.track_version(&new, Moment(1));
+    let mut record = |route, version, answers, failures| {
+        for number in 0..answers {
+            let sample = Sample { route, failed: number < failures, ..sample(version, 30) };
+            trials.record(&sample);
+        }
+    };
+    record("often", &old, 40, 20);
+    record("never", &old, 400, 0);
+    record("often", &new, 24, 12);
+    record("never", &new, 6, 0);
+    assert_eq!(trials.verdict().evidence, 0.0);
+}
