Promote a version only if its answers show that it is good

A promotion stops the old servers, so nothing can be taken back.

A promotion now needs support: a log likelihood ratio of 2.5, summed over the routes, against harm to 15 in 100 answers (30 for slow ones), to all routes or to one. Without it the trial goes on, also after the time limit, until it has support or the version has had nine tenths of the requests that a bad one may get; then it is rolled back. For a service with few requests the share rises in the second half of the time, when sessions may change, by half of exposure_tolerance, which was not read before. An answer on a route whose usual time a VM doesn't know yet counts as slow if it misses the latency goal; it counted as fast. Counts of the old version are sent again when they have grown by a quarter, since the request rate is estimated from them. A VM that follows one with more answers leaves promotions to it. No message changes.

Ruled out: counts of the new version lost between VMs (all 14 of 14 were known).

--- a/src/decide/canary.rs
+++ b/src/decide/canary.rs
@@ -6,6 +6,11 @@
 //! fail only under a load or at a time that the trial does not meet. So all sessions move as late
 //! as the time limit allows, and even a bad version that no test detects has then received less
 //! than its bounded share of the requests.
+//!
+//! A version that is not found bad is not thereby found good: a trial with few answers finds
+//! nothing. A promotion can't be reverted, so it needs support, which is evidence that the version
+//! is no worse. A trial without it goes on after the time limit, until it has support or until the
+//! version has received as many requests as a bad one may get.
 
 use serde::{Deserialize, Serialize};
 
@@ -94,6 +99,42 @@
 /// Number of bad answers of a version below which there is no evidence against it.
 const MIN_BAD_ANSWERS: f64 = 3.0;
 
+/// Support that a version needs for its promotion, on the scale of [`ROLLBACK_EVIDENCE`]: about twelve
+/// to one against the least harm that a trial has to rule out.
+const PROMOTION_SUPPORT: f64 = 2.5;
+
+/// Failures that a trial has to rule out, as a share of all answers of the service.
+const FAILURE_HARM: f64 = 0.15;
+
+/// Slow answers that a trial has to rule out, as a share of all answers of the service. It exceeds
+/// [`FAILURE_HARM`] as [`MIN_SLOWNESS_HARM`] exceeds [`MIN_HARM`].
+const SLOWNESS_HARM: f64 = 0.3;
+
+/// Maximum share of bad answers that a trial can tell from the old version's.
+const MAX_BAD_SHARE: f64 = 0.95;
+
+/// Fraction of the requests that a bad version may get after which a trial that can't tell ends. The
+/// rest covers requests without an answer yet, and an estimate of the request rate that is too high.
+const TRIAL_EXPOSURE_FRACTION: f64 = 0.9;
+
+/// Time until all VMs know of a rollback.
+const ROLLBACK_DELAY: Span = Span::millis(500);
+
+/// Fraction of the tolerated requests that is spent on more answers in the second half of a trial.
+/// The rest covers requests that are sent before all VMs know of a rollback.
+const TOLERANCE_FRACTION: f64 = 0.5;
+
+/// Maximum share of sessions that use the new version in the second half of its trial.
+const MAX_SECOND_SHARE: f64 = 0.5;
+
+/// Minimum factor by which the share of sessions rises in the second half of a trial; less is not
+/// worth a write.
+const MIN_SECOND_SHARE_FACTOR: f64 = 1.25;
+
+/// Minimum time over which the additional requests of the second half are spread, as a fraction of
+/// the time limit.
+const MIN_SECOND_SHARE_TIME_FRACTION: f64 = 0.25;
+
 /// Answers of the new and the old version of a roll-out. A bad answer is one that failed, or one
 /// that exceeded one latency threshold, depending on the comparison.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -110,6 +151,11 @@
         Comparison { new: self.new.plus(other.new), old: self.old.plus(other.old) }
     }
 
+    /// Returns the number of answers of both versions.
+    fn answers(&self) -> f64 {
+        self.new.all + self.old.all
+    }
+
     /// Returns the comparison over several routes. The old version's share of bad answers is the
     /// one it would have if its requests were spread over the routes like those of the new version.
     /// Otherwise a trial with many requests on a route where either version often fails would speak
@@ -149,17 +195,59 @@
         evidence(self.new, old.max(BASELINE_BAD_SHARE))
     }
 
+    /// Returns the evidence for the old version's share of bad answers against one that is larger
+    /// by `harm`, as a log likelihood ratio. Returns `None` if these answers can't show such harm.
+    fn support_against(&self, harm: f64) -> Option<f64> {
+        let usual = self.old.rate(BASELINE_BAD_SHARE).max(BASELINE_BAD_SHARE);
+        let worse = usual + harm;
+        if worse > MAX_BAD_SHARE {
+            return None;
+        }
+        let good = self.new.all - self.new.bad;
+        Some(good * ((1.0 - usual) / (1.0 - worse)).ln() - self.new.bad * (worse / usual).ln())
+    }
+
     /// Returns true if the new version is worse beyond chance.
     pub fn is_bad(&self) -> bool {
         self.evidence() > ROLLBACK_EVIDENCE
     }
 }
 
+/// How answers are bad, which decides the harm that a trial has to rule out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The answers failed.
+    Failure,
+    /// The answers were slow.
+    Slowness,
+}
+
+/// Returns the evidence that a version is good, as a log likelihood ratio, from the comparisons of
+/// all routes of its service: the weaker of the evidence against harm to all routes and against
+/// the same harm to a single one, which then has a larger share of bad answers. Returns zero if the
+/// answers can't show such harm.
+pub fn support(fault: Fault, routes: &[Comparison]) -> f64 {
+    let harm = match fault {
+        Fault::Failure => FAILURE_HARM,
+        Fault::Slowness => SLOWNESS_HARM,
+    };
+    let answers: f64 = routes.iter().map(Comparison::answers).sum();
+    let to_all: f64 = routes.iter().filter_map(|route| route.support_against(harm)).sum();
+    let to_one = routes.iter().filter_map(|route| {
+        let fraction = route.answers() / answers;
+        route.support_against(harm / fraction)
+    });
+    to_one.fold(to_all, f64::min)
+}
+
 /// What a VM does next for a roll-out.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Step {
     /// Write nothing to the store yet.
     Hold,
+    /// Write nothing, although a step is due: the answers do not tell yet whether the version is
+    /// good.
+    AwaitAnswers,
     /// Write this phase to the status of the roll-out in the store.
     Move(Phase),
 }
@@ -185,12 +273,21 @@
     pub answers_seen: f64,
     /// Evidence against the new version, on the scale of [`ROLLBACK_EVIDENCE`].
     pub evidence: f64,
+    /// Evidence that the version is no worse, on the same scale; zero without answers.
+    pub support: f64,
+    /// Requests per second that the service gets from all VMs, by the answers known to this VM.
+    pub request_rate: f64,
+    /// Number of requests that a bad version may get in addition to its share.
+    pub tolerated_requests: f64,
+    /// False if the VM that this one follows knows more answers: that VM decides then.
+    pub knows_most_answers: bool,
 }
 
 /// Returns the next step of a roll-out, from what this VM knows of it. The first share begins once
-/// servers are ready and all VMs know the order. Near the end of the time limit all sessions move,
-/// and at the end the roll-out completes, each unless the evidence against the version is too
-/// strong. A version that is found bad is rolled back at any time.
+/// servers are ready and all VMs know the order. In the second half of the time limit, in which
+/// sessions may change to the new version, the share rises as far as the tolerated requests allow.
+/// Near the end of the time limit all sessions move, and at the end the roll-out completes, each
+/// once the version is found good. A version that is found bad is rolled back at any time.
 pub fn next_step(inputs: &Inputs) -> Step {
     let completion_margin = (inputs.time_limit.0 as f64 * COMPLETION_MARGIN_FRACTION)
         .max(MIN_COMPLETION_MARGIN.0 as f64);
@@ -209,17 +306,26 @@
             Step::Hold
         }
         None => Step::Move(Phase::Running { share: first_share(inputs.max_exposure) }),
+        Some(_) if !inputs.knows_most_answers => Step::Hold,
         Some(Phase::Running { share }) if share >= 1.0 => {
             let is_due = left <= complete_before && inputs.ready_servers > 0;
-            if is_due { advance_unless_doubted(inputs, Phase::Completed) } else { Step::Hold }
+            match is_due {
+                true => advance_if_found_good(inputs, share, Phase::Completed),
+                false => Step::Hold,
+            }
         }
-        Some(Phase::Running { .. }) => {
+        Some(Phase::Running { share }) => {
             let has_enough_answers = inputs.answers_seen >= MIN_ANSWERS && inputs.ready_servers > 0;
             let is_due = left <= full_share_before && has_enough_answers;
-            if is_due {
-                advance_unless_doubted(inputs, Phase::Running { share: 1.0 })
+            let step = if is_due {
+                advance_if_found_good(inputs, share, Phase::Running { share: 1.0 })
             } else {
                 Step::Hold
+            };
+            match step {
+                Step::Move(_) => step,
+                _ => raise_share(inputs, share, Span((left - full_share_before) as u64))
+                    .unwrap_or(step),
             }
         }
     }
@@ -231,12 +337,47 @@
     FIRST_SESSIONS_DELAY.min(within.mul_f64(MAX_FIRST_SESSIONS_DELAY_FRACTION))
 }
 
-/// Returns the step to `phase`, or to a rollback if the evidence against the new version is too
-/// strong for a promotion.
-fn advance_unless_doubted(inputs: &Inputs, phase: Phase) -> Step {
+/// Returns the step to `phase` if the version is found good. A version in doubt is rolled back, as
+/// is one that has received as many requests as a bad one may get; otherwise the trial goes on at
+/// its `share` of the sessions.
+fn advance_if_found_good(inputs: &Inputs, share: f64, phase: Phase) -> Step {
     let is_doubted =
         inputs.evidence > DOUBT_EVIDENCE.max(inputs.answers_seen * DOUBT_EVIDENCE_PER_ANSWER);
-    Step::Move(if is_doubted { Phase::RolledBack } else { phase })
+    if is_doubted {
+        return Step::Move(Phase::RolledBack);
+    }
+    if inputs.support >= PROMOTION_SUPPORT {
+        return Step::Move(phase);
+    }
+    let until_rollback = share * inputs.request_rate * ROLLBACK_DELAY.as_secs();
+    let max_answers = TRIAL_EXPOSURE_FRACTION * max_exposed_requests(inputs);
+    if inputs.answers_seen + until_rollback >= max_answers {
+        return Step::Move(Phase::RolledBack);
+    }
+    Step::AwaitAnswers
+}
+
+/// Returns the number of requests that a bad version may get within the time limit.
+fn max_exposed_requests(inputs: &Inputs) -> f64 {
+    let expected = inputs.request_rate * inputs.time_limit.as_secs();
+    inputs.max_exposure * expected + inputs.tolerated_requests
+}
+
+/// Returns the step to the share of the trial's second half, which spends a part of the tolerated
+/// requests by the time `left` when all sessions move; `None` if the share stays. A service with
+/// few requests gets too few answers from the first share alone.
+fn raise_share(inputs: &Inputs, share: f64, left: Span) -> Option<Step> {
+    let first = first_share(inputs.max_exposure);
+    let is_second_half = inputs.order_age.0 * 2 >= inputs.time_limit.0;
+    if !is_second_half || share > first || inputs.request_rate <= 0.0 {
+        return None;
+    }
+    let left = left.max(inputs.time_limit.mul_f64(MIN_SECOND_SHARE_TIME_FRACTION));
+    let requests = inputs.request_rate * left.as_secs();
+    let extra = TOLERANCE_FRACTION * inputs.tolerated_requests / requests;
+    let second = (first + extra).min(MAX_SECOND_SHARE);
+    let is_worth_a_write = second >= first * MIN_SECOND_SHARE_FACTOR;
+    is_worth_a_write.then_some(Step::Move(Phase::Running { share: second }))
 }
 
 /// Returns how many of the `servers` of the new version get requests at a `share` of the sessions:
--- a/src/forward/rollout_attempt.rs
+++ b/src/forward/rollout_attempt.rs
@@ -74,6 +74,7 @@
             response_time: time,
             reported_slow_levels: self.reported_slow_levels,
             expected_time: self.expected_time,
+            latency_goal: self.job.route.latency_goal,
         };
         self.reported_slow_levels += 1;
         let mut trials = vm.rollout_trials.borrow_mut();
--- a/src/forward/rollout_steps.rs
+++ b/src/forward/rollout_steps.rs
@@ -7,7 +7,7 @@
 use super::apply::apply_rollout;
 use super::backoff::Backoff;
 use super::replica::{Phase, Rollout};
-use super::rollout_trial::Verdict;
+use super::rollout_trial::{Basis, RolloutTrial, Verdict};
 use super::vm::Vm;
 use super::{peer, rate_limit};
 use crate::decide::canary::{self, Inputs, Step};
@@ -34,6 +34,9 @@
 /// that refused them.
 const MAX_RETRY_DELAY: Span = Span::millis(1600);
 
+/// Interval at which a VM logs that a promotion waits for answers.
+const WAIT_LOG_INTERVAL: Span = Span::secs(1);
+
 /// Retry state of a service after failed writes.
 #[derive(Default)]
 struct Retry {
@@ -46,6 +49,7 @@
 pub async fn run(vm: Rc<Vm>) {
     let mut store = vm.store_client();
     let mut retries: HashMap<Service, Retry> = HashMap::new();
+    let mut waits_logged: HashMap<Service, Moment> = HashMap::new();
     loop {
         tokio::time::sleep(STEP_CHECK_INTERVAL).await;
         let open: Vec<Service> = {
@@ -55,6 +59,7 @@
         };
         for service in open {
             broadcast_counts(&vm, &service);
+            log_wait_for_answers(&vm, &service, &mut waits_logged);
             // Writes wait until the store has recovered.
             if vm.is_store_unavailable() {
                 continue;
@@ -107,21 +112,9 @@
     let written = store.put_status(ROLLOUTS, service.as_str(), rollout.position, status).await;
     vm.count_store_call("step", &written);
     let name = format!("{phase:?}");
-    let (counts, sources, unclassified) = describe_trial(vm, service);
     match written {
         Ok(object) => {
-            let fields = [
-                ("service", service.as_str().into()),
-                ("to", name.as_str().into()),
-                ("age_ms", inputs.order_age.as_millis().into()),
-                ("seen", inputs.answers_seen.into()),
-                ("evidence", inputs.evidence.into()),
-                ("bad", inputs.is_found_bad.into()),
-                ("counts", counts.as_str().into()),
-                ("sources", sources.into()),
-                ("unclassified", unclassified.into()),
-            ];
-            vm.log("roll-out moved", &fields);
+            log_inputs(vm, "roll-out moved", service, ("to", &name), &inputs);
             apply_rollout(vm, &object);
         }
         Err(StoreError::Conflict(Some(object))) => apply_rollout(vm, &object),
@@ -139,14 +132,45 @@
     true
 }
 
-/// Returns what the trial of a service has counted, for the log: all counts, the number of other
-/// sources, and the number of own answers that could not be compared.
-fn describe_trial(vm: &Vm, service: &Service) -> (String, usize, u64) {
+/// Logs at intervals that the promotion of a service's new version is due and waits for answers.
+fn log_wait_for_answers(vm: &Vm, service: &Service, logged: &mut HashMap<Service, Moment>) {
+    let now = vm.now();
+    let is_recent = |at: &Moment| now.since(*at) < WAIT_LOG_INTERVAL;
+    if logged.get(service).is_some_and(is_recent) {
+        return;
+    }
+    let Some((rollout, inputs)) = step_inputs(vm, service, now) else { return };
+    if canary::next_step(&inputs) == Step::AwaitAnswers {
+        let phase = format!("{:?}", rollout.phase);
+        log_inputs(vm, "promotion waits for answers", service, ("phase", &phase), &inputs);
+        logged.insert(service.clone(), now);
+    }
+}
+
+/// Logs a decision on a rollout with its inputs and with what the trial has counted.
+fn log_inputs(
+    vm: &Vm,
+    event: &str,
+    service: &Service,
+    (key, value): (&str, &str),
+    inputs: &Inputs,
+) {
     let trials = vm.rollout_trials.borrow();
     let trial = trials.get(service);
-    trial.map_or_else(Default::default, |trial| {
-        (trial.describe_counts(), trial.sources(), trial.unclassified())
-    })
+    let counts = trial.map(RolloutTrial::describe_counts).unwrap_or_default();
+    let fields = [
+        ("service", service.as_str().into()),
+        (key, value.into()),
+        ("age_ms", inputs.order_age.as_millis().into()),
+        ("seen", inputs.answers_seen.into()),
+        ("evidence", inputs.evidence.into()),
+        ("bad", inputs.is_found_bad.into()),
+        ("support", inputs.support.into()),
+        ("request_rate", inputs.request_rate.into()),
+        ("counts", counts.as_str().into()),
+        ("sources", trial.map_or(0, RolloutTrial::sources).into()),
+    ];
+    vm.log(event, &fields);
 }
 
 /// A step that is due.
@@ -159,9 +183,9 @@
     inputs: Inputs,
 }
 
-/// Returns the step that is due for a service, if any.
-fn due_step(vm: &Vm, service: &Service) -> Option<DueStep> {
-    let now = vm.now();
+/// Returns the rollout of a service that this VM may advance, and the inputs of the decision on its
+/// next step.
+fn step_inputs(vm: &Vm, service: &Service, now: Moment) -> Option<(Rollout, Inputs)> {
     let rollouts = vm.rollouts.borrow();
     // A position of another era refers to another state of the store, so no write can be based on
     // it.
@@ -175,6 +199,7 @@
     // else.
     let ready = new.filter(|one| !access.is_cold(one)).count();
     let Verdict { seen, evidence } = trial.verdict();
+    let Basis { support, request_rate, knows_most_answers } = trial.basis(now);
     let inputs = Inputs {
         phase: rollout.phase,
         order_age: trial.age(now),
@@ -184,10 +209,20 @@
         is_found_bad: trial.is_bad(),
         answers_seen: seen,
         evidence,
+        support,
+        request_rate,
+        tolerated_requests: vm.settings.bounds.exposure_tolerance,
+        knows_most_answers,
     };
+    Some((rollout.clone(), inputs))
+}
+
+/// Returns the step that is due for a service, if any.
+fn due_step(vm: &Vm, service: &Service) -> Option<DueStep> {
+    let (rollout, inputs) = step_inputs(vm, service, vm.now())?;
     let phase = match canary::next_step(&inputs) {
-        Step::Hold => rollout.phase.filter(|_| rollout.is_unwritten())?,
+        Step::Hold | Step::AwaitAnswers => rollout.phase.filter(|_| rollout.is_unwritten())?,
         Step::Move(phase) => phase,
     };
-    Some(DueStep { rollout: rollout.clone(), phase, inputs })
+    Some(DueStep { rollout, phase, inputs })
 }
--- a/src/forward/rollout_trial.rs
+++ b/src/forward/rollout_trial.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::decide::canary::{self, Comparison};
+use crate::decide::canary::{self, Comparison, Fault};
 use crate::decide::sequential::Count;
 use crate::unit::{DataCentre, Moment, Span, Version, Vm as Name};
 
@@ -31,6 +31,9 @@
 /// Answers needed before a median is used.
 const MIN_MEDIAN_SAMPLES: u32 = 10;
 
+/// Factor by which the counts of the old version grow before they are sent again.
+const MIN_OLD_GROWTH: f64 = 1.25;
+
 /// Running estimate of a median time.
 #[derive(Clone, Copy, Debug, Default)]
 struct Median {
@@ -51,17 +54,17 @@
         self.seen += 1;
     }
 
-    /// Returns true once the estimate is based on enough answers.
-    fn is_known(&self) -> bool {
-        self.seen >= MIN_MEDIAN_SAMPLES
-    }
-
-    /// Returns the number of levels at which a time is slow.
-    fn slow_levels(&self, time: f64) -> usize {
-        if !self.is_known() || time <= self.value + MIN_SLOW_EXCESS.0 as f64 {
+    /// Returns the number of levels at which a time is slow. Before the median is known, answers
+    /// are slow at the first level if they miss the latency goal.
+    fn slow_levels(&self, time: f64, latency_goal: Span) -> usize {
+        let usual = match self.seen >= MIN_MEDIAN_SAMPLES {
+            true => self.value,
+            false => latency_goal.0 as f64 / SLOW_FACTORS[0],
+        };
+        if time <= usual + MIN_SLOW_EXCESS.0 as f64 {
             return 0;
         }
-        SLOW_FACTORS.iter().filter(|times| time > self.value * **times).count()
+        SLOW_FACTORS.iter().filter(|times| time > usual * **times).count()
     }
 }
 
@@ -98,6 +101,8 @@
     /// server has cached only prompts that this VM sent to it. Otherwise a new version, which has
     /// no prompt cached yet, would look slow beside one that has many.
     pub expected_time: Option<Span>,
+    /// Latency goal of the route.
+    pub latency_goal: Span,
 }
 
 /// Counts of both versions on one route.
@@ -157,9 +162,6 @@
     upstream_verdict: Option<Verdict>,
     /// Counts of this VM as they were last sent to the other VMs.
     sent: TotalsByRoute,
-    /// Answers of the new version that this VM could not compare, since it did not know yet how
-    /// long answers of the route usually take.
-    unclassified: u64,
 }
 
 /// Judgement on a new version from the counts of its answers.
@@ -171,6 +173,18 @@
     pub evidence: f64,
 }
 
+/// What the counts that a VM knows say for the promotion of a new version.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Basis {
+    /// Evidence that the new version is no worse than the old one, on any route with many requests
+    /// and on all together, as a log likelihood ratio.
+    pub support: f64,
+    /// Answers of both versions per second since the order.
+    pub request_rate: f64,
+    /// False if the VM that this one follows knows more answers.
+    pub knows_most_answers: bool,
+}
+
 /// Returns the pooled counts of all routes.
 fn pool(routes: &TotalsByRoute) -> Totals {
     let failures = routes.values().map(|route| route.failures);
@@ -222,11 +236,10 @@
             return slow_thresholds(expected).iter().filter(|limit| time > **limit).count();
         }
         let median = self.medians.entry(sample.route.to_owned()).or_default();
-        let level = median.slow_levels(time.0 as f64);
+        let level = median.slow_levels(time.0 as f64, sample.latency_goal);
         if !is_new {
             median.record(time.0 as f64);
         }
-        self.unclassified += u64::from(is_new && !median.is_known());
         level
     }
 
@@ -259,9 +272,30 @@
         let all = pool(&sums);
         let evidence = sums.values().map(Totals::evidence).fold(all.evidence(), f64::max);
         let counted = Verdict { seen: all.failures.new.all, evidence };
-        self.upstream_verdict
-            .filter(|upstream_verdict| upstream_verdict.seen >= counted.seen)
-            .unwrap_or(counted)
+        self.better_verdict(counted.seen).unwrap_or(counted)
+    }
+
+    /// Returns the verdict of the VM that this one follows if it is based on at least `seen`
+    /// answers.
+    fn better_verdict(&self, seen: f64) -> Option<Verdict> {
+        self.upstream_verdict.filter(|upstream| upstream.seen >= seen)
+    }
+
+    /// Returns what the counts known to this VM say for a promotion.
+    pub fn basis(&self, now: Moment) -> Basis {
+        let sums = self.sum(|_| true);
+        let failures: Vec<Comparison> = sums.values().map(|route| route.failures).collect();
+        let slow = |level: usize| sums.values().map(|route| route.slow[level]).collect::<Vec<_>>();
+        let support = (0..SLOWNESS_LEVELS)
+            .map(|level| canary::support(Fault::Slowness, &slow(level)))
+            .fold(canary::support(Fault::Failure, &failures), f64::min);
+        let seen: f64 = failures.iter().map(|route| route.new.all).sum();
+        let answers: f64 = seen + failures.iter().map(|route| route.old.all).sum::<f64>();
+        Basis {
+            support,
+            request_rate: answers / self.age(now).as_secs().max(f64::MIN_POSITIVE),
+            knows_most_answers: self.better_verdict(seen + 1.0).is_none(),
+        }
     }
 
     /// Returns the evidence of all VMs that the new version is worse.
@@ -297,13 +331,15 @@
         self.upstream_verdict = None;
     }
 
-    /// Returns the routes whose counts of the new version changed since the last call, to be sent
-    /// to the other VMs.
+    /// Returns the routes whose counts changed since the last call, to be sent to the other VMs.
+    /// Those of the old version, which change with most requests, are sent again once they have
+    /// grown by a fraction.
     pub fn take_changed_totals(&mut self) -> Option<(Version, Vec<(String, Totals)>)> {
         let version = self.version.clone()?;
         let is_changed = |route: &String, totals: &Totals| {
             let sent = self.sent.get(route).copied().unwrap_or_default();
             totals.failures.new != sent.failures.new
+                || totals.failures.old.all > MIN_OLD_GROWTH * sent.failures.old.all
                 || (0..SLOWNESS_LEVELS).any(|at| totals.slow[at].new != sent.slow[at].new)
         };
         let changed: Vec<(String, Totals)> = self
@@ -316,12 +352,6 @@
         (!changed.is_empty()).then_some((version, changed))
     }
 
-    /// Returns the number of answers of the new version that this VM received but could not compare
-    /// with the usual time of their route.
-    pub fn unclassified(&self) -> u64 {
-        self.unclassified
-    }
-
     /// Returns the number of other VMs and data centres whose counts are known.
     pub fn sources(&self) -> usize {
         self.others.len()
--- a/src/forward/settings.rs
+++ b/src/forward/settings.rs
@@ -76,4 +76,6 @@
     pub retry_window: Span,
     /// Fraction of a service's requests that a bad version may get.
     pub max_exposure: f64,
+    /// Number of requests that a bad version may get in addition to its fraction.
+    pub exposure_tolerance: f64,
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -30,6 +30,7 @@
 const RETRY_EXTRA: f64 = 54.0;
 const RETRY_WINDOW_S: f64 = 10.0;
 const EXPOSURE_SHARE: f64 = 0.15;
+const EXPOSURE_TOLERANCE: f64 = 0.0;
 const LEASE_MS: f64 = 3000.0;
 const REPORT_WINDOW_S: f64 = 5.0;
 const USAGE_LATE_S: f64 = 10.0;
@@ -240,5 +241,6 @@
         retry_extra: number("retry_budget_extra", RETRY_EXTRA),
         retry_window: millis(number("budget_window_s", RETRY_WINDOW_S) * 1000.0),
         max_exposure: number("exposure_share", EXPOSURE_SHARE).min(1.0),
+        exposure_tolerance: number("exposure_tolerance", EXPOSURE_TOLERANCE),
     }
 }
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -174,6 +174,7 @@
         for ms in (0..within.0).step_by(10_000) {
             let known = Inputs {
                 phase, order_age: Span(ms), time_limit: within, max_exposure: exposure, ready_servers: 3, is_found_bad: false, answers_seen: 100.0, evidence: 0.0,
+                support: 9.0, request_rate: 100.0, tolerated_requests: 0.0, knows_most_answers: true,
             };
             if let Step::Move(next) = canary::next_step(&known) {
                 phase = Some(next);
@@ -186,6 +187,7 @@
         }
         let bad = Inputs {
             phase, order_age: Span(0), time_limit: within, max_exposure: exposure, ready_servers: 3, is_found_bad: true, answers_seen: 9.0, evidence: 9.0,
+            support: 9.0, request_rate: 100.0, tolerated_requests: 0.0, knows_most_answers: true,
         };
         let goes_on = matches!(
             canary::next_step(&bad), Step::Move(Phase::Running { .. } | Phase::Completed));
@@ -429,6 +431,7 @@
         response_time: time,
         reported_slow_levels: 0,
         expected_time: Some(Span::millis(40)),
+        latency_goal: Span::millis(100),
     }
 }
 
@@ -495,6 +498,7 @@
             response_time: time,
             reported_slow_levels: 0,
             expected_time: Some(Span::millis(40)),
+            latency_goal: Span::millis(100),
         }
     };
     let mut all: Vec<RolloutTrial> = (0..3).map(|_| RolloutTrial::default()).collect();
@@ -530,6 +534,10 @@
         is_found_bad: false,
         answers_seen: 30.0,
         evidence,
+        support: 9.0,
+        request_rate: 40.0,
+        tolerated_requests: 0.0,
+        knows_most_answers: true,
     };
     for share in [0.06, 1.0] {
         let running = Phase::Running { share };
@@ -554,6 +562,10 @@
         is_found_bad: false,
         answers_seen: 30.0,
         evidence: 0.0,
+        support: 9.0,
+        request_rate: 40.0,
+        tolerated_requests: 0.0,
+        knows_most_answers: true,
     };
     let (heard, looks) = (Span::millis(970), Span::millis(400));
     let written = |age: &Span| {
@@ -629,6 +641,10 @@
             is_found_bad: false,
             answers_seen: 0.0,
             evidence: 0.0,
+            support: 9.0,
+            request_rate: 40.0,
+            tolerated_requests: 0.0,
+            knows_most_answers: true,
         };
         canary::next_step(&known)
     };
@@ -651,6 +667,10 @@
             is_found_bad: false,
             answers_seen: seen,
             evidence,
+            support: 9.0,
+            request_rate: 40.0,
+            tolerated_requests: 0.0,
+            knows_most_answers: true,
         };
         canary::next_step(&known) == Step::Move(Phase::RolledBack)
     };
--- a/tests/reading.rs
+++ b/tests/reading.rs
@@ -218,6 +218,7 @@
                 response_time: time,
                 reported_slow_levels: 0,
                 expected_time: time,
+                latency_goal: Span::millis(100),
             };
             trials.record(&sample);
         }
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -524,6 +524,7 @@
         retry_extra: 54.0,
         retry_window: Span::secs(10),
         max_exposure: 0.15,
+        exposure_tolerance: 30.0,
     };
     let settings = Settings {
         vm: "vm-a".parse().unwrap(),
