Rule out errors and late first tokens before a rollout of the own API completes

The same cause as in the rollouts on the platform: what was not found bad counted as good. A rollout with 90 good ratings completed although 5 of 90 answers were errors, or 10 in 100 first tokens late; the test failed before. The risk that decides on completion is now the largest of the three signals.

The test inputs and the experiment give ratings without any ended request, which can't occur: a rated answer has ended.

--- a/src/decide/rollout.rs
+++ b/src/decide/rollout.rs
@@ -107,6 +107,12 @@
     Withdraw(String),
 }
 
+/// Share of errors that is assumed of a version without answers.
+const ERROR_PRIOR: f64 = 0.01;
+
+/// Share of late first tokens that is assumed of a version without answers.
+const SLOW_PRIOR: f64 = 0.05;
+
 /// False positive rate at which the new version's share is reduced.
 const SHRINK_CHANCE: f64 = 0.08;
 
@@ -154,8 +160,8 @@
             "ratings",
             evidence(inputs.new.poor, limit(baseline_ratings(inputs), inputs.declared_poor_share)),
         ),
-        ("errors", evidence(inputs.new.errors, limit(inputs.old.errors, 0.01))),
-        ("late first tokens", evidence(inputs.new.slow, limit(inputs.old.slow, 0.05))),
+        ("errors", evidence(inputs.new.errors, limit(inputs.old.errors, ERROR_PRIOR))),
+        ("late first tokens", evidence(inputs.new.slow, limit(inputs.old.slow, SLOW_PRIOR))),
     ]
 }
 
@@ -224,6 +230,19 @@
     growth_step(policy, inputs, first)
 }
 
+/// Returns the probability of harm beyond the margin by the signal for which it is largest: ratings,
+/// errors or late first tokens. A signal with few answers proves no harm and does not rule it out
+/// either.
+fn risk(policy: &Policy, inputs: &Inputs) -> f64 {
+    let (new, old) = (inputs.new, inputs.old);
+    let signals = [
+        rating_difference(inputs),
+        Difference::between(new.errors, old.errors, ERROR_PRIOR),
+        Difference::between(new.slow, old.slow, SLOW_PRIOR),
+    ];
+    signals.map(|difference| difference.chance_above(policy.margin)).into_iter().fold(0.0, f64::max)
+}
+
 /// Decides the next step if there is no sign of harm: the first share, growth, completion, or no
 /// change.
 fn growth_step(policy: &Policy, inputs: &Inputs, first: TrafficShare) -> Action {
@@ -235,9 +254,8 @@
             Action::Grow(first, "first requests".to_owned())
         };
     }
-    let difference = rating_difference(inputs);
-    let harm = difference.expected_harm(policy.tolerance);
-    let risk = difference.chance_above(policy.margin);
+    let harm = rating_difference(inputs).expected_harm(policy.tolerance);
+    let risk = risk(policy, inputs);
     let reason = || {
         format!(
             "harm of {:.2}% is expected; more than {:.0}% has a chance of {risk:.2}",
@@ -291,10 +309,16 @@
 mod tests {
     use super::*;
 
+    /// Returns counts with these ratings; all rated answers ended well and in time.
+    fn arm(poor: Count) -> Arm {
+        let ended = Count { all: poor.all, bad: 0.0 };
+        Arm { errors: ended, slow: ended, poor }
+    }
+
     fn inputs(new: Count, old: Count, share: f64) -> Inputs {
         Inputs {
-            new: Arm { poor: new, ..Arm::default() },
-            old: Arm { poor: old, ..Arm::default() },
+            new: arm(new),
+            old: arm(old),
             earlier_ratings: Count::default(),
             share: TrafficShare::from_fraction(share),
             is_held: false,
--- a/src/experiment/rollout.rs
+++ b/src/experiment/rollout.rs
@@ -198,8 +198,8 @@
 
     fn inputs(&self, now: u64) -> Inputs {
         Inputs {
-            new: Arm { poor: self.new, ..Arm::default() },
-            old: Arm { poor: self.old, ..Arm::default() },
+            new: arm(self.new),
+            old: arm(self.old),
             earlier_ratings: self.baseline,
             share: self.share,
             is_held: self.is_held,
@@ -240,6 +240,12 @@
     }
 }
 
+/// Returns the counts of a version with these ratings. All rated answers ended well and in time.
+fn arm(poor: Count) -> Arm {
+    let ended = Count { all: poor.all, bad: 0.0 };
+    Arm { errors: ended, slow: ended, poor }
+}
+
 fn run_seed(options: &Options, method: Method, harm: f64, vms: usize, seed: u64) -> Outcome {
     let mut run = Run {
         options,
--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -6,11 +6,12 @@
 use std::time::{Duration, Instant};
 
 use kitepulley::decide::canary::{self, Comparison, Inputs, Step};
+use kitepulley::decide::rollout::{self, Arm, Policy};
 use kitepulley::decide::sequential::Count;
 use kitepulley::forward::replica::Phase;
 use kitepulley::forward::rollout_trial::{RolloutTrial, Sample, Source, Totals, Verdict};
 use kitepulley::standin::replica::Action;
-use kitepulley::unit::{Moment, Span, Version};
+use kitepulley::unit::{Moment, Span, TrafficShare, Version};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde_json::json;
 use site::{Site, Vm, ask, eventually, head};
@@ -286,3 +287,30 @@
     assert_eq!(slow.map(|level| level.new.bad), [4.0, 0.0, 0.0]);
     assert_eq!(slow[0].old.bad, 0.0);
 }
+
+/// Guards against the same cause in the own API's rollouts: good ratings alone completed one whose
+/// errors had not been ruled out.
+#[test]
+fn good_ratings_do_not_complete_a_rollout_whose_errors_could_be_many() {
+    let with = |errors, slow| rollout::Inputs {
+        new: Arm { errors, slow, poor: Count::of(90, 0) },
+        old: Arm { errors: Count::of(900, 9), slow: Count::of(900, 36), poor: Count::of(90, 1) },
+        earlier_ratings: Count::of(800, 8),
+        share: TrafficShare::from_fraction(0.5),
+        is_held: false,
+        time_at_share: Span::secs(600),
+        request_rate: 0.5,
+        rating_lag: Span::secs(60),
+        time_since_rating: Span::secs(1),
+        declared_poor_share: 0.01,
+    };
+    let completes = |errors, slow| {
+        matches!(
+            rollout::next_step(&Policy::default(), &with(errors, slow)),
+            rollout::Action::Complete(_)
+        )
+    };
+    assert!(completes(Count::of(900, 9), Count::of(900, 36)));
+    assert!(!completes(Count::of(90, 5), Count::of(900, 36)), "5 in 100 answers are errors");
+    assert!(!completes(Count::of(900, 9), Count::of(90, 9)), "10 in 100 answers are slow");
+}
