--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -31,6 +31,7 @@
 use kitepulley::watch::log::Logger;
 use serde_json::{Value, json};
 
+pub mod link;
 pub mod proxy;
 
 /// Time limit for anything a test waits for; generous, as a busy machine is slow.
