Send callers elsewhere while a VM reaches no backend server

Callers of VMs that were cut off from all servers were served far worse than others: such a VM stayed ready, kept its callers' connections, tried four servers for 350 ms each and refused with the connection open, so they came back to it. It knew of each server whether requests failed, and nothing of its own links.

Once an attempt has had no response for 0.3 s, or ended without one, and no server answered within 0.2 s, two servers of each service without a recent contact are asked for a connection, then up to 14 more. If none of any service accepts, the VM has lost its links: it answers the readiness probe with 503, closes connections that rest, closes others after their answer, and refuses at once, with 0 s until the next attempt. It checks every 0.3 s and serves again when half of a sample accept; the failures recorded meanwhile are cleared. If all servers of the site are gone, all VMs are unready; the balancer then uses them as before.

The same cause elsewhere: servers that refuse a VM without links were taken for crashed, which quarantines contents on all VMs. A server counts as gone only if another one is reached. No message between VMs changes.

A way through another VM was weighed and not built: it needs an entry field for VMs that take such requests, and a part of its own for one hop, at most once, deadlines and streams.

--- a/src/decide/availability.rs
+++ b/src/decide/availability.rs
@@ -155,6 +155,11 @@
         self.outliers.record(end, pool_failure_rate, now)
     }
 
+    /// Clears the failures of attempts, and ends an ejection that followed from them.
+    pub fn clear_failures(&mut self) {
+        self.outliers = OutlierDetector::default();
+    }
+
     /// Returns the recent share of the server's responses that were failures, from 0 to 1.
     pub fn failure_rate(&self) -> f64 {
         self.outliers.failure_rate()
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -12,6 +12,7 @@
 pub mod canary;
 pub mod cascade;
 pub mod cold_start;
+pub mod connectivity;
 pub mod escalate;
 pub mod fair;
 pub mod lease;
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -39,6 +39,8 @@
     Limited,
     /// No backend server can accept the request.
     NoServer,
+    /// The VM has lost its links to the backend servers.
+    Unreachable,
     /// The deadline passed before the request ran, or the request is not expected to end in time.
     Late,
     /// The backend servers are too busy to answer in time.
@@ -112,6 +114,7 @@
     Behind "behind" 503 No Some(1), "This VM has not caught up yet; send the request again.";
     Limited "limited" 429 No Some(1), "The workspace's rate is used up; come back later.";
     NoServer "no_server" 503 No Some(2), "No backend server can take it now; come back later.";
+    Unreachable "unreachable" 503 No Some(1), "This VM has lost its links to the backend servers; send the request again, to reach another VM.";
     Late "late" 504 No Some(1), "The deadline passed before it ran; allow more time.";
     Busy "busy" 503 No Some(1), "The backend servers are too busy to answer in time; come back later.";
     TimedOut "timed_out" 504 Unknown None, "The time was up while a backend server had the request; it may have run.";
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -11,7 +11,7 @@
 use super::job::{Job, OpenRequestGuard, PendingPrompt};
 use super::replica::Replica;
 use super::sse::{Batch, EventBuffer};
-use super::{announce, crash, pool, usage};
+use super::{announce, connectivity, crash, pool, usage};
 use crate::config::RetryPolicy;
 use crate::decide::outcome::AttemptOutcome;
 use crate::decide::{poison, server_limit};
@@ -109,9 +109,14 @@
     let mut sent = false;
     let left = until.since(vm.now()).duration();
     let exchange = exchange(job, replica, model, last_event_id, &pending, open, &mut sent);
+    let silence = async {
+        connectivity::watch_silence(vm, &job.service).await;
+        std::future::pending().await
+    };
     let outcome = tokio::select! {
         ended = tokio::time::timeout(left, exchange) => ended.map_err(|_| "in time"),
         () = restarted.notified() => Err(BEFORE_RESTART),
+        () = silence => Err("in time"),
     };
     let is_lost = outcome.as_ref().is_err_and(|reason| *reason == BEFORE_RESTART);
     let outcome = match outcome {
@@ -142,6 +147,7 @@
     let end = format!("{:?}", outcome.end);
     vm.metrics.attempts.with_label_values(&[job.service.as_str(), end.as_str()]).inc();
     job.record.add_attempt_end(outcome.end, &outcome.reason, now);
+    connectivity::on_attempt_end(vm, &job.service, outcome.end, outcome.head.is_some());
     let mut fleet = vm.fleet.borrow_mut();
     let usual = fleet.failure_rate(&job.service, now);
     let Some(server) = fleet.incarnation_mut(replica) else { return };
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -7,6 +7,7 @@
 
 use actix_web::rt::spawn;
 
+use super::connectivity;
 use super::liveness::Liveness;
 use super::poison;
 use super::replica::Replica;
@@ -62,7 +63,13 @@
 
 /// Checks the server and records the result for all responses that broke off meanwhile.
 async fn check_server(vm: Rc<Vm>, replica: Replica) {
-    let found = check::check_process(replica.address).await;
+    let begun = vm.now();
+    let mut found = check::check_process(replica.address).await;
+    // A VM that reaches no other server either may have lost its links.
+    let is_gone = found == ProcessState::IsGone;
+    if is_gone && !connectivity::reaches_others(&vm, &replica, begun).await {
+        found = ProcessState::Unknown;
+    }
     let broken = {
         let mut fleet = vm.fleet.borrow_mut();
         let Some(server) = fleet.incarnation_mut(&replica) else { return };
--- a/src/forward/dispatch.rs
+++ b/src/forward/dispatch.rs
@@ -79,6 +79,9 @@
         if poison::is_quarantined(job) {
             return refuse_quarantined(job, progress);
         }
+        if vm.has_lost_links() {
+            return refuse_unreachable(job, progress);
+        }
         let now = vm.now();
         if job.left(now) < MIN_ATTEMPT_TIME {
             return give_up(job, progress, AttemptOutcome::Late);
@@ -330,6 +333,14 @@
     refuse(job, Refusal::new(Kind::HeldBack))
 }
 
+/// Ends a request on a VM that reaches no server. Other VMs may serve it at once.
+fn refuse_unreachable(job: &Job, progress: Progress) -> Reply {
+    if progress.may_have_run {
+        return give_up(job, progress, AttemptOutcome::Broken);
+    }
+    refuse(job, Refusal::with_retry_after(Kind::Unreachable, Span(0)))
+}
+
 /// Ends a request that may not be attempted any more.
 fn give_up(job: &Job, progress: Progress, end: AttemptOutcome) -> Reply {
     let late = job.left(job.vm.now()) < MIN_ATTEMPT_TIME;
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -94,18 +94,32 @@
     }
 }
 
-/// Returns a signal that closes idle connections when a planned stop begins, and busy ones after
-/// their response. Connections accepted during the stop don't get the signal, so that they are
-/// served first.
+/// Returns a signal that closes idle connections when a planned stop begins or the links to the
+/// backend servers are lost, and busy ones after their response. Connections accepted afterwards
+/// don't get the signal, so that they are served first.
 fn shutdown_signal(vm: &Rc<Vm>) -> impl Fn() -> LocalBoxFuture<'static, ()> + 'static {
     let vm = vm.clone();
     move || {
         let mut stop = vm.stopping_since.subscribe();
         let stopping = vm.is_stopping();
-        Box::pin(async move {
+        let stop = async move {
             if stopping || stop.changed().await.is_err() {
                 std::future::pending::<()>().await;
             }
+        };
+        let mut lost = vm.links_lost.subscribe();
+        let loss = async move {
+            let is_next_loss = lost.wait_for(|lost| !lost).await.is_ok()
+                && lost.wait_for(|lost| *lost).await.is_ok();
+            if !is_next_loss {
+                std::future::pending::<()>().await;
+            }
+        };
+        Box::pin(async move {
+            tokio::select! {
+                () = stop => {}
+                () = loss => {}
+            }
         })
     }
 }
@@ -214,7 +228,7 @@
     if let Some((name, value)) = id.filter(|(name, _)| !response.headers().contains_key(name)) {
         response.headers_mut().insert(name, value);
     }
-    if vm.is_stopping() {
+    if vm.is_stopping() || vm.has_lost_links() {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
     response
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -27,6 +27,7 @@
 mod backoff;
 pub mod call;
 pub mod connection;
+pub mod connectivity;
 pub mod content;
 mod crash;
 pub mod dispatch;
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -10,8 +10,8 @@
 use super::settings::Settings;
 use super::vm::Vm;
 use super::{
-    duty, follower, listener, peer, pinned_sessions, poison, proof, restore, rollout_steps,
-    store_watch, suspension, usage,
+    connectivity, duty, follower, listener, peer, pinned_sessions, poison, proof, restore,
+    rollout_steps, store_watch, suspension, usage,
 };
 use crate::error::Error;
 use crate::platform;
@@ -54,6 +54,7 @@
     spawn(restore::accept_after_grace(vm.clone()));
     spawn(restore::broadcast_disputes(vm.clone()));
     spawn(store_watch::expire_servers(vm.clone()));
+    spawn(connectivity::run(vm.clone()));
     spawn(rollout_steps::run(vm.clone()));
     spawn(pinned_sessions::run(vm.clone()));
     spawn(suspension::run(vm.clone()));
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -421,6 +421,13 @@
         self.servers.values()
     }
 
+    /// Clears the failures of a service's servers and ends the ejections that followed from them.
+    pub fn clear_failures(&mut self, service: &Service) {
+        let of_service =
+            self.servers.values_mut().filter(|server| server.replica.service == *service);
+        of_service.for_each(|server| server.availability.clear_failures());
+    }
+
     /// Returns the names of the services that have servers.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
         self.index.services()
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -24,6 +24,7 @@
 use super::usage::Usage;
 use crate::config::Table;
 use crate::decide::budget::RetryBudget;
+use crate::decide::connectivity::Connectivity;
 use crate::decide::limit;
 use crate::decide::poison::Exchange;
 use crate::decide::prefill::PrefillEstimator;
@@ -132,6 +133,12 @@
     pub store_recoveries: tokio::sync::watch::Sender<u64>,
     /// Kinds of objects that have been listed completely since the start.
     pub listed_kinds: RefCell<HashSet<Kind>>,
+    /// What this VM knows of its links to the backend servers, by service.
+    pub connectivity: RefCell<HashMap<Service, Connectivity>>,
+    /// True while this VM reaches no backend server.
+    pub links_lost: tokio::sync::watch::Sender<bool>,
+    /// Wakes the task that checks the links to the backend servers.
+    pub links_in_doubt: Notify,
     /// When a planned stop began; `None` before.
     pub stopping_since: tokio::sync::watch::Sender<Option<Moment>>,
     /// Number of requests in flight.
@@ -204,6 +211,9 @@
             proof_received: Notify::new(),
             store_recoveries: tokio::sync::watch::Sender::new(0),
             listed_kinds: RefCell::default(),
+            connectivity: RefCell::default(),
+            links_lost: tokio::sync::watch::Sender::new(false),
+            links_in_doubt: Notify::new(),
             stopping_since: tokio::sync::watch::Sender::new(None),
             running: Cell::new(0),
             peers: RefCell::default(),
@@ -391,7 +401,16 @@
 
     /// Returns true if the balancer may send new connections.
     pub fn is_ready(&self, now: Moment) -> bool {
-        self.has_required_state() && !self.is_stopping() && self.may_use_keys(now)
+        self.has_required_state()
+            && !self.is_stopping()
+            && !self.has_lost_links()
+            && self.may_use_keys(now)
+    }
+
+    /// Returns true if this VM reaches no backend server, so that callers are better served by
+    /// other VMs.
+    pub fn has_lost_links(&self) -> bool {
+        *self.links_lost.borrow()
     }
 
     /// Returns true if a planned stop has begun.
--- a/tests/reachability.rs
+++ b/tests/connectivity.rs
@@ -74,7 +74,6 @@
         assert!(started.elapsed() < REFUSAL_TIME, "{:?}", started.elapsed());
         assert_eq!(answer.header("retry-after").as_deref(), Some("0.000"));
     }
-    let ran: usize = servers.replicas.iter().map(|one| one.requests().len()).sum();
     servers.set(State::Open);
     let started = Instant::now();
     eventually("it is ready again", || vm.is_ready());
@@ -83,8 +82,14 @@
         let answer = ask(vm.callers, &head("POST /once/x", &format!("after{number}"), ""), b"x");
         assert_eq!(answer.status, 200, "{number}");
     }
-    let after: usize = servers.replicas.iter().map(|one| one.requests().len()).sum();
-    assert_eq!(after, ran + 20);
+    let ran: Vec<String> = servers
+        .replicas
+        .iter()
+        .flat_map(Replica::requests)
+        .filter_map(|one| one.header("x-attempt-id").map(str::to_owned))
+        .collect();
+    let of = |what: &str| ran.iter().filter(|id| id.starts_with(what)).count();
+    assert_eq!((of("cut"), of("after")), (0, 20), "each request that was refused did not run");
 }
 
 #[test]
@@ -146,3 +151,21 @@
     assert!(!lines.iter().any(gone), "a server was taken for gone");
     assert!(!lines.iter().any(|line| line["event"] == "content quarantined"));
 }
+
+/// A caller whose connection rests would find out with its next request only.
+#[test]
+fn a_vm_that_loses_its_links_closes_connections_that_rest() {
+    let mut site = site();
+    let servers = servers(&site);
+    let vm = site.start_ready();
+    let mut stream = std::net::TcpStream::connect(vm.callers).unwrap();
+    stream.set_read_timeout(Some(NOTICE_TIME)).unwrap();
+    let request = format!("{}\r\n", head("GET /safe/x", "kept", ""));
+    std::io::Write::write_all(&mut stream, request.as_bytes()).unwrap();
+    let mut answer = [0; 4096];
+    let read = stream.read(&mut answer).unwrap();
+    assert!(answer[..read].starts_with(b"HTTP/1.1 200"));
+    servers.set(State::Refusing);
+    ask_until(&vm, "callers go elsewhere", || !vm.is_ready());
+    assert_eq!(stream.read(&mut answer).expect("the VM closes the connection"), 0);
+}
