A service whose servers all drain says nothing about the links of a VM

A check of a service without a server that may be tried failed and passed in turn, with two log lines every 0.3 s. Read in the diff, not seen in a run. Tests for what a check says, and for the hysteresis.

--- a/src/decide/connectivity.rs
+++ b/src/decide/connectivity.rs
@@ -77,7 +77,7 @@
             self.last_contact = Some(now);
         }
         let Some(failed) = &mut self.failed_check else {
-            if accepted > 0 || self.had_contact_after(begun) {
+            if accepted > 0 || tried == 0 || self.had_contact_after(begun) {
                 return None;
             }
             self.failed_check = Some(FailedCheck { since: now, tried });
--- a/tests/connectivity.rs
+++ b/tests/connectivity.rs
@@ -6,7 +6,9 @@
 use std::io::Read;
 use std::time::{Duration, Instant};
 
+use kitepulley::decide::connectivity::{self, Change, Connectivity};
 use kitepulley::standin::replica::{Action, Replica};
+use kitepulley::unit::{Moment, Span};
 use serde_json::json;
 use site::link::{Link, State};
 use site::{Site, Vm, ask, eventually, head};
@@ -169,3 +171,42 @@
     ask_until(&vm, "callers go elsewhere", || !vm.is_ready());
     assert_eq!(stream.read(&mut answer).expect("the VM closes the connection"), 0);
 }
+
+const BEGUN: Moment = Moment(1_000_000);
+
+const ENDED: Moment = Moment(1_300_000);
+
+fn after_check(tried: usize, accepted: usize) -> Connectivity {
+    let mut known = Connectivity::default();
+    known.on_check(tried, accepted, BEGUN, ENDED);
+    known
+}
+
+#[test]
+fn links_are_lost_only_if_no_server_of_any_service_is_reached() {
+    let lost = |services: &[Connectivity]| connectivity::has_lost_all(services.iter().copied());
+    assert!(lost(&[after_check(4, 0), after_check(12, 0)]));
+    assert!(!lost(&[after_check(4, 0), after_check(12, 1)]));
+    assert!(!lost(&[after_check(4, 0), Connectivity::default()]), "not checked yet");
+    assert!(!lost(&[after_check(1, 0), after_check(1, 0)]), "two servers may fail together");
+    assert!(!lost(&[]));
+}
+
+#[test]
+fn links_are_back_once_half_of_the_servers_are_reached() {
+    let mut known = after_check(16, 0);
+    assert!(known.has_failed_check());
+    assert_eq!(known.on_check(16, 1, ENDED, ENDED + Span::secs(1)), None);
+    let back = known.on_check(16, 8, ENDED, ENDED + Span::secs(2));
+    assert_eq!(back, Some(Change::Regained(Span::secs(2))));
+}
+
+#[test]
+fn a_check_says_nothing_without_servers_or_after_a_later_response() {
+    assert!(!after_check(0, 0).has_failed_check());
+    let mut known = Connectivity::default();
+    known.on_response(BEGUN + Span::millis(100));
+    assert_eq!(known.on_check(4, 0, BEGUN, ENDED), None);
+    assert!(!known.needs_check(BEGUN + Span::millis(200)));
+    assert!(known.needs_check(BEGUN + Span::millis(400)));
+}
