--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -28,7 +28,7 @@
 
 /// Response headers that are not decoded: standard HTTP headers, and headers of the platform that
 /// are for callers or belong to requests that the router does not send.
-const IGNORED: [&str; 28] = [
+const IGNORED: [&str; 29] = [
     "accept-ranges",
     "age",
     "allow",
@@ -49,6 +49,7 @@
     "location",
     "pragma",
     "server",
+    "server-brittle",
     "set-cookie",
     "strict-transport-security",
     "trailer",
