Refuse at once what a VM can't send to any server of its service

A VM that reached no server of one service tried four of them for 350 ms each, refused after 1.4 s and kept the connection open. Once a check finds that none of up to 16 servers accepts a connection it refuses at once and closes the connection, so that the caller's next attempt may reach another VM; it sends again as soon as one accepts.

--- a/src/decide/connectivity.rs
+++ b/src/decide/connectivity.rs
@@ -12,13 +12,15 @@
 /// Minimum number of servers that must have been tried: fewer may have failed together.
 const MIN_TRIED: usize = 3;
 
-/// A check in which no server of a service accepted a connection.
+/// A check in which too few servers of a service accepted a connection.
 #[derive(Clone, Copy, Debug)]
 struct FailedCheck {
     /// When the first such check in a row ended.
     since: Moment,
     /// Number of servers that the last one tried.
     tried: usize,
+    /// Number of servers that accepted a connection in the last one; fewer than half of them.
+    accepted: usize,
 }
 
 /// Change of what a VM knows of its links to the servers of a service.
@@ -50,11 +52,16 @@
         self.last_contact.is_some_and(|at| at > since)
     }
 
-    /// Returns true if no server accepted a connection in the last check.
+    /// Returns true if no server accepted a connection, and fewer than half of them have since.
     pub fn has_failed_check(&self) -> bool {
         self.failed_check.is_some()
     }
 
+    /// Returns true if no server of the service can be reached: requests for it can't be served.
+    pub fn is_unreachable(&self) -> bool {
+        self.failed_check.is_some_and(|check| check.accepted == 0 && check.tried >= MIN_TRIED)
+    }
+
     /// Records that a server responded to a request.
     pub fn on_response(&mut self, now: Moment) {
         self.last_contact = Some(now);
@@ -80,10 +87,10 @@
             if accepted > 0 || tried == 0 || self.had_contact_after(begun) {
                 return None;
             }
-            self.failed_check = Some(FailedCheck { since: now, tried });
+            self.failed_check = Some(FailedCheck { since: now, tried, accepted });
             return Some(Change::Lost);
         };
-        failed.tried = tried;
+        (failed.tried, failed.accepted) = (tried, accepted);
         let lost_for = now.since(failed.since);
         if accepted * 2 < tried {
             return None;
--- a/src/forward/connectivity.rs
+++ b/src/forward/connectivity.rs
@@ -47,6 +47,11 @@
     }
 }
 
+/// Returns true if no server of the service can be reached from this VM.
+pub fn is_unreachable(vm: &Vm, service: &Service) -> bool {
+    of_service(vm, service).is_unreachable()
+}
+
 /// Records what the end of an attempt says about this VM's links.
 pub fn on_attempt_end(vm: &Vm, service: &Service, end: AttemptOutcome, has_response: bool) {
     let now = vm.now();
@@ -98,12 +103,18 @@
     vm.connectivity.borrow().get(service).copied().unwrap_or_default()
 }
 
-/// Checks the links to the servers of all services without a recent contact.
+/// Checks the links to the servers of all services if one of them had no recent contact.
 async fn check_links(vm: &Vm) {
     let begun = vm.now();
     let services: Vec<Service> = vm.fleet.borrow().services().cloned().collect();
-    let doubtful = services.iter().filter(|service| of_service(vm, service).needs_check(begun));
-    future::join_all(doubtful.take(MAX_SERVICES).map(|service| check_service(vm, service))).await;
+    let (doubtful, others): (Vec<&Service>, Vec<&Service>) =
+        services.iter().partition(|service| of_service(vm, service).needs_check(begun));
+    if doubtful.is_empty() {
+        return;
+    }
+    // If the links of one service are lost, those of the others may be too.
+    let checked = doubtful.into_iter().chain(others).take(MAX_SERVICES);
+    future::join_all(checked.map(|service| check_service(vm, service))).await;
     let known = services.iter().map(|service| of_service(vm, service));
     let has_lost_all = connectivity::has_lost_all(known);
     let is_change = vm
--- a/src/forward/dispatch.rs
+++ b/src/forward/dispatch.rs
@@ -5,6 +5,7 @@
 
 use super::attempt::{self, Outcome, Stream};
 use super::call::Response;
+use super::connectivity;
 use super::job::Job;
 use super::poison;
 use super::replica::Replica;
@@ -79,7 +80,7 @@
         if poison::is_quarantined(job) {
             return refuse_quarantined(job, progress);
         }
-        if vm.has_lost_links() {
+        if vm.has_lost_links() || connectivity::is_unreachable(vm, &job.service) {
             return refuse_unreachable(job, progress);
         }
         let now = vm.now();
@@ -333,12 +334,15 @@
     refuse(job, Refusal::new(Kind::HeldBack))
 }
 
-/// Ends a request on a VM that reaches no server. Other VMs may serve it at once.
+/// Ends a request for a service of which this VM reaches no server. Other VMs may serve it at once
+/// if this VM reaches no server of any service. Otherwise the servers may be gone, and the caller
+/// comes back later.
 fn refuse_unreachable(job: &Job, progress: Progress) -> Reply {
     if progress.may_have_run {
         return give_up(job, progress, AttemptOutcome::Broken);
     }
-    refuse(job, Refusal::with_retry_after(Kind::Unreachable, Span(0)))
+    let retry_delay = job.vm.has_lost_links().then_some(Span(0));
+    refuse(job, Refusal { retry_delay, ..Refusal::new(Kind::Unreachable) })
 }
 
 /// Ends a request that may not be attempted any more.
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -366,7 +366,14 @@
             let body = BodyStream::new(Box::pin(relay::body(job, *started)));
             response.set_body(BoxBody::new(body))
         }
-        Reply::Refused(refused) => refusal_response(&vm, &refused, job.left(vm.now())),
+        Reply::Refused(refused) => {
+            let mut response = refusal_response(&vm, &refused, job.left(vm.now()));
+            if refused.kind == Kind::Unreachable {
+                // On a new connection the caller may reach another VM.
+                response.head_mut().set_connection_type(ConnectionType::Close);
+            }
+            response
+        }
     }
 }
 
--- a/tests/connectivity.rs
+++ b/tests/connectivity.rs
@@ -210,3 +210,12 @@
     assert!(!known.needs_check(BEGUN + Span::millis(200)));
     assert!(known.needs_check(BEGUN + Span::millis(400)));
 }
+
+#[test]
+fn a_service_is_unreachable_only_while_none_of_its_servers_is_reached() {
+    let mut known = after_check(4, 0);
+    assert!(known.is_unreachable());
+    known.on_check(4, 1, ENDED, ENDED + Span::secs(1));
+    assert!(!known.is_unreachable(), "one server is back");
+    assert!(!after_check(2, 0).is_unreachable(), "two servers may fail together");
+}
