--- a/src/forward/connectivity.rs
+++ b/src/forward/connectivity.rs
@@ -31,6 +31,9 @@
 /// Number of servers of the sample that are tried first; usually one of them accepts.
 const FIRST_TRIED: usize = 2;
 
+/// Maximum number of servers of each service that are tried to tell a crash from lost links.
+const OTHERS_PER_SERVICE: usize = 4;
+
 /// Maximum number of services that are checked at a time.
 const MAX_SERVICES: usize = 16;
 
@@ -66,8 +69,8 @@
     }
 }
 
-/// Records that an attempt has had no response for [`MAX_SILENCE`]. A request on a connection that
-/// lives on behind a cut would notice it only at its deadline.
+/// Puts the links in doubt once an attempt has had no response for [`MAX_SILENCE`]. A request on a
+/// connection that was open before a silent cut would otherwise notice it only at its deadline.
 pub async fn watch_silence(vm: &Vm, service: &Service) {
     tokio::time::sleep(MAX_SILENCE).await;
     if of_service(vm, service).needs_check(vm.now()) {
@@ -90,8 +93,11 @@
         return true;
     }
     let services: Vec<Service> = vm.fleet.borrow().services().cloned().collect();
-    let samples = services.iter().flat_map(|service| sample_servers(vm, service));
-    let others: Vec<SocketAddr> = samples.filter(|one| *one != replica.address).collect();
+    let samples = services.iter().flat_map(|service| {
+        let servers = sample_servers(vm, service).into_iter();
+        servers.filter(|one| *one != replica.address).take(OTHERS_PER_SERVICE)
+    });
+    let others: Vec<SocketAddr> = samples.collect();
     if others.is_empty() || accepts_any(&others).await {
         return true;
     }
