Cut all links of the test at one moment

Its links were cut one after the other, and a server whose link was cut while another still took connections was rightly taken for gone.

--- a/tests/connectivity.rs
+++ b/tests/connectivity.rs
@@ -10,7 +10,7 @@
 use kitepulley::standin::replica::{Action, Replica};
 use kitepulley::unit::{Moment, Span};
 use serde_json::json;
-use site::link::{Link, State};
+use site::link::{self, Link, State};
 use site::{Site, Vm, ask, eventually, head};
 
 /// Time from the loss of all links until callers have to be sent elsewhere, and from their return
@@ -28,7 +28,7 @@
 
 impl Servers {
     fn set(&self, state: State) {
-        self.links.iter().for_each(|one| one.set(state));
+        link::set_all(&self.links, state);
     }
 }
 
--- a/tests/site/link.rs
+++ b/tests/site/link.rs
@@ -66,8 +66,14 @@
         Link { address, inner }
     }
 
-    /// Changes the state of the link.
-    pub fn set(&self, state: State) {
+    /// Ends the open connections.
+    fn end_connections(&self) {
+        let ended = std::mem::take(&mut self.inner.lock().unwrap().open);
+        ended.iter().for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
+    }
+
+    /// Changes the state of the link for new connections and, if it falls silent, for open ones.
+    fn set(&self, state: State) {
         let mut inner = self.inner.lock().unwrap();
         inner.state = state;
         inner.fillers.clear();
@@ -77,11 +83,7 @@
                 let listener = inner.listener.get_or_insert_with(|| bind(address));
                 listen(listener, QUEUE);
             }
-            State::Refusing => {
-                inner.listener = None;
-                let ended = std::mem::take(&mut inner.open);
-                ended.iter().for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
-            }
+            State::Refusing => inner.listener = None,
             State::Silent => {
                 listen(inner.listener.as_ref().expect("it was open"), 0);
                 let filler = |_| TcpStream::connect_timeout(&self.address, POLL_INTERVAL * 10).ok();
@@ -91,6 +93,15 @@
     }
 }
 
+/// Changes the state of all links at one moment: no link ends its open connections while another
+/// one still takes new ones.
+pub fn set_all(links: &[Link], state: State) {
+    links.iter().for_each(|link| link.set(state));
+    if state == State::Refusing {
+        links.iter().for_each(Link::end_connections);
+    }
+}
+
 fn bind(address: SocketAddr) -> TcpListener {
     let listener = TcpListener::bind(address).unwrap();
     listener.set_nonblocking(true).unwrap();
