--- a/src/decide/connectivity.rs
+++ b/src/decide/connectivity.rs
@@ -67,7 +67,7 @@
         self.last_contact = Some(now);
     }
 
-    /// Records a check that was begun at the moment `begun`, in which `accepted` of the `tried`
+    /// Records a check that was started at the moment `started`, in which `accepted` of the `tried`
     /// servers accepted a connection. Returns what it changes.
     ///
     /// One server is enough for the links to work, but half of them are needed until lost links
@@ -77,14 +77,14 @@
         &mut self,
         tried: usize,
         accepted: usize,
-        begun: Moment,
+        started: Moment,
         now: Moment,
     ) -> Option<Change> {
         if accepted > 0 {
             self.last_contact = Some(now);
         }
         let Some(failed) = &mut self.failed_check else {
-            if accepted > 0 || tried == 0 || self.had_contact_after(begun) {
+            if accepted > 0 || tried == 0 || self.had_contact_after(started) {
                 return None;
             }
             self.failed_check = Some(FailedCheck { since: now, tried, accepted });
--- a/src/forward/connectivity.rs
+++ b/src/forward/connectivity.rs
@@ -111,10 +111,10 @@
 
 /// Checks the links to the servers of all services if one of them had no recent contact.
 async fn check_links(vm: &Vm) {
-    let begun = vm.now();
+    let started = vm.now();
     let services: Vec<Service> = vm.fleet.borrow().services().cloned().collect();
     let (doubtful, others): (Vec<&Service>, Vec<&Service>) =
-        services.iter().partition(|service| of_service(vm, service).needs_check(begun));
+        services.iter().partition(|service| of_service(vm, service).needs_check(started));
     if doubtful.is_empty() {
         return;
     }
@@ -133,7 +133,7 @@
 }
 
 async fn check_service(vm: &Vm, service: &Service) {
-    let begun = vm.now();
+    let started = vm.now();
     let servers = sample_servers(vm, service);
     let has_failed = of_service(vm, service).has_failed_check();
     // Any server shows that the links work. Once they are lost, most have to.
@@ -144,7 +144,7 @@
     let change = {
         let mut known = vm.connectivity.borrow_mut();
         let known = known.entry(service.clone()).or_default();
-        known.on_check(servers.len(), accepted, begun, vm.now())
+        known.on_check(servers.len(), accepted, started, vm.now())
     };
     match change {
         None => {}
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -63,11 +63,11 @@
 
 /// Checks the server and records the result for all responses that broke off meanwhile.
 async fn check_server(vm: Rc<Vm>, replica: Replica) {
-    let begun = vm.now();
+    let started = vm.now();
     let mut found = check::check_process(replica.address).await;
     // A VM that reaches no other server either may have lost its links.
     let is_gone = found == ProcessState::IsGone;
-    if is_gone && !connectivity::reaches_others(&vm, &replica, begun).await {
+    if is_gone && !connectivity::reaches_others(&vm, &replica, started).await {
         found = ProcessState::Unknown;
     }
     let broken = {
