Refuse a request on the platform once other VMs have the report of its crash

Symptom: a caller was refused after three servers had crashed under its request, repeated it at another VM, and a fourth server crashed (known failure `a_request_that_crashes_servers_is_held_back_by_all_vms`).

Cause: the report of a crash was sent without waiting for its delivery, and a server is checked in a task of its own. So the caller had the refusal before other VMs had the report, and at times before the refusing VM itself had counted the third crash.

Ruled out: waiting for the check of the server alone (the message is under way then). A poll, which is answered: it carries quarantined contents, not single crashes, and answers with objects.

Change: one rule for both doors, `decide::poison::refusal`. A refusal waits for the checks of the servers that broke off their responses, and until the VMs that respond have received the report, 1.4 s at most (the target for a first token) and not past its deadline. Received means that QUIC acknowledged the whole message: it precedes whatever the caller sends afterwards. The end of a message goes into a second packet, since QUIC delays the acknowledgement of a single one by up to 25 ms. No message changes. A refusal without a broken response waits for nothing, nor does one whose server accepts a connection, unless other evidence against the content exists. A VM that did not acknowledge is not waited for again until it sends something, or 5 s have passed. A request whose content is quarantined while a connection is opened is not sent. The product's own door had a rule of its own (0.4 s, and not after each kind of refusal).

`experiment poison` tells the waits of refusals and the messages.

--- a/src/decide/poison/evidence.rs
+++ b/src/decide/poison/evidence.rs
@@ -196,6 +196,11 @@
         (now.since(quarantine.last_crash) < SUSPICION_TTL).then_some(quarantine.crashes)
     }
 
+    /// Returns true if there is evidence against a content.
+    pub fn is_suspect(&self, content: &Digest) -> bool {
+        self.suspects.contains_key(content)
+    }
+
     /// Records that a server incarnation crashed at the moment `at` with a request open. Repeated
     /// reports of one crash count once.
     pub fn on_crash(
--- a/src/decide/poison/exchange.rs
+++ b/src/decide/poison/exchange.rs
@@ -104,6 +104,11 @@
         self.evidence.quarantine_crashes(content, now)
     }
 
+    /// Returns true if there is evidence against a content.
+    pub fn is_suspect(&self, content: &Digest) -> bool {
+        self.evidence.is_suspect(content)
+    }
+
     /// Returns the quarantined contents, the most recent first and no more than fit into a message.
     pub fn quarantined(&self, now: Moment) -> Vec<QuarantinedContent> {
         self.evidence.quarantined(MAX_QUARANTINED_PER_MESSAGE, now)
--- a/src/decide/poison/mod.rs
+++ b/src/decide/poison/mod.rs
@@ -16,6 +16,7 @@
 
 mod evidence;
 mod exchange;
+pub mod refusal;
 
 pub use evidence::{
     Evidence, EvidenceChange, OpenRequest, QuarantinedContent, STABLE_AFTER, ServerIncarnation,
--- a/src/engine/check.rs
+++ b/src/engine/check.rs
@@ -59,9 +59,15 @@
 /// Checks the process of the server at an address by opening a few connections, one after the
 /// other. A server that keeps closing them without refusing any counts as running.
 pub async fn check_process(address: SocketAddr) -> ProcessState {
+    check_process_with(address, || {}).await
+}
+
+/// Checks a process as [`check_process`] does, and calls `on_accepted` as soon as the process
+/// accepts a connection.
+pub async fn check_process_with(address: SocketAddr, on_accepted: impl Fn()) -> ProcessState {
     let (mut state, mut stable) = (ProcessState::Unknown, 0);
     for _ in 0..MAX_CONNECTIONS {
-        match connect(address).await {
+        match connect(address, &on_accepted).await {
             ConnectOutcome::Stable if stable + 1 == REQUIRED_STABLE => return ProcessState::Lives,
             ConnectOutcome::Stable => (state, stable) = (ProcessState::Lives, stable + 1),
             ConnectOutcome::Refused => return ProcessState::IsGone,
@@ -73,9 +79,12 @@
     state
 }
 
-async fn connect(address: SocketAddr) -> ConnectOutcome {
+async fn connect(address: SocketAddr, on_accepted: &impl Fn()) -> ConnectOutcome {
     let result =
         tokio::time::timeout(CONNECT_TIMEOUT.duration(), TcpStream::connect(address)).await;
+    if let Ok(Ok(_)) = result {
+        on_accepted();
+    }
     match result.map(|result| result.map_err(|fault| fault.kind())) {
         Ok(Ok(stream)) if is_closed(&stream).await => ConnectOutcome::Closed,
         Ok(Ok(_)) => ConnectOutcome::Stable,
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod check;
 pub mod client;
+pub mod crash_check;
 pub mod wire;
--- a/src/entry/dispatch/attempts.rs
+++ b/src/entry/dispatch/attempts.rs
@@ -3,9 +3,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
-
-use futures_util::future::join_all;
 
 use super::{Abort, Dispatcher};
 use crate::config::{Allowed, Snapshot};
@@ -22,10 +19,6 @@
 /// Minimum time until the deadline at which a retry is still made.
 const MIN_RETRY_TIME: Span = Span::millis(20);
 
-/// Longest wait of a refusal for the checks of servers whose answers ended early, and for the other
-/// VMs to learn the results.
-const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Number of refusals by full engines after which the request asks the next engine to queue it.
 const MAX_FULL_REFUSALS: u32 = 3;
 
@@ -202,7 +195,6 @@
                 MIN_RETRY_TIME,
             );
             if !can_retry || !self.vm.try_spend_retry() {
-                self.finish_crash_checks().await;
                 return Err(Abort::Refused(self.final_refusal(failure, &reason, now)));
             }
             self.trace_steps.push("retrying on another server".to_owned());
@@ -216,16 +208,7 @@
         let ran = first.is_some_and(|first| now.since(first) >= STABLE_AFTER);
         let request = OpenRequest { content: self.job.content, was_stable: ran };
         let check = poison::on_broken_response(&self.vm, server, address, request);
-        self.crash_checks.push(check);
-    }
-
-    /// Waits for the checks of servers whose answers ended early, and until the other VMs know the
-    /// results. The client may repeat a refused request at once and at any VM, and a content that
-    /// crashes servers must be quarantined there by then.
-    async fn finish_crash_checks(&mut self) {
-        let checks = join_all(self.crash_checks.drain(..));
-        // A check that takes longer goes on, and its result counts for later requests.
-        let _ = tokio::time::timeout(CRASH_CHECK_TIMEOUT, checks).await;
+        self.crash_checks.extend(Some(check));
     }
 
     /// Returns the refusal for a request whose last attempt failed and that may not be retried.
--- a/src/entry/dispatch/mod.rs
+++ b/src/entry/dispatch/mod.rs
@@ -8,13 +8,13 @@
 
 use actix_web::web::Data;
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
 
 use super::refusal::{Kind as Refused, Refusal};
 use crate::chart::{self, Machine};
 use crate::config::{Snapshot, WorkspaceEntry};
 use crate::decide::cascade::{CONFIDENCE_BINS, Rule, confidence_bin};
 use crate::engine::client::EngineClient;
+use crate::engine::crash_check::Checks;
 use crate::engine::wire::End;
 use crate::ledger::{Part, Reason};
 use crate::unit::{Digest, Kind, Moment, RequestId, Target};
@@ -114,7 +114,7 @@
     /// True if a failed attempt may have run without returning a token.
     may_have_run: bool,
     /// Checks of servers whose answers ended early.
-    crash_checks: Vec<JoinHandle<()>>,
+    crash_checks: Checks,
     /// When the first token was sent to the client.
     first_token: Option<Moment>,
 }
@@ -143,7 +143,7 @@
         attempts: 0,
         head_sent: false,
         may_have_run: false,
-        crash_checks: Vec::new(),
+        crash_checks: Checks::default(),
         first_token: None,
     };
     dispatcher.vm.record_first_attempt();
@@ -167,6 +167,7 @@
                 return;
             }
             Err(Abort::Refused(refusal)) => {
+                self.allow_refusal().await;
                 // If any attempt ran or may have run, the refusal must not claim that nothing ran,
                 // even if the last attempt did not.
                 let ran = any_ran || self.may_have_run;
@@ -184,6 +185,12 @@
         let _ = self.output.send(last).await;
     }
 
+    /// Waits until the request may be refused; the client may repeat it at once and at any VM.
+    async fn allow_refusal(&self) {
+        let Job { request, content, deadline, .. } = &self.job;
+        poison::allow_refusal(&self.vm, request, content, *deadline, &self.crash_checks).await;
+    }
+
     fn count_request(&self, outcome: &str) {
         let workspace = self.job.workspace.name.as_str();
         self.vm.metrics.requests.with_label_values(&[workspace, outcome]).inc();
--- a/src/experiment/poison/mod.rs
+++ b/src/experiment/poison/mod.rs
@@ -33,6 +33,7 @@
 fn row(fleet: &Fleet, strategy: Strategy, cut: f64, seeds: std::ops::Range<u64>) -> Row {
     let (mut lost, mut late, mut waits) = (Vec::new(), Vec::new(), Vec::new());
     let (mut refused, mut innocent, mut bytes) = (0, 0, Vec::new());
+    let (mut refusal_waits, mut delays, mut messages) = (Vec::new(), Vec::new(), Vec::new());
     for seed in seeds {
         let mut simulation = Simulation::new(fleet, strategy, cut, SmallRng::seed_from_u64(seed));
         simulation.run();
@@ -44,6 +45,9 @@
         refused += simulation.refused;
         innocent += simulation.innocent;
         bytes.push(simulation.bytes_per_vm_second());
+        messages.push(simulation.messages_per_vm_second());
+        refusal_waits.extend(simulation.refusal_waits.iter().map(|wait| wait.as_millis()));
+        delays.extend(simulation.quarantine_delays.iter().map(|delay| delay.as_millis()));
     }
     let refused_per_million = refused as f64 * 1e6 / innocent.max(1) as f64;
     Row::named("way", strategy.name())
@@ -56,6 +60,10 @@
         .number("innocent refused in a million", refused_per_million, 1)
         .number("innocent waits p99 ms", quantile(&mut waits, 0.99), 0)
         .number("bytes/s a VM", quantile(&mut bytes, 0.5), 1)
+        .number("messages/s a VM", quantile(&mut messages, 0.5), 2)
+        .number("refusal waits median ms", quantile(&mut refusal_waits, 0.5), 1)
+        .number("refusal waits p99 ms", quantile(&mut refusal_waits, 0.99), 1)
+        .number("quarantined after p99 ms", quantile(&mut delays, 0.99), 1)
 }
 
 /// Simulates all strategies for each fleet size, without and with partitioned VMs.
@@ -75,6 +83,9 @@
             .to_owned(),
         "Waits: time until suspected innocent requests were allowed to run; others are not counted."
             .to_owned(),
+        "Refusal waits: after the last crash under a request, until the other VMs have the report. \
+         Quarantined after: time from the third crash until a VM that is not cut off heard of it."
+            .to_owned(),
         "Updates through the store's readers, which repeat the same reports, are not simulated."
             .to_owned(),
     ];
--- a/src/experiment/poison/simulation.rs
+++ b/src/experiment/poison/simulation.rs
@@ -8,8 +8,10 @@
 use rand::seq::IteratorRandom;
 
 use super::fleet::{Fleet, Strategy};
+use crate::decide::poison::refusal::MAX_REFUSAL_WAIT;
 use crate::decide::poison::{
     Effects, Exchange, Message, OpenRequest, Recipients, STABLE_AFTER, ServerIncarnation, Topology,
+    Transition,
 };
 use crate::peer::wire::encode;
 use crate::unit::{Digest, Moment, Span, digest};
@@ -60,6 +62,9 @@
 /// Bytes of a packet's headers.
 const PACKET_OVERHEAD: usize = 60;
 
+/// Time for which a VM that did not acknowledge a crash report is not waited for.
+const UNRESPONSIVE_TIME: Span = Span::secs(5);
+
 /// A request that a VM handles.
 #[derive(Clone)]
 struct Request {
@@ -133,7 +138,14 @@
     pub refused: u64,
     /// Times that suspected innocent requests waited for permission.
     pub waits: Vec<Span>,
+    /// Times that refusals waited for other VMs to receive the report of a crash.
+    pub refusal_waits: Vec<Span>,
+    /// Times from the third crash by a content until a VM that is not partitioned quarantined it.
+    pub quarantine_delays: Vec<Span>,
+    /// When a VM last failed to acknowledge a crash report of another, by sender and recipient.
+    unacknowledged: HashMap<(usize, usize), Moment>,
     bytes: u64,
+    messages: u64,
 }
 
 impl<'a> Simulation<'a> {
@@ -169,7 +181,11 @@
             innocent: 0,
             refused: 0,
             waits: Vec::new(),
+            refusal_waits: Vec::new(),
+            quarantine_delays: Vec::new(),
+            unacknowledged: HashMap::new(),
             bytes: 0,
+            messages: 0,
         };
         simulation.schedule_run();
         simulation
@@ -180,6 +196,11 @@
         self.bytes as f64 / self.fleet.vms() as f64 / END.as_secs()
     }
 
+    /// Returns the messages sent per VM and second.
+    pub fn messages_per_vm_second(&self) -> f64 {
+        self.messages as f64 / self.fleet.vms() as f64 / END.as_secs()
+    }
+
     fn schedule(&mut self, at: Moment, event: Event) {
         self.sequence += 1;
         self.queue.push(Reverse((at, self.sequence)));
@@ -189,7 +210,7 @@
     fn schedule_run(&mut self) {
         for poison in 0..CONTENTS {
             let start = Moment(0) + Span::secs(3) + Span(CONTENT_INTERVAL.0 * poison as u64);
-            let content = digest(&[b"poison", &[poison as u8]]);
+            let content = poison_content(poison);
             for _ in 0..BURST_REQUESTS {
                 let at = start + Span(self.rng.random_range(0..1_000_000));
                 self.schedule_arrival(at, content, Some(poison));
@@ -255,6 +276,7 @@
                 Event::Delivery(vm, message) => {
                     let topology = self.fleet.topology();
                     let effects = self.vms[vm].on_message(&message, topology, self.now);
+                    self.record_quarantines(vm, &effects);
                     self.send_messages(vm, effects);
                 }
             }
@@ -389,9 +411,12 @@
                 self.fleet.topology(),
                 self.now,
             );
-            self.send_messages(request.vm, effects);
+            let delivery_time = self.send_messages(request.vm, effects);
             self.suspected_since.entry(request.content).or_insert(self.now);
             self.start_next(request.content);
+            if request.attempts >= MAX_ATTEMPTS {
+                self.refusal_waits.push(delivery_time);
+            }
             self.retry(request);
         }
     }
@@ -422,11 +447,26 @@
         self.schedule(at, Event::Arrival(request));
     }
 
-    fn send_messages(&mut self, vm: usize, effects: Effects) {
-        if matches!(self.strategy, Strategy::Unprotected | Strategy::PerVm) || self.partitioned[vm]
-        {
+    /// Records how long after its third crash a content was quarantined at a VM.
+    fn record_quarantines(&mut self, vm: usize, effects: &Effects) {
+        if self.partitioned[vm] {
             return;
         }
+        for transition in &effects.transitions {
+            let Transition::Quarantined(content, _) = transition else { continue };
+            let is_same = |poison: &usize| poison_content(*poison) == *content;
+            let third = (0..CONTENTS).find(is_same).and_then(|poison| self.third_crash[poison]);
+            self.quarantine_delays.extend(third.map(|third| self.now.since(third)));
+        }
+    }
+
+    /// Sends messages. Returns the time after which the VMs that respond have acknowledged them,
+    /// with the limit for the wait of a refusal.
+    fn send_messages(&mut self, vm: usize, effects: Effects) -> Span {
+        if matches!(self.strategy, Strategy::Unprotected | Strategy::PerVm) {
+            return Span::default();
+        }
+        let mut delivery_time = Span::default();
         for outgoing in effects.messages {
             let to = match outgoing.to {
                 Recipients::All => self.fleet.neighbours(vm),
@@ -435,17 +475,39 @@
                 }
                 Recipients::Aggregators(content) => self.fleet.aggregators(content),
             };
-            let bytes = (encode(&outgoing.message).len() + PACKET_OVERHEAD) as u64;
+            // The end of a message goes into a second packet.
+            let bytes = (encode(&outgoing.message).len() + 2 * PACKET_OVERHEAD) as u64;
             for other in to.into_iter().filter(|other| *other != vm) {
+                if self.partitioned[vm] {
+                    delivery_time = delivery_time.max(self.await_unreachable(vm, other));
+                    continue;
+                }
                 self.bytes += bytes;
-                if !self.partitioned[other] {
-                    let delay = Span(self.rng.random_range(1_000..4_000));
-                    self.schedule(
-                        self.now + delay,
-                        Event::Delivery(other, outgoing.message.clone()),
-                    );
+                self.messages += 1;
+                if self.partitioned[other] {
+                    delivery_time = delivery_time.max(self.await_unreachable(vm, other));
+                    continue;
                 }
+                let delay = Span(self.rng.random_range(1_000..4_000));
+                delivery_time = delivery_time.max(Span(2 * delay.0));
+                self.schedule(self.now + delay, Event::Delivery(other, outgoing.message.clone()));
             }
         }
+        delivery_time
     }
+
+    /// Returns how long a refusal waits for a VM that does not acknowledge messages.
+    fn await_unreachable(&mut self, from: usize, to: usize) -> Span {
+        let last = self.unacknowledged.get(&(from, to));
+        if last.is_some_and(|last| self.now.since(*last) < UNRESPONSIVE_TIME) {
+            return Span::default();
+        }
+        self.unacknowledged.insert((from, to), self.now + MAX_REFUSAL_WAIT);
+        MAX_REFUSAL_WAIT
+    }
+}
+
+/// Returns the crashing content with this index.
+fn poison_content(poison: usize) -> Digest {
+    digest(&[b"poison", &[poison as u8]])
 }
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -11,10 +11,12 @@
 use super::job::{Job, OpenRequestGuard, PendingPrompt};
 use super::replica::Replica;
 use super::sse::{Batch, EventBuffer};
-use super::{announce, connectivity, crash, pool, usage};
+use super::{announce, connectivity, crash, poison, pool, usage};
 use crate::config::RetryPolicy;
 use crate::decide::outcome::AttemptOutcome;
-use crate::decide::{poison, server_limit};
+use crate::decide::poison::OpenRequest;
+use crate::decide::server_limit;
+use crate::engine::crash_check::Check;
 use crate::platform::header::{self, AddedHeaders};
 use crate::unit::{Model, Moment, Rate, Span};
 
@@ -45,6 +47,8 @@
     pub body: Bytes,
     /// The open stream, if the response is one.
     pub stream: Option<Stream>,
+    /// The check of the server, if that broke off its response.
+    pub check: Option<Check>,
 }
 
 /// A stream of server-sent events whose first complete event, or whose end, has arrived.
@@ -85,7 +89,14 @@
 
 impl Outcome {
     fn without_response(end: AttemptOutcome, reason: impl Into<String>) -> Outcome {
-        Outcome { end, reason: reason.into(), head: None, body: Bytes::new(), stream: None }
+        Outcome {
+            end,
+            reason: reason.into(),
+            head: None,
+            body: Bytes::new(),
+            stream: None,
+            check: None,
+        }
     }
 }
 
@@ -119,7 +130,7 @@
         () = silence => Err("in time"),
     };
     let is_lost = outcome.as_ref().is_err_and(|reason| *reason == BEFORE_RESTART);
-    let outcome = match outcome {
+    let mut outcome = match outcome {
         Ok(outcome) => outcome,
         Err(reason) if sent => {
             Outcome::without_response(AttemptOutcome::Late, format!("no response {reason}"))
@@ -131,11 +142,8 @@
     drop(pending);
     record_outcome(job, replica, &outcome);
     if outcome.end == AttemptOutcome::Broken || is_lost {
-        crash::on_broken_response(
-            vm,
-            replica,
-            poison::OpenRequest { content: job.content, was_stable: false },
-        );
+        let request = OpenRequest { content: job.content, was_stable: false };
+        outcome.check = crash::on_broken_response(vm, replica, request);
     }
     outcome
 }
@@ -178,8 +186,8 @@
 /// Sends the request on a pooled or new connection and reads the response; of a stream, its first
 /// event. Sets `sent` as soon as bytes may have been sent.
 ///
-/// The availability and the rate limit of the server are checked again before sending, as they may
-/// have changed while the connection was opened.
+/// The availability and the rate limit of the server, and whether the content is quarantined, are
+/// checked again before sending, as they may have changed while the connection was opened.
 async fn exchange(
     job: &Job,
     replica: &Replica,
@@ -205,6 +213,11 @@
         release_connection(job, replica, connection, None);
         return Outcome::without_response(AttemptOutcome::Withheld, unavailable.to_string());
     }
+    if poison::is_quarantined(job) {
+        release_connection(job, replica, connection, None);
+        let reason = "the content is quarantined";
+        return Outcome::without_response(AttemptOutcome::Withheld, reason);
+    }
     if let Err(reason) = pending.permit.consume(vm.now()) {
         release_connection(job, replica, connection, None);
         return Outcome::without_response(AttemptOutcome::Withheld, reason.to_string());
@@ -248,7 +261,7 @@
     release_connection(job, replica, connection, response.idle_timeout);
     let reason =
         if end == AttemptOutcome::Good { String::new() } else { head.status.as_str().to_owned() };
-    Outcome { end, reason, head: Some((head, response)), body, stream: None }
+    Outcome { end, reason, head: Some((head, response)), body, stream: None, check: None }
 }
 
 /// Sends the request and reads response heads until one belongs to it.
@@ -394,6 +407,7 @@
         head: Some((head, response)),
         body: Bytes::new(),
         stream: Some(stream),
+        check: None,
     }
 }
 
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -3,41 +3,53 @@
 //! A server whose process is gone refuses new connections, or has a later incarnation. A server
 //! that announced a drain ends as planned and is not checked.
 
+use std::future::Future;
 use std::rc::Rc;
 
 use actix_web::rt::spawn;
 
 use super::connectivity;
-use super::liveness::Liveness;
+use super::liveness::{Liveness, Suspicion};
 use super::poison;
 use super::replica::Replica;
 use super::server::Fleet;
 use super::vm::Vm;
 use crate::decide::poison::OpenRequest;
 use crate::engine::check::{self, ProcessState};
+use crate::engine::crash_check::{Check, Reporter};
 
 /// What to do about a broken response, depending on what this VM knows of the server's incarnation
 /// (one lifetime of its process).
 enum Action {
     /// The incarnation has ended: record the crash.
     RecordCrash,
-    /// Start a check.
-    Check,
-    /// A check is running, or the server ends as planned: do nothing.
+    /// Start a check, whose progress goes to this end.
+    Start(Reporter, Check),
+    /// A check is running.
+    Join(Check),
+    /// The server ends as planned: do nothing.
     Ignore,
 }
 
-/// Handles a response that broke off at an incarnation of a server.
-pub fn on_broken_response(vm: &Rc<Vm>, replica: &Replica, request: OpenRequest) {
+/// Handles a response that broke off at an incarnation of a server. Returns the check of the
+/// server, which ends when the other VMs know of a crash; none if the server ends as planned.
+pub fn on_broken_response(vm: &Rc<Vm>, replica: &Replica, request: OpenRequest) -> Option<Check> {
     match next_action(&mut vm.fleet.borrow_mut(), replica, request) {
         Action::RecordCrash => {}
-        Action::Check => {
-            spawn(check_server(vm.clone(), replica.clone()));
-            return;
+        Action::Start(reporter, check) => {
+            spawn(check_server(vm.clone(), replica.clone(), reporter));
+            return Some(check);
         }
-        Action::Ignore => return,
+        Action::Join(check) => return Some(check),
+        Action::Ignore => return None,
     }
-    record_check(vm, replica, vec![request], ProcessState::IsGone);
+    let (reporter, check) = Check::start();
+    let report = record_check(vm, replica, vec![request], ProcessState::IsGone);
+    spawn(async move {
+        report.await;
+        drop(reporter);
+    });
+    Some(check)
 }
 
 /// Decides what to do about the broken response to `request`. The request is remembered if the
@@ -49,22 +61,24 @@
     }
     match &mut server.liveness {
         Liveness::Dead => Action::RecordCrash,
-        Liveness::Suspect(broken) => {
-            broken.push(request);
-            Action::Ignore
+        Liveness::Suspect(suspicion) => {
+            suspicion.broken.push(request);
+            Action::Join(suspicion.check.clone())
         }
         Liveness::Alive if !server.availability.is_draining() => {
-            server.liveness = Liveness::Suspect(vec![request]);
-            Action::Check
+            let (reporter, check) = Check::start();
+            let suspicion = Suspicion { broken: vec![request], check: check.clone() };
+            server.liveness = Liveness::Suspect(suspicion);
+            Action::Start(reporter, check)
         }
         Liveness::Alive => Action::Ignore,
     }
 }
 
 /// Checks the server and records the result for all responses that broke off meanwhile.
-async fn check_server(vm: Rc<Vm>, replica: Replica) {
+async fn check_server(vm: Rc<Vm>, replica: Replica, reporter: Reporter) {
     let started = vm.now();
-    let mut found = check::check_process(replica.address).await;
+    let mut found = check::check_process_with(replica.address, || reporter.on_accepted()).await;
     // A VM that reaches no other server either may have lost its links.
     let is_gone = found == ProcessState::IsGone;
     if is_gone && !connectivity::reaches_others(&vm, &replica, started).await {
@@ -75,16 +89,21 @@
         let Some(server) = fleet.incarnation_mut(&replica) else { return };
         let next = if found == ProcessState::IsGone { Liveness::Dead } else { Liveness::Alive };
         match std::mem::replace(&mut server.liveness, next) {
-            Liveness::Suspect(broken) => broken,
+            Liveness::Suspect(suspicion) => suspicion.broken,
             Liveness::Alive | Liveness::Dead => Vec::new(),
         }
     };
-    record_check(&vm, &replica, broken, found);
+    record_check(&vm, &replica, broken, found).await;
 }
 
 /// Counts and logs the result of a check, and reports a crash with the contents of the requests
-/// that were open at the server.
-fn record_check(vm: &Rc<Vm>, replica: &Replica, broken: Vec<OpenRequest>, found: ProcessState) {
+/// that were open at the server. The returned future ends when the other VMs have the report.
+fn record_check(
+    vm: &Rc<Vm>,
+    replica: &Replica,
+    broken: Vec<OpenRequest>,
+    found: ProcessState,
+) -> impl Future<Output = ()> + use<> {
     let outcome = format!("{found:?}");
     vm.metrics.checks.with_label_values(&[replica.service.as_str(), &outcome]).inc();
     let contents: Vec<String> = broken.iter().map(|one| one.content.to_string()).collect();
@@ -97,7 +116,11 @@
         ("contents", contents.as_str().into()),
     ];
     vm.log("server checked", &fields);
-    if found == ProcessState::IsGone && !broken.is_empty() {
-        poison::on_server_crash(vm, replica, &broken);
+    let is_crash = found == ProcessState::IsGone && !broken.is_empty();
+    let report = is_crash.then(|| poison::on_server_crash(vm, replica, &broken));
+    async move {
+        if let Some(report) = report {
+            report.await;
+        }
     }
 }
--- a/src/forward/dispatch.rs
+++ b/src/forward/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::config::RetryPolicy;
 use crate::decide::escalate;
 use crate::decide::outcome::{self, AttemptOutcome, FinalResponse, NextAction};
+use crate::engine::crash_check::Checks;
 use crate::entry::refusal::{Kind, Refusal};
 use crate::unit::{Model, Moment, Span};
 
@@ -47,6 +48,8 @@
     pub model: Option<Model>,
     /// Servers that were tried so far; a resumed stream avoids them.
     pub tried: Vec<Replica>,
+    /// Checks of the servers that broke off their responses.
+    pub checks: Checks,
 }
 
 /// State of the attempts at a request so far.
@@ -68,12 +71,34 @@
     /// The smaller model whose response was dropped for the larger one. The request goes back to
     /// this model if the larger one fails.
     fallback_model: Option<Model>,
+    /// Checks of the servers that broke off their responses.
+    checks: Checks,
 }
 
-/// Sends the request to one server after another until one responds or no retry is allowed.
+impl Reply {
+    /// Returns true if the caller may repeat the request because it failed.
+    fn is_failure(&self) -> bool {
+        match self {
+            Reply::Complete(response) => response.0.status.is_server_error(),
+            Reply::Stream(_) => false,
+            Reply::Refused(_) => true,
+        }
+    }
+}
+
+/// Sends the request to one server after another until one responds or no retry is allowed. Returns
+/// a failure only once the other VMs know of the servers that crashed under the request.
 pub async fn run(job: &Job) -> Reply {
-    let vm = &job.vm;
     let mut progress = Progress::default();
+    let reply = try_servers(job, &mut progress).await;
+    if reply.is_failure() {
+        poison::allow_refusal(job, &progress.checks).await;
+    }
+    reply
+}
+
+async fn try_servers(job: &Job, progress: &mut Progress) -> Reply {
+    let vm = &job.vm;
     let mut model = initial_model(job);
     vm.record_first_attempt(&job.service, vm.now());
     loop {
@@ -89,7 +114,7 @@
         }
         let criteria = job.criteria(model.as_ref(), &progress.tried);
         let Some(placement) = job.wait_for_server(&criteria).await else {
-            if fall_back(job, &mut progress, &mut model, vm.now()) {
+            if fall_back(job, progress, &mut model, vm.now()) {
                 continue;
             }
             return give_up(job, progress, AttemptOutcome::NotSent);
@@ -100,13 +125,14 @@
         let now = vm.now();
         let replica = &placement.replica;
         vm.metrics.added_latency.observe(now.since(job.arrived).as_secs());
-        let left = job.route.max_attempts.saturating_sub(counted_attempts(job, &progress));
+        let left = job.route.max_attempts.saturating_sub(counted_attempts(job, progress));
         let until = job.attempt_deadline(left, placement.until_prefilled, now);
-        let outcome = attempt_at(job, &placement, model.as_ref(), until, &progress).await;
+        let outcome = attempt_at(job, &placement, model.as_ref(), until, progress).await;
         progress.tried.push(replica.clone());
+        progress.checks.extend(outcome.check.clone());
         let ended = vm.now();
         if outcome.end == AttemptOutcome::Good
-            && let Some(larger) = escalate_to(job, &progress, model.as_ref(), &outcome, ended)
+            && let Some(larger) = escalate_to(job, progress, model.as_ref(), &outcome, ended)
         {
             // Dropping the outcome closes the connection, which cancels the request at the server.
             // It has run there, at least in part.
@@ -138,10 +164,10 @@
             progress.failure = Some((head, outcome.body));
         }
         let uses_fallback = !end.is_unsent() && progress.fallback_model.is_some();
-        if !uses_fallback && may_retry(job, &progress, end) {
+        if !uses_fallback && may_retry(job, progress, end) {
             continue;
         }
-        if !fall_back(job, &mut progress, &mut model, ended) {
+        if !fall_back(job, progress, &mut model, ended) {
             return give_up(job, progress, end);
         }
     }
@@ -292,15 +318,17 @@
     replica: Replica,
     model: Option<Model>,
     outcome: Outcome,
-    progress: Progress,
+    progress: &mut Progress,
 ) -> Reply {
     job.record.mark_response_started(job.vm.now());
     let Some((head, response)) = outcome.head else {
         return refuse_broken(job, "the response of the server has no head");
     };
     if let Some(stream) = outcome.stream {
-        let tried = progress.tried;
-        return Reply::Stream(Box::new(StartedStream { head, stream, replica, model, tried }));
+        let tried = std::mem::take(&mut progress.tried);
+        let checks = std::mem::take(&mut progress.checks);
+        let started = StartedStream { head, stream, replica, model, tried, checks };
+        return Reply::Stream(Box::new(started));
     }
     if reads_as_not_run(&response) {
         return refuse_broken(job, "the server failed with a status that callers read as not run");
@@ -327,7 +355,7 @@
 }
 
 /// Ends a request whose content crashes servers and is quarantined.
-fn refuse_quarantined(job: &Job, progress: Progress) -> Reply {
+fn refuse_quarantined(job: &Job, progress: &mut Progress) -> Reply {
     if progress.may_have_run {
         return give_up(job, progress, AttemptOutcome::Broken);
     }
@@ -337,7 +365,7 @@
 /// Ends a request for a service of which this VM reaches no server. Other VMs may serve it at once
 /// if this VM reaches no server of any service. Otherwise the servers may be gone, and the caller
 /// comes back later.
-fn refuse_unreachable(job: &Job, progress: Progress) -> Reply {
+fn refuse_unreachable(job: &Job, progress: &mut Progress) -> Reply {
     if progress.may_have_run {
         return give_up(job, progress, AttemptOutcome::Broken);
     }
@@ -346,9 +374,9 @@
 }
 
 /// Ends a request that may not be attempted any more.
-fn give_up(job: &Job, progress: Progress, end: AttemptOutcome) -> Reply {
+fn give_up(job: &Job, progress: &mut Progress, end: AttemptOutcome) -> Reply {
     let late = job.left(job.vm.now()) < MIN_ATTEMPT_TIME;
-    if let Some((head, body)) = progress.failure {
+    if let Some((head, body)) = progress.failure.take() {
         let response = crate::platform::header::decode_response(&head);
         if !reads_as_not_run(&response) {
             job.record.set_outcome(head.status.as_str());
--- a/src/forward/liveness.rs
+++ b/src/forward/liveness.rs
@@ -1,6 +1,7 @@
 //! How sure a VM is that an incarnation of a backend server still runs.
 
 use crate::decide::poison::OpenRequest;
+use crate::engine::crash_check::Check;
 
 /// State of one incarnation of a server, as far as this VM knows.
 #[derive(Debug, Default)]
@@ -8,8 +9,17 @@
     /// No response of the incarnation broke off, or the server accepted connections afterwards.
     #[default]
     Alive,
-    /// The responses to these requests broke off, and the server is being checked.
-    Suspect(Vec<OpenRequest>),
+    /// Responses broke off, and the server is being checked.
+    Suspect(Suspicion),
     /// The incarnation has crashed.
     Dead,
 }
+
+/// Responses of a server that broke off, and the check of the server.
+#[derive(Debug)]
+pub struct Suspicion {
+    /// The requests whose responses broke off.
+    pub broken: Vec<OpenRequest>,
+    /// The check that is running.
+    pub check: Check,
+}
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -4,11 +4,13 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_web::rt::spawn;
+use futures_util::future::join_all;
 use tokio::sync::mpsc;
 
 use super::announce::{self, LimitReport};
@@ -18,6 +20,8 @@
 use super::rollout_trial::Source;
 use super::vm::Vm;
 use super::{membership, pinned_sessions, poison, poll, usage};
+use crate::decide::poison::Recipients;
+use crate::decide::poison::refusal::MAX_REFUSAL_WAIT;
 use crate::decide::reader::Rank;
 use crate::decide::server_limit;
 use crate::peer::wire::{decode, encode};
@@ -62,11 +66,19 @@
     last_received: Option<Moment>,
     /// When this VM last sent something to the peer.
     last_sent: Option<Moment>,
+    /// When the peer last failed to acknowledge a message in time.
+    last_unacknowledged: Option<Moment>,
 }
 
 impl Peer {
     fn new(info: PeerInfo, now: Moment) -> Peer {
-        Peer { info, first_seen: now, last_received: None, last_sent: None }
+        Peer {
+            info,
+            first_seen: now,
+            last_received: None,
+            last_sent: None,
+            last_unacknowledged: None,
+        }
     }
 
     /// Returns true if the peer sent something recently.
@@ -74,6 +86,13 @@
         self.last_received.is_some_and(|at| now.since(at) < PEER_TIMEOUT)
     }
 
+    /// Returns true if the peer has sent something since it failed to acknowledge a message, or that
+    /// was long ago.
+    fn is_responsive(&self, now: Moment) -> bool {
+        let Some(failed_at) = self.last_unacknowledged else { return true };
+        self.last_received > Some(failed_at) || now.since(failed_at) >= PEER_TIMEOUT
+    }
+
     /// Returns how long the peer has sent nothing. The time before `from`, when this VM did not
     /// expect messages from the peer, is not counted.
     fn silence(&self, from: Moment, now: Moment) -> Span {
@@ -348,14 +367,17 @@
 
 /// Sends a message to one VM, without waiting for it.
 pub fn send(vm: &Rc<Vm>, to: SocketAddr, message: Message) {
-    let (Some(links), Some(address)) = (vm.peers.borrow().links.clone(), vm.settings.links) else {
-        return;
-    };
-    let from = vm.settings.vm.clone();
-    let info = PeerInfo::of(&vm.settings, address);
-    let envelope = Envelope { from, info, message };
+    let Some((links, bytes)) = outgoing(vm, message) else { return };
     // A message that does not arrive is repeated later, or does not matter.
-    spawn(async move { links.send(to, encode(&envelope)).await });
+    spawn(async move { links.send(to, bytes).await });
+}
+
+/// Returns the links and the encoded message, or none before the links are open.
+fn outgoing(vm: &Vm, message: Message) -> Option<(Links, Vec<u8>)> {
+    let links = vm.peers.borrow().links.clone()?;
+    let info = PeerInfo::of(&vm.settings, vm.settings.links?);
+    let envelope = Envelope { from: vm.settings.vm.clone(), info, message };
+    Some((links, encode(&envelope)))
 }
 
 /// Sends a message to all VMs in a full mesh, else to the ring neighbours.
@@ -364,17 +386,90 @@
     send_to_all(vm, &targets, message);
 }
 
-/// Sends a message to the VMs that collect the crash reports of a content: all peers in a full
-/// mesh, else the VMs with the highest weights for the content, which all VMs compute alike.
-pub fn send_to_aggregators(vm: &Rc<Vm>, content: Digest, message: &Message) {
-    let aggregators = {
-        let peers = vm.peers.borrow();
-        match peers.is_full_mesh() {
-            true => broadcast_targets(vm, &peers),
-            false => highest_weighted(vm, &peers, content.0, AGGREGATOR_COUNT),
+/// Returns the VMs that collect the crash reports of a content: all peers in a full mesh, else the
+/// VMs with the highest weights for the content, which all VMs compute alike.
+fn aggregators(vm: &Vm, peers: &Peers, content: Digest) -> Vec<Name> {
+    match peers.is_full_mesh() {
+        true => broadcast_targets(vm, peers),
+        false => highest_weighted(vm, peers, content.0, AGGREGATOR_COUNT),
+    }
+}
+
+/// Sends a message to the recipients of messages about request contents, without waiting for them.
+pub fn send_to_recipients(vm: &Rc<Vm>, to: Recipients, message: &Message) {
+    let names = recipients(vm, &vm.peers.borrow(), to);
+    send_to_all(vm, &names, message);
+}
+
+fn recipients(vm: &Vm, peers: &Peers, to: Recipients) -> Vec<Name> {
+    match to {
+        Recipients::All => broadcast_targets(vm, peers),
+        Recipients::Aggregators(content) => aggregators(vm, peers, content),
+    }
+}
+
+/// How many VMs a message was sent to, and how many of them have received it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Delivery {
+    /// VMs that were waited for.
+    pub awaited: usize,
+    /// VMs that acknowledged the message in time.
+    pub acknowledged: usize,
+}
+
+/// Sends a message to the recipients of messages about request contents. The returned future ends
+/// when those that respond have received it; the message is sent even if the future is dropped.
+///
+/// VMs that have sent nothing for long, or did not acknowledge the last message, get the message
+/// but are not waited for. In a large fleet the recipients forward it, which is not waited for
+/// either.
+pub fn deliver(
+    vm: &Rc<Vm>,
+    to: Recipients,
+    message: &Message,
+) -> impl Future<Output = Delivery> + use<> {
+    let now = vm.now();
+    let (mut awaited, mut others) = (Vec::new(), Vec::new());
+    {
+        let mut peers = vm.peers.borrow_mut();
+        let names = recipients(vm, &peers, to);
+        let is_full_mesh = peers.is_full_mesh();
+        for name in names {
+            let Some(peer) = peers.known.get_mut(&name) else { continue };
+            peer.last_sent = Some(now);
+            let is_silent = is_full_mesh && !peer.is_live(now);
+            match peer.is_responsive(now) && !is_silent {
+                true => awaited.push((name, peer.info.address)),
+                false => others.push(peer.info.address),
+            }
         }
-    };
-    send_to_all(vm, &aggregators, message);
+    }
+    others.into_iter().for_each(|address| send(vm, address, message.clone()));
+    let deliveries: Vec<_> = awaited
+        .into_iter()
+        .map(|(name, address)| spawn(deliver_to(vm.clone(), name, address, message.clone())))
+        .collect();
+    async move {
+        let awaited = deliveries.len();
+        let ends = join_all(deliveries).await;
+        let acknowledged = ends.into_iter().filter(|end| matches!(end, Ok(true))).count();
+        Delivery { awaited, acknowledged }
+    }
+}
+
+/// Sends a message to one VM and waits until that has received it. Returns false if it does not
+/// acknowledge the message in time.
+async fn deliver_to(vm: Rc<Vm>, name: Name, to: SocketAddr, message: Message) -> bool {
+    let Some((links, bytes)) = outgoing(&vm, message) else { return false };
+    let is_acknowledged = links.deliver(to, &bytes, MAX_REFUSAL_WAIT.duration()).await;
+    if !is_acknowledged {
+        let now = vm.now();
+        if let Some(peer) = vm.peers.borrow_mut().known.get_mut(&name) {
+            peer.last_unacknowledged = Some(now);
+        }
+        vm.log("message not acknowledged", &[("peer", name.as_str().into())]);
+    }
+    is_acknowledged
 }
 
 /// Sends a message to the VMs that have a share of a server's rate limit at either of two rates.
--- a/src/forward/poison.rs
+++ b/src/forward/poison.rs
@@ -1,16 +1,20 @@
 //! Quarantine of request contents under which backend servers crash. This module connects the rules
 //! of [`crate::decide::poison`] to the requests and messages of a VM.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use futures_util::future::join_all;
+
 use super::job::Job;
 use super::peer;
 use super::replica::Replica;
 use super::vm::Vm;
 use crate::decide::poison::{
-    Effects, OpenRequest, Recipients, ServerIncarnation, Topology, Transition,
+    Effects, OpenRequest, ServerIncarnation, Topology, Transition, refusal,
 };
+use crate::engine::crash_check::Checks;
 use crate::unit::{Digest, Moment};
 
 pub use crate::decide::poison::{Message, QuarantinedContent};
@@ -23,11 +27,59 @@
 }
 
 /// Records that an incarnation of a server crashed while the requests `broken` of this VM were open
-/// at it.
-pub fn on_server_crash(vm: &Rc<Vm>, replica: &Replica, broken: &[OpenRequest]) {
+/// at it, and sends this to other VMs. The returned future ends when they have received it, as far
+/// as they respond.
+pub fn on_server_crash(
+    vm: &Rc<Vm>,
+    replica: &Replica,
+    broken: &[OpenRequest],
+) -> impl Future<Output = ()> + use<> {
+    let reported_at = vm.now();
     let incarnation = ServerIncarnation::new(replica.id.as_str(), replica.started_at_ms);
-    let out = vm.poison.borrow_mut().on_server_crash(incarnation, broken, topology(vm), vm.now());
-    apply(vm, out, None);
+    let effects =
+        vm.poison.borrow_mut().on_server_crash(incarnation, broken, topology(vm), reported_at);
+    log_transitions(vm, &effects.transitions, None);
+    let deliveries: Vec<_> = effects
+        .messages
+        .into_iter()
+        .map(|outgoing| peer::deliver(vm, outgoing.to, &peer::Message::Poison(outgoing.message)))
+        .collect();
+    let (vm, server) = (vm.clone(), replica.id.clone());
+    async move {
+        let ends = join_all(deliveries).await;
+        let took = vm.now().since(reported_at);
+        let fields = [
+            ("server", server.as_str().into()),
+            ("awaited", ends.iter().map(|end| end.awaited).sum::<usize>().into()),
+            ("acknowledged", ends.iter().map(|end| end.acknowledged).sum::<usize>().into()),
+            ("took_ms", took.as_millis().into()),
+        ];
+        vm.log("crash report delivered", &fields);
+    }
+}
+
+/// Waits, before a request is refused or broken off, until the servers that broke off their
+/// responses to it have been checked and the other VMs know of the crashes. A request under which
+/// no server broke off is not delayed.
+pub async fn allow_refusal(job: &Job, checks: &Checks) {
+    if checks.is_empty() {
+        return;
+    }
+    let vm = &job.vm;
+    let started_at = vm.now();
+    let is_suspect = vm.poison.borrow().is_suspect(&job.content);
+    let limit = refusal::max_wait(job.deadline, started_at);
+    let is_complete = checks.allow_refusal(is_suspect, limit).await;
+    let content = job.content.to_string();
+    let fields = [
+        ("id", job.call.id.as_str().into()),
+        ("content", content.as_str().into()),
+        ("checks", checks.len().into()),
+        ("suspect", is_suspect.into()),
+        ("in_time", is_complete.into()),
+        ("waited_ms", vm.now().since(started_at).as_millis().into()),
+    ];
+    vm.log("refusal after broken responses", &fields);
 }
 
 /// Records that a request with this content got a good and complete response.
@@ -76,17 +128,27 @@
     if vm.peers.borrow().is_full_mesh() { Topology::Direct } else { Topology::Gossip }
 }
 
-/// Logs the changes and sends the messages that a decision asks for.
-fn apply(vm: &Rc<Vm>, out: Effects, from: Option<&str>) {
+/// Logs the changes and sends the messages that a decision asks for, without waiting for their
+/// delivery.
+fn apply(vm: &Rc<Vm>, effects: Effects, from: Option<&str>) {
+    log_transitions(vm, &effects.transitions, from);
+    for outgoing in effects.messages {
+        let message = peer::Message::Poison(outgoing.message);
+        peer::send_to_recipients(vm, outgoing.to, &message);
+    }
+}
+
+/// Logs the start and end of quarantines; `from` is the VM whose message caused them.
+fn log_transitions(vm: &Vm, transitions: &[Transition], from: Option<&str>) {
     let from = from.unwrap_or("own");
-    for change in out.transitions {
-        match change {
+    for transition in transitions {
+        match transition {
             Transition::Quarantined(content, ends) => {
                 let content = content.to_string();
                 let content = ("content", content.as_str().into());
                 vm.log(
                     "content quarantined",
-                    &[content, ("ends", ends.into()), ("from", from.into())],
+                    &[content, ("ends", (*ends).into()), ("from", from.into())],
                 );
             }
             Transition::Released(content) => {
@@ -96,11 +158,4 @@
             }
         }
     }
-    for outgoing in out.messages {
-        let message = peer::Message::Poison(outgoing.message);
-        match outgoing.to {
-            Recipients::All => peer::broadcast(vm, &message),
-            Recipients::Aggregators(content) => peer::send_to_aggregators(vm, content, &message),
-        }
-    }
 }
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -86,6 +86,7 @@
                 },
             };
             if let Err(reason) = self.resume(reason).await {
+                poison::allow_refusal(&self.job, &self.current.checks).await;
                 return Some(Err(reason));
             }
         }
@@ -138,11 +139,9 @@
             }
         }
         let ran = vm.now().since(self.current.stream.started_at) >= STABLE_AFTER;
-        crash::on_broken_response(
-            &vm,
-            broken,
-            OpenRequest { content: self.job.content, was_stable: ran },
-        );
+        let request = OpenRequest { content: self.job.content, was_stable: ran };
+        let check = crash::on_broken_response(&vm, broken, request);
+        self.current.checks.extend(check);
         if self.job.route.retry != RetryPolicy::Resume {
             return Err(reason);
         }
@@ -168,6 +167,7 @@
                 attempt::run(&self.job, &replica, model.as_ref(), self.last_id, pending, until)
                     .await;
             self.current.tried.push(replica.clone());
+            self.current.checks.extend(outcome.check);
             self.unsent_attempts += u32::from(outcome.end.is_unsent());
             if let Some(stream) = outcome.stream {
                 self.current.stream = stream;
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -305,6 +305,26 @@
         let _ = tokio::time::timeout(CALL_TIMEOUT, send).await;
     }
 
+    /// Sends a one-way message and waits until the other process has received it. Returns false if
+    /// that takes longer than `within`, or the message can't be sent.
+    ///
+    /// The message is received before whatever its recipient is sent later, but it may not have been
+    /// handled yet.
+    pub async fn deliver(&self, to: SocketAddr, bytes: &[u8], within: Duration) -> bool {
+        let deliver = async {
+            let mut stream = self.connection(to).await?.open_uni().await.ok()?;
+            self.count_sent(bytes);
+            stream.write_all(bytes).await.ok()?;
+            // The end of the stream goes into a second packet: a single packet is acknowledged only
+            // after a delay.
+            tokio::task::yield_now().await;
+            stream.finish().ok()?;
+            let stop_code = stream.stopped().await.ok()?;
+            stop_code.is_none().then_some(())
+        };
+        tokio::time::timeout(within, deliver).await.ok().flatten().is_some()
+    }
+
     /// Sends a call and returns its reply, or none if it fails or takes longer than `CALL_TIMEOUT`.
     pub async fn call(&self, to: SocketAddr, bytes: Vec<u8>) -> Option<Vec<u8>> {
         let call = async {
--- a/src/vm/poison.rs
+++ b/src/vm/poison.rs
@@ -9,17 +9,18 @@
 use futures_util::future::join_all;
 use rand::seq::IndexedRandom;
 use tokio::sync::oneshot;
-use tokio::task::JoinHandle;
 
 use super::control::Control;
 use super::{Command, Vm};
 use crate::decide::poison::{
     Effects, Message, OpenRequest, Outgoing, Recipients, ServerIncarnation, Topology, Transition,
+    refusal,
 };
 use crate::engine::check::{self, ProcessState};
+use crate::engine::crash_check::{Check, Checks};
 use crate::peer::wire::Call;
 use crate::peer::{Member, rendezvous_order};
-use crate::unit::{Date, Digest, Server, Span};
+use crate::unit::{Date, Digest, Moment, RequestId, Server, Span};
 
 /// Number of other VMs up to which each VM sends what it observes of a content to all of them.
 const FULL_MESH_LIMIT: usize = 12;
@@ -53,17 +54,18 @@
 }
 
 /// Checks, after a response ended early, if the process of the server has crashed, and then records
-/// the crash for the content of the request. Returns the task, which ends when the other VMs know
+/// the crash for the content of the request. Returns the check, which ends when the other VMs know
 /// of the crash too.
 pub fn on_broken_response(
     vm: &Arc<Vm>,
     server: &Server,
     address: SocketAddr,
     request: OpenRequest,
-) -> JoinHandle<()> {
+) -> Check {
     let (vm, server) = (vm.clone(), server.clone());
+    let (reporter, check) = Check::start();
     actix_web::rt::spawn(async move {
-        let found = check::check_process(address).await;
+        let found = check::check_process_with(address, || reporter.on_accepted()).await;
         log::info!(
             "{} checked {server} after a broken response: {found:?}, content {}",
             vm.settings.vm,
@@ -79,7 +81,35 @@
             // Fails for messages that were not sent because this VM stops.
             let _ = join_all(apply_effects(&vm, effects)).await;
         }
-    })
+        drop(reporter);
+    });
+    check
+}
+
+/// Waits, before a request is refused, until the servers that broke off their responses to it have
+/// been checked and the other VMs know of the crashes. A request under which no server broke off
+/// is not delayed.
+pub async fn allow_refusal(
+    vm: &Vm,
+    request: &RequestId,
+    content: &Digest,
+    deadline: Moment,
+    checks: &Checks,
+) {
+    if checks.is_empty() {
+        return;
+    }
+    let started_at = vm.clock.now();
+    let is_suspect = vm.poison.lock().expect("no panic while held").is_suspect(content);
+    let limit = refusal::max_wait(deadline, started_at);
+    let is_complete = checks.allow_refusal(is_suspect, limit).await;
+    log::info!(
+        "{} refuses {request} after {} broken responses, content {content}, waited {}, complete: \
+         {is_complete}",
+        vm.settings.vm,
+        checks.len(),
+        vm.clock.now().since(started_at)
+    );
 }
 
 /// Records that a request with this content completed, which clears the content of suspicion.
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -85,3 +85,25 @@
     assert_eq!(answers[0], None, "the setup takes longer than the caller waits");
     assert_eq!(answers[MAX_CALLS - 1], Some(b"hello".to_vec()), "{answers:?}");
 }
+
+/// Binds links that read what they receive, and returns them with the received messages.
+fn receiver() -> (Links, tokio::sync::mpsc::UnboundedReceiver<Incoming>) {
+    let (sender, incoming) = tokio::sync::mpsc::unbounded_channel();
+    (Links::bind("127.0.0.1:0".parse().unwrap(), FLEET_KEY, sender).unwrap(), incoming)
+}
+
+#[test]
+fn a_delivered_message_was_received_and_one_that_is_not_acknowledged_is_reported() {
+    const WITHIN: Duration = Duration::from_millis(300);
+    kitepulley::command::block_on(async {
+        let (sender, _inbox) = receiver();
+        let (recipient, mut incoming) = receiver();
+        let to = recipient.address().unwrap();
+        assert!(sender.deliver(to, b"news", WITHIN).await);
+        assert!(matches!(incoming.recv().await, Some(Incoming::Frame(bytes)) if bytes == b"news"));
+        let silent = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        assert!(!sender.deliver(silent, b"news", WITHIN).await);
+        sender.set_blocked([to].into());
+        assert!(!sender.deliver(to, b"news", WITHIN).await);
+    });
+}
