Read the messages of other VMs before callers' requests after a stall

Symptom: a VM that was stopped for longer than a refusal waits ran a content under which three servers had crashed meanwhile, and a fourth crashed; at the product's own door too.

Cause: a process that continues handles what its callers sent before what other VMs sent. A message passes more tasks than a request, and at the own door another thread.

In the log of a failed run the stopped VM checks the fourth server before its line `quarantined`.

Ruled out: a longer wait of refusals, which is bounded by what callers are due.

Change: a process detects by the time since its last check that it stood still, also when the first thing that it does afterwards is to handle a request. Requests then wait until another VM has acknowledged a heartbeat, within the same bound as refusals. What VMs sent during the stall is in front of that acknowledgement. The gate is one piece for both doors (`peer::stall`). No message changes: on the platform a heartbeat, at the own door an empty list of quarantined contents, which is answered already.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -31,4 +31,5 @@
 pub mod rollout;
 pub mod sequential;
 pub mod server_limit;
+pub mod stall;
 pub mod usage;
--- a/src/entry/dispatch/attempts.rs
+++ b/src/entry/dispatch/attempts.rs
@@ -14,7 +14,7 @@
 use crate::entry::refusal::{Kind as Refused, Refusal};
 use crate::evidence::Counts;
 use crate::unit::{Moment, Server, Span, Target};
-use crate::vm::poison;
+use crate::vm::{poison, stall};
 
 /// Minimum time until the deadline at which a retry is still made.
 const MIN_RETRY_TIME: Span = Span::millis(20);
@@ -108,6 +108,7 @@
         let mut full_refusals = 0;
         loop {
             let vm = self.vm.clone();
+            stall::catch_up(&vm, self.job.deadline).await;
             // The guard is held until the engine accepted or certainly refused the work: until
             // then, this VM does not report a later revision as in force.
             let (snapshot, dispatch_guard) = vm.begin_dispatch();
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -22,7 +22,7 @@
 use crate::ledger::{Entry, Part, Reason};
 use crate::once::{Answer, Claim, KeyGrant, Outcome, Settlement};
 use crate::unit::{Cost, Digest, Moment, RequestId, Service, Span, digest};
-use crate::vm::{Command, Group, KeyUse, Vm, poison};
+use crate::vm::{Command, Group, KeyUse, Vm, poison, stall};
 
 /// Price of a call, in micro-euros.
 const CALL_PRICE: Cost = Cost(10);
@@ -345,6 +345,7 @@
     let content = content_digest(caller, call);
     let mut attempts = 0;
     loop {
+        stall::catch_up(vm, call.deadline).await;
         let now = vm.clock.now();
         let (snapshot, dispatch_guard) = vm.begin_dispatch();
         if !vm.may_start(now) {
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -11,7 +11,7 @@
 use super::job::{Job, OpenRequestGuard, PendingPrompt};
 use super::replica::Replica;
 use super::sse::{Batch, EventBuffer};
-use super::{announce, connectivity, crash, poison, pool, usage};
+use super::{announce, connectivity, crash, poison, pool, stall, usage};
 use crate::config::RetryPolicy;
 use crate::decide::outcome::AttemptOutcome;
 use crate::decide::poison::OpenRequest;
@@ -213,9 +213,9 @@
         release_connection(job, replica, connection, None);
         return Outcome::without_response(AttemptOutcome::Withheld, unavailable.to_string());
     }
-    if poison::is_quarantined(job) {
+    if !stall::is_caught_up(vm) || poison::is_quarantined(job) {
         release_connection(job, replica, connection, None);
-        let reason = "the content is quarantined";
+        let reason = "the content may be quarantined";
         return Outcome::without_response(AttemptOutcome::Withheld, reason);
     }
     if let Err(reason) = pending.permit.consume(vm.now()) {
--- a/src/forward/dispatch.rs
+++ b/src/forward/dispatch.rs
@@ -11,6 +11,7 @@
 use super::replica::Replica;
 use super::rollout_attempt::RolloutAttempt;
 use super::selection::{self, Placement};
+use super::stall;
 use crate::config::RetryPolicy;
 use crate::decide::escalate;
 use crate::decide::outcome::{self, AttemptOutcome, FinalResponse, NextAction};
@@ -102,6 +103,7 @@
     let mut model = initial_model(job);
     vm.record_first_attempt(&job.service, vm.now());
     loop {
+        stall::catch_up(job).await;
         if poison::is_quarantined(job) {
             return refuse_quarantined(job, progress);
         }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -66,6 +66,7 @@
 pub mod session;
 mod settings;
 pub mod sse;
+pub mod stall;
 pub mod store_watch;
 pub mod suspension;
 pub mod usage;
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use actix_web::rt::spawn;
-use futures_util::future::join_all;
+use futures_util::FutureExt;
+use futures_util::future::{join_all, select_ok};
 use tokio::sync::mpsc;
 
 use super::announce::{self, LimitReport};
@@ -472,6 +473,24 @@
     is_acknowledged
 }
 
+/// Sends a heartbeat to the VMs that get broadcasts of this one, and waits until the first of them
+/// acknowledges it. Returns false if none does in time, or there is none.
+pub async fn await_any_acknowledgement(vm: &Rc<Vm>, within: Span) -> bool {
+    let addresses: Vec<SocketAddr> = {
+        let peers = vm.peers.borrow();
+        let names = broadcast_targets(vm, &peers);
+        names.iter().filter_map(|name| peers.address(name)).collect()
+    };
+    let Some((links, bytes)) = outgoing(vm, Message::Hello) else { return false };
+    let deliveries = addresses.into_iter().map(|address| {
+        let (links, bytes) = (links.clone(), bytes.clone());
+        let deliver = async move { links.deliver(address, &bytes, within.duration()).await };
+        deliver.map(|is_acknowledged| is_acknowledged.then_some(()).ok_or(())).boxed_local()
+    });
+    let deliveries: Vec<_> = deliveries.collect();
+    !deliveries.is_empty() && select_ok(deliveries).await.is_ok()
+}
+
 /// Sends a message to the VMs that have a share of a server's rate limit at either of two rates.
 pub fn send_to_senders(vm: &Rc<Vm>, server: &Server, rates: [Rate; 2], message: &Message) {
     let senders = {
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -8,7 +8,7 @@
 use super::dispatch::StartedStream;
 use super::job::Job;
 use super::sse::Batch;
-use super::{attempt, crash, poison};
+use super::{attempt, crash, poison, stall};
 use crate::config::RetryPolicy;
 use crate::decide::outcome::AttemptOutcome;
 use crate::decide::poison::{OpenRequest, STABLE_AFTER};
@@ -146,6 +146,7 @@
             return Err(reason);
         }
         loop {
+            stall::catch_up(&self.job).await;
             let now = vm.now();
             if !self.may_resume(now) || poison::is_quarantined(&self.job) {
                 return Err(reason);
--- a/src/forward/suspension.rs
+++ b/src/forward/suspension.rs
@@ -7,27 +7,26 @@
 //! some itself.
 
 use std::rc::Rc;
-use std::time::Duration;
 
+use super::stall;
 use super::vm::Vm;
+use crate::decide::stall::CHECK_INTERVAL;
 use crate::unit::Span;
 
-/// Interval of the checks for a suspension.
-const SUSPENSION_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Minimum difference between the two clocks that counts as a suspension. Smaller ones arise
 /// because the clocks are read one after the other, and the system adjusts the rates of both.
 const MIN_SUSPENSION: Span = Span::millis(50);
 
-/// Checks for suspensions until the process ends.
+/// Checks for suspensions and stalls until the process ends.
 pub async fn run(vm: Rc<Vm>) {
-    let Some(mut total) = vm.clock.suspended_time() else {
+    let mut total = vm.clock.suspended_time();
+    if total.is_none() {
         vm.log("no clock that counts suspended time; suspensions are not detected", &[]);
-        return;
-    };
+    }
     loop {
-        tokio::time::sleep(SUSPENSION_CHECK_INTERVAL).await;
-        total = check(&vm, total);
+        tokio::time::sleep(CHECK_INTERVAL.duration()).await;
+        stall::observe(&vm);
+        total = total.map(|total| check(&vm, total));
     }
 }
 
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -30,6 +30,7 @@
 use crate::decide::prefill::PrefillEstimator;
 use crate::decide::pressure::Pressure;
 use crate::decide::reader::Rank;
+use crate::peer::stall::Gate;
 use crate::platform::client::{Client, StoreError};
 use crate::platform::object::Object;
 use crate::unit::{Era, Model, Moment, Position, Service, Span, hash};
@@ -123,6 +124,8 @@
     pub last_decline: Cell<Option<Decline>>,
     /// When this process noticed that it had been stalled or suspended.
     pub stalled_at: Cell<Option<Moment>>,
+    /// Holds requests back after a stall of this process.
+    pub stall_gate: Gate,
     /// When a follower polled last.
     pub follower_polled_at: Cell<Option<Moment>>,
     /// Wakes the task that gets proofs that the configuration is the newest.
@@ -206,6 +209,7 @@
             feed: RefCell::new(Feed::new(rand::random())),
             last_decline: Cell::new(None),
             stalled_at: Cell::new(None),
+            stall_gate: Gate::new(clock.now()),
             follower_polled_at: Cell::new(None),
             proof_requested: Notify::new(),
             proof_received: Notify::new(),
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -5,6 +5,7 @@
 mod link;
 mod member;
 mod ring;
+pub mod stall;
 pub mod wire;
 
 pub use gossip::{Gossip, Outgoing, START_LEASE, Seed};
--- a/src/vm/command.rs
+++ b/src/vm/command.rs
@@ -44,6 +44,8 @@
     /// Send other VMs a message about request contents that crash servers; the reply comes when
     /// they have answered or could not be reached.
     SendPoison(poison::Outgoing, oneshot::Sender<()>),
+    /// Read the messages that other VMs sent while this process stood still.
+    ReadMessages,
     /// Collect from all other VMs the counts for the report on error budgets, as JSON.
     CollectBurn(oneshot::Sender<Vec<String>>),
 }
--- a/src/vm/control.rs
+++ b/src/vm/control.rs
@@ -10,7 +10,7 @@
 use actix::{Actor, AsyncContext, Context};
 use tokio::sync::{mpsc, oneshot};
 
-use super::{Command, bills, claims, poison, ratings};
+use super::{Command, bills, claims, poison, ratings, stall};
 use crate::engine::client::EngineClient;
 use crate::evidence::Origin;
 use crate::history::Event;
@@ -227,6 +227,9 @@
                     let _ = reply.send(());
                 });
             }
+            Command::ReadMessages => {
+                actix_web::rt::spawn(stall::read_messages(control));
+            }
             Command::SubmitSample(sample) => ratings::enqueue(control, sample),
             Command::CatchUp(revision, reply) => {
                 actix_web::rt::spawn(async move {
--- a/src/vm/mod.rs
+++ b/src/vm/mod.rs
@@ -16,6 +16,7 @@
 mod ratings;
 mod run;
 mod settings;
+pub mod stall;
 mod state;
 
 pub use clock::{Clock, Reading};
--- a/src/vm/run.rs
+++ b/src/vm/run.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 
 use super::control::Control;
-use super::{Clock, Settings, Vm, bills, config_watch, duty, poison, ratings};
+use super::{Clock, Settings, Vm, bills, config_watch, duty, poison, ratings, stall};
 use crate::engine::client::EngineClient;
 use crate::entry;
 use crate::error::Error;
@@ -96,6 +96,7 @@
     actix_web::rt::spawn(duty::update_policies(control.clone()));
     actix_web::rt::spawn(ratings::exchange(control.clone()));
     actix_web::rt::spawn(poison::send_reminders(control.clone()));
+    actix_web::rt::spawn(stall::watch(control.clone()));
     let server = serve_http(vm.clone(), listener)?;
     log::info!("{} {} listening for callers on {address}", vm.settings.vm, vm.incarnation);
     Ok(Handle { vm, address, control, server })
--- a/src/vm/state.rs
+++ b/src/vm/state.rs
@@ -18,6 +18,7 @@
 use crate::history::Sink;
 use crate::once::ReservedKeys;
 use crate::peer::Gossip;
+use crate::peer::stall::Gate;
 use crate::unit::{Date, Incarnation, Kind, Model, Moment, Rate, RequestId, Revision, Workspace};
 use crate::watch::{BurnTracker, Metrics, TraceLog};
 
@@ -61,6 +62,8 @@
     pub rate_shares: RwLock<HashMap<Workspace, Rate>>,
     /// Evidence about request contents that crash servers.
     pub poison: Mutex<Exchange>,
+    /// Holds requests back after a stall of this process.
+    pub stall_gate: Gate,
     /// Idempotency keys reserved on this VM.
     pub reserved: Mutex<ReservedKeys>,
     admission_controllers: Mutex<HashMap<Model, AdmissionController>>,
@@ -103,6 +106,7 @@
             sampling_rates: RwLock::new((1.0, 0.0)),
             rate_shares: RwLock::default(),
             poison: Mutex::default(),
+            stall_gate: Gate::new(clock.now()),
             reserved: Mutex::default(),
             admission_controllers: Mutex::default(),
             open_dispatches: Mutex::default(),
--- a/tests/pause.rs
+++ b/tests/pause.rs
@@ -152,3 +152,72 @@
     assert!(!statuses.iter().any(|status| status == "408" || status == "none"), "{statuses:?}");
     world.stop_standins();
 }
+
+/// Crashes the engines that count a crashing prompt, and starts them again, until `is_over`. Returns
+/// the number of crashes.
+fn crash_engines(world: &mut Cluster, is_over: impl Fn() -> bool) -> u64 {
+    const RESTART_DELAY: Duration = Duration::from_millis(300);
+    let mut crashes = vec![0; world.engines.len()];
+    let mut down: Vec<(usize, Instant)> = Vec::new();
+    while !is_over() {
+        for (at, known) in crashes.iter_mut().enumerate() {
+            let now = world.engines[at].crashes();
+            if std::mem::replace(known, now) < now {
+                world.crash_engine(at);
+                down.push((at, Instant::now()));
+            }
+        }
+        let (due, still): (Vec<_>, Vec<_>) =
+            down.into_iter().partition(|(_, since)| since.elapsed() > RESTART_DELAY);
+        due.into_iter().for_each(|(at, _)| world.start_engine(at).unwrap());
+        down = still;
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    crashes.iter().sum()
+}
+
+/// Guards against a VM that continues and runs what its callers sent before it has read what other
+/// VMs sent: a prompt that crashed three engines meanwhile crashed a fourth one.
+#[test]
+fn a_prompt_that_crashes_engines_is_held_back_by_a_vm_that_was_stopped() {
+    const POISON: &str = "a question that no server survives";
+    const CRASHES_BEFORE_QUARANTINE: u64 = 3;
+    const PROMPTS: u64 = 5;
+    // Outlasts the wait of a refusal.
+    const PAUSE: Duration = Duration::from_millis(1600);
+    let shape = Shape { vms: 0, engines: 36, ..Shape::default() };
+    let mut world = Cluster::start(&shape).unwrap();
+    for engine in &world.engines {
+        engine.update_switches(|now| now.crashes_on = Some(POISON.to_owned()));
+    }
+    let first = Process::start("vm1", world.platform_address, None);
+    let second = Process::start("vm2", world.platform_address, Some(first.peer));
+    for vm in [&first, &second] {
+        wait_until("a VM", || vm.get("/readyz").is_some_and(|(status, _)| status == 200));
+    }
+    let ask = |vm: &Process, number: u64| {
+        let prompt = format!("{POISON}, number {number}");
+        let body = json!({"model": "roastmind", "max_tokens": 4,
+            "messages": [{"role": "user", "content": prompt}]});
+        let (_, answer) = vm.send("/v1/chat/completions", Some(body)).expect("an answer");
+        answer["kind"].as_str().unwrap_or_default().to_owned()
+    };
+    let play = |number: u64| {
+        second.signal(libc::SIGSTOP);
+        let refused = ask(&first, number);
+        std::thread::scope(|scope| {
+            let repeated = scope.spawn(|| ask(&second, number));
+            std::thread::sleep(PAUSE);
+            second.signal(libc::SIGCONT);
+            [refused, repeated.join().expect("no panic")]
+        })
+    };
+    let (answers, crashed) = std::thread::scope(|scope| {
+        let callers = scope.spawn(|| (0..PROMPTS).map(play).collect::<Vec<_>>());
+        let crashed = crash_engines(&mut world, || callers.is_finished());
+        (callers.join().expect("no panic"), crashed)
+    });
+    assert_eq!(crashed, PROMPTS * CRASHES_BEFORE_QUARANTINE, "{answers:?}");
+    assert!(answers.iter().all(|[_, repeated]| repeated == "held_back"), "{answers:?}");
+    world.stop_standins();
+}
--- a/tests/propagation.rs
+++ b/tests/propagation.rs
@@ -1,7 +1,8 @@
 //! Order of events between VMs when a request crashes servers: a caller that was refused repeats
 //! the request at once, at a VM that was stopped while the servers crashed.
 //!
-//! Guards against a refusal that is sent before the other VMs know of the crashes.
+//! Guards against a refusal that is sent before the other VMs know of the crashes, and against a VM
+//! that continues and runs what its callers sent before it has read what other VMs sent.
 
 mod site;
 
@@ -123,6 +124,9 @@
 /// Pauses that are shorter than the longest wait of a refusal.
 const SHORT_PAUSES_MS: [u64; 4] = [150, 250, 350, 900];
 
+/// Pauses that outlast the wait of a refusal.
+const LONG_PAUSES_MS: [u64; 2] = [2000, 4000];
+
 #[test]
 fn a_retried_request_is_held_back_by_a_vm_that_was_stopped() {
     assert_held_back("POST /safe/x", 0, &SHORT_PAUSES_MS);
@@ -138,6 +142,12 @@
     assert_held_back("POST /once/x", 2, &SHORT_PAUSES_MS);
 }
 
+#[test]
+fn a_vm_that_was_stopped_for_longer_than_a_refusal_waits_reads_its_messages_first() {
+    assert_held_back("POST /safe/x", 0, &LONG_PAUSES_MS);
+    assert_held_back("POST /once/x", 2, &LONG_PAUSES_MS);
+}
+
 /// The content came to three VMs at the same time, and each saw one crash.
 #[test]
 fn three_vms_that_saw_one_crash_each_hold_the_next_request_back() {
