Refuse a call of a service once other VMs know of the crash

Symptom: at the product's own door a call of a plain service whose server crashed was refused before the server was checked and before other VMs knew of the crash, so its repeat elsewhere ran on another server. Found by asking where the fault of `a_request_that_crashes_servers_is_held_back_by_all_vms` exists besides.

Change: calls of services use the same rule.

--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -18,6 +18,7 @@
 use crate::decide::poison::OpenRequest;
 use crate::decide::retry::{self, Failure};
 use crate::engine::client::EngineClient;
+use crate::engine::crash_check::Checks;
 use crate::history::{Event, Ran};
 use crate::ledger::{Entry, Part, Reason};
 use crate::once::{Answer, Claim, KeyGrant, Outcome, Settlement};
@@ -53,6 +54,15 @@
     deadline: Moment,
 }
 
+/// State of the attempts at a call so far.
+#[derive(Default)]
+struct Progress {
+    /// True if an attempt failed after it was sent.
+    may_have_run: bool,
+    /// Checks of the servers that broke off their responses.
+    checks: Checks,
+}
+
 /// Response of a service, or a stored one.
 struct Response {
     status: u16,
@@ -322,27 +332,34 @@
     call: &Call,
 ) -> Result<Response, Refusal> {
     vm.record_first_attempt();
-    let mut may_have_run = false;
-    let outcome = try_servers(vm, engines, caller, call, &mut may_have_run).await;
+    let content = content_digest(caller, call);
+    let mut progress = Progress::default();
+    let outcome = try_servers(vm, engines, caller, call, content, &mut progress).await;
+    if outcome.is_err() {
+        let Call { request, deadline, .. } = call;
+        poison::allow_refusal(vm, request, &content, *deadline, &progress.checks).await;
+    }
     outcome.map_err(|refusal| match refusal.kind.row().ran {
         // The last attempt did not run, but an earlier one may have.
-        Ran::No if may_have_run => Refusal::with_detail(Refused::Broken, refusal.kind.row().title),
+        Ran::No if progress.may_have_run => {
+            Refusal::with_detail(Refused::Broken, refusal.kind.row().title)
+        }
         _ => refusal,
     })
 }
 
 /// Sends a call to one server after another until one responds or no retry is allowed. Before each
 /// attempt, checks again that the configuration allows the call and that its content is not
-/// quarantined. Sets `may_have_run` if an attempt failed after it was sent.
+/// quarantined.
 async fn try_servers(
     vm: &Data<Vm>,
     engines: &EngineClient,
     caller: &Caller,
     call: &Call,
-    may_have_run: &mut bool,
+    content: Digest,
+    progress: &mut Progress,
 ) -> Result<Response, Refusal> {
     let group = Group::Service(call.service.clone());
-    let content = content_digest(caller, call);
     let mut attempts = 0;
     loop {
         stall::catch_up(vm, call.deadline).await;
@@ -395,9 +412,10 @@
             Err(failure) => failure,
         };
         if failure == Failure::Broken {
-            *may_have_run = true;
+            progress.may_have_run = true;
             let request = OpenRequest { content, was_stable: false };
-            poison::on_broken_response(vm, &selected.server, selected.address, request);
+            let check = poison::on_broken_response(vm, &selected.server, selected.address, request);
+            progress.checks.extend(Some(check));
         }
         let can_retry = retry::is_retry_allowed(
             failure,
--- a/tests/propagation.rs
+++ b/tests/propagation.rs
@@ -6,13 +6,16 @@
 
 mod site;
 
-use std::net::SocketAddr;
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use kitepulley::command::block_on;
+use kitepulley::demo::{Cluster, Shape, workspace_key};
 use kitepulley::standin::replica::{Action, Crash, Replica};
 use serde_json::json;
-use site::{Site, Vm, are_ready, ask, head};
+use site::{Site, Vm, are_ready, ask, eventually, head};
 
 /// Part of a body that crashes a server.
 const POISON: &str = "a question that no server survives";
@@ -244,3 +247,45 @@
         assert!(took <= LATENCY_GOAL, "{path} after {took:?}\n{}", vms[0].log_end());
     }
 }
+
+/// The product's own API: a call of a plain service is refused once the other VMs know of the crash.
+#[test]
+fn a_call_of_a_service_is_refused_once_other_vms_know_of_the_crash() {
+    const BLOCKED_FOR: Duration = Duration::from_millis(300);
+    let world = Cluster::start(&Shape { engines: 3, ..Shape::default() }).unwrap();
+    let address = world.service_address();
+    // The services run behind the engines.
+    (0..world.services.len()).for_each(|at| world.crash_engine(world.engines.len() + at));
+    let mut listener = None;
+    eventually("the address is free", || {
+        listener = TcpListener::bind(address).ok();
+        listener.is_some()
+    });
+    let listener = listener.expect("bound");
+    let service = thread::spawn(move || {
+        let (mut connection, _) = listener.accept().expect("a connection");
+        let _ = connection.read(&mut [0; 1024]);
+        // The process ends with a request open.
+        drop(listener);
+    });
+    let nodes: Vec<_> = world.nodes.values().collect();
+    let url = format!("http://{}/v1/services/tellimus-api/seats", nodes[0].address);
+    // The other VM handles no message before the lock is released.
+    let blocked = nodes[1].vm.poison.lock().expect("no panic while held");
+    let caller = thread::spawn(move || {
+        block_on(async {
+            let http = awc::Client::builder().timeout(Duration::from_secs(10)).finish();
+            let key = format!("Bearer {}", workspace_key("roasters"));
+            let answer = http.get(url).insert_header(("authorization", key)).send().await;
+            answer.expect("the VM answers").status().as_u16()
+        })
+    });
+    service.join().expect("no panic");
+    thread::sleep(BLOCKED_FOR);
+    let is_refused_early = caller.is_finished();
+    drop(blocked);
+    assert_eq!(caller.join().expect("no panic"), 502);
+    let known = nodes[1].vm.poison.lock().expect("no panic while held").suspect_count();
+    assert_eq!((is_refused_early, known), (false, 1));
+    world.stop_standins();
+}
