Wait for most recipients of a crash report where VMs forward what they get

Cause: beyond a full mesh a refusal waited for all three aggregators of a content and all ring neighbours.

Change: most of the recipients are enough there; in a full mesh all that respond must have the report, since nobody forwards it.

--- a/src/decide/poison/refusal.rs
+++ b/src/decide/poison/refusal.rs
@@ -3,6 +3,7 @@
 //! A caller may repeat a refused request at once and at any VM. If servers crashed under the
 //! request, the other VMs must know of the crashes by then, or the repeat crashes more of them.
 
+use super::Topology;
 use crate::unit::{Moment, Span};
 
 /// Longest wait of a refusal: the time within which callers are to get the first token of a
@@ -39,6 +40,16 @@
     }
 }
 
+/// Returns how many of the VMs that get a crash report must have received it before a request is
+/// refused. Where they forward what they get, most of them are enough: a VM that none of its reports
+/// reaches delays no refusal.
+pub fn required_deliveries(topology: Topology, recipients: usize) -> usize {
+    match topology {
+        Topology::Direct => recipients,
+        Topology::Gossip => recipients.min(recipients / 2 + 1),
+    }
+}
+
 /// Returns the longest time that a refusal may wait for checks from `now` on.
 pub fn max_wait(deadline: Moment, now: Moment) -> Span {
     let left = Span(deadline.since(now).0.saturating_sub(REFUSAL_MARGIN.0));
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -11,7 +11,7 @@
 
 use actix_web::rt::spawn;
 use futures_util::FutureExt;
-use futures_util::future::{join_all, select_ok};
+use futures_util::future::select_ok;
 use tokio::sync::mpsc;
 
 use super::announce::{self, LimitReport};
@@ -21,10 +21,11 @@
 use super::rollout_trial::Source;
 use super::vm::Vm;
 use super::{membership, pinned_sessions, poison, poll, usage};
-use crate::decide::poison::Recipients;
-use crate::decide::poison::refusal::MAX_REFUSAL_WAIT;
+use crate::decide::poison::refusal::{MAX_REFUSAL_WAIT, required_deliveries};
+use crate::decide::poison::{Recipients, Topology};
 use crate::decide::reader::Rank;
 use crate::decide::server_limit;
+use crate::peer::delivery::await_required;
 use crate::peer::wire::{decode, encode};
 use crate::peer::{Incoming, Links, neighbours};
 use crate::platform::client::Client;
@@ -144,6 +145,11 @@
         self.known.len() <= FULL_MESH_MAX
     }
 
+    /// Returns how messages about request contents reach the other VMs.
+    pub fn topology(&self) -> Topology {
+        if self.is_full_mesh() { Topology::Direct } else { Topology::Gossip }
+    }
+
     /// Returns the number of live VMs, this one included: those that sent something recently in a
     /// full mesh, else those listed in the store. A VM that is gone and still listed reduces each
     /// VM's share of budgets that all VMs have in common.
@@ -409,17 +415,18 @@
     }
 }
 
-/// How many VMs a message was sent to, and how many of them have received it.
+/// How many VMs had to receive a message, and how many have received it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Delivery {
-    /// VMs that were waited for.
-    pub awaited: usize,
-    /// VMs that acknowledged the message in time.
+    /// VMs that had to receive the message.
+    pub required: usize,
+    /// VMs that have received it.
     pub acknowledged: usize,
 }
 
 /// Sends a message to the recipients of messages about request contents. The returned future ends
-/// when those that respond have received it; the message is sent even if the future is dropped.
+/// when enough of those that respond have received it; the message is sent even if the future is
+/// dropped.
 ///
 /// VMs that have sent nothing for long, or did not acknowledge the last message, get the message
 /// but are not waited for. In a large fleet the recipients forward it, which is not waited for
@@ -430,15 +437,15 @@
     message: &Message,
 ) -> impl Future<Output = Delivery> + use<> {
     let now = vm.now();
+    let topology = vm.peers.borrow().topology();
     let (mut awaited, mut others) = (Vec::new(), Vec::new());
     {
         let mut peers = vm.peers.borrow_mut();
         let names = recipients(vm, &peers, to);
-        let is_full_mesh = peers.is_full_mesh();
         for name in names {
             let Some(peer) = peers.known.get_mut(&name) else { continue };
             peer.last_sent = Some(now);
-            let is_silent = is_full_mesh && !peer.is_live(now);
+            let is_silent = topology == Topology::Direct && !peer.is_live(now);
             match peer.is_responsive(now) && !is_silent {
                 true => awaited.push((name, peer.info.address)),
                 false => others.push(peer.info.address),
@@ -450,11 +457,10 @@
         .into_iter()
         .map(|(name, address)| spawn(deliver_to(vm.clone(), name, address, message.clone())))
         .collect();
+    let required = required_deliveries(topology, deliveries.len());
     async move {
-        let awaited = deliveries.len();
-        let ends = join_all(deliveries).await;
-        let acknowledged = ends.into_iter().filter(|end| matches!(end, Ok(true))).count();
-        Delivery { awaited, acknowledged }
+        let acknowledged = await_required(deliveries, required).await;
+        Delivery { required, acknowledged }
     }
 }
 
--- a/src/forward/poison.rs
+++ b/src/forward/poison.rs
@@ -11,9 +11,7 @@
 use super::peer;
 use super::replica::Replica;
 use super::vm::Vm;
-use crate::decide::poison::{
-    Effects, OpenRequest, ServerIncarnation, Topology, Transition, refusal,
-};
+use crate::decide::poison::{Effects, OpenRequest, ServerIncarnation, Transition, refusal};
 use crate::engine::crash_check::Checks;
 use crate::unit::{Digest, Moment};
 
@@ -36,8 +34,12 @@
 ) -> impl Future<Output = ()> + use<> {
     let reported_at = vm.now();
     let incarnation = ServerIncarnation::new(replica.id.as_str(), replica.started_at_ms);
-    let effects =
-        vm.poison.borrow_mut().on_server_crash(incarnation, broken, topology(vm), reported_at);
+    let effects = vm.poison.borrow_mut().on_server_crash(
+        incarnation,
+        broken,
+        vm.peers.borrow().topology(),
+        reported_at,
+    );
     log_transitions(vm, &effects.transitions, None);
     let deliveries: Vec<_> = effects
         .messages
@@ -50,7 +52,7 @@
         let took = vm.now().since(reported_at);
         let fields = [
             ("server", server.as_str().into()),
-            ("awaited", ends.iter().map(|end| end.awaited).sum::<usize>().into()),
+            ("required", ends.iter().map(|end| end.required).sum::<usize>().into()),
             ("acknowledged", ends.iter().map(|end| end.acknowledged).sum::<usize>().into()),
             ("took_ms", took.as_millis().into()),
         ];
@@ -90,13 +92,18 @@
 
 /// Applies a message from another VM.
 pub fn on_message(vm: &Rc<Vm>, from: &str, message: &Message) {
-    let out = vm.poison.borrow_mut().on_message(message, topology(vm), vm.now());
+    let out = vm.poison.borrow_mut().on_message(message, vm.peers.borrow().topology(), vm.now());
     apply(vm, out, Some(from));
 }
 
 /// Applies the contents that another VM has quarantined, with their ages as of `as_of`.
 pub fn on_quarantine_list(vm: &Rc<Vm>, from: &str, reported: &[QuarantinedContent], as_of: Moment) {
-    let out = vm.poison.borrow_mut().on_quarantine_report(reported, topology(vm), as_of, vm.now());
+    let out = vm.poison.borrow_mut().on_quarantine_report(
+        reported,
+        vm.peers.borrow().topology(),
+        as_of,
+        vm.now(),
+    );
     apply(vm, out, Some(from));
 }
 
@@ -123,11 +130,6 @@
     vm.metrics.quarantined_contents.set(poison.quarantined(now).len() as i64);
 }
 
-/// Returns how crash reports reach the other VMs: directly in a full mesh, else by gossip.
-fn topology(vm: &Vm) -> Topology {
-    if vm.peers.borrow().is_full_mesh() { Topology::Direct } else { Topology::Gossip }
-}
-
 /// Logs the changes and sends the messages that a decision asks for, without waiting for their
 /// delivery.
 fn apply(vm: &Rc<Vm>, effects: Effects, from: Option<&str>) {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,6 +1,7 @@
 //! Communication between VMs: membership, distribution of the configuration and of evidence, and
 //! the connections that carry the messages.
 
+pub mod delivery;
 mod gossip;
 mod link;
 mod member;
--- a/src/vm/poison.rs
+++ b/src/vm/poison.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use actix_web::rt::spawn;
 use futures_util::future::join_all;
 use rand::seq::IndexedRandom;
 use tokio::sync::oneshot;
@@ -18,6 +19,7 @@
 };
 use crate::engine::check::{self, ProcessState};
 use crate::engine::crash_check::{Check, Checks};
+use crate::peer::delivery::await_required;
 use crate::peer::wire::Call;
 use crate::peer::{Member, rendezvous_order};
 use crate::unit::{Date, Digest, Moment, RequestId, Server, Span};
@@ -64,7 +66,7 @@
 ) -> Check {
     let (vm, server) = (vm.clone(), server.clone());
     let (reporter, check) = Check::start();
-    actix_web::rt::spawn(async move {
+    spawn(async move {
         let found = check::check_process_with(address, || reporter.on_accepted()).await;
         log::info!(
             "{} checked {server} after a broken response: {found:?}, content {}",
@@ -151,15 +153,22 @@
     effects.messages.into_iter().map(queue).collect()
 }
 
-/// Sends a message to its recipients and waits for their answers.
+/// Sends a message to its recipients and waits until enough of them have answered.
 pub async fn send_outgoing(control: &Control, outgoing: Outgoing) {
     let others = control.other_vms();
+    let is_full_mesh = others.len() <= FULL_MESH_LIMIT;
+    let topology = if is_full_mesh { Topology::Direct } else { Topology::Gossip };
     let to = match outgoing.to {
         Recipients::All => others,
-        Recipients::Aggregators(_) if others.len() <= FULL_MESH_LIMIT => others,
+        Recipients::Aggregators(_) if is_full_mesh => others,
         Recipients::Aggregators(content) => aggregators(control, others, content),
     };
-    join_all(to.into_iter().map(|member| send(control, member, outgoing.message.clone()))).await;
+    let deliveries: Vec<_> = to
+        .into_iter()
+        .map(|member| spawn(send(control.clone(), member, outgoing.message.clone())))
+        .collect();
+    let required = refusal::required_deliveries(topology, deliveries.len());
+    await_required(deliveries, required).await;
 }
 
 /// Returns the other VMs that aggregate the observations of a content.
@@ -171,9 +180,9 @@
     others.into_iter().filter(|member| chosen.contains(&member.vm)).collect()
 }
 
-/// Sends a message to a VM, which answers unless it can't be reached.
-async fn send(control: &Control, to: Member, message: Message) {
-    control.call(to.address, Call::Poison(message)).await;
+/// Sends a message to a VM. Returns false if that does not answer.
+async fn send(control: Control, to: Member, message: Message) -> bool {
+    control.call(to.address, Call::Poison(message)).await.is_some()
 }
 
 /// Sends the quarantined contents to a few random VMs at each interval, so that a VM that starts
@@ -192,8 +201,8 @@
         }
         let others = control.other_vms();
         for member in others.choose_multiple(&mut rand::rng(), REMINDER_FANOUT).cloned() {
-            let (control, message) = (control.clone(), Message::Quarantined(quarantined.clone()));
-            actix_web::rt::spawn(async move { send(&control, member, message).await });
+            let message = Message::Quarantined(quarantined.clone());
+            spawn(send(control.clone(), member, message));
         }
     }
 }
--- a/tests/refusal.rs
+++ b/tests/refusal.rs
@@ -4,7 +4,10 @@
 use std::time::{Duration, Instant};
 
 use kitepulley::command::block_on;
-use kitepulley::decide::poison::refusal::{CheckProgress, MAX_REFUSAL_WAIT, max_wait};
+use kitepulley::decide::poison::Topology;
+use kitepulley::decide::poison::refusal::{
+    CheckProgress, MAX_REFUSAL_WAIT, max_wait, required_deliveries,
+};
 use kitepulley::engine::crash_check::{Check, Checks};
 use kitepulley::unit::{Moment, Span};
 use quickcheck::quickcheck;
@@ -39,6 +42,13 @@
     }
 }
 
+#[test]
+fn a_refusal_waits_for_all_vms_of_a_full_mesh_and_for_most_where_they_forward_messages() {
+    let required = |topology| [0, 1, 2, 3, 8].map(|vms| required_deliveries(topology, vms));
+    assert_eq!(required(Topology::Direct), [0, 1, 2, 3, 8]);
+    assert_eq!(required(Topology::Gossip), [0, 1, 2, 2, 5]);
+}
+
 #[test]
 fn a_request_without_broken_responses_is_refused_at_once() {
     block_on(async {
