Wait for no other VM at one that hears from none

Cause: beyond a full mesh a VM that is cut off from all others waited 1.4 s with each refusal after a crash, and could not inform anybody.

Change: such a VM waits for nobody. A test with fourteen VMs of which thirteen are dead failed before and passes.

--- a/src/experiment/poison/simulation.rs
+++ b/src/experiment/poison/simulation.rs
@@ -507,11 +507,13 @@
     /// Sends a message to one VM. Returns the time until it is acknowledged, or the limit of the
     /// wait; none if the VM is not waited for.
     fn send(&mut self, from: usize, to: usize, message: &Message, bytes: u64) -> Option<Span> {
-        if !self.partitioned[from] {
-            self.bytes += bytes;
-            self.messages += 1;
+        if self.partitioned[from] {
+            // It hears from no other VM.
+            return None;
         }
-        if self.partitioned[from] || self.partitioned[to] {
+        self.bytes += bytes;
+        self.messages += 1;
+        if self.partitioned[to] {
             return self.await_unreachable(from, to);
         }
         let delay = Span(self.rng.random_range(1_000..4_000));
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -429,8 +429,8 @@
 /// dropped.
 ///
 /// VMs that have sent nothing for long, or did not acknowledge the last message, get the message
-/// but are not waited for. In a large fleet the recipients forward it, which is not waited for
-/// either.
+/// but are not waited for, nor is anyone by a VM that hears from no other. In a large fleet the
+/// recipients forward the message, which is not waited for either.
 pub fn deliver(
     vm: &Rc<Vm>,
     to: Recipients,
@@ -442,11 +442,16 @@
     {
         let mut peers = vm.peers.borrow_mut();
         let names = recipients(vm, &peers, to);
+        // Beyond a full mesh, only few of the VMs send this one anything.
+        let hears_others = peers.known.values().any(|peer| peer.is_live(now));
         for name in names {
             let Some(peer) = peers.known.get_mut(&name) else { continue };
             peer.last_sent = Some(now);
-            let is_silent = topology == Topology::Direct && !peer.is_live(now);
-            match peer.is_responsive(now) && !is_silent {
+            let may_respond = match topology {
+                Topology::Direct => peer.is_live(now),
+                Topology::Gossip => hears_others,
+            };
+            match may_respond && peer.is_responsive(now) {
                 true => awaited.push((name, peer.info.address)),
                 false => others.push(peer.info.address),
             }
--- a/tests/propagation.rs
+++ b/tests/propagation.rs
@@ -211,6 +211,19 @@
     assert!(second <= LATENCY_GOAL, "{second:?}\n{}", vms[0].log_end());
 }
 
+/// Beyond a full mesh, a VM can't tell from the silence of one VM that it is gone.
+#[test]
+fn a_refusal_of_a_vm_that_hears_from_no_other_waits_for_none() {
+    const SILENCE: Duration = Duration::from_secs(6);
+    let site = site();
+    let servers = fragile_servers(&site);
+    let mut vms = vms(&site, RING_VMS);
+    vms[1..].iter_mut().for_each(Vm::kill);
+    thread::sleep(SILENCE);
+    let delay = refusal_delay(&servers, &vms[0], POISON);
+    assert!(delay <= LATENCY_GOAL, "{delay:?}\n{}", vms[0].log_end());
+}
+
 #[test]
 fn a_refusal_comes_before_the_deadline_of_its_request() {
     const DEADLINE: Duration = Duration::from_millis(600);
