--- a/src/peer/stall.rs
+++ b/src/peer/stall.rs
@@ -30,7 +30,9 @@
     /// the caller then requests an acknowledgement from another VM and passes the result to
     /// [`Gate::reopen`].
     pub fn observe(&self, now: Moment) -> Option<Span> {
-        let stall = self.detector.lock().expect("no panic while held").observe(now)?;
+        // Held until the gate is closed, so that no other thread takes the stall for handled before.
+        let mut detector = self.detector.lock().expect("no panic while held");
+        let stall = detector.observe(now)?;
         self.unread.send_modify(|stalls| *stalls += 1);
         Some(stall)
     }
