Move messages that are waited for out of the membership of VMs

`forward::delivery` has them; names follow the words of the field: checks are waited for, and a set of checks is extended by those of an attempt. Logic is unchanged.

--- a/src/engine/crash_check.rs
+++ b/src/engine/crash_check.rs
@@ -1,8 +1,6 @@
 //! Progress of the checks of servers that broke off their responses, for the requests that wait
 //! for the results before they are refused. The rules are in [`crate::decide::poison::refusal`].
 
-use std::future::Future;
-
 use futures_util::future::join_all;
 use tokio::sync::watch;
 
@@ -37,7 +35,7 @@
     }
 
     /// Waits until a refusal need not wait for this check any longer.
-    async fn allows_refusal(mut self, is_suspect: bool) {
+    async fn wait(mut self, is_suspect: bool) {
         // Fails only if the reporter is gone, which completes the check.
         let _ = self.0.wait_for(|progress| progress.allows_refusal(is_suspect)).await;
     }
@@ -48,9 +46,9 @@
 pub struct Checks(Vec<Check>);
 
 impl Checks {
-    /// Adds a check, if there is one.
-    pub fn extend(&mut self, check: Option<Check>) {
-        self.0.extend(check);
+    /// Adds a check.
+    pub fn push(&mut self, check: Check) {
+        self.0.push(check);
     }
 
     /// Returns the number of checks.
@@ -66,16 +64,15 @@
     /// Waits until the request may be refused, `limit` at most. `is_suspect` is true if there is
     /// evidence against the content of the request. Returns false if the time was up; the checks
     /// then go on, and their results count for later requests.
-    pub fn allow_refusal(
-        &self,
-        is_suspect: bool,
-        limit: Span,
-    ) -> impl Future<Output = bool> + use<> {
+    pub async fn wait(&self, is_suspect: bool, limit: Span) -> bool {
         let is_suspect = is_suspect || self.len() > 1;
-        let checks = self.0.clone();
-        async move {
-            let all = checks.into_iter().map(|check| check.allows_refusal(is_suspect));
-            tokio::time::timeout(limit.duration(), join_all(all)).await.is_ok()
-        }
+        let all = self.0.iter().map(|check| check.clone().wait(is_suspect));
+        tokio::time::timeout(limit.duration(), join_all(all)).await.is_ok()
+    }
+}
+
+impl Extend<Check> for Checks {
+    fn extend<T: IntoIterator<Item = Check>>(&mut self, checks: T) {
+        self.0.extend(checks);
     }
 }
--- a/src/entry/dispatch/attempts.rs
+++ b/src/entry/dispatch/attempts.rs
@@ -209,7 +209,7 @@
         let ran = first.is_some_and(|first| now.since(first) >= STABLE_AFTER);
         let request = OpenRequest { content: self.job.content, was_stable: ran };
         let check = poison::on_broken_response(&self.vm, server, address, request);
-        self.crash_checks.extend(Some(check));
+        self.crash_checks.push(check);
     }
 
     /// Returns the refusal for a request whose last attempt failed and that may not be retried.
--- a/src/entry/dispatch/mod.rs
+++ b/src/entry/dispatch/mod.rs
@@ -167,7 +167,7 @@
                 return;
             }
             Err(Abort::Refused(refusal)) => {
-                self.allow_refusal().await;
+                self.await_crash_checks().await;
                 // If any attempt ran or may have run, the refusal must not claim that nothing ran,
                 // even if the last attempt did not.
                 let ran = any_ran || self.may_have_run;
@@ -186,9 +186,9 @@
     }
 
     /// Waits until the request may be refused; the client may repeat it at once and at any VM.
-    async fn allow_refusal(&self) {
+    async fn await_crash_checks(&self) {
         let Job { request, content, deadline, .. } = &self.job;
-        poison::allow_refusal(&self.vm, request, content, *deadline, &self.crash_checks).await;
+        poison::await_crash_checks(&self.vm, request, content, *deadline, &self.crash_checks).await;
     }
 
     fn count_request(&self, outcome: &str) {
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -337,7 +337,7 @@
     let outcome = try_servers(vm, engines, caller, call, content, &mut progress).await;
     if outcome.is_err() {
         let Call { request, deadline, .. } = call;
-        poison::allow_refusal(vm, request, &content, *deadline, &progress.checks).await;
+        poison::await_crash_checks(vm, request, &content, *deadline, &progress.checks).await;
     }
     outcome.map_err(|refusal| match refusal.kind.row().ran {
         // The last attempt did not run, but an earlier one may have.
@@ -415,7 +415,7 @@
             progress.may_have_run = true;
             let request = OpenRequest { content, was_stable: false };
             let check = poison::on_broken_response(vm, &selected.server, selected.address, request);
-            progress.checks.extend(Some(check));
+            progress.checks.push(check);
         }
         let can_retry = retry::is_retry_allowed(
             failure,
--- a/src/forward/dispatch.rs
+++ b/src/forward/dispatch.rs
@@ -93,7 +93,7 @@
     let mut progress = Progress::default();
     let reply = try_servers(job, &mut progress).await;
     if reply.is_failure() {
-        poison::allow_refusal(job, &progress.checks).await;
+        poison::await_crash_checks(job, &progress.checks).await;
     }
     reply
 }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -30,6 +30,7 @@
 pub mod connectivity;
 pub mod content;
 mod crash;
+mod delivery;
 pub mod dispatch;
 mod duty;
 pub mod era;
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -4,14 +4,11 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_web::rt::spawn;
-use futures_util::FutureExt;
-use futures_util::future::select_ok;
 use tokio::sync::mpsc;
 
 use super::announce::{self, LimitReport};
@@ -21,11 +18,9 @@
 use super::rollout_trial::Source;
 use super::vm::Vm;
 use super::{membership, pinned_sessions, poison, poll, usage};
-use crate::decide::poison::refusal::{MAX_REFUSAL_WAIT, required_deliveries};
 use crate::decide::poison::{Recipients, Topology};
 use crate::decide::reader::Rank;
 use crate::decide::server_limit;
-use crate::peer::delivery::await_required;
 use crate::peer::wire::{decode, encode};
 use crate::peer::{Incoming, Links, neighbours};
 use crate::platform::client::Client;
@@ -174,6 +169,42 @@
         (own, others)
     }
 
+    /// Records that a message is sent to the named VMs. Returns those of them that can be expected to
+    /// acknowledge it, with their addresses, and the addresses of the others.
+    ///
+    /// VMs that have sent nothing for long, or did not acknowledge the last message, are not expected
+    /// to, nor is anyone by a VM that hears from no other.
+    pub fn split_responsive(
+        &mut self,
+        names: Vec<Name>,
+        now: Moment,
+    ) -> (Vec<(Name, SocketAddr)>, Vec<SocketAddr>) {
+        let topology = self.topology();
+        // Beyond a full mesh, only few of the VMs send this one anything.
+        let hears_others = self.known.values().any(|peer| peer.is_live(now));
+        let (mut responsive, mut others) = (Vec::new(), Vec::new());
+        for name in names {
+            let Some(peer) = self.known.get_mut(&name) else { continue };
+            peer.last_sent = Some(now);
+            let may_respond = match topology {
+                Topology::Direct => peer.is_live(now),
+                Topology::Gossip => hears_others,
+            };
+            match may_respond && peer.is_responsive(now) {
+                true => responsive.push((name, peer.info.address)),
+                false => others.push(peer.info.address),
+            }
+        }
+        (responsive, others)
+    }
+
+    /// Records that a VM did not acknowledge a message in time.
+    pub fn on_unacknowledged(&mut self, name: &Name, now: Moment) {
+        if let Some(peer) = self.known.get_mut(name) {
+            peer.last_unacknowledged = Some(now);
+        }
+    }
+
     /// Returns the names of the other VMs.
     pub fn names(&self) -> impl Iterator<Item = &Name> {
         self.known.keys()
@@ -365,7 +396,7 @@
 }
 
 /// Returns the peers that get broadcasts of this VM: all, or its neighbours on the ring.
-fn broadcast_targets(vm: &Vm, peers: &Peers) -> Vec<Name> {
+pub fn broadcast_targets(vm: &Vm, peers: &Peers) -> Vec<Name> {
     match peers.is_full_mesh() {
         true => peers.known.keys().cloned().collect(),
         false => peers.neighbours(&vm.settings.vm).to_vec(),
@@ -380,7 +411,7 @@
 }
 
 /// Returns the links and the encoded message, or none before the links are open.
-fn outgoing(vm: &Vm, message: Message) -> Option<(Links, Vec<u8>)> {
+pub fn outgoing(vm: &Vm, message: Message) -> Option<(Links, Vec<u8>)> {
     let links = vm.peers.borrow().links.clone()?;
     let info = PeerInfo::of(&vm.settings, vm.settings.links?);
     let envelope = Envelope { from: vm.settings.vm.clone(), info, message };
@@ -408,100 +439,14 @@
     send_to_all(vm, &names, message);
 }
 
-fn recipients(vm: &Vm, peers: &Peers, to: Recipients) -> Vec<Name> {
+/// Returns the recipients of a message about request contents.
+pub fn recipients(vm: &Vm, peers: &Peers, to: Recipients) -> Vec<Name> {
     match to {
         Recipients::All => broadcast_targets(vm, peers),
         Recipients::Aggregators(content) => aggregators(vm, peers, content),
     }
 }
 
-/// How many VMs had to receive a message, and how many have received it.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Delivery {
-    /// VMs that had to receive the message.
-    pub required: usize,
-    /// VMs that have received it.
-    pub acknowledged: usize,
-}
-
-/// Sends a message to the recipients of messages about request contents. The returned future ends
-/// when enough of those that respond have received it; the message is sent even if the future is
-/// dropped.
-///
-/// VMs that have sent nothing for long, or did not acknowledge the last message, get the message
-/// but are not waited for, nor is anyone by a VM that hears from no other. In a large fleet the
-/// recipients forward the message, which is not waited for either.
-pub fn deliver(
-    vm: &Rc<Vm>,
-    to: Recipients,
-    message: &Message,
-) -> impl Future<Output = Delivery> + use<> {
-    let now = vm.now();
-    let topology = vm.peers.borrow().topology();
-    let (mut awaited, mut others) = (Vec::new(), Vec::new());
-    {
-        let mut peers = vm.peers.borrow_mut();
-        let names = recipients(vm, &peers, to);
-        // Beyond a full mesh, only few of the VMs send this one anything.
-        let hears_others = peers.known.values().any(|peer| peer.is_live(now));
-        for name in names {
-            let Some(peer) = peers.known.get_mut(&name) else { continue };
-            peer.last_sent = Some(now);
-            let may_respond = match topology {
-                Topology::Direct => peer.is_live(now),
-                Topology::Gossip => hears_others,
-            };
-            match may_respond && peer.is_responsive(now) {
-                true => awaited.push((name, peer.info.address)),
-                false => others.push(peer.info.address),
-            }
-        }
-    }
-    others.into_iter().for_each(|address| send(vm, address, message.clone()));
-    let deliveries: Vec<_> = awaited
-        .into_iter()
-        .map(|(name, address)| spawn(deliver_to(vm.clone(), name, address, message.clone())))
-        .collect();
-    let required = required_deliveries(topology, deliveries.len());
-    async move {
-        let acknowledged = await_required(deliveries, required).await;
-        Delivery { required, acknowledged }
-    }
-}
-
-/// Sends a message to one VM and waits until that has received it. Returns false if it does not
-/// acknowledge the message in time.
-async fn deliver_to(vm: Rc<Vm>, name: Name, to: SocketAddr, message: Message) -> bool {
-    let Some((links, bytes)) = outgoing(&vm, message) else { return false };
-    let is_acknowledged = links.deliver(to, &bytes, MAX_REFUSAL_WAIT.duration()).await;
-    if !is_acknowledged {
-        let now = vm.now();
-        if let Some(peer) = vm.peers.borrow_mut().known.get_mut(&name) {
-            peer.last_unacknowledged = Some(now);
-        }
-        vm.log("message not acknowledged", &[("peer", name.as_str().into())]);
-    }
-    is_acknowledged
-}
-
-/// Sends a heartbeat to the VMs that get broadcasts of this one, and waits until the first of them
-/// acknowledges it. Returns false if none does in time, or there is none.
-pub async fn await_any_acknowledgement(vm: &Rc<Vm>, within: Span) -> bool {
-    let addresses: Vec<SocketAddr> = {
-        let peers = vm.peers.borrow();
-        let names = broadcast_targets(vm, &peers);
-        names.iter().filter_map(|name| peers.address(name)).collect()
-    };
-    let Some((links, bytes)) = outgoing(vm, Message::Hello) else { return false };
-    let deliveries = addresses.into_iter().map(|address| {
-        let (links, bytes) = (links.clone(), bytes.clone());
-        let deliver = async move { links.deliver(address, &bytes, within.duration()).await };
-        deliver.map(|is_acknowledged| is_acknowledged.then_some(()).ok_or(())).boxed_local()
-    });
-    let deliveries: Vec<_> = deliveries.collect();
-    !deliveries.is_empty() && select_ok(deliveries).await.is_ok()
-}
-
 /// Sends a message to the VMs that have a share of a server's rate limit at either of two rates.
 pub fn send_to_senders(vm: &Rc<Vm>, server: &Server, rates: [Rate; 2], message: &Message) {
     let senders = {
--- a/src/forward/poison.rs
+++ b/src/forward/poison.rs
@@ -7,6 +7,7 @@
 
 use futures_util::future::join_all;
 
+use super::delivery;
 use super::job::Job;
 use super::peer;
 use super::replica::Replica;
@@ -44,7 +45,9 @@
     let deliveries: Vec<_> = effects
         .messages
         .into_iter()
-        .map(|outgoing| peer::deliver(vm, outgoing.to, &peer::Message::Poison(outgoing.message)))
+        .map(|outgoing| {
+            delivery::deliver(vm, outgoing.to, &peer::Message::Poison(outgoing.message))
+        })
         .collect();
     let (vm, server) = (vm.clone(), replica.id.clone());
     async move {
@@ -63,7 +66,7 @@
 /// Waits, before a request is refused or broken off, until the servers that broke off their
 /// responses to it have been checked and the other VMs know of the crashes. A request under which
 /// no server broke off is not delayed.
-pub async fn allow_refusal(job: &Job, checks: &Checks) {
+pub async fn await_crash_checks(job: &Job, checks: &Checks) {
     if checks.is_empty() {
         return;
     }
@@ -71,7 +74,7 @@
     let started_at = vm.now();
     let is_suspect = vm.poison.borrow().is_suspect(&job.content);
     let limit = refusal::max_wait(job.deadline, started_at);
-    let is_complete = checks.allow_refusal(is_suspect, limit).await;
+    let is_complete = checks.wait(is_suspect, limit).await;
     let content = job.content.to_string();
     let fields = [
         ("id", job.call.id.as_str().into()),
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -86,7 +86,7 @@
                 },
             };
             if let Err(reason) = self.resume(reason).await {
-                poison::allow_refusal(&self.job, &self.current.checks).await;
+                poison::await_crash_checks(&self.job, &self.current.checks).await;
                 return Some(Err(reason));
             }
         }
--- a/src/forward/stall.rs
+++ b/src/forward/stall.rs
@@ -5,8 +5,8 @@
 
 use actix_web::rt::spawn;
 
+use super::delivery;
 use super::job::Job;
-use super::peer;
 use super::vm::Vm;
 use crate::decide::poison::refusal;
 
@@ -36,7 +36,7 @@
 /// Reads the messages that arrived during a stall.
 async fn read_messages(vm: Rc<Vm>) {
     let started_at = vm.now();
-    let is_acknowledged = peer::await_any_acknowledgement(&vm, refusal::MAX_REFUSAL_WAIT).await;
+    let is_acknowledged = delivery::await_any_acknowledgement(&vm, refusal::MAX_REFUSAL_WAIT).await;
     vm.stall_gate.reopen(is_acknowledged).await;
     let took = vm.now().since(started_at).as_millis();
     vm.log("caught up", &[("acknowledged", is_acknowledged.into()), ("took_ms", took.into())]);
--- a/src/vm/poison.rs
+++ b/src/vm/poison.rs
@@ -91,7 +91,7 @@
 /// Waits, before a request is refused, until the servers that broke off their responses to it have
 /// been checked and the other VMs know of the crashes. A request under which no server broke off
 /// is not delayed.
-pub async fn allow_refusal(
+pub async fn await_crash_checks(
     vm: &Vm,
     request: &RequestId,
     content: &Digest,
@@ -104,7 +104,7 @@
     let started_at = vm.clock.now();
     let is_suspect = vm.poison.lock().expect("no panic while held").is_suspect(content);
     let limit = refusal::max_wait(deadline, started_at);
-    let is_complete = checks.allow_refusal(is_suspect, limit).await;
+    let is_complete = checks.wait(is_suspect, limit).await;
     log::info!(
         "{} refuses {request} after {} broken responses, content {content}, waited {}, complete: \
          {is_complete}",
--- a/tests/refusal.rs
+++ b/tests/refusal.rs
@@ -20,7 +20,7 @@
 
 fn checks(all: &[Check]) -> Checks {
     let mut checks = Checks::default();
-    all.iter().for_each(|check| checks.extend(Some(check.clone())));
+    checks.extend(all.iter().cloned());
     checks
 }
 
@@ -53,7 +53,7 @@
 fn a_request_without_broken_responses_is_refused_at_once() {
     block_on(async {
         let started_at = Instant::now();
-        assert!(Checks::default().allow_refusal(true, LIMIT).await);
+        assert!(Checks::default().wait(true, LIMIT).await);
         assert!(started_at.elapsed() < SHORT_LIMIT.duration());
     });
 }
@@ -65,16 +65,16 @@
         let (second, second_check) = Check::start();
         let checks = checks(&[first_check, second_check]);
         drop(first);
-        assert!(!checks.allow_refusal(false, SHORT_LIMIT).await);
+        assert!(!checks.wait(false, SHORT_LIMIT).await);
         // One of two servers that broke off their responses may have crashed, so the content is a
         // suspect.
         second.on_accepted();
-        assert!(!checks.allow_refusal(false, SHORT_LIMIT).await);
+        assert!(!checks.wait(false, SHORT_LIMIT).await);
         actix_web::rt::spawn(async move {
             tokio::time::sleep(Duration::from_millis(20)).await;
             drop(second);
         });
-        assert!(checks.allow_refusal(false, LIMIT).await);
+        assert!(checks.wait(false, LIMIT).await);
     });
 }
 
@@ -84,7 +84,7 @@
         let (reporter, check) = Check::start();
         reporter.on_accepted();
         let checks = checks(&[check]);
-        assert!(checks.allow_refusal(false, LIMIT).await);
-        assert!(!checks.allow_refusal(true, SHORT_LIMIT).await);
+        assert!(checks.wait(false, LIMIT).await);
+        assert!(!checks.wait(true, SHORT_LIMIT).await);
     });
 }
