--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -215,7 +215,7 @@
     }
     if !stall::is_caught_up(vm) || poison::is_quarantined(job) {
         release_connection(job, replica, connection, None);
-        let reason = "the content may be quarantined";
+        let reason = "the content is, or may be, quarantined";
         return Outcome::without_response(AttemptOutcome::Withheld, reason);
     }
     if let Err(reason) = pending.permit.consume(vm.now()) {
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -7,14 +7,17 @@
 use std::rc::Rc;
 
 use actix_web::rt::spawn;
+use futures_util::future::join_all;
 
 use super::connectivity;
+use super::delivery;
 use super::liveness::{Liveness, Suspicion};
+use super::message::Message;
 use super::poison;
 use super::replica::Replica;
 use super::server::Fleet;
 use super::vm::Vm;
-use crate::decide::poison::OpenRequest;
+use crate::decide::poison::{OpenRequest, Outgoing};
 use crate::engine::check::{self, ProcessState};
 use crate::engine::crash_check::{Check, Reporter};
 
@@ -23,7 +26,7 @@
 enum Action {
     /// The incarnation has ended: record the crash.
     RecordCrash,
-    /// Start a check, whose progress goes to this end.
+    /// Start a check, whose progress goes to the reporter.
     Start(Reporter, Check),
     /// A check is running.
     Join(Check),
@@ -117,10 +120,35 @@
     ];
     vm.log("server checked", &fields);
     let is_crash = found == ProcessState::IsGone && !broken.is_empty();
-    let report = is_crash.then(|| poison::on_server_crash(vm, replica, &broken));
+    let report = is_crash.then(|| report_crash(vm, replica, &broken));
     async move {
         if let Some(report) = report {
             report.await;
         }
     }
 }
+
+/// Reports a crash to other VMs. The returned future ends when enough of them have the report.
+fn report_crash(
+    vm: &Rc<Vm>,
+    replica: &Replica,
+    broken: &[OpenRequest],
+) -> impl Future<Output = ()> + use<> {
+    let reported_at = vm.now();
+    let messages = poison::on_server_crash(vm, replica, broken).into_iter();
+    let deliveries: Vec<_> = messages
+        .map(|Outgoing { to, message }| delivery::deliver(vm, to, &Message::Poison(message)))
+        .collect();
+    let (vm, server) = (vm.clone(), replica.id.clone());
+    async move {
+        let ends = join_all(deliveries).await;
+        let took = vm.now().since(reported_at);
+        let fields = [
+            ("server", server.as_str().into()),
+            ("required", ends.iter().map(|end| end.required).sum::<usize>().into()),
+            ("acknowledged", ends.iter().map(|end| end.acknowledged).sum::<usize>().into()),
+            ("took_ms", took.as_millis().into()),
+        ];
+        vm.log("crash report delivered", &fields);
+    }
+}
--- a/src/forward/dispatch.rs
+++ b/src/forward/dispatch.rs
@@ -98,6 +98,7 @@
     reply
 }
 
+/// Makes the attempts of [`run`].
 async fn try_servers(job: &Job, progress: &mut Progress) -> Reply {
     let vm = &job.vm;
     let mut model = initial_model(job);
--- a/src/forward/poison.rs
+++ b/src/forward/poison.rs
@@ -1,18 +1,16 @@
 //! Quarantine of request contents under which backend servers crash. This module connects the rules
 //! of [`crate::decide::poison`] to the requests and messages of a VM.
 
-use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use futures_util::future::join_all;
-
-use super::delivery;
 use super::job::Job;
 use super::peer;
 use super::replica::Replica;
 use super::vm::Vm;
-use crate::decide::poison::{Effects, OpenRequest, ServerIncarnation, Transition, refusal};
+use crate::decide::poison::{
+    Effects, OpenRequest, Outgoing, ServerIncarnation, Transition, refusal,
+};
 use crate::engine::crash_check::Checks;
 use crate::unit::{Digest, Moment};
 
@@ -26,41 +24,13 @@
 }
 
 /// Records that an incarnation of a server crashed while the requests `broken` of this VM were open
-/// at it, and sends this to other VMs. The returned future ends when they have received it, as far
-/// as they respond.
-pub fn on_server_crash(
-    vm: &Rc<Vm>,
-    replica: &Replica,
-    broken: &[OpenRequest],
-) -> impl Future<Output = ()> + use<> {
-    let reported_at = vm.now();
+/// at it. Returns the messages for other VMs.
+pub fn on_server_crash(vm: &Vm, replica: &Replica, broken: &[OpenRequest]) -> Vec<Outgoing> {
     let incarnation = ServerIncarnation::new(replica.id.as_str(), replica.started_at_ms);
-    let effects = vm.poison.borrow_mut().on_server_crash(
-        incarnation,
-        broken,
-        vm.peers.borrow().topology(),
-        reported_at,
-    );
+    let topology = vm.peers.borrow().topology();
+    let effects = vm.poison.borrow_mut().on_server_crash(incarnation, broken, topology, vm.now());
     log_transitions(vm, &effects.transitions, None);
-    let deliveries: Vec<_> = effects
-        .messages
-        .into_iter()
-        .map(|outgoing| {
-            delivery::deliver(vm, outgoing.to, &peer::Message::Poison(outgoing.message))
-        })
-        .collect();
-    let (vm, server) = (vm.clone(), replica.id.clone());
-    async move {
-        let ends = join_all(deliveries).await;
-        let took = vm.now().since(reported_at);
-        let fields = [
-            ("server", server.as_str().into()),
-            ("required", ends.iter().map(|end| end.required).sum::<usize>().into()),
-            ("acknowledged", ends.iter().map(|end| end.acknowledged).sum::<usize>().into()),
-            ("took_ms", took.as_millis().into()),
-        ];
-        vm.log("crash report delivered", &fields);
-    }
+    effects.messages
 }
 
 /// Waits, before a request is refused or broken off, until the servers that broke off their
