Let the VM of a test know the others before the call that it must tell them of

Traced: the VM had just started and knew no other member yet, so there was nobody to inform. The test now waits until the VM knows both others; its checks are as they were.

--- a/tests/propagation.rs
+++ b/tests/propagation.rs
@@ -282,6 +282,8 @@
         drop(listener);
     });
     let nodes: Vec<_> = world.nodes.values().collect();
+    let members = || nodes[0].vm.gossip.lock().expect("no panic while held").present().count();
+    eventually("the VM knows the others", || members() == nodes.len());
     let url = format!("http://{}/v1/services/tellimus-api/seats", nodes[0].address);
     // The other VM handles no message before the lock is released.
     let blocked = nodes[1].vm.poison.lock().expect("no panic while held");
