Await a check that may find the third crash before a retry

Cause: a VM that knew of two crashes ran the content, which was the third, and sent its retry beside the check of that server, before it had counted the crash.

Evidence: in the log of such a run the second VM has both reports (acknowledged), sends to a third server, and its check of a fourth follows 65 ms after the line `content quarantined ... from own`. A controlled order shows it without load: two attempts a request, so that the second VM sees the third crash: 99 and 100 crashes for 25 contents on the landed code, 99 with waiting refusals alone, 75 are allowed; 3 of 3 runs pass now.

Change: before a request is sent again, checks of servers that broke off its responses are waited for if their crashes would quarantine its content; at both doors, within the bound of refusals. Other retries wait for nothing.

--- a/src/decide/poison/evidence.rs
+++ b/src/decide/poison/evidence.rs
@@ -196,6 +196,13 @@
         (now.since(quarantine.last_crash) < SUSPICION_TTL).then_some(quarantine.crashes)
     }
 
+    /// Returns true if a content is quarantined in case this number of further servers has crashed
+    /// under it.
+    pub fn would_be_quarantined(&self, content: &Digest, further_crashes: usize) -> bool {
+        let known = self.suspects.get(content).map_or(0, Suspect::weight);
+        known + further_crashes as u32 * CRASH_WEIGHT >= QUARANTINE_WEIGHT
+    }
+
     /// Returns true if there is evidence against a content.
     pub fn is_suspect(&self, content: &Digest) -> bool {
         self.suspects.contains_key(content)
--- a/src/decide/poison/exchange.rs
+++ b/src/decide/poison/exchange.rs
@@ -104,6 +104,12 @@
         self.evidence.quarantine_crashes(content, now)
     }
 
+    /// Returns true if a content is quarantined in case this number of further servers has crashed
+    /// under it.
+    pub fn would_be_quarantined(&self, content: &Digest, further_crashes: usize) -> bool {
+        self.evidence.would_be_quarantined(content, further_crashes)
+    }
+
     /// Returns true if there is evidence against a content.
     pub fn is_suspect(&self, content: &Digest) -> bool {
         self.evidence.is_suspect(content)
--- a/src/engine/crash_check.rs
+++ b/src/engine/crash_check.rs
@@ -56,6 +56,12 @@
         self.0.len()
     }
 
+    /// Returns the number of checks that are not complete.
+    pub fn incomplete(&self) -> usize {
+        let is_incomplete = |check: &&Check| *check.0.borrow() != CheckProgress::Complete;
+        self.0.iter().filter(is_incomplete).count()
+    }
+
     /// Returns true if no server broke off its response.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
--- a/src/entry/dispatch/attempts.rs
+++ b/src/entry/dispatch/attempts.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::{Abort, Dispatcher};
+use super::{Abort, Dispatcher, Job};
 use crate::config::{Allowed, Snapshot};
 use crate::decide::admission::Outcome;
 use crate::decide::poison::{OpenRequest, STABLE_AFTER};
@@ -108,7 +108,9 @@
         let mut full_refusals = 0;
         loop {
             let vm = self.vm.clone();
-            stall::catch_up(&vm, self.job.deadline).await;
+            let Job { content, deadline, .. } = &self.job;
+            poison::await_decisive_checks(&vm, content, *deadline, &self.crash_checks).await;
+            stall::catch_up(&vm, *deadline).await;
             // The guard is held until the engine accepted or certainly refused the work: until
             // then, this VM does not report a later revision as in force.
             let (snapshot, dispatch_guard) = vm.begin_dispatch();
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -362,6 +362,7 @@
     let group = Group::Service(call.service.clone());
     let mut attempts = 0;
     loop {
+        poison::await_decisive_checks(vm, &content, call.deadline, &progress.checks).await;
         stall::catch_up(vm, call.deadline).await;
         let now = vm.clock.now();
         let (snapshot, dispatch_guard) = vm.begin_dispatch();
--- a/src/forward/dispatch.rs
+++ b/src/forward/dispatch.rs
@@ -104,6 +104,7 @@
     let mut model = initial_model(job);
     vm.record_first_attempt(&job.service, vm.now());
     loop {
+        poison::await_decisive_checks(job, &progress.checks).await;
         stall::catch_up(job).await;
         if poison::is_quarantined(job) {
             return refuse_quarantined(job, progress);
--- a/src/forward/poison.rs
+++ b/src/forward/poison.rs
@@ -33,6 +33,18 @@
     effects.messages
 }
 
+/// Waits, before a request is sent again, for the checks of the servers that broke off their
+/// responses to it, if their crashes would quarantine its content.
+pub async fn await_decisive_checks(job: &Job, checks: &Checks) {
+    let vm = &job.vm;
+    let further_crashes = checks.incomplete();
+    let is_decisive = vm.poison.borrow().would_be_quarantined(&job.content, further_crashes);
+    if further_crashes > 0 && is_decisive {
+        let is_suspect = true;
+        checks.wait(is_suspect, refusal::max_wait(job.deadline, vm.now())).await;
+    }
+}
+
 /// Waits, before a request is refused or broken off, until the servers that broke off their
 /// responses to it have been checked and the other VMs know of the crashes. A request under which
 /// no server broke off is not delayed.
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -146,6 +146,7 @@
             return Err(reason);
         }
         loop {
+            poison::await_decisive_checks(&self.job, &self.current.checks).await;
             stall::catch_up(&self.job).await;
             let now = vm.now();
             if !self.may_resume(now) || poison::is_quarantined(&self.job) {
--- a/src/vm/poison.rs
+++ b/src/vm/poison.rs
@@ -88,6 +88,20 @@
     check
 }
 
+/// Waits, before a request is sent again, for the checks of the servers that broke off their
+/// responses to it, if their crashes would quarantine its content.
+pub async fn await_decisive_checks(vm: &Vm, content: &Digest, deadline: Moment, checks: &Checks) {
+    let further_crashes = checks.incomplete();
+    let is_decisive = {
+        let poison = vm.poison.lock().expect("no panic while held");
+        poison.would_be_quarantined(content, further_crashes)
+    };
+    if further_crashes > 0 && is_decisive {
+        let is_suspect = true;
+        checks.wait(is_suspect, refusal::max_wait(deadline, vm.clock.now())).await;
+    }
+}
+
 /// Waits, before a request is refused, until the servers that broke off their responses to it have
 /// been checked and the other VMs know of the crashes. A request under which no server broke off
 /// is not delayed.
--- a/tests/propagation.rs
+++ b/tests/propagation.rs
@@ -173,6 +173,32 @@
     assert_eq!(refused, VMS - runs, "{before} {statuses:?}\n{}", logs());
 }
 
+/// A VM that knows of two crashes sees the third one, and its retry does not overtake the check of
+/// that server.
+#[test]
+fn a_retry_waits_for_a_check_that_may_find_the_third_crash() {
+    const CONTENTS: usize = 25;
+    let mut site = Site::new().route("twice", "idempotent", json!({"max_attempts": 2}));
+    site.publish();
+    let crash = || Crash {
+        trigger: POISON.into(),
+        delay: CRASH_DELAY,
+        restart_after: Duration::from_millis(300),
+    };
+    let servers: Vec<Replica> =
+        (0..4 * SERVERS).map(|at| site.fragile(&format!("r{at}"), crash())).collect();
+    let vms = vms(&site, VMS);
+    for content in 0..CONTENTS {
+        let body = format!("{POISON}, number {content}");
+        for vm in &vms {
+            ask(vm.callers, &head("POST /twice/x", &vm.name, ""), body.as_bytes());
+        }
+        thread::sleep(Duration::from_millis(400));
+    }
+    let crashed = crashes(&servers);
+    assert_eq!(crashed, CONTENTS * CRASHES_BEFORE_QUARANTINE, "{}", logs(&vms));
+}
+
 /// Beyond a full mesh, VMs report crashes to aggregators, and quarantines travel along a ring.
 #[test]
 fn many_vms_hold_back_what_one_of_them_refused() {
