--- a/src/forward/suspension.rs
+++ b/src/forward/suspension.rs
@@ -19,6 +19,7 @@
 
 /// Checks for suspensions and stalls until the process ends.
 pub async fn run(vm: Rc<Vm>) {
+    vm.stall_gate.start(vm.now());
     let mut total = vm.clock.suspended_time();
     if total.is_none() {
         vm.log("no clock that counts suspended time; suspensions are not detected", &[]);
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -209,7 +209,7 @@
             feed: RefCell::new(Feed::new(rand::random())),
             last_decline: Cell::new(None),
             stalled_at: Cell::new(None),
-            stall_gate: Gate::new(clock.now()),
+            stall_gate: Gate::default(),
             follower_polled_at: Cell::new(None),
             proof_requested: Notify::new(),
             proof_received: Notify::new(),
--- a/src/peer/stall.rs
+++ b/src/peer/stall.rs
@@ -15,15 +15,24 @@
 /// Gate that requests pass before they are sent to a server. It is closed after each stall of the
 /// process, until [`Gate::reopen`] is called.
 pub struct Gate {
-    detector: Mutex<Detector>,
+    /// None before the process is watched.
+    detector: Mutex<Option<Detector>>,
     /// Number of stalls after which messages may still be unread.
     unread: watch::Sender<usize>,
 }
 
+impl Default for Gate {
+    /// Returns an open gate.
+    fn default() -> Gate {
+        Gate { detector: Mutex::default(), unread: watch::Sender::new(0) }
+    }
+}
+
 impl Gate {
-    /// Creates the open gate of a process that runs since `now`.
-    pub fn new(now: Moment) -> Gate {
-        Gate { detector: Mutex::new(Detector::new(now)), unread: watch::Sender::new(0) }
+    /// Starts to watch the process. From now on, [`Gate::observe`] is called at least at each
+    /// [`CHECK_INTERVAL`](crate::decide::stall::CHECK_INTERVAL).
+    pub fn start(&self, now: Moment) {
+        *self.detector.lock().expect("no panic while held") = Some(Detector::new(now));
     }
 
     /// Records that the process runs. If it stood still, closes the gate and returns for how long;
@@ -32,7 +41,7 @@
     pub fn observe(&self, now: Moment) -> Option<Span> {
         // Held until the gate is closed, so that no other thread takes the stall for handled before.
         let mut detector = self.detector.lock().expect("no panic while held");
-        let stall = detector.observe(now)?;
+        let stall = detector.as_mut()?.observe(now)?;
         self.unread.send_modify(|stalls| *stalls += 1);
         Some(stall)
     }
--- a/src/vm/stall.rs
+++ b/src/vm/stall.rs
@@ -21,6 +21,7 @@
 
 /// Observes the process until it ends.
 pub async fn watch(control: Control) {
+    control.vm.stall_gate.start(control.vm.clock.now());
     loop {
         tokio::time::sleep(CHECK_INTERVAL.duration()).await;
         observe(&control.vm);
--- a/src/vm/state.rs
+++ b/src/vm/state.rs
@@ -106,7 +106,7 @@
             sampling_rates: RwLock::new((1.0, 0.0)),
             rate_shares: RwLock::default(),
             poison: Mutex::default(),
-            stall_gate: Gate::new(clock.now()),
+            stall_gate: Gate::default(),
             reserved: Mutex::default(),
             admission_controllers: Mutex::default(),
             open_dispatches: Mutex::default(),
--- a/tests/stall.rs
+++ b/tests/stall.rs
@@ -30,7 +30,10 @@
 #[test]
 fn the_gate_opens_once_the_messages_of_all_stalls_were_read() {
     block_on(async {
-        let gate = Gate::new(START);
+        let gate = Gate::default();
+        assert_eq!(gate.observe(START), None);
+        assert_eq!(gate.observe(START + Span::secs(1)), None, "the process is not watched");
+        gate.start(START);
         assert!(gate.is_open());
         assert!(gate.observe(START + Span::secs(1)).is_some());
         assert!(gate.observe(START + Span::secs(2)).is_some());
