--- a/src/decide/poison/refusal.rs
+++ b/src/decide/poison/refusal.rs
@@ -21,11 +21,18 @@
     Connecting,
     /// The server accepted a connection, so it probably runs.
     Accepted,
+    /// The result is recorded, and the other VMs are being informed of a crash.
+    Recorded,
     /// The check is complete. If the server crashed, the other VMs know of the crash.
     Complete,
 }
 
 impl CheckProgress {
+    /// Returns true if the result of the check is recorded.
+    pub fn has_result(self) -> bool {
+        matches!(self, CheckProgress::Recorded | CheckProgress::Complete)
+    }
+
     /// Returns true if a refusal does not wait for this check any longer. `is_suspect` is true if
     /// other evidence against the content of the request exists.
     ///
@@ -33,7 +40,7 @@
     /// waits until that is ruled out; other requests are refused at once.
     pub fn allows_refusal(self, is_suspect: bool) -> bool {
         match self {
-            CheckProgress::Connecting => false,
+            CheckProgress::Connecting | CheckProgress::Recorded => false,
             CheckProgress::Accepted => !is_suspect,
             CheckProgress::Complete => true,
         }
--- a/src/engine/crash_check.rs
+++ b/src/engine/crash_check.rs
@@ -17,6 +17,13 @@
     }
 }
 
+impl Reporter {
+    /// Records that the result of the check is recorded.
+    pub fn on_result(&self) {
+        self.0.send_replace(CheckProgress::Recorded);
+    }
+}
+
 impl Drop for Reporter {
     fn drop(&mut self) {
         self.0.send_replace(CheckProgress::Complete);
@@ -56,10 +63,18 @@
         self.0.len()
     }
 
-    /// Returns the number of checks that are not complete.
-    pub fn incomplete(&self) -> usize {
-        let is_incomplete = |check: &&Check| *check.0.borrow() != CheckProgress::Complete;
-        self.0.iter().filter(is_incomplete).count()
+    /// Returns the number of checks without a result.
+    pub fn without_result(&self) -> usize {
+        self.0.iter().filter(|check| !check.0.borrow().has_result()).count()
+    }
+
+    /// Waits for the results of all checks, `limit` at most.
+    pub async fn wait_for_results(&self, limit: Span) {
+        let all = self.0.iter().map(|check| {
+            let mut progress = check.0.clone();
+            async move { progress.wait_for(|progress| progress.has_result()).await.is_ok() }
+        });
+        let _ = tokio::time::timeout(limit.duration(), join_all(all)).await;
     }
 
     /// Returns true if no server broke off its response.
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -48,6 +48,7 @@
     }
     let (reporter, check) = Check::start();
     let report = record_check(vm, replica, vec![request], ProcessState::IsGone);
+    reporter.on_result();
     spawn(async move {
         report.await;
         drop(reporter);
@@ -96,7 +97,9 @@
             Liveness::Alive | Liveness::Dead => Vec::new(),
         }
     };
-    record_check(&vm, &replica, broken, found).await;
+    let report = record_check(&vm, &replica, broken, found);
+    reporter.on_result();
+    report.await;
 }
 
 /// Counts and logs the result of a check, and reports a crash with the contents of the requests
--- a/src/forward/poison.rs
+++ b/src/forward/poison.rs
@@ -37,11 +37,10 @@
 /// responses to it, if their crashes would quarantine its content.
 pub async fn await_decisive_checks(job: &Job, checks: &Checks) {
     let vm = &job.vm;
-    let further_crashes = checks.incomplete();
+    let further_crashes = checks.without_result();
     let is_decisive = vm.poison.borrow().would_be_quarantined(&job.content, further_crashes);
     if further_crashes > 0 && is_decisive {
-        let is_suspect = true;
-        checks.wait(is_suspect, refusal::max_wait(job.deadline, vm.now())).await;
+        checks.wait_for_results(refusal::max_wait(job.deadline, vm.now())).await;
     }
 }
 
--- a/src/vm/poison.rs
+++ b/src/vm/poison.rs
@@ -81,7 +81,9 @@
                 poison.on_server_crash(incarnation, &[request], Topology::Direct, now)
             };
             // Fails for messages that were not sent because this VM stops.
-            let _ = join_all(apply_effects(&vm, effects)).await;
+            let deliveries = apply_effects(&vm, effects);
+            reporter.on_result();
+            let _ = join_all(deliveries).await;
         }
         drop(reporter);
     });
@@ -91,14 +93,13 @@
 /// Waits, before a request is sent again, for the checks of the servers that broke off their
 /// responses to it, if their crashes would quarantine its content.
 pub async fn await_decisive_checks(vm: &Vm, content: &Digest, deadline: Moment, checks: &Checks) {
-    let further_crashes = checks.incomplete();
+    let further_crashes = checks.without_result();
     let is_decisive = {
         let poison = vm.poison.lock().expect("no panic while held");
         poison.would_be_quarantined(content, further_crashes)
     };
     if further_crashes > 0 && is_decisive {
-        let is_suspect = true;
-        checks.wait(is_suspect, refusal::max_wait(deadline, vm.clock.now())).await;
+        checks.wait_for_results(refusal::max_wait(deadline, vm.clock.now())).await;
     }
 }
 
