--- a/src/standin/replica.rs
+++ b/src/standin/replica.rs
@@ -84,13 +84,51 @@
         let found = self.headers.iter().find(|(known, _)| known == name);
         found.map(|(_, value)| value.as_str())
     }
+
+    /// Returns the ids of the parts of the prompt, in order.
+    pub fn prompt_parts(&self) -> impl Iterator<Item = &str> {
+        let parts = self.header("x-prefix-hash").unwrap_or_default().split(',');
+        parts.filter_map(|part| Some(part.trim().split_once(':')?.0))
+    }
+}
+
+/// What makes a request crash the server.
+#[derive(Clone, Debug)]
+pub enum Trigger {
+    /// The body contains these bytes. The server crashes before it responds.
+    Body(Vec<u8>),
+    /// A part of the prompt has this id. The server crashes after it has begun to respond.
+    PromptPart {
+        /// Id of the part.
+        id: String,
+        /// Events of the response that are sent before the crash.
+        events: u64,
+    },
+}
+
+impl From<&str> for Trigger {
+    fn from(body: &str) -> Trigger {
+        Trigger::Body(body.into())
+    }
+}
+
+impl Trigger {
+    /// Returns true if this request crashes the server.
+    fn matches(&self, request: &RecordedRequest) -> bool {
+        match self {
+            Trigger::Body(bytes) => {
+                request.body.windows(bytes.len()).any(|window| window == &bytes[..])
+            }
+            Trigger::PromptPart { id, .. } => request.prompt_parts().any(|part| part == id),
+        }
+    }
 }
 
 /// A crash that requests can trigger.
 #[derive(Clone, Debug)]
 pub struct Crash {
-    /// Bytes in a request body that crash the server.
-    pub trigger: Vec<u8>,
+    /// What crashes the server.
+    pub trigger: Trigger,
     /// Time that such a request runs before the crash.
     pub delay: Duration,
     /// Time until the server restarts at the same address.
@@ -222,15 +260,24 @@
     }
 
     /// Crashes the server if this request triggers that, and returns true then.
-    fn crash_if_triggered(&self, seen: &RecordedRequest) -> bool {
+    fn crash_if_triggered(
+        &self,
+        stream: &mut TcpStream,
+        seen: &RecordedRequest,
+        response: &ResponseHead,
+    ) -> std::io::Result<bool> {
         let crash = self.lock().crash.clone();
-        let holds = |crash: &Crash| {
-            seen.body.windows(crash.trigger.len()).any(|part| part == crash.trigger)
+        let Some(crash) = crash.filter(|crash| crash.trigger.matches(seen)) else {
+            return Ok(false);
         };
-        let Some(crash) = crash.filter(holds) else { return false };
+        if let Trigger::PromptPart { events, .. } = crash.trigger {
+            stream.write_all(response.stream("").as_bytes())?;
+            let first = last_received_event(seen) + 1;
+            (first..first + events).try_for_each(|id| write_event(stream, id))?;
+        }
         std::thread::sleep(crash.delay);
         self.crash(Some(crash.restart_after));
-        true
+        Ok(true)
     }
 
     /// Appends an action to the queue; each request consumes one.
@@ -306,7 +353,7 @@
             }
             seen.body = buffer.drain(..length).collect();
             self.lock().seen.push(seen.clone());
-            if self.crash_if_triggered(&seen) {
+            if self.crash_if_triggered(&mut stream, &seen, &response)? {
                 return Ok(());
             }
             let rejects = matches!(action, Action::RetryAfter(_));
@@ -384,6 +431,12 @@
         self.head(status, &format!("{signature}X-Server-Load: 1,0,8\r\n{more}"))
     }
 
+    /// Returns the head of a stream of events, with these header lines besides the usual ones.
+    fn stream(&self, more: &str) -> String {
+        let framing = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        self.signed(200, &format!("{more}{framing}"))
+    }
+
     /// Returns a refusal with `X-Not-Executed`, as servers send it if the request did not run.
     fn not_run(&self, more: &str) -> String {
         let refusal = "X-Not-Executed: 1\r\nContent-Length: 0\r\n";
@@ -471,11 +524,7 @@
         Action::Events { last, cut_after, confidence, pause } => {
             let confidence_header =
                 confidence.map(|c| format!("X-Confidence: {c}\r\n")).unwrap_or_default();
-            let more = format!(
-                "{confidence_header}Content-Type: text/event-stream\r\n\
-                 Transfer-Encoding: chunked\r\n\r\n"
-            );
-            stream.write_all(response.signed(200, &more).as_bytes())?;
+            stream.write_all(response.stream(&confidence_header).as_bytes())?;
             return stream_events(stream, seen, last, cut_after, pause);
         }
     }
@@ -490,18 +539,31 @@
     cut_after: Option<u64>,
     pause: Duration,
 ) -> std::io::Result<bool> {
-    let last_received = seen.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0u64);
-    for (sent, id) in (last_received + 1..=last).enumerate() {
-        let event = format!("id: {id}\ndata: piece {id}\n\n");
+    for (sent, id) in (last_received_event(seen) + 1..=last).enumerate() {
         if cut_after == Some(sent as u64) {
+            let event = event(id);
             let part = &event[..event.len() / 2];
             stream.write_all(format!("{:x}\r\n{part}", event.len()).as_bytes())?;
             stream.shutdown(Shutdown::Both)?;
             return Ok(false);
         }
-        stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+        write_event(stream, id)?;
         std::thread::sleep(pause);
     }
     stream.write_all(b"0\r\n\r\n")?;
     Ok(true)
 }
+
+/// Returns the id of the last event that the caller has, or 0.
+fn last_received_event(seen: &RecordedRequest) -> u64 {
+    seen.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or_default()
+}
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
+}
+
+fn write_event(stream: &mut TcpStream, id: u64) -> std::io::Result<()> {
+    let event = event(id);
+    stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())
+}
