--- a/src/entry/dispatch/attempts.rs
+++ b/src/entry/dispatch/attempts.rs
@@ -7,7 +7,7 @@
 use super::{Abort, Dispatcher, Job};
 use crate::config::{Allowed, Snapshot};
 use crate::decide::admission::Outcome;
-use crate::decide::poison::{OpenRequest, STABLE_AFTER};
+use crate::decide::poison::{BrokenRequest, STABLE_AFTER};
 use crate::decide::retry::{self, Failure};
 use crate::engine::wire::{End, Generate};
 use crate::entry::attempt::{self, Attempt, Chunk};
@@ -108,8 +108,8 @@
         let mut full_refusals = 0;
         loop {
             let vm = self.vm.clone();
-            let Job { content, deadline, .. } = &self.job;
-            poison::await_decisive_checks(&vm, content, *deadline, &self.crash_checks).await;
+            let Job { fingerprint, deadline, .. } = &self.job;
+            poison::await_decisive_checks(&vm, fingerprint, *deadline, &self.crash_checks).await;
             stall::catch_up(&vm, *deadline).await;
             // The guard is held until the engine accepted or certainly refused the work: until
             // then, this VM does not report a later revision as in force.
@@ -209,7 +209,8 @@
     fn report_broken(&mut self, server: &Server, address: SocketAddr, first: Option<Moment>) {
         let now = self.vm.clock.now();
         let ran = first.is_some_and(|first| now.since(first) >= STABLE_AFTER);
-        let request = OpenRequest { content: self.job.content, was_stable: ran };
+        let fingerprint = self.job.fingerprint.clone();
+        let request = BrokenRequest { fingerprint, was_stable: ran };
         let check = poison::on_broken_response(&self.vm, server, address, request);
         self.crash_checks.push(check);
     }
@@ -234,7 +235,7 @@
         if !self.vm.may_start(now) {
             return refuse(Refused::CutOff);
         }
-        if poison::is_quarantined(&self.vm, &self.job.content) {
+        if poison::is_quarantined(&self.vm, &self.job.fingerprint) {
             return refuse(Refused::HeldBack);
         }
         if now >= self.job.deadline {
@@ -284,6 +285,7 @@
     ) -> Result<End, StreamError> {
         let output = self.output.clone();
         let mut has_tokens = false;
+        let mut is_stable = false;
         loop {
             let chunk = tokio::select! {
                 chunk = attempt.next(self.job.deadline) => chunk,
@@ -297,6 +299,12 @@
                         self.record_event("first");
                     }
                     received.push(text.clone());
+                    let now = self.vm.clock.now();
+                    if !is_stable && first_token_at.is_some_and(|at| now.since(at) >= STABLE_AFTER)
+                    {
+                        is_stable = true;
+                        poison::on_success(&self.vm, self.job.fingerprint.shared_parts());
+                    }
                     if to_client {
                         self.send_head(target).await.map_err(|_| StreamError::ClientGone)?;
                         self.send_token(text).await.map_err(|_| StreamError::ClientGone)?;
--- a/src/entry/dispatch/mod.rs
+++ b/src/entry/dispatch/mod.rs
@@ -13,11 +13,12 @@
 use crate::chart::{self, Machine};
 use crate::config::{Snapshot, WorkspaceEntry};
 use crate::decide::cascade::{CONFIDENCE_BINS, Rule, confidence_bin};
+use crate::decide::poison::Fingerprint;
 use crate::engine::client::EngineClient;
 use crate::engine::crash_check::Checks;
 use crate::engine::wire::End;
 use crate::ledger::{Part, Reason};
-use crate::unit::{Digest, Kind, Moment, RequestId, Target};
+use crate::unit::{Kind, Moment, RequestId, Target};
 use crate::vm::{Vm, poison};
 
 /// Output of a request for its HTTP handler. The order is `Started`, the tokens, and `Completed` or
@@ -63,9 +64,8 @@
     pub prompt: String,
     /// Hash of the workspace and the start of the prompt, to find servers that have it cached.
     pub prefix_hash: u64,
-    /// Digest of the workspace, the requested model and the prompt, to recognise content that
-    /// crashes servers.
-    pub content: Digest,
+    /// What identifies the request if it crashes servers.
+    pub fingerprint: Fingerprint,
     /// Maximum length of the answer, in tokens.
     pub max_tokens: u32,
     /// Kind of work, as named by the client.
@@ -179,7 +179,7 @@
             }
         };
         if matches!(last, Output::Completed(_)) {
-            poison::on_success(&self.vm, self.job.content);
+            poison::on_success(&self.vm, self.job.fingerprint.digests());
         }
         self.count_request(outcome);
         let _ = self.output.send(last).await;
@@ -187,8 +187,9 @@
 
     /// Waits until the request may be refused; the client may repeat it at once and at any VM.
     async fn await_crash_checks(&self) {
-        let Job { request, content, deadline, .. } = &self.job;
-        poison::await_crash_checks(&self.vm, request, content, *deadline, &self.crash_checks).await;
+        let Job { request, fingerprint, deadline, .. } = &self.job;
+        let checks = &self.crash_checks;
+        poison::await_crash_checks(&self.vm, request, fingerprint, *deadline, checks).await;
     }
 
     fn count_request(&self, outcome: &str) {
--- a/src/entry/models.rs
+++ b/src/entry/models.rs
@@ -16,9 +16,10 @@
 use super::session::{self, Session};
 use super::stream::in_flight_body;
 use crate::config::{Allowed, Snapshot, WorkspaceEntry, digest};
+use crate::decide::poison::Fingerprint;
 use crate::engine::client::EngineClient;
 use crate::evidence::{Counts, Key};
-use crate::unit::{self, Digest, Kind, Model, RequestId, Span, Target};
+use crate::unit::{self, Kind, Model, RequestId, Span, Target};
 use crate::vm::{Command, Vm};
 
 /// Number of tokens buffered for a slow client before generation waits.
@@ -291,7 +292,7 @@
     let job = Job {
         request: id,
         prefix_hash: prefix_hash(&workspace, &prompt),
-        content: content_digest(&workspace, &chat.model, &prompt),
+        fingerprint: fingerprint(&workspace, &chat, &prompt),
         reason: route_reason(&snapshot, &route, in_session, point),
         workspace,
         snapshot,
@@ -411,10 +412,18 @@
     hasher.finish()
 }
 
-/// Returns the digest of the workspace, the model as the client named it, and the whole prompt, to
-/// recognise requests that crash servers.
-fn content_digest(workspace: &WorkspaceEntry, model: &str, prompt: &str) -> Digest {
-    unit::digest(&[workspace.name.as_str().as_bytes(), model.as_bytes(), prompt.as_bytes()])
+/// Returns what identifies a request if it crashes servers: the digest of the workspace, the model
+/// as the client named it, and the whole prompt; and, for the same model, those of all messages but
+/// the last, such as a system prompt, which other requests may share.
+fn fingerprint(workspace: &WorkspaceEntry, chat: &ChatRequest, prompt: &str) -> Fingerprint {
+    let model = chat.model.as_bytes();
+    let content = unit::digest(&[workspace.name.as_str().as_bytes(), model, prompt.as_bytes()]);
+    let shared = chat.messages.split_last().map_or(&[][..], |(_, shared)| shared);
+    let part = |message: &Message| {
+        let text = prompt_text(std::slice::from_ref(message));
+        unit::digest(&[b"prompt part", model, text.as_bytes()])
+    };
+    Fingerprint::new(content, shared.iter().map(part))
 }
 
 /// `GET /v1/models`: lists the cascades, models and versions that the workspace may use.
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -15,7 +15,7 @@
 use super::models::{Caller, admit, read_body};
 use super::refusal::{Kind as Refused, Refusal};
 use crate::config::ServiceEntry;
-use crate::decide::poison::OpenRequest;
+use crate::decide::poison::{BrokenRequest, Fingerprint};
 use crate::decide::retry::{self, Failure};
 use crate::engine::client::EngineClient;
 use crate::engine::crash_check::Checks;
@@ -332,12 +332,12 @@
     call: &Call,
 ) -> Result<Response, Refusal> {
     vm.record_first_attempt();
-    let content = content_digest(caller, call);
+    let fingerprint = Fingerprint::from(content_digest(caller, call));
     let mut progress = Progress::default();
-    let outcome = try_servers(vm, engines, caller, call, content, &mut progress).await;
+    let outcome = try_servers(vm, engines, caller, call, &fingerprint, &mut progress).await;
     if outcome.is_err() {
         let Call { request, deadline, .. } = call;
-        poison::await_crash_checks(vm, request, &content, *deadline, &progress.checks).await;
+        poison::await_crash_checks(vm, request, &fingerprint, *deadline, &progress.checks).await;
     }
     outcome.map_err(|refusal| match refusal.kind.row().ran {
         // The last attempt did not run, but an earlier one may have.
@@ -356,20 +356,20 @@
     engines: &EngineClient,
     caller: &Caller,
     call: &Call,
-    content: Digest,
+    fingerprint: &Fingerprint,
     progress: &mut Progress,
 ) -> Result<Response, Refusal> {
     let group = Group::Service(call.service.clone());
     let mut attempts = 0;
     loop {
-        poison::await_decisive_checks(vm, &content, call.deadline, &progress.checks).await;
+        poison::await_decisive_checks(vm, fingerprint, call.deadline, &progress.checks).await;
         stall::catch_up(vm, call.deadline).await;
         let now = vm.clock.now();
         let (snapshot, dispatch_guard) = vm.begin_dispatch();
         if !vm.may_start(now) {
             return Err(Refusal::new(Refused::CutOff));
         }
-        if poison::is_quarantined(vm, &content) {
+        if poison::is_quarantined(vm, fingerprint) {
             return Err(Refusal::new(Refused::HeldBack));
         }
         let allowed = snapshot.workspace(&caller.workspace.name);
@@ -406,7 +406,7 @@
         }
         let failure = match result {
             Ok(response) => {
-                poison::on_success(vm, content);
+                poison::on_success(vm, fingerprint.digests());
                 record_bill(vm, caller, call).await?;
                 return Ok(response);
             }
@@ -414,7 +414,7 @@
         };
         if failure == Failure::Broken {
             progress.may_have_run = true;
-            let request = OpenRequest { content, was_stable: false };
+            let request = BrokenRequest { fingerprint: fingerprint.clone(), was_stable: false };
             let check = poison::on_broken_response(vm, &selected.server, selected.address, request);
             progress.checks.push(check);
         }
--- a/src/experiment/poison/fleet.rs
+++ b/src/experiment/poison/fleet.rs
@@ -4,7 +4,7 @@
 use std::cmp::Reverse;
 use std::collections::HashMap;
 
-use crate::decide::poison::Topology;
+use crate::decide::poison::{Fingerprint, Topology};
 use crate::peer::neighbours;
 use crate::unit::{Digest, Vm, hash};
 
@@ -45,6 +45,40 @@
     }
 }
 
+/// What of a request that crashed a server VMs suspect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Identity {
+    /// Its content alone.
+    Content,
+    /// Its content and each shared part of its prompt, each by itself.
+    EachDigest,
+    /// What the requests that crashed servers have in common: the strategy of the router.
+    Fingerprint,
+}
+
+impl Identity {
+    /// All of them, in the order of the table.
+    pub const ALL: [Identity; 3] = [Identity::Content, Identity::EachDigest, Identity::Fingerprint];
+
+    /// Returns the name in the table.
+    pub fn name(self) -> &'static str {
+        match self {
+            Identity::Content => "contents",
+            Identity::EachDigest => "each part by itself",
+            Identity::Fingerprint => "what they have in common",
+        }
+    }
+
+    /// Returns the fingerprints under which VMs record a request.
+    pub fn recorded(self, request: &Fingerprint) -> Vec<Fingerprint> {
+        match self {
+            Identity::Content => vec![request.content().into()],
+            Identity::EachDigest => request.digests().iter().map(|one| (*one).into()).collect(),
+            Identity::Fingerprint => vec![request.clone()],
+        }
+    }
+}
+
 /// Topology of the messages between VMs.
 pub struct Fleet {
     neighbours: Vec<Vec<usize>>,
--- a/src/experiment/poison/mod.rs
+++ b/src/experiment/poison/mod.rs
@@ -1,22 +1,24 @@
 //! Requests that crash the servers that run them, with many VMs: the router's decisions in virtual
 //! time.
 //!
-//! Each run has three crashing contents, one after the other: each arrives fifty times within a
-//! second and then three times a second, every time at a random VM. Innocent requests run
+//! Each run has three culprits, one after the other, which are contents or shared parts of prompts:
+//! each arrives fifty times within a second and then three times a second, every time at a random VM. Innocent requests run
 //! meanwhile, three in ten of them with the same content, and a quarter of all servers crash once
 //! without being caused by a request. The router's strategy, in which VMs share reports of
 //! crashes, is compared with three others.
 
 mod fleet;
 mod simulation;
+mod traffic;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 use super::options::Options;
 use super::table::{Row, Table, quantile};
-use fleet::{Fleet, Strategy};
-use simulation::{CONTENTS, Simulation};
+use fleet::{Fleet, Identity, Strategy};
+use simulation::{CULPRITS, Simulation};
+use traffic::Culprit;
 
 /// Fleet sizes by default: those of the users' sites.
 const DEFAULT_VMS: [usize; 3] = [23, 84, 295];
@@ -30,14 +32,47 @@
 /// Default of the option `runs`, which this experiment takes as unset.
 const SHARED_DEFAULT_SEEDS: u64 = 1000;
 
-fn row(fleet: &Fleet, strategy: Strategy, cut: f64, seeds: std::ops::Range<u64>) -> Row {
+/// A way to handle requests that crash servers, and what crashes them.
+#[derive(Clone, Copy)]
+struct Case {
+    culprit: Culprit,
+    strategy: Strategy,
+    identity: Identity,
+}
+
+impl Case {
+    /// Returns all cases: the strategies for contents that crash servers, and what VMs may suspect
+    /// if shared parts of prompts do.
+    fn all() -> Vec<Case> {
+        let contents = Strategy::ALL.map(|strategy| {
+            let identity = Identity::Fingerprint;
+            Case { culprit: Culprit::Content, strategy, identity }
+        });
+        let parts = Identity::ALL.map(|identity| {
+            let strategy = Strategy::Shared;
+            Case { culprit: Culprit::Part, strategy, identity }
+        });
+        contents.into_iter().chain(parts).collect()
+    }
+
+    fn name(self) -> &'static str {
+        match self.culprit {
+            Culprit::Content => self.strategy.name(),
+            Culprit::Part => self.identity.name(),
+        }
+    }
+}
+
+fn row(fleet: &Fleet, case: Case, cut: f64, seeds: std::ops::Range<u64>) -> Row {
     let (mut lost, mut late, mut waits) = (Vec::new(), Vec::new(), Vec::new());
     let (mut refused, mut innocent, mut bytes) = (0, 0, Vec::new());
     let (mut refusal_waits, mut delays, mut messages) = (Vec::new(), Vec::new(), Vec::new());
     for seed in seeds {
-        let mut simulation = Simulation::new(fleet, strategy, cut, SmallRng::seed_from_u64(seed));
+        let Case { culprit, strategy, identity } = case;
+        let rng = SmallRng::seed_from_u64(seed);
+        let mut simulation = Simulation::new(fleet, strategy, identity, culprit, cut, rng);
         simulation.run();
-        for poison in 0..CONTENTS {
+        for poison in 0..CULPRITS {
             lost.push(f64::from(simulation.crashes[poison]));
             late.push(f64::from(simulation.late_retries[poison]));
         }
@@ -50,7 +85,8 @@
         delays.extend(simulation.quarantine_delays.iter().map(|delay| delay.as_millis()));
     }
     let refused_per_million = refused as f64 * 1e6 / innocent.max(1) as f64;
-    Row::named("way", strategy.name())
+    Row::named("way", case.name())
+        .with("culprit", case.culprit.name())
         .with("vms", fleet.vms())
         .number("cut off", cut, 2)
         .number("lost median", quantile(&mut lost, 0.5), 0)
@@ -74,17 +110,17 @@
     for fleet in vms.into_iter().map(Fleet::new) {
         for cut in PARTITIONED_SHARES {
             let seeds = options.seed..options.seed + seeds;
-            rows.extend(Strategy::ALL.map(|strategy| row(&fleet, strategy, cut, seeds.clone())));
+            rows.extend(Case::all().into_iter().map(|case| row(&fleet, case, cut, seeds.clone())));
         }
     }
     let notes = vec![
-        "Lost: servers crashed by one content. Late retries: attempts that VMs which are not cut \
-         off start later than 3 s after the third crash."
+        "Lost: servers crashed by one content or part. Late retries: attempts that VMs which are \
+         not cut off start later than 3 s after its third crash (content) or its fifth (part)."
             .to_owned(),
         "Waits: time until suspected innocent requests were allowed to run; others are not counted."
             .to_owned(),
         "Refusal waits: after the last crash under a request, until the other VMs have the report. \
-         Quarantined after: time from the third crash until a VM that is not cut off heard of it."
+         Quarantined after: time from that crash until a VM that is not cut off heard of it."
             .to_owned(),
         "Updates through the store's readers, which repeat the same reports, are not simulated."
             .to_owned(),
--- a/src/experiment/poison/simulation.rs
+++ b/src/experiment/poison/simulation.rs
@@ -1,4 +1,4 @@
-//! Discrete-event simulation of VMs, servers and callers with crashing contents.
+//! Discrete-event simulation of VMs, servers and callers with requests that crash servers.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
@@ -7,25 +7,26 @@
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 
-use super::fleet::{Fleet, Strategy};
+use super::fleet::{Fleet, Identity, Strategy};
+use super::traffic::{Culprit, Traffic};
 use crate::decide::poison::refusal::{MAX_REFUSAL_WAIT, required_deliveries};
 use crate::decide::poison::{
-    Effects, Exchange, Message, OpenRequest, Recipients, STABLE_AFTER, ServerIncarnation, Topology,
-    Transition,
+    BrokenRequest, Effects, Exchange, Fingerprint, Message, Recipients, STABLE_AFTER,
+    ServerIncarnation, Topology, Transition,
 };
 use crate::peer::wire::encode;
-use crate::unit::{Digest, Moment, Span, digest};
+use crate::unit::{Digest, Moment, Span};
 
-/// Number of contents that crash servers, one after the other.
-pub const CONTENTS: usize = 3;
+/// Number of culprits (contents or parts that crash servers), one after the other.
+pub const CULPRITS: usize = 3;
 
-/// Time from the first request of one crashing content to that of the next.
-const CONTENT_INTERVAL: Span = Span::secs(15);
+/// Time from the first request of one culprit to that of the next.
+const CULPRIT_INTERVAL: Span = Span::secs(15);
 
-/// Requests with a crashing content in its first second.
+/// Requests with a culprit in its first second.
 const BURST_REQUESTS: usize = 50;
 
-/// Requests per second with a crashing content after that, and their duration.
+/// Requests per second with a culprit after that, and their duration.
 const REPEATS_PER_SECOND: usize = 3;
 const REPEAT_SECONDS: u64 = 10;
 
@@ -47,9 +48,6 @@
 /// Innocent requests per VM and second.
 const INNOCENT_PER_SECOND: f64 = 2.0;
 
-/// Fraction of the innocent requests that have the same content.
-const SAME_CONTENT_SHARE: f64 = 0.3;
-
 /// Attempts of a request.
 const MAX_ATTEMPTS: u32 = 3;
 
@@ -68,8 +66,8 @@
 /// A request that a VM handles.
 #[derive(Clone)]
 struct Request {
-    content: Digest,
-    /// Index of the crashing content, or none for an innocent request.
+    fingerprint: Fingerprint,
+    /// Index of the culprit, or none for an innocent request.
     poison: Option<usize>,
     vm: usize,
     /// Time for which it runs at a server.
@@ -85,6 +83,8 @@
     Arrival(Request),
     /// The run with this number ends at its server.
     Completion(u64),
+    /// The run with this number has produced events for [`STABLE_AFTER`].
+    Stability(u64),
     /// A server crashes if it still has this incarnation; `u64::MAX` for any.
     Crash(usize, u64),
     Restart(usize),
@@ -111,6 +111,8 @@
 pub struct Simulation<'a> {
     fleet: &'a Fleet,
     strategy: Strategy,
+    identity: Identity,
+    traffic: Traffic,
     rng: SmallRng,
     now: Moment,
     queue: BinaryHeap<Reverse<(Moment, u64)>>,
@@ -126,12 +128,12 @@
     queued: HashMap<Digest, Vec<Request>>,
     /// Time at which each content was first suspected.
     suspected_since: HashMap<Digest, Moment>,
-    /// Time of the third crash by each crashing content.
-    third_crash: [Option<Moment>; CONTENTS],
-    /// Servers crashed by each crashing content.
-    pub crashes: [u32; CONTENTS],
-    /// Attempts with each crashing content later than [`PROPAGATION_LIMIT`] after its third crash.
-    pub late_retries: [u32; CONTENTS],
+    /// Time of the last accepted crash by each culprit.
+    last_accepted_crash: [Option<Moment>; CULPRITS],
+    /// Servers crashed by each culprit.
+    pub crashes: [u32; CULPRITS],
+    /// Attempts with each culprit later than [`PROPAGATION_LIMIT`] after its last accepted crash.
+    pub late_retries: [u32; CULPRITS],
     /// Innocent requests.
     pub innocent: u64,
     /// Innocent requests that were refused.
@@ -140,7 +142,8 @@
     pub waits: Vec<Span>,
     /// Times that refusals waited for other VMs to receive the report of a crash.
     pub refusal_waits: Vec<Span>,
-    /// Times from the third crash by a content until a VM that is not partitioned quarantined it.
+    /// Times from the last accepted crash by a culprit until a VM that is not partitioned quarantined
+    /// it.
     pub quarantine_delays: Vec<Span>,
     /// When a VM last failed to acknowledge a crash report of another, by sender and recipient.
     unacknowledged: HashMap<(usize, usize), Moment>,
@@ -153,6 +156,8 @@
     pub fn new(
         fleet: &'a Fleet,
         strategy: Strategy,
+        identity: Identity,
+        culprit: Culprit,
         cut: f64,
         mut rng: SmallRng,
     ) -> Simulation<'a> {
@@ -163,6 +168,8 @@
         let mut simulation = Simulation {
             fleet,
             strategy,
+            identity,
+            traffic: Traffic::new(culprit, vms),
             rng,
             now: Moment(0),
             queue: BinaryHeap::new(),
@@ -175,9 +182,9 @@
             running: HashMap::new(),
             queued: HashMap::new(),
             suspected_since: HashMap::new(),
-            third_crash: [None; CONTENTS],
-            crashes: [0; CONTENTS],
-            late_retries: [0; CONTENTS],
+            last_accepted_crash: [None; CULPRITS],
+            crashes: [0; CULPRITS],
+            late_retries: [0; CULPRITS],
             innocent: 0,
             refused: 0,
             waits: Vec::new(),
@@ -208,26 +215,23 @@
     }
 
     fn schedule_run(&mut self) {
-        for poison in 0..CONTENTS {
-            let start = Moment(0) + Span::secs(3) + Span(CONTENT_INTERVAL.0 * poison as u64);
-            let content = poison_content(poison);
+        for poison in 0..CULPRITS {
+            let start = Moment(0) + Span::secs(3) + Span(CULPRIT_INTERVAL.0 * poison as u64);
             for _ in 0..BURST_REQUESTS {
                 let at = start + Span(self.rng.random_range(0..1_000_000));
-                self.schedule_arrival(at, content, Some(poison));
+                self.schedule_arrival(at, Some(poison));
             }
             for second in 1..=REPEAT_SECONDS {
                 for _ in 0..REPEATS_PER_SECOND {
                     let at = start + Span::secs(second) + Span(self.rng.random_range(0..1_000_000));
-                    self.schedule_arrival(at, content, Some(poison));
+                    self.schedule_arrival(at, Some(poison));
                 }
             }
         }
         let innocent = (self.fleet.vms() as f64 * INNOCENT_PER_SECOND * END.as_secs()) as u64;
-        for number in 0..innocent {
+        for _ in 0..innocent {
             let at = Moment(self.rng.random_range(0..END.0));
-            let same = self.rng.random_bool(SAME_CONTENT_SHARE);
-            let content = if same { 0 } else { number + 1 };
-            self.schedule_arrival(at, digest(&[b"innocent", &content.to_be_bytes()]), None);
+            self.schedule_arrival(at, None);
         }
         for at in 0..self.servers.len() / 4 {
             let when =
@@ -237,11 +241,12 @@
         }
     }
 
-    fn schedule_arrival(&mut self, at: Moment, content: Digest, poison: Option<usize>) {
+    fn schedule_arrival(&mut self, at: Moment, poison: Option<usize>) {
+        let fingerprint = self.traffic.draw(poison, &mut self.rng);
         let vm = self.rng.random_range(0..self.fleet.vms());
         let duration = Span(self.rng.random_range(200_000..6_000_000));
         let request = Request {
-            content,
+            fingerprint,
             poison,
             vm,
             duration,
@@ -271,6 +276,7 @@
                     self.start(request, true);
                 }
                 Event::Completion(run) => self.on_completion(run),
+                Event::Stability(run) => self.on_stability(run),
                 Event::Crash(server, incarnation) => self.on_crash(server, incarnation),
                 Event::Restart(server) => self.servers[server].is_up = true,
                 Event::Delivery(vm, message) => {
@@ -284,8 +290,10 @@
     }
 
     fn is_quarantined(&self, request: &Request) -> bool {
-        let crashes = self.vms[request.vm].quarantine_crashes(&request.content, self.now);
-        self.strategy != Strategy::Unprotected && crashes.is_some()
+        let vm = &self.vms[request.vm];
+        let recorded = self.identity.recorded(&request.fingerprint);
+        self.strategy != Strategy::Unprotected
+            && recorded.iter().any(|one| vm.refusal_cause(one, self.now).is_some())
     }
 
     /// Sends a request to a server, refuses it if its content is quarantined, or queues it if it is
@@ -296,7 +304,7 @@
             return;
         }
         if self.must_wait(&request) {
-            self.queued.entry(request.content).or_default().push(request);
+            self.queued.entry(request.fingerprint.content()).or_default().push(request);
             return;
         }
         self.start(request, false);
@@ -308,26 +316,27 @@
         if self.strategy != Strategy::OneAtATime || self.partitioned[request.vm] {
             return false;
         }
-        let coordinator = self.fleet.aggregators(request.content)[0];
+        let content = request.fingerprint.content();
+        let coordinator = self.fleet.aggregators(content)[0];
         let suspicion_delay = Span::millis(10);
         let is_suspect = self
             .suspected_since
-            .get(&request.content)
+            .get(&content)
             .is_some_and(|at| self.now.since(*at) >= suspicion_delay);
         if self.partitioned[coordinator] || !is_suspect {
             return false;
         }
-        if self.running.contains_key(&request.content) {
+        if self.running.contains_key(&content) {
             return true;
         }
-        self.running.insert(request.content, 0);
+        self.running.insert(content, 0);
         false
     }
 
     fn start(&mut self, mut request: Request, is_permitted: bool) {
         if is_permitted && self.is_quarantined(&request) {
             self.refused += u64::from(request.poison.is_none());
-            self.start_next(request.content);
+            self.start_next(request.fingerprint.content());
             return;
         }
         request.attempts += 1;
@@ -340,20 +349,23 @@
             }
         }
         let Some(server) = server else {
-            self.start_next(request.content);
+            self.start_next(request.fingerprint.content());
             return;
         };
         self.sequence += 1;
         let run = self.sequence;
         if let Some(poison) = request.poison {
-            let is_late = self.third_crash[poison]
-                .is_some_and(|third| self.now.since(third) > PROPAGATION_LIMIT);
+            let is_late = self.last_accepted_crash[poison]
+                .is_some_and(|last| self.now.since(last) > PROPAGATION_LIMIT);
             self.late_retries[poison] += u32::from(is_late && !self.partitioned[request.vm]);
             let after = Span(self.rng.random_range(20_000..180_000));
             let incarnation = self.servers[server].incarnation;
             self.schedule(self.now + after, Event::Crash(server, incarnation));
         } else {
             self.schedule(self.now + request.duration, Event::Completion(run));
+            if request.duration > STABLE_AFTER {
+                self.schedule(self.now + STABLE_AFTER, Event::Stability(run));
+            }
         }
         self.servers[server].open.insert(run);
         self.runs.insert(run, Run { request, server, started_at: self.now });
@@ -362,10 +374,26 @@
     fn on_completion(&mut self, run: u64) {
         let Some(Run { request, server, .. }) = self.runs.remove(&run) else { return };
         self.servers[server].open.remove(&run);
-        let effects = self.vms[request.vm].on_success(request.content, self.now);
+        let content = request.fingerprint.content();
+        self.record_success(&request, |one| one.digests());
+        self.suspected_since.remove(&content);
+        self.start_next(request.fingerprint.content());
+    }
+
+    fn on_stability(&mut self, run: u64) {
+        let Some(Run { request, .. }) = self.runs.get(&run) else { return };
+        let request = request.clone();
+        self.record_success(&request, |one| one.shared_parts());
+    }
+
+    /// Records at the VM of a request that some of its digests ran well.
+    fn record_success(&mut self, request: &Request, of: impl Fn(&Fingerprint) -> &[Digest]) {
+        let digests = match self.identity {
+            Identity::Content => vec![request.fingerprint.content()],
+            Identity::EachDigest | Identity::Fingerprint => of(&request.fingerprint).to_vec(),
+        };
+        let effects = self.vms[request.vm].on_success(&digests, self.now);
         self.send_messages(request.vm, effects);
-        self.suspected_since.remove(&request.content);
-        self.start_next(request.content);
     }
 
     /// Allows the next queued request of a suspected content to run, if any.
@@ -404,7 +432,10 @@
         }
         for Run { request, started_at, .. } in interrupted {
             let ran = request.poison.is_none() && self.now.since(started_at) >= STABLE_AFTER;
-            let open_requests = [OpenRequest { content: request.content, was_stable: ran }];
+            let recorded = self.identity.recorded(&request.fingerprint).into_iter();
+            let open_requests: Vec<BrokenRequest> = recorded
+                .map(|fingerprint| BrokenRequest { fingerprint, was_stable: ran })
+                .collect();
             let effects = self.vms[request.vm].on_server_crash(
                 incarnation_id,
                 &open_requests,
@@ -412,8 +443,8 @@
                 self.now,
             );
             let delivery_time = self.deliver(request.vm, effects);
-            self.suspected_since.entry(request.content).or_insert(self.now);
-            self.start_next(request.content);
+            self.suspected_since.entry(request.fingerprint.content()).or_insert(self.now);
+            self.start_next(request.fingerprint.content());
             if request.attempts >= MAX_ATTEMPTS {
                 self.refusal_waits.push(delivery_time);
             }
@@ -423,8 +454,8 @@
 
     fn count_crash(&mut self, poison: usize) {
         self.crashes[poison] += 1;
-        if self.crashes[poison] == 3 {
-            self.third_crash[poison] = Some(self.now);
+        if self.crashes[poison] == self.traffic.accepted_crashes() {
+            self.last_accepted_crash[poison] = Some(self.now);
         }
     }
 
@@ -447,16 +478,16 @@
         self.schedule(at, Event::Arrival(request));
     }
 
-    /// Records how long after its third crash a content was quarantined at a VM.
+    /// Records how long after its last accepted crash a culprit was quarantined at a VM.
     fn record_quarantines(&mut self, vm: usize, effects: &Effects) {
         if self.partitioned[vm] {
             return;
         }
         for transition in &effects.transitions {
             let Transition::Quarantined(content, _) = transition else { continue };
-            let is_same = |poison: &usize| poison_content(*poison) == *content;
-            let third = (0..CONTENTS).find(is_same).and_then(|poison| self.third_crash[poison]);
-            self.quarantine_delays.extend(third.map(|third| self.now.since(third)));
+            let is_same = |poison: &usize| self.traffic.culprit(*poison) == *content;
+            let last = (0..CULPRITS).find(is_same).and_then(|at| self.last_accepted_crash[at]);
+            self.quarantine_delays.extend(last.map(|last| self.now.since(last)));
         }
     }
 
@@ -532,8 +563,3 @@
         Some(MAX_REFUSAL_WAIT)
     }
 }
-
-/// Returns the crashing content with this index.
-fn poison_content(poison: usize) -> Digest {
-    digest(&[b"poison", &[poison as u8]])
-}
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -14,7 +14,7 @@
 use super::{announce, connectivity, crash, poison, pool, stall, usage};
 use crate::config::RetryPolicy;
 use crate::decide::outcome::AttemptOutcome;
-use crate::decide::poison::OpenRequest;
+use crate::decide::poison::BrokenRequest;
 use crate::decide::server_limit;
 use crate::engine::crash_check::Check;
 use crate::platform::header::{self, AddedHeaders};
@@ -142,7 +142,7 @@
     drop(pending);
     record_outcome(job, replica, &outcome);
     if outcome.end == AttemptOutcome::Broken || is_lost {
-        let request = OpenRequest { content: job.content, was_stable: false };
+        let request = BrokenRequest { fingerprint: job.fingerprint.clone(), was_stable: false };
         outcome.check = crash::on_broken_response(vm, replica, request);
     }
     outcome
@@ -213,9 +213,9 @@
         release_connection(job, replica, connection, None);
         return Outcome::without_response(AttemptOutcome::Withheld, unavailable.to_string());
     }
-    if !stall::is_caught_up(vm) || poison::is_quarantined(job) {
+    if !stall::is_caught_up(vm) || poison::refusal_cause(job).is_some() {
         release_connection(job, replica, connection, None);
-        let reason = "the content is, or may be, quarantined";
+        let reason = "the request is, or may be, quarantined";
         return Outcome::without_response(AttemptOutcome::Withheld, reason);
     }
     if let Err(reason) = pending.permit.consume(vm.now()) {
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -3,6 +3,7 @@
 //! A server whose process is gone refuses new connections, or has a later incarnation. A server
 //! that announced a drain ends as planned and is not checked.
 
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::rc::Rc;
 
@@ -17,9 +18,10 @@
 use super::replica::Replica;
 use super::server::Fleet;
 use super::vm::Vm;
-use crate::decide::poison::{OpenRequest, Outgoing};
+use crate::decide::poison::{BrokenRequest, Outgoing};
 use crate::engine::check::{self, ProcessState};
 use crate::engine::crash_check::{Check, Reporter};
+use crate::unit::Digest;
 
 /// What to do about a broken response, depending on what this VM knows of the server's incarnation
 /// (one lifetime of its process).
@@ -36,8 +38,8 @@
 
 /// Handles a response that broke off at an incarnation of a server. Returns the check of the
 /// server, which ends when the other VMs know of a crash; none if the server ends as planned.
-pub fn on_broken_response(vm: &Rc<Vm>, replica: &Replica, request: OpenRequest) -> Option<Check> {
-    match next_action(&mut vm.fleet.borrow_mut(), replica, request) {
+pub fn on_broken_response(vm: &Rc<Vm>, replica: &Replica, request: BrokenRequest) -> Option<Check> {
+    match next_action(&mut vm.fleet.borrow_mut(), replica, request.clone()) {
         Action::RecordCrash => {}
         Action::Start(reporter, check) => {
             spawn(check_server(vm.clone(), replica.clone(), reporter));
@@ -58,7 +60,7 @@
 
 /// Decides what to do about the broken response to `request`. The request is remembered if the
 /// server is being checked, so that the result of the check applies to it too.
-fn next_action(fleet: &mut Fleet, replica: &Replica, request: OpenRequest) -> Action {
+fn next_action(fleet: &mut Fleet, replica: &Replica, request: BrokenRequest) -> Action {
     let Some(server) = fleet.get_mut(&replica.id) else { return Action::Ignore };
     if !server.replica.is_same_incarnation(replica) {
         return Action::RecordCrash;
@@ -102,24 +104,30 @@
     report.await;
 }
 
-/// Counts and logs the result of a check, and reports a crash with the contents of the requests
+/// Counts and logs the result of a check, and reports a crash with the fingerprints of the requests
 /// that were open at the server. The returned future ends when the other VMs have the report.
 fn record_check(
     vm: &Rc<Vm>,
     replica: &Replica,
-    broken: Vec<OpenRequest>,
+    broken: Vec<BrokenRequest>,
     found: ProcessState,
 ) -> impl Future<Output = ()> + use<> {
     let outcome = format!("{found:?}");
     vm.metrics.checks.with_label_values(&[replica.service.as_str(), &outcome]).inc();
-    let contents: Vec<String> = broken.iter().map(|one| one.content.to_string()).collect();
-    let contents = contents.join(" ");
+    let list = |digests: &mut dyn Iterator<Item = Digest>| {
+        digests.map(|digest| digest.to_string()).collect::<Vec<_>>().join(" ")
+    };
+    let contents = list(&mut broken.iter().map(|one| one.fingerprint.content()));
+    let shared_parts: BTreeSet<Digest> =
+        broken.iter().flat_map(|one| one.fingerprint.shared_parts()).copied().collect();
+    let shared_parts = list(&mut shared_parts.into_iter());
     let fields = [
         ("server", replica.id.as_str().into()),
         ("born_ms", replica.started_at_ms.unwrap_or_default().into()),
         ("found", outcome.as_str().into()),
         ("broken", broken.len().into()),
         ("contents", contents.as_str().into()),
+        ("shared_parts", shared_parts.as_str().into()),
     ];
     vm.log("server checked", &fields);
     let is_crash = found == ProcessState::IsGone && !broken.is_empty();
@@ -135,7 +143,7 @@
 fn report_crash(
     vm: &Rc<Vm>,
     replica: &Replica,
-    broken: &[OpenRequest],
+    broken: &[BrokenRequest],
 ) -> impl Future<Output = ()> + use<> {
     let reported_at = vm.now();
     let messages = poison::on_server_crash(vm, replica, broken).into_iter();
--- a/src/forward/dispatch.rs
+++ b/src/forward/dispatch.rs
@@ -17,7 +17,7 @@
 use crate::decide::outcome::{self, AttemptOutcome, FinalResponse, NextAction};
 use crate::engine::crash_check::Checks;
 use crate::entry::refusal::{Kind, Refusal};
-use crate::unit::{Model, Moment, Span};
+use crate::unit::{Digest, Model, Moment, Span};
 
 /// Time to the deadline below which no attempt is started.
 const MIN_ATTEMPT_TIME: Span = Span::millis(30);
@@ -106,8 +106,8 @@
     loop {
         poison::await_decisive_checks(job, &progress.checks).await;
         stall::catch_up(job).await;
-        if poison::is_quarantined(job) {
-            return refuse_quarantined(job, progress);
+        if let Some(cause) = poison::refusal_cause(job) {
+            return refuse_quarantined(job, progress, cause);
         }
         if vm.has_lost_links() || connectivity::is_unreachable(vm, &job.service) {
             return refuse_unreachable(job, progress);
@@ -123,8 +123,8 @@
             }
             return give_up(job, progress, AttemptOutcome::NotSent);
         };
-        if poison::is_quarantined(job) {
-            return refuse_quarantined(job, progress);
+        if let Some(cause) = poison::refusal_cause(job) {
+            return refuse_quarantined(job, progress, cause);
         }
         let now = vm.now();
         let replica = &placement.replica;
@@ -261,7 +261,7 @@
     // One attempt for the larger model, and one for the fallback if the route allows three at all.
     let needed = if job.route.max_attempts > 2 { 2 } else { 1 };
     let may_attempt = counted_attempts(job, progress) + needed <= job.route.max_attempts;
-    if progress.escalated || !may_attempt || poison::is_quarantined(job) {
+    if progress.escalated || !may_attempt || poison::refusal_cause(job).is_some() {
         return None;
     }
     let (_, response) = outcome.head.as_ref()?;
@@ -337,7 +337,7 @@
     if reads_as_not_run(&response) {
         return refuse_broken(job, "the server failed with a status that callers read as not run");
     }
-    poison::on_success(&job.vm, job.content);
+    poison::on_success(job);
     job.record.set_outcome(head.status.as_str());
     Reply::Complete(Box::new((head, outcome.body)))
 }
@@ -358,12 +358,14 @@
     Reply::Refused(refusal)
 }
 
-/// Ends a request whose content crashes servers and is quarantined.
-fn refuse_quarantined(job: &Job, progress: &mut Progress) -> Reply {
+/// Ends a request that has a quarantined digest, `cause`.
+fn refuse_quarantined(job: &Job, progress: &mut Progress, cause: Digest) -> Reply {
     if progress.may_have_run {
         return give_up(job, progress, AttemptOutcome::Broken);
     }
-    refuse(job, Refusal::new(Kind::HeldBack))
+    let refusal = Refusal::new(Kind::HeldBack);
+    job.record.set_held_back(refusal.kind.row().name, cause);
+    Reply::Refused(refusal)
 }
 
 /// Ends a request for a service of which this VM reaches no server. Other VMs may serve it at once
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -16,6 +16,7 @@
 use super::vm::Vm;
 use crate::config::{KeyHolder, RetryPolicy, Route};
 use crate::decide::outcome::AttemptOutcome;
+use crate::decide::poison::Fingerprint;
 use crate::decide::{escalate, priority};
 use crate::unit::{Digest, Model, Moment, Service, Span, Version, hash};
 
@@ -45,8 +46,8 @@
     /// Holder of the request's API key; `None` on a public route, or if the configuration has no
     /// keys.
     pub holder: Option<Rc<KeyHolder>>,
-    /// Digest of what the request asks for, equal for repeated requests; see [`super::content`].
-    pub content: Digest,
+    /// What identifies the request if it crashes servers; see [`super::content`].
+    pub fingerprint: Fingerprint,
     /// When the request head arrived.
     pub arrived: Moment,
     /// When the shorter of the caller's and the route's timeout expires.
@@ -317,6 +318,12 @@
         self.trail.borrow().clone()
     }
 
+    /// Sets that the request was refused because a digest of it is quarantined.
+    pub fn set_held_back(&self, outcome: &str, quarantined: Digest) {
+        self.set_outcome(outcome);
+        *self.outcome_reason.borrow_mut() = format!("digest {quarantined} is quarantined");
+    }
+
     /// Sets that the stream to the caller broke off. The reason, which may hold any text of an
     /// error, is logged and is not part of the metric's label.
     pub fn set_broken_off(&self, reason: &str) {
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -199,6 +199,7 @@
             match route.service(weight).cloned() {
                 Some(service) => {
                     let vm = vm.clone();
+                    let fingerprint = content::fingerprint(content, &call, &service);
                     let job = Job {
                         vm,
                         head,
@@ -207,7 +208,7 @@
                         route,
                         service,
                         holder,
-                        content,
+                        fingerprint,
                         arrived,
                         deadline,
                         record,
--- a/src/forward/liveness.rs
+++ b/src/forward/liveness.rs
@@ -1,6 +1,6 @@
 //! How sure a VM is that an incarnation of a backend server still runs.
 
-use crate::decide::poison::OpenRequest;
+use crate::decide::poison::BrokenRequest;
 use crate::engine::crash_check::Check;
 
 /// State of one incarnation of a server, as far as this VM knows.
@@ -19,7 +19,7 @@
 #[derive(Debug)]
 pub struct Suspicion {
     /// The requests whose responses broke off.
-    pub broken: Vec<OpenRequest>,
+    pub broken: Vec<BrokenRequest>,
     /// The check that is running.
     pub check: Check,
 }
--- a/src/forward/poison.rs
+++ b/src/forward/poison.rs
@@ -1,4 +1,4 @@
-//! Quarantine of request contents under which backend servers crash. This module connects the rules
+//! Quarantine of requests under which backend servers crash. This module connects the rules
 //! of [`crate::decide::poison`] to the requests and messages of a VM.
 
 use std::net::SocketAddr;
@@ -9,23 +9,23 @@
 use super::replica::Replica;
 use super::vm::Vm;
 use crate::decide::poison::{
-    Effects, OpenRequest, Outgoing, ServerIncarnation, Transition, refusal,
+    BrokenRequest, Effects, Outgoing, ServerIncarnation, Transition, refusal,
 };
 use crate::engine::crash_check::Checks;
 use crate::unit::{Digest, Moment};
 
 pub use crate::decide::poison::{Message, QuarantinedContent};
 
-/// Returns true if the content of a request is quarantined, so that the request must not be sent,
-/// or not sent again.
-pub fn is_quarantined(job: &Job) -> bool {
+/// Returns the quarantined digest for which a request must not be sent, or not sent again, if there
+/// is one.
+pub fn refusal_cause(job: &Job) -> Option<Digest> {
     let vm = &job.vm;
-    vm.poison.borrow().quarantine_crashes(&job.content, vm.now()).is_some()
+    vm.poison.borrow().refusal_cause(&job.fingerprint, vm.now())
 }
 
 /// Records that an incarnation of a server crashed while the requests `broken` of this VM were open
 /// at it. Returns the messages for other VMs.
-pub fn on_server_crash(vm: &Vm, replica: &Replica, broken: &[OpenRequest]) -> Vec<Outgoing> {
+pub fn on_server_crash(vm: &Vm, replica: &Replica, broken: &[BrokenRequest]) -> Vec<Outgoing> {
     let incarnation = ServerIncarnation::new(replica.id.as_str(), replica.started_at_ms);
     let topology = vm.peers.borrow().topology();
     let effects = vm.poison.borrow_mut().on_server_crash(incarnation, broken, topology, vm.now());
@@ -34,11 +34,11 @@
 }
 
 /// Waits, before a request is sent again, for the checks of the servers that broke off their
-/// responses to it, if their crashes would quarantine its content.
+/// responses to it, if their crashes would quarantine it.
 pub async fn await_decisive_checks(job: &Job, checks: &Checks) {
     let vm = &job.vm;
     let further_crashes = checks.without_result();
-    let is_decisive = vm.poison.borrow().would_be_quarantined(&job.content, further_crashes);
+    let is_decisive = vm.poison.borrow().would_be_quarantined(&job.fingerprint, further_crashes);
     if further_crashes > 0 && is_decisive {
         checks.wait_for_results(refusal::max_wait(job.deadline, vm.now())).await;
     }
@@ -53,10 +53,10 @@
     }
     let vm = &job.vm;
     let started_at = vm.now();
-    let is_suspect = vm.poison.borrow().is_suspect(&job.content);
+    let is_suspect = vm.poison.borrow().is_suspect(&job.fingerprint);
     let limit = refusal::max_wait(job.deadline, started_at);
     let is_complete = checks.wait(is_suspect, limit).await;
-    let content = job.content.to_string();
+    let content = job.fingerprint.content().to_string();
     let fields = [
         ("id", job.call.id.as_str().into()),
         ("content", content.as_str().into()),
@@ -68,9 +68,18 @@
     vm.log("refusal after broken responses", &fields);
 }
 
-/// Records that a request with this content got a good and complete response.
-pub fn on_success(vm: &Rc<Vm>, content: Digest) {
-    let out = vm.poison.borrow_mut().on_success(content, vm.now());
+/// Records that a request got a good and complete response.
+pub fn on_success(job: &Job) {
+    let vm = &job.vm;
+    let out = vm.poison.borrow_mut().on_success(job.fingerprint.digests(), vm.now());
+    apply(vm, out, None);
+}
+
+/// Records that a server has produced events for a request for so long that the shared parts of its
+/// prompt are no cause of crashes.
+pub fn on_stable(job: &Job) {
+    let vm = &job.vm;
+    let out = vm.poison.borrow_mut().on_success(job.fingerprint.shared_parts(), vm.now());
     apply(vm, out, None);
 }
 
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -11,7 +11,7 @@
 use super::{attempt, crash, poison, stall};
 use crate::config::RetryPolicy;
 use crate::decide::outcome::AttemptOutcome;
-use crate::decide::poison::{OpenRequest, STABLE_AFTER};
+use crate::decide::poison::{BrokenRequest, STABLE_AFTER};
 use crate::unit::{Moment, Span};
 
 /// Interval at which a broken stream checks for an exhausted retry budget to recover.
@@ -25,6 +25,8 @@
     last_id: Option<u64>,
     /// Number of attempts to resume that failed before a byte was sent.
     unsent_attempts: u32,
+    /// True if a server has produced events for [`STABLE_AFTER`].
+    has_been_stable: bool,
 }
 
 /// Why the caller's stream is aborted. The connection is reset, so that the stream does not look
@@ -45,7 +47,8 @@
     let last_id = job.call.last_event_id;
     // The outcome if the body is dropped before the stream ends.
     job.record.set_outcome("caller left its stream");
-    let relay = Relay { job, current: started, last_id, unsent_attempts: 0 };
+    let relay =
+        Relay { job, current: started, last_id, unsent_attempts: 0, has_been_stable: false };
     futures_util::stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
         match relay.next().await {
@@ -59,7 +62,7 @@
             }
             None => {
                 relay.job.record.set_outcome("streamed");
-                poison::on_success(&relay.job.vm, relay.job.content);
+                poison::on_success(&relay.job);
                 relay.release_connection();
                 None
             }
@@ -75,6 +78,7 @@
                 Some(batch) => match self.check_order(&batch) {
                     Ok(()) => {
                         self.last_id = batch.last_id.or(self.last_id);
+                        self.record_stability();
                         return Some(Ok(batch.bytes));
                     }
                     Err(reason) => reason,
@@ -98,6 +102,20 @@
         stream.first_batch.take().or_else(|| stream.events.take_complete())
     }
 
+    /// Returns true if the present server has produced events for [`STABLE_AFTER`].
+    fn is_stable(&self, now: Moment) -> bool {
+        now.since(self.current.stream.started_at) >= STABLE_AFTER
+    }
+
+    /// Records once that a server has run the request for long enough to rule out the shared parts
+    /// of its prompt as a cause of crashes.
+    fn record_stability(&mut self) {
+        if !self.has_been_stable && self.is_stable(self.job.vm.now()) {
+            self.has_been_stable = true;
+            poison::on_stable(&self.job);
+        }
+    }
+
     /// Checks that the events follow directly those that the caller has.
     fn check_order(&self, batch: &Batch) -> Result<(), String> {
         match (self.last_id, batch.first_id) {
@@ -138,8 +156,8 @@
                 server.availability.record(AttemptOutcome::Broken, usual, vm.now());
             }
         }
-        let ran = vm.now().since(self.current.stream.started_at) >= STABLE_AFTER;
-        let request = OpenRequest { content: self.job.content, was_stable: ran };
+        let fingerprint = self.job.fingerprint.clone();
+        let request = BrokenRequest { fingerprint, was_stable: self.is_stable(vm.now()) };
         let check = crash::on_broken_response(&vm, broken, request);
         self.current.checks.extend(check);
         if self.job.route.retry != RetryPolicy::Resume {
@@ -149,7 +167,7 @@
             poison::await_decisive_checks(&self.job, &self.current.checks).await;
             stall::catch_up(&self.job).await;
             let now = vm.now();
-            if !self.may_resume(now) || poison::is_quarantined(&self.job) {
+            if !self.may_resume(now) || poison::refusal_cause(&self.job).is_some() {
                 return Err(reason);
             }
             if !vm.spend_retry(&self.job.service, now) {
--- a/src/vm/poison.rs
+++ b/src/vm/poison.rs
@@ -2,6 +2,7 @@
 //! servers crashed, and exchanges the results with other VMs. The decisions are in
 //! [`crate::decide::poison`].
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,8 +15,8 @@
 use super::control::Control;
 use super::{Command, Vm};
 use crate::decide::poison::{
-    Effects, Message, OpenRequest, Outgoing, Recipients, ServerIncarnation, Topology, Transition,
-    refusal,
+    BrokenRequest, Effects, Fingerprint, Message, Outgoing, Recipients, ServerIncarnation,
+    Topology, Transition, refusal,
 };
 use crate::engine::check::{self, ProcessState};
 use crate::engine::crash_check::{Check, Checks};
@@ -49,20 +50,20 @@
     ServerIncarnation::new(server.as_str(), Some(date.0 / INCARNATION_WINDOW.0))
 }
 
-/// Returns true if a content is quarantined, so that requests with it are not sent to servers.
-pub fn is_quarantined(vm: &Vm, content: &Digest) -> bool {
+/// Returns true if a request has a quarantined digest for which it must not be sent to a server.
+pub fn is_quarantined(vm: &Vm, request: &Fingerprint) -> bool {
     let poison = vm.poison.lock().expect("no panic while held");
-    poison.quarantine_crashes(content, vm.clock.now()).is_some()
+    poison.refusal_cause(request, vm.clock.now()).is_some()
 }
 
 /// Checks, after a response ended early, if the process of the server has crashed, and then records
-/// the crash for the content of the request. Returns the check, which ends when the other VMs know
+/// the crash for the request. Returns the check, which ends when the other VMs know
 /// of the crash too.
 pub fn on_broken_response(
     vm: &Arc<Vm>,
     server: &Server,
     address: SocketAddr,
-    request: OpenRequest,
+    request: BrokenRequest,
 ) -> Check {
     let (vm, server) = (vm.clone(), server.clone());
     let (reporter, check) = Check::start();
@@ -71,7 +72,7 @@
         log::info!(
             "{} checked {server} after a broken response: {found:?}, content {}",
             vm.settings.vm,
-            request.content
+            request.fingerprint.content()
         );
         if found == ProcessState::IsGone {
             let incarnation = incarnation_at(&server, vm.clock.date());
@@ -91,12 +92,17 @@
 }
 
 /// Waits, before a request is sent again, for the checks of the servers that broke off their
-/// responses to it, if their crashes would quarantine its content.
-pub async fn await_decisive_checks(vm: &Vm, content: &Digest, deadline: Moment, checks: &Checks) {
+/// responses to it, if their crashes would quarantine it.
+pub async fn await_decisive_checks(
+    vm: &Vm,
+    fingerprint: &Fingerprint,
+    deadline: Moment,
+    checks: &Checks,
+) {
     let further_crashes = checks.without_result();
     let is_decisive = {
         let poison = vm.poison.lock().expect("no panic while held");
-        poison.would_be_quarantined(content, further_crashes)
+        poison.would_be_quarantined(fingerprint, further_crashes)
     };
     if further_crashes > 0 && is_decisive {
         checks.wait_for_results(refusal::max_wait(deadline, vm.clock.now())).await;
@@ -109,7 +115,7 @@
 pub async fn await_crash_checks(
     vm: &Vm,
     request: &RequestId,
-    content: &Digest,
+    fingerprint: &Fingerprint,
     deadline: Moment,
     checks: &Checks,
 ) {
@@ -117,7 +123,8 @@
         return;
     }
     let started_at = vm.clock.now();
-    let is_suspect = vm.poison.lock().expect("no panic while held").is_suspect(content);
+    let is_suspect = vm.poison.lock().expect("no panic while held").is_suspect(fingerprint);
+    let content = fingerprint.content();
     let limit = refusal::max_wait(deadline, started_at);
     let is_complete = checks.wait(is_suspect, limit).await;
     log::info!(
@@ -129,10 +136,10 @@
     );
 }
 
-/// Records that a request with this content completed, which clears the content of suspicion.
-pub fn on_success(vm: &Vm, content: Digest) {
+/// Records that a request with these digests ran well, which clears them of suspicion.
+pub fn on_success(vm: &Vm, digests: &[Digest]) {
     let now = vm.clock.now();
-    let effects = vm.poison.lock().expect("no panic while held").on_success(content, now);
+    let effects = vm.poison.lock().expect("no panic while held").on_success(digests, now);
     apply_effects(vm, effects);
 }
 
@@ -176,7 +183,7 @@
     let to = match outgoing.to {
         Recipients::All => others,
         Recipients::Aggregators(_) if is_full_mesh => others,
-        Recipients::Aggregators(content) => aggregators(control, others, content),
+        Recipients::Aggregators(digest) => aggregators(control, others, digest, &outgoing.message),
     };
     let deliveries: Vec<_> = to
         .into_iter()
@@ -186,12 +193,27 @@
     await_required(deliveries, required).await;
 }
 
-/// Returns the other VMs that aggregate the observations of a content.
-fn aggregators(control: &Control, others: Vec<Member>, content: Digest) -> Vec<Member> {
+/// Returns the other VMs that aggregate the observations of a digest and, of a crash, those of the
+/// other digests of the request.
+fn aggregators(
+    control: &Control,
+    others: Vec<Member>,
+    digest: Digest,
+    message: &Message,
+) -> Vec<Member> {
     let own_vm = &control.vm.settings.vm;
-    let names = others.iter().map(|member| &member.vm).chain([own_vm]);
-    let order = rendezvous_order(&format!("content/{content}"), names);
-    let chosen: Vec<_> = order.into_iter().take(AGGREGATORS).cloned().collect();
+    let reported = match message {
+        Message::ServerCrashed { requests, .. } => requests.as_slice(),
+        Message::Quarantined(_) | Message::Succeeded { .. } => &[],
+    };
+    let digests = reported.iter().map(|request| request.content).chain([digest]);
+    let chosen: HashSet<_> = digests
+        .flat_map(|digest| {
+            let names = others.iter().map(|member| &member.vm).chain([own_vm]);
+            let order = rendezvous_order(&format!("content/{digest}"), names);
+            order.into_iter().take(AGGREGATORS).cloned().collect::<Vec<_>>()
+        })
+        .collect();
     others.into_iter().filter(|member| chosen.contains(&member.vm)).collect()
 }
 
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -1,7 +1,7 @@
 //! Which contents are quarantined, decided without a network: crashes and successes in any order,
 //! and the limits of what is remembered.
 
-use kitepulley::decide::poison::{Evidence, EvidenceChange, OpenRequest, ServerIncarnation};
+use kitepulley::decide::poison::{BrokenRequest, Evidence, EvidenceChange, ServerIncarnation};
 use kitepulley::unit::{Digest, Moment, Span, digest};
 use quickcheck::quickcheck;
 
@@ -15,20 +15,20 @@
     ServerIncarnation::new(&format!("server{number}"), Some(number))
 }
 
-fn fresh(number: u64) -> OpenRequest {
-    OpenRequest { content: content(number), was_stable: false }
+fn fresh(number: u64) -> BrokenRequest {
+    BrokenRequest { fingerprint: content(number).into(), was_stable: false }
 }
 
-fn stable(number: u64) -> OpenRequest {
-    OpenRequest { content: content(number), was_stable: true }
+fn stable(number: u64) -> BrokenRequest {
+    BrokenRequest { fingerprint: content(number).into(), was_stable: true }
 }
 
 /// Records crashes of different incarnations under a request, a second apart, and returns the
 /// changes.
-fn crash(evidence: &mut Evidence, request: OpenRequest, crashes: u64) -> Vec<EvidenceChange> {
+fn crash(evidence: &mut Evidence, request: BrokenRequest, crashes: u64) -> Vec<EvidenceChange> {
     let crash = |number: u64| {
         let at = NOW + Span::secs(number);
-        evidence.on_crash(request, incarnation(number), at, at)
+        evidence.on_crash(&request, incarnation(number), at, at)
     };
     (0..crashes).map(crash).collect()
 }
@@ -52,7 +52,7 @@
 fn one_life_ends_once_however_many_say_so() {
     let mut evidence = Evidence::default();
     for _ in 0..10 {
-        evidence.on_crash(fresh(1), incarnation(1), NOW, NOW);
+        evidence.on_crash(&fresh(1), incarnation(1), NOW, NOW);
     }
     assert_eq!(evidence.quarantine_crashes(&content(1), NOW), None);
     let again = ServerIncarnation::new("server1", Some(2));
@@ -79,7 +79,7 @@
     // If many callers send the content, it is open at all servers that crash in the next seconds.
     for number in 10..20 {
         assert_eq!(
-            evidence.on_crash(fresh(1), incarnation(number), at + Span::secs(9), at),
+            evidence.on_crash(&fresh(1), incarnation(number), at + Span::secs(9), at),
             EvidenceChange::None
         );
     }
@@ -91,7 +91,7 @@
     // A success does not clear a content for ever.
     let later = at + Span::secs(40);
     let held =
-        (10..13).map(|number| evidence.on_crash(fresh(1), incarnation(number), later, later));
+        (10..13).map(|number| evidence.on_crash(&fresh(1), incarnation(number), later, later));
     assert_eq!(held.last(), Some(EvidenceChange::Quarantined));
 }
 
@@ -115,10 +115,10 @@
     crash(&mut evidence, fresh(0), 3);
     let now = NOW + Span::secs(5);
     for number in 1..200_000 {
-        evidence.on_crash(fresh(number), incarnation(number % 600 + 10), now, now);
+        evidence.on_crash(&fresh(number), incarnation(number % 600 + 10), now, now);
         evidence.on_success(content(number), now, now);
         if number % 3 == 0 {
-            evidence.on_crash(fresh(number + 1_000_000), incarnation(9_999), now, now);
+            evidence.on_crash(&fresh(number + 1_000_000), incarnation(9_999), now, now);
         }
         assert!(evidence.len() <= 20_000, "{}", evidence.len());
     }
@@ -151,8 +151,9 @@
         let apply = |events: &mut dyn Iterator<Item = &(u8, u8, bool)>| {
             let mut evidence = Evidence::default();
             for (asked, server, ran) in events {
-                let request = OpenRequest { content: content(u64::from(asked % 4)), was_stable: *ran };
-                evidence.on_crash(request, incarnation(u64::from(server % 6)), NOW, NOW);
+                let fingerprint = content(u64::from(asked % 4)).into();
+                let request = BrokenRequest { fingerprint, was_stable: *ran };
+                evidence.on_crash(&request, incarnation(u64::from(server % 6)), NOW, NOW);
             }
             (0..4).map(|number| evidence.quarantine_crashes(&content(number), NOW)).collect::<Vec<_>>()
         };
@@ -167,13 +168,13 @@
         let mut evidence = Evidence::default();
         let (before, after) = (u64::from(before % 8), u64::from(after % 8));
         (0..before).for_each(|number| {
-            evidence.on_crash(fresh(1), incarnation(number), NOW, NOW);
+            evidence.on_crash(&fresh(1), incarnation(number), NOW, NOW);
         });
         let ran = NOW + Span::secs(1);
         evidence.on_success(content(1), ran, ran);
         let later = ran + Span::secs(31);
         (0..after).for_each(|number| {
-            evidence.on_crash(fresh(1), incarnation(100 + number), later, later);
+            evidence.on_crash(&fresh(1), incarnation(100 + number), later, later);
         });
         evidence.quarantine_crashes(&content(1), later).is_some() == (after >= 3)
     }
--- a/tests/experiment.rs
+++ b/tests/experiment.rs
@@ -12,14 +12,14 @@
     run(name, &Options::check(&flags).expect("valid flags")).expect("the experiment runs")
 }
 
-/// With crashing contents, 23 and 84 VMs, and none or a tenth of the VMs cut off, the router's
+/// With crashing contents or parts of prompts, 23 and 84 VMs, and none or a tenth of the VMs cut off, the router's
 /// strategy keeps the limit on late retries on every seed, loses less than half of the servers
 /// lost without it, and refuses few innocent requests.
 #[test]
 fn contents_that_crash_servers_are_held_back_at_any_size() {
     let table = table("poison", 2, "23,84");
-    assert_eq!(table.rows.len(), 16);
-    for rows in table.rows.chunks(4) {
+    assert_eq!(table.rows.len(), 28);
+    for rows in table.rows.chunks(7) {
         let of = |row: usize, field: &str| rows[row].get(field).expect("a figure");
         let (unprotected, shared) = (0, 2);
         assert!(of(unprotected, "late retries worst") > 3.0, "the simulation shows the fault");
@@ -27,6 +27,12 @@
         assert!(of(shared, "lost median") * 2.0 < of(unprotected, "lost median"));
         assert!(of(shared, "innocent refused in a million") < 40_000.0);
         assert!(of(shared, "bytes/s a VM") < 2_000.0, "the users' limit for control traffic");
+        let (contents, fingerprints) = (4, 6);
+        assert!(of(contents, "late retries worst") > 3.0, "the simulation shows the fault");
+        assert!(of(fingerprints, "late retries worst") <= 3.0);
+        assert!(of(fingerprints, "lost median") * 2.0 < of(contents, "lost median"));
+        assert!(of(fingerprints, "innocent refused in a million") < 40_000.0);
+        assert!(of(fingerprints, "bytes/s a VM") < 2_000.0);
     }
 }
 
--- a/tests/prompt_parts.rs
+++ b/tests/prompt_parts.rs
@@ -132,9 +132,11 @@
 
 /// Starts a site and sends requests to it, each to a VM drawn anew.
 fn run(play: Play) -> Outcome {
-    let mut site = Site::new()
-        .route("safe", "idempotent", json!({}))
-        .route("stream", "streaming", json!({"stream_resume": true}));
+    let mut site = Site::new().route("safe", "idempotent", json!({})).route(
+        "stream",
+        "streaming",
+        json!({"stream_resume": true}),
+    );
     site.publish();
     let servers: Vec<Replica> =
         (0..play.servers).map(|at| site.fragile(&format!("r{at}"), play.crash())).collect();
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -19,6 +19,7 @@
 use actix_http::RequestHead;
 use bytes::Bytes;
 use kitepulley::config::{Regions, RetryPolicy, Route};
+use kitepulley::decide::poison::Fingerprint;
 use kitepulley::forward::job::{Job, Record};
 use kitepulley::forward::{Bounds, Settings, Vm as Inner};
 use kitepulley::history::Sink;
@@ -26,7 +27,7 @@
 use kitepulley::standin::Instance;
 use kitepulley::standin::platform::{Platform, Rates};
 use kitepulley::standin::replica::{Crash, Replica};
-use kitepulley::unit::{Digest, Millicores, Span};
+use kitepulley::unit::{Millicores, Span};
 use kitepulley::vm::Clock;
 use kitepulley::watch::log::Logger;
 use serde_json::{Value, json};
@@ -503,7 +504,7 @@
         route: Rc::new(route),
         service: service.parse().unwrap(),
         holder: None,
-        content: Digest::default(),
+        fingerprint: Fingerprint::default(),
         arrived,
         deadline: arrived + Span::secs(3),
     }
