--- a/tests/sleep.rs
+++ b/tests/sleep.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use kitepulley::decide::poison::{Exchange, OpenRequest, ServerIncarnation, Topology};
+use kitepulley::decide::poison::{BrokenRequest, Exchange, ServerIncarnation, Topology};
 use kitepulley::decide::reader::is_too_old_to_forward;
 use kitepulley::decide::server_limit::{Pacer, RateLimit, Share};
 use kitepulley::forward::{Vm, apply, suspension};
@@ -95,7 +95,7 @@
         let life = ServerIncarnation::new("server", Some(life));
         contents.on_server_crash(
             life,
-            &[OpenRequest { content, was_stable: false }],
+            &[BrokenRequest { fingerprint: content.into(), was_stable: false }],
             Topology::Direct,
             before,
         );
@@ -115,7 +115,7 @@
             "next send after {sleeps} s"
         );
         assert_eq!(
-            contents.quarantine_crashes(&content, now).is_some(),
+            contents.refusal_cause(&content.into(), now).is_some(),
             held,
             "quarantine after {sleeps} s"
         );
