Lend shares of rate limits to the VM that gets most of the requests

Callers whose connections nearly all went to one VM were served a third of the time where servers announce rate limits, although the servers had room: limits and the turns of cold servers are divided among VMs beforehand, and a VM with nearly all requests had a seventh of them.

A VM whose requests are throttled now asks the others twice a second, and those with less than half of its demand lend it up to three quarters of their shares for 1.5 s (decide::lending). A lender stops using a part before it says so, and the lease counts from the moment of the request by the borrower's clock, so the shares in use never exceed the limit, with messages lost or late and VMs cut off or dead (tests/lending.rs). A VM of the build before ignores the two new messages and lends nothing; no other message changes.

--- a/src/decide/server_limit.rs
+++ b/src/decide/server_limit.rs
@@ -93,6 +93,25 @@
         let interval = (INTERVAL_MARGIN * window / each).max(senders as f64 / rate);
         Share { senders, interval: Span((interval * 1e6) as u64) }
     }
+
+    /// Returns the share of a VM that uses these parts (0 to 1) of its own share in `limit` and of
+    /// those of other senders; none if that is not one request in a window.
+    ///
+    /// Parts of one sender's share are rounded so that they add up to no more than the share.
+    pub fn with_parts(self, limit: &RateLimit, own: f64, borrowed: &[f64]) -> Option<Share> {
+        let rate = limit.rate.0.clamp(MIN_RATE.0, MAX_RATE.0);
+        let window = limit.window.as_secs();
+        let whole = ((rate * window) as usize).max(1);
+        let each = (whole / self.senders.max(1)).max(1) as f64;
+        let borrowed: f64 = borrowed.iter().map(|part| (each * part).floor()).sum();
+        let used = (each * own).ceil() + borrowed;
+        if used < 1.0 {
+            return None;
+        }
+        let full = self.senders as f64 / rate * each / used;
+        let interval = (INTERVAL_MARGIN * window / used).max(full);
+        Some(Share { interval: Span((interval * 1e6) as u64), ..self })
+    }
 }
 
 /// Returns true if this VM is a sender of a server: the senders are the VMs with the highest
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 
 use super::call::Call;
+use super::lending;
 use super::rate_limit::Permit;
 use super::replica::Replica;
 use super::selection::{self, Criteria, Estimate, Placement, Reason, Skipped, Wait};
@@ -115,6 +116,9 @@
             if let Some(placement) = selection::select_server(vm, criteria, now) {
                 return Some(placement);
             }
+            if selection::is_throttled(vm, criteria, now) {
+                lending::on_throttled(vm, criteria.service);
+            }
             let wait = selection::next_wait(vm, criteria, until, now)?;
             self.record.add_wait(&wait, now);
             tokio::time::sleep(wait.until.since(now).duration()).await;
--- a/src/forward/message.rs
+++ b/src/forward/message.rs
@@ -10,7 +10,9 @@
 use super::rollout_trial::Totals;
 use super::settings::Settings;
 use super::usage;
-use crate::unit::{DataCentre, Millicores, Rate, Server, Service, Span, Version, Vm as Name};
+use crate::unit::{
+    DataCentre, Millicores, Moment, Rate, Server, Service, Span, Version, Vm as Name,
+};
 
 /// A message from one VM to another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -63,6 +65,25 @@
     },
     /// Requests of the sender's workspaces that began to run.
     Usage(usage::Batch),
+    /// The sender's shares of the rate limits of a service's servers are used up; it asks for those
+    /// of others.
+    ShareRequest {
+        /// The service.
+        service: Service,
+        /// Rate of requests for the service at the sender.
+        demand: Rate,
+        /// When this was sent, by the sender's clock.
+        sent_at: Moment,
+    },
+    /// The sender lends a part of its shares of the rate limits of a service's servers.
+    ShareLoan {
+        /// The service.
+        service: Service,
+        /// The part, from 0 to 1.
+        part: f64,
+        /// When the request that this answers was sent, by the clock of the VM that asked.
+        requested_at: Moment,
+    },
 }
 
 /// A message with its sender.
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -38,6 +38,7 @@
 mod follower;
 pub mod job;
 pub mod kind;
+mod lending;
 mod listener;
 mod liveness;
 mod membership;
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use actix_web::rt::spawn;
+use rand::seq::IteratorRandom;
 use tokio::sync::mpsc;
 
 use super::announce::{self, LimitReport};
@@ -17,7 +18,7 @@
 use super::role::Role;
 use super::rollout_trial::Source;
 use super::vm::Vm;
-use super::{membership, pinned_sessions, poison, poll, usage};
+use super::{lending, membership, pinned_sessions, poison, poll, usage};
 use crate::decide::poison::{Recipients, Topology};
 use crate::decide::reader::Rank;
 use crate::decide::server_limit;
@@ -322,6 +323,12 @@
             pinned_sessions::on_pinned_sessions(vm, &service, &version, draws)
         }
         Message::Usage(batch) => usage::on_batch(vm, &from, &batch),
+        Message::ShareRequest { service, demand, sent_at } => {
+            lending::on_request(vm, &from, info.address, &service, demand, sent_at)
+        }
+        Message::ShareLoan { service, part, requested_at } => {
+            lending::on_loan(vm, &from, &service, part, requested_at)
+        }
         Message::Poison(news) => poison::on_message(vm, from.as_str(), &news),
         Message::ServerDraining(life) => announce::on_drain(vm, from.as_str(), &life),
         Message::ServerLimit { server, started_at_ms, address, rate, age } => {
@@ -418,6 +425,15 @@
     Some((links, encode(&envelope)))
 }
 
+/// Sends a message to all VMs in a full mesh, else to some that are drawn anew each time.
+pub fn send_to_sample(vm: &Rc<Vm>, message: &Message) {
+    let targets: Vec<Name> = {
+        let peers = vm.peers.borrow();
+        peers.names().cloned().choose_multiple(&mut rand::rng(), FULL_MESH_MAX)
+    };
+    send_to_all(vm, &targets, message);
+}
+
 /// Sends a message to all VMs in a full mesh, else to the ring neighbours.
 pub fn broadcast(vm: &Rc<Vm>, message: &Message) {
     let targets = broadcast_targets(vm, &vm.peers.borrow());
--- a/src/forward/rate_limit.rs
+++ b/src/forward/rate_limit.rs
@@ -12,6 +12,7 @@
 use super::vm::Vm;
 use crate::decide::cold_start;
 use crate::decide::server_limit::{self, RateLimit, Reservation, Share, Throttled};
+use crate::unit::hash::mix;
 use crate::unit::{Moment, Service, Span, hash};
 
 /// A VM that has just started does not know all others yet, and sends nothing to rate-limited
@@ -35,10 +36,15 @@
     }
 }
 
-/// Hashes of the names of all VMs, from which the senders to a server are chosen.
+/// Hashes of the names of all VMs, from which the senders to a server are chosen, and the parts of
+/// their shares that this one may use.
 pub struct Vms {
     own: u64,
     others: Vec<u64>,
+    /// Part of its own shares that this VM has not lent, from 0 to 1.
+    kept: f64,
+    /// VMs that have lent a part of their shares to this one, with the part.
+    lenders: Vec<(u64, f64)>,
 }
 
 /// Checks the rate limits of the servers of one service at one moment.
@@ -52,13 +58,13 @@
 }
 
 /// Returns the limiter for the servers of a service.
-pub fn limiter<'a>(vm: &'a Vm, service: &Service, now: Moment) -> Limiter<'a> {
+pub fn limiter<'a>(vm: &'a Vm, service: &'a Service, now: Moment) -> Limiter<'a> {
     let cold = vm.routes().and_then(|table| table.pool(service)?.cold_start);
-    Limiter::new(cold, now, move || find_vms(vm, now))
+    Limiter::new(cold, now, move || find_vms(vm, service, now))
 }
 
 /// Returns all VMs, or `None` if this one does not know the others yet.
-fn find_vms(vm: &Vm, now: Moment) -> Option<Vms> {
+fn find_vms(vm: &Vm, service: &Service, now: Moment) -> Option<Vms> {
     let is_alone = vm.settings.links.is_none();
     let is_settled = now.since(vm.started) >= VM_DISCOVERY_TIME;
     let knows_vms = is_alone || (is_settled && vm.has_listed(Kind::Vms));
@@ -67,7 +73,13 @@
     }
     let peers = vm.peers.borrow();
     let others = peers.names().map(|name| hash::stable(&[name.as_str()])).collect();
-    Some(Vms { own: hash::stable(&[vm.settings.vm.as_str()]), others })
+    let lending = vm.lending.borrow();
+    let lending = lending.get(service);
+    let kept = lending.map_or(1.0, |lending| lending.kept(now));
+    let borrowed = lending.map(|lending| lending.borrowed(now)).unwrap_or_default();
+    let lenders = borrowed.into_iter().map(|(name, part)| (hash::stable(&[name.as_str()]), part));
+    let own = hash::stable(&[vm.settings.vm.as_str()]);
+    Some(Vms { own, others, kept, lenders: lenders.collect() })
 }
 
 impl<'a> Limiter<'a> {
@@ -118,7 +130,20 @@
         let vms = self.vms.get_or_init(&self.find_vms).as_ref()?;
         let share = Share::new(limit, vms.others.len() + 1);
         let number = hash::stable(&[server.replica.id.as_str()]);
-        server_limit::is_sender(&share, number, vms.own, &vms.others).then_some(share)
+        let own = match server_limit::is_sender(&share, number, vms.own, &vms.others) {
+            true => vms.kept,
+            false => 0.0,
+        };
+        let is_sender = |lender: &u64| {
+            // The lender is among the others, which does not change its rank.
+            let is_higher = mix(number, vms.own) > mix(number, *lender);
+            let senders = share.senders - usize::from(is_higher);
+            let share = Share { senders, ..share };
+            senders > 0 && server_limit::is_sender(&share, number, *lender, &vms.others)
+        };
+        let lenders = vms.lenders.iter().filter(|(lender, _)| is_sender(lender));
+        let borrowed: Vec<f64> = lenders.map(|(_, part)| *part).collect();
+        share.with_parts(limit, own, &borrowed)
     }
 
     /// Reserves this VM's next send to a server. Returns `None` if the server has no rate limit, or
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -10,7 +10,7 @@
 use super::settings::Settings;
 use super::vm::Vm;
 use super::{
-    connectivity, duty, follower, listener, peer, pinned_sessions, poison, proof, restore,
+    connectivity, duty, follower, lending, listener, peer, pinned_sessions, poison, proof, restore,
     rollout_steps, store_watch, suspension, usage,
 };
 use crate::error::Error;
@@ -59,6 +59,7 @@
     spawn(pinned_sessions::run(vm.clone()));
     spawn(suspension::run(vm.clone()));
     spawn(usage::run(vm.clone()));
+    spawn(lending::run(vm.clone()));
     spawn(duty::run(vm.clone()));
     spawn(peer::run(vm.clone()));
     spawn(follower::run(vm.clone()));
--- a/src/forward/selection/mod.rs
+++ b/src/forward/selection/mod.rs
@@ -286,6 +286,16 @@
     })
 }
 
+/// Returns true if a server that the request may go to has a rate limit.
+pub fn is_throttled(vm: &Vm, criteria: &Criteria, now: Moment) -> bool {
+    let fleet = vm.fleet.borrow();
+    let limiter = rate_limit::limiter(vm, criteria.service, now);
+    let considered = considered(vm, &fleet, criteria, &Versions::Any).servers;
+    considered
+        .into_iter()
+        .any(|one| fleet.is_eligible(one, now) && limiter.rate_limit(one).is_some())
+}
+
 /// Returns the time after which a refused caller should retry, when the first backoff ends or the
 /// first permit is due. Returns `None` unless all servers that the request may go to are backing
 /// off or rate limited.
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -25,6 +25,7 @@
 use crate::config::Table;
 use crate::decide::budget::RetryBudget;
 use crate::decide::connectivity::Connectivity;
+use crate::decide::lending::Lending;
 use crate::decide::limit;
 use crate::decide::poison::Exchange;
 use crate::decide::prefill::PrefillEstimator;
@@ -152,6 +153,8 @@
     pub is_unregistered: Cell<bool>,
     /// Requests of the workspaces that began to run; `None` if usage is not reported.
     pub usage: Option<RefCell<Usage>>,
+    /// Shares of the servers' rate limits that this VM has lent or borrowed, by service.
+    pub lending: RefCell<HashMap<Service, Lending>>,
     /// Buffered log lines.
     pub logger: Logger,
     /// Metrics of the process.
@@ -223,6 +226,7 @@
             peers: RefCell::default(),
             is_unregistered: Cell::new(false),
             usage,
+            lending: RefCell::default(),
             logger: lines,
             metrics: Metrics::new(),
             unknown_headers: RefCell::default(),
@@ -464,6 +468,7 @@
     /// Counts the first attempt of a request at a service, which earns retry budget.
     pub fn record_first_attempt(&self, service: &Service, now: Moment) {
         self.budget(service, |budget| budget.record_first(now));
+        self.lending.borrow_mut().entry(service.clone()).or_default().demand.record(now);
     }
 
     /// Takes a retry from the budget of a service. Returns false if none is left.
