Test streams that come with neither a length nor chunks

They end with their connection, and were broken off if they end within an event. Both ends were told apart already; the test passes on the code before too.

--- a/src/standin/replica.rs
+++ b/src/standin/replica.rs
@@ -40,6 +40,11 @@
         /// Resets the connection instead of closing it.
         reset: bool,
     },
+    /// Streams three events without a length or chunks, and closes the connection.
+    UnframedEvents {
+        /// Ends within the third event.
+        cut: bool,
+    },
     /// Sends the response of another request before the right one.
     ForeignFirst,
     /// Sends the right response, then one of another request.
@@ -500,6 +505,12 @@
                 return Ok(false);
             }
         }
+        Action::UnframedEvents { cut } => {
+            let mut text = response.signed(200, "Content-Type: text/event-stream\r\n\r\n");
+            (1..=3).for_each(|id| text.push_str(&event(id)));
+            text.truncate(text.len() - if cut { 4 } else { 0 });
+            stream.write_all(text.as_bytes())?;
+        }
         Action::ForeignFirst => {
             let text = answer(&foreign, 200, "not yours") + &answer(response, 200, "yours");
             stream.write_all(text.as_bytes())?;
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -313,6 +313,21 @@
     assert!(answer.whole);
 }
 
+/// A stream without a length or chunks ends with its connection. It was broken off if it ends within
+/// an event, of which the caller gets nothing.
+#[test]
+fn a_stream_without_framing_is_whole_unless_it_ends_within_an_event() {
+    let mut site = site();
+    let replica = site.replica("r1", "v1");
+    let vm = site.start_ready();
+    for (cut, events) in [(false, 3), (true, 2)] {
+        replica.push_action(Action::UnframedEvents { cut });
+        let answer = ask(vm.callers, &head("POST /talk/x", &format!("cut {cut}"), ""), b"story");
+        let received = answer.text().matches("\n\n").count();
+        assert_eq!((answer.status, answer.whole, received), (200, !cut, events), "cut: {cut}");
+    }
+}
+
 #[test]
 fn a_server_hears_at_once_that_the_caller_left_its_stream() {
     let mut site = site();
