Ask for shares less often where nobody lends; one reading of the change

Where all VMs are throttled, each asked twelve others twice a second in vain: some 2.6 kB/s a VM by the size of the messages. After six vain requests a VM now asks every 4 s.

--- a/src/decide/lending.rs
+++ b/src/decide/lending.rs
@@ -16,6 +16,12 @@
 /// Time between two requests for shares by a VM that needs them.
 pub const REQUEST_INTERVAL: Span = Span::millis(500);
 
+/// Number of requests without a loan after which a VM asks less often: the others need their shares.
+const MAX_VAIN_REQUESTS: u32 = 6;
+
+/// Time between two requests after that.
+const VAIN_REQUEST_INTERVAL: Span = Span::secs(4);
+
 /// Time after the end of a lease until the lender uses the share again, for clocks that run at
 /// different rates and requests that are being sent.
 const LEASE_MARGIN: Span = Span::millis(100);
@@ -84,18 +90,39 @@
     /// When each other VM last asked for shares.
     asked: HashMap<Vm, Moment>,
     throttled_at: Option<Moment>,
+    /// When this VM last asked for shares.
+    requested_at: Option<Moment>,
+    /// Number of its requests since the last loan, or since it was first throttled.
+    vain_requests: u32,
 }
 
 impl Lending {
     /// Records that a request found no server because this VM's shares are used up.
     pub fn on_throttled(&mut self, now: Moment) {
+        if !self.is_throttled(now) {
+            self.vain_requests = 0;
+        }
         self.throttled_at = Some(now);
     }
 
-    /// Returns true if this VM needs shares of others.
-    pub fn needs_more(&self, now: Moment) -> bool {
-        let is_recent = |at: Moment| now.since(at) < LEASE_TIME;
-        self.throttled_at.is_some_and(is_recent) || !self.borrowed(now).is_empty()
+    fn is_throttled(&self, now: Moment) -> bool {
+        self.throttled_at.is_some_and(|at| now.since(at) < LEASE_TIME)
+    }
+
+    /// Returns this VM's demand if it needs shares of others and asks for them now.
+    pub fn next_request(&mut self, now: Moment) -> Option<Rate> {
+        let is_needed = self.is_throttled(now) || !self.borrowed(now).is_empty();
+        let interval = match self.vain_requests {
+            0..MAX_VAIN_REQUESTS => REQUEST_INTERVAL,
+            MAX_VAIN_REQUESTS.. => VAIN_REQUEST_INTERVAL,
+        };
+        let is_due = self.requested_at.is_none_or(|at| now.since(at) >= interval);
+        if !is_needed || !is_due {
+            return None;
+        }
+        self.requested_at = Some(now);
+        self.vain_requests += 1;
+        Some(self.demand.rate(now))
     }
 
     /// Handles the request of another VM with this demand. Returns the part of this VM's shares that
@@ -107,9 +134,8 @@
         self.lent.retain(|lease| now <= lease.until);
         self.asked.retain(|_, at| now.since(*at) < LEASE_TIME);
         self.asked.insert(to.clone(), now);
-        let is_throttled = self.throttled_at.is_some_and(|at| now.since(at) < LEASE_TIME);
         let own = self.demand.rate(now).0;
-        if is_throttled || demand.0 <= 0.0 || own * 2.0 >= demand.0 {
+        if self.is_throttled(now) || demand.0 <= 0.0 || own * 2.0 >= demand.0 {
             return 0.0;
         }
         let lendable = MAX_LENT * (1.0 - 2.0 * own / demand.0);
@@ -135,6 +161,7 @@
         if !(0.0..=MAX_LENT).contains(&part) || requested_at > now || until <= now {
             return;
         }
+        self.vain_requests = 0;
         let known = self.borrowed.get(&by);
         if known.is_none_or(|known| known.until <= until) {
             self.borrowed.insert(by.clone(), Lease { vm: by, part, until });
--- a/src/decide/poison/evidence.rs
+++ b/src/decide/poison/evidence.rs
@@ -445,7 +445,9 @@
             .filter(|(digest, suspect)| rank(digest, suspect) <= least)
             .map(|(digest, _)| *digest)
             .collect();
-        evicted.iter().for_each(|digest| drop(self.suspects.remove(digest)));
+        for digest in evicted {
+            self.suspects.remove(&digest);
+        }
         self.judge();
     }
 }
--- a/src/decide/poison/verdict.rs
+++ b/src/decide/poison/verdict.rs
@@ -94,11 +94,23 @@
 fn candidate(suspects: &HashMap<Digest, Suspect>, digest: Digest) -> Option<Candidate<'_>> {
     let suspect = suspects.get(&digest)?;
     let weight = suspect.weight();
-    let (first, others) = suspect.crashes.split_first()?;
     let enough = suspect.quarantine_weight(&digest);
     if weight < enough {
         return None;
     }
+    let companions = wider_companions(suspects, suspect, digest)?;
+    let narrower_parts = narrower_parts(suspect, &digest);
+    Some(Candidate { digest, suspect, weight, enough, companions, narrower_parts })
+}
+
+/// Returns the wider suspects that requests with a suspect had too in every crash; none if a
+/// narrower one was there in every crash.
+fn wider_companions(
+    suspects: &HashMap<Digest, Suspect>,
+    suspect: &Suspect,
+    digest: Digest,
+) -> Option<Vec<Digest>> {
+    let (first, others) = suspect.crashes.split_first()?;
     let mut companions = Vec::new();
     for request in &first.requests {
         let mut is_narrower = true;
@@ -117,8 +129,7 @@
             }
         }
     }
-    let narrower_parts = narrower_parts(suspect, &digest);
-    Some(Candidate { digest, suspect, weight, enough, companions, narrower_parts })
+    Some(companions)
 }
 
 /// Returns the shared parts that requests with a suspect had and that are narrower than it.
--- a/src/experiment/poison/mod.rs
+++ b/src/experiment/poison/mod.rs
@@ -2,9 +2,9 @@
 //! time.
 //!
 //! Each run has three culprits, one after the other, which are contents or shared parts of prompts:
-//! each arrives fifty times within a second and then three times a second, every time at a random VM. Innocent requests run
-//! meanwhile, three in ten of them with the same content, and a quarter of all servers crash once
-//! without being caused by a request. The router's strategy, in which VMs share reports of
+//! each arrives fifty times within a second and then three times a second, every time at a random
+//! VM. Innocent requests run meanwhile, three in ten of them with the same content, and a quarter of
+//! all servers crash once without being caused by a request. The router's strategy, in which VMs share reports of
 //! crashes, is compared with three others.
 
 mod fleet;
--- a/src/forward/lending.rs
+++ b/src/forward/lending.rs
@@ -18,8 +18,7 @@
             .lending
             .borrow_mut()
             .iter_mut()
-            .filter(|(_, lending)| lending.needs_more(now))
-            .map(|(service, lending)| (service.clone(), lending.demand.rate(now)))
+            .filter_map(|(service, lending)| Some((service.clone(), lending.next_request(now)?)))
             .collect();
         for (service, demand) in requests {
             let message = Message::ShareRequest { service, demand, sent_at: now };
@@ -49,10 +48,10 @@
         lending.entry(service.clone()).or_default().lend(from, demand, now)
     };
     if part > 0.0 {
+        log(vm, "share of rate limits lent", from, service, part, demand);
         let service = service.clone();
         peer::send(vm, address, Message::ShareLoan { service, part, requested_at: sent_at });
     }
-    log(vm, "share of rate limits lent", from, service, part, demand);
 }
 
 /// Handles the loan of another VM.
--- a/src/forward/rate_limit.rs
+++ b/src/forward/rate_limit.rs
@@ -12,7 +12,6 @@
 use super::vm::Vm;
 use crate::decide::cold_start;
 use crate::decide::server_limit::{self, RateLimit, Reservation, Share, Throttled};
-use crate::unit::hash::mix;
 use crate::unit::{Moment, Service, Span, hash};
 
 /// A VM that has just started does not know all others yet, and sends nothing to rate-limited
@@ -47,6 +46,15 @@
     lenders: Vec<(u64, f64)>,
 }
 
+impl Vms {
+    /// Returns true if another VM is a sender of a server.
+    fn is_sender(&self, share: &Share, server: u64, other: u64) -> bool {
+        // A VM does not count against itself, so `other` may be in the list.
+        let all: Vec<u64> = self.others.iter().copied().chain([self.own]).collect();
+        server_limit::is_sender(share, server, other, &all)
+    }
+}
+
 /// Checks the rate limits of the servers of one service at one moment.
 pub struct Limiter<'a> {
     /// Rate limit that the service declares for cold servers.
@@ -134,14 +142,8 @@
             true => vms.kept,
             false => 0.0,
         };
-        let is_sender = |lender: &u64| {
-            // The lender is among the others, which does not change its rank.
-            let is_higher = mix(number, vms.own) > mix(number, *lender);
-            let senders = share.senders - usize::from(is_higher);
-            let share = Share { senders, ..share };
-            senders > 0 && server_limit::is_sender(&share, number, *lender, &vms.others)
-        };
-        let lenders = vms.lenders.iter().filter(|(lender, _)| is_sender(lender));
+        let lenders =
+            vms.lenders.iter().filter(|(lender, _)| vms.is_sender(&share, number, *lender));
         let borrowed: Vec<f64> = lenders.map(|(_, part)| *part).collect();
         share.with_parts(limit, own, &borrowed)
     }
--- a/tests/lending.rs
+++ b/tests/lending.rs
@@ -60,6 +60,28 @@
     assert_eq!(parts, [0.375, 0.375]);
 }
 
+/// Returns how often a VM asks in a number of seconds in which its requests are throttled.
+fn requests_in(lending: &mut Lending, seconds: u64, from: Moment) -> usize {
+    let checks = (0..seconds * 4).map(|quarter| from + Span::millis(quarter * 250));
+    checks
+        .filter(|now| {
+            lending.on_throttled(*now);
+            lending.next_request(*now).is_some()
+        })
+        .count()
+}
+
+#[test]
+fn a_vm_asks_often_at_first_and_rarely_where_nobody_lends() {
+    let mut lending = Lending::default();
+    assert_eq!(lending.next_request(START), None);
+    assert_eq!(requests_in(&mut lending, 3, START), 6);
+    let later = START + Span::secs(3);
+    assert!(requests_in(&mut lending, 20, later) <= 6);
+    lending.on_lent(name(1), 0.5, later + Span::secs(20), later + Span::secs(20));
+    assert_eq!(requests_in(&mut lending, 3, later + Span::secs(25)), 6);
+}
+
 #[test]
 fn a_loan_ends_a_lease_time_after_it_was_asked_for_however_late_it_arrives() {
     let mut borrower = Lending::default();
