Hold back what another VM saw crash without its companion

A VM that knew of fewer crashes than another one announced kept judging by the companions of those it knew, so requests with the culprit and without a companion passed there until it saw the crash itself. Found by reading; the test fails without the change.

--- a/src/decide/poison/evidence.rs
+++ b/src/decide/poison/evidence.rs
@@ -408,8 +408,10 @@
         let mut verdicts = verdict::judge(&self.suspects, &self.candidates);
         for digest in &self.candidates {
             let Some(report) = self.suspects[digest].accepted_report() else { continue };
-            let verdict = verdicts.entry(*digest).or_insert_with(|| Verdict::reported(report));
-            verdict.quarantine = verdict.quarantine.merge(report);
+            // The other VM knows of more crashes, in which the companions may have been missing.
+            let known = verdicts.get(digest).map(|verdict| verdict.quarantine);
+            let quarantine = known.map_or(report, |known| known.merge(report));
+            verdicts.insert(*digest, Verdict::reported(quarantine));
         }
         for (digest, verdict) in &verdicts {
             if !self.verdicts.contains_key(digest) {
--- a/tests/fingerprint.rs
+++ b/tests/fingerprint.rs
@@ -213,6 +213,18 @@
     assert!(is_refused(&evidence, &request("other", &["unknown"])));
 }
 
+/// The other VM has seen one more crash, in which the companion may have been missing.
+#[test]
+fn a_report_of_more_crashes_holds_back_requests_without_the_companion() {
+    let mut evidence = Evidence::default();
+    let crashed = ["1", "2", "3", "4"].map(|own| [request(own, &[USUAL, CULPRIT])]);
+    crash(&mut evidence, &crashed.each_ref().map(|open| &open[..]));
+    let without = request("without", &["another", CULPRIT]);
+    assert!(!is_refused(&evidence, &without));
+    evidence.on_quarantine_report(named(CULPRIT), 5, NOW, NOW);
+    assert!(is_refused(&evidence, &without));
+}
+
 quickcheck! {
     /// Neither the order of reports nor their number matters for what is refused.
     fn reports_add_up_in_any_order(events: Vec<(u8, u8, u8, bool)>) -> bool {
