--- a/src/decide/connectivity.rs
+++ b/src/decide/connectivity.rs
@@ -12,6 +12,10 @@
 /// Minimum number of servers that must have been tried: fewer may have failed together.
 const MIN_TRIED: usize = 3;
 
+/// Time for which a server that accepted no connection is remembered. Servers that fail one after
+/// the other within this time point to the links.
+const FAILURE_WINDOW: Span = Span::secs(2);
+
 /// A check in which too few servers of a service accepted a connection.
 #[derive(Clone, Copy, Debug)]
 struct FailedCheck {
@@ -38,6 +42,8 @@
     /// When a server last responded or accepted a connection.
     last_contact: Option<Moment>,
     failed_check: Option<FailedCheck>,
+    /// The last two different servers that accepted no connection, by their hashes, and when.
+    unreached: [Option<(u64, Moment)>; 2],
 }
 
 impl Connectivity {
@@ -62,6 +68,22 @@
         self.failed_check.is_some_and(|check| check.accepted == 0 && check.tried >= MIN_TRIED)
     }
 
+    /// Records that a server, given by its hash, accepted no connection.
+    pub fn on_connect_failure(&mut self, server: u64, now: Moment) {
+        let is_same = self.unreached[0].is_some_and(|(known, _)| known == server);
+        let previous = if is_same { self.unreached[1] } else { self.unreached[0] };
+        self.unreached = [Some((server, now)), previous];
+    }
+
+    /// Returns true if the links are suspect: no server is reached, or two servers accepted no
+    /// connection lately.
+    pub fn is_suspect(&self, now: Moment) -> bool {
+        let is_recent = |failure: &Option<(u64, Moment)>| {
+            failure.is_some_and(|(_, at)| now.since(at) < FAILURE_WINDOW)
+        };
+        self.has_failed_check() || self.unreached.iter().all(is_recent)
+    }
+
     /// Records that a server responded to a request.
     pub fn on_response(&mut self, now: Moment) {
         self.last_contact = Some(now);
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -3,6 +3,7 @@
 
 mod bound;
 mod cascade;
+mod links;
 mod once;
 mod options;
 mod overload;
@@ -23,8 +24,8 @@
 use crate::error::Error;
 
 /// Names of all experiments, as listed in the error for an unknown name.
-pub const NAMES: &str =
-    "cascade, rollout, replica, overload, spread, reading, poison, shed, bound, path, once, slopes";
+pub const NAMES: &str = "cascade, rollout, replica, overload, spread, reading, poison, shed, bound, links, path, once, \
+     slopes";
 
 /// Runs the named experiment.
 ///
@@ -41,6 +42,7 @@
         "poison" => Ok(poison::run(options)),
         "shed" => Ok(shed::run(options)),
         "bound" => Ok(bound::run(options)),
+        "links" => Ok(links::run(options)),
         "path" => path::run(options),
         "once" => once::run(options),
         "slopes" => slopes::run(options),
