--- a/src/cli.rs
+++ b/src/cli.rs
@@ -127,6 +127,13 @@
         help = "port of the metrics endpoint on the VM's own address"
     )]
     pub metrics_port: Option<String>,
+    /// Local address of connections to backend servers.
+    #[options(
+        no_short,
+        meta = "IP",
+        help = "local address of connections to backend servers, on a VM that has several (default: any)"
+    )]
+    pub source_ip: Option<String>,
     /// Confidence, in percent, from which an answer of a small model is not escalated.
     #[options(
         no_short,
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -11,7 +11,7 @@
 use super::job::{Job, OpenRequestGuard, PendingPrompt};
 use super::replica::Replica;
 use super::sse::{Batch, EventBuffer};
-use super::{announce, connectivity, crash, poison, pool, stall, usage};
+use super::{announce, connectivity, crash, path, poison, stall, usage};
 use crate::config::RetryPolicy;
 use crate::decide::outcome::AttemptOutcome;
 use crate::decide::poison::BrokenRequest;
@@ -20,10 +20,6 @@
 use crate::platform::header::{self, AddedHeaders};
 use crate::unit::{Model, Moment, Rate, Span};
 
-/// Timeout for opening a connection, after which another server is tried; the servers are a few
-/// milliseconds away.
-const CONNECT_TIMEOUT: Span = Span::millis(350);
-
 /// Largest response body in bytes that is not a stream.
 const MAX_BODY_SIZE: usize = 8 * 1024 * 1024;
 
@@ -155,7 +151,7 @@
     let end = format!("{:?}", outcome.end);
     vm.metrics.attempts.with_label_values(&[job.service.as_str(), end.as_str()]).inc();
     job.record.add_attempt_end(outcome.end, &outcome.reason, now);
-    connectivity::on_attempt_end(vm, &job.service, outcome.end, outcome.head.is_some());
+    connectivity::on_attempt_end(vm, replica, outcome.end, outcome.head.is_some());
     let mut fleet = vm.fleet.borrow_mut();
     let usual = fleet.failure_rate(&job.service, now);
     let Some(server) = fleet.incarnation_mut(replica) else { return };
@@ -204,7 +200,7 @@
         let mut fleet = vm.fleet.borrow_mut();
         fleet.incarnation_mut(replica).and_then(|server| server.pool.checkout(repeatable, now))
     };
-    let mut connection = match pool::reuse_or_open(pooled, replica.address, CONNECT_TIMEOUT).await {
+    let mut connection = match path::connect(vm, replica, pooled).await {
         Ok(connection) => connection,
         Err(fault) => return outcome_of(fault),
     };
@@ -222,6 +218,9 @@
         release_connection(job, replica, connection, None);
         return Outcome::without_response(AttemptOutcome::Withheld, reason.to_string());
     }
+    if let Some(helper) = connection.helper() {
+        job.record.add_helper(helper);
+    }
     let extra = AddedHeaders {
         replica,
         remaining: job.left(vm.now()),
@@ -429,6 +428,12 @@
 ) {
     let vm: &Rc<super::Vm> = &job.vm;
     let now = vm.now();
+    let is_helped = |helper| {
+        vm.fleet.borrow().is_path_lost(replica) && vm.helpers.borrow().is_helper(helper, now)
+    };
+    if !connection.helper().is_none_or(is_helped) {
+        return;
+    }
     if let Some(server) = vm.fleet.borrow_mut().incarnation_mut(replica) {
         server.pool.release(connection, idle_timeout, now);
     }
--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -6,7 +6,9 @@
 //! connection with unsolicited bytes is not reused.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use actix_http::body::BodySize;
@@ -14,11 +16,12 @@
 use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio_util::codec::{Decoder, Encoder};
 
-use crate::unit::Span;
+use crate::peer::tunnel::Tunnel;
+use crate::unit::{Span, Vm};
 
 /// `TCP_USER_TIMEOUT`: a peer that acknowledges nothing for this long is lost. A network path that
 /// recovers within a second or two must not break running requests.
@@ -53,9 +56,16 @@
     UntilClose(ClientCodec),
 }
 
+/// The byte stream of a connection.
+enum Io {
+    Direct(TcpStream),
+    /// Relayed by another VM.
+    Tunnelled(Vm, Tunnel),
+}
+
 /// An open connection that carries one request at a time.
 pub struct Connection {
-    io: TcpStream,
+    io: Io,
     /// Bytes that were received and not decoded yet.
     read: BytesMut,
     /// Present between two responses; moved into `body` while a body is read.
@@ -74,13 +84,34 @@
     /// # Errors
     /// `NotSent` if the connection is not established within the time.
     pub async fn open(to: SocketAddr, within: Span) -> Result<Connection, Fault> {
-        let opened = tokio::time::timeout(within.duration(), TcpStream::connect(to)).await;
+        Connection::open_from(None, to, within).await
+    }
+
+    /// Opens a connection from the local address `source`, or from any if it is `None`.
+    ///
+    /// # Errors
+    /// As [`Connection::open`].
+    pub async fn open_from(
+        source: Option<IpAddr>,
+        to: SocketAddr,
+        within: Span,
+    ) -> Result<Connection, Fault> {
+        let opened = tokio::time::timeout(within.duration(), connect(source, to)).await;
         let opened = opened
             .map_err(|_| Fault::NotSent(format!("connection not established within {within}")))?;
         let io = opened.map_err(|fault| Fault::NotSent(format!("connection failed: {fault}")))?;
         set_socket_options(&io)
             .map_err(|fault| Fault::NotSent(format!("socket option not set: {fault}")))?;
-        Ok(Connection {
+        Ok(Connection::new(Io::Direct(io)))
+    }
+
+    /// Returns a connection that the VM `helper` relays.
+    pub fn tunnelled(helper: Vm, tunnel: Tunnel) -> Connection {
+        Connection::new(Io::Tunnelled(helper, tunnel))
+    }
+
+    fn new(io: Io) -> Connection {
+        Connection {
             io,
             read: BytesMut::new(),
             codec: Some(ClientCodec::default()),
@@ -88,14 +119,24 @@
             request_sent: true,
             keep_alive: true,
             method: Method::GET,
-        })
+        }
+    }
+
+    /// Returns the VM that relays the connection; `None` if it is direct.
+    pub fn helper(&self) -> Option<&Vm> {
+        match &self.io {
+            Io::Direct(_) => None,
+            Io::Tunnelled(helper, _) => Some(helper),
+        }
     }
 
     /// Returns true if no unsolicited bytes have arrived and the peer has not closed the
     /// connection.
-    pub fn is_idle(&self) -> bool {
-        let nothing = self.io.try_read(&mut [0u8; 1]);
-        self.read.is_empty() && matches!(nothing, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    fn is_idle(&mut self) -> bool {
+        let mut byte = [0];
+        let mut buffer = ReadBuf::new(&mut byte);
+        let mut cx = Context::from_waker(Waker::noop());
+        self.read.is_empty() && Pin::new(&mut self.io).poll_read(&mut cx, &mut buffer).is_pending()
     }
 
     /// Sends a request and reads the head of the response.
@@ -107,24 +148,16 @@
     /// `NotSent` if no byte was sent, else `Broken`.
     pub async fn send(&mut self, head: RequestHead, body: &Bytes) -> Result<ResponseHead, Fault> {
         let bytes = self.encode(head, body)?;
-        let mut sent = 0;
-        while sent < bytes.len() {
-            let (mut reader, mut writer) = self.io.split();
-            tokio::select! {
-                biased;
-                wrote = writer.write(&bytes[sent..]) => match wrote {
-                    Ok(count) => sent += count,
-                    Err(fault) if sent == 0 => return Err(Fault::NotSent(fault.to_string())),
-                    // An early response may still be readable.
-                    Err(_) => break,
-                },
-                got = reader.read_buf(&mut self.read) => match got {
-                    Ok(0) => break,
-                    Ok(_) => if self.has_buffered_head() { break },
-                    Err(_) => break,
-                },
+        let sent = match &mut self.io {
+            Io::Direct(io) => {
+                let (reader, writer) = io.split();
+                write_until_response(reader, writer, &bytes, &mut self.read).await?
             }
-        }
+            Io::Tunnelled(_, tunnel) => {
+                let (reader, writer) = tokio::io::split(tunnel);
+                write_until_response(reader, writer, &bytes, &mut self.read).await?
+            }
+        };
         self.request_sent = sent == bytes.len();
         self.read_head().await
     }
@@ -150,11 +183,6 @@
         Ok(bytes)
     }
 
-    /// Returns true if the buffer contains the end of a head.
-    fn has_buffered_head(&self) -> bool {
-        self.read.windows(4).any(|end| end == b"\r\n\r\n")
-    }
-
     /// Reads the head of the next response, skipping informational ones.
     ///
     /// # Errors
@@ -260,18 +288,24 @@
         Ok(body.freeze())
     }
 
-    /// Returns true if another request may be sent, after the response was read.
-    pub fn is_reusable(&self) -> bool {
-        self.keep_alive
-            && matches!(self.body, Body::Complete)
-            && self.codec.is_some()
-            && self.is_idle()
+    /// Returns the connection unless unsolicited bytes have arrived or the peer has closed it.
+    pub fn into_idle(mut self) -> Option<Connection> {
+        self.is_idle().then_some(self)
+    }
+
+    /// Returns the connection if another request may be sent, after the response was read.
+    pub fn into_reusable(self) -> Option<Connection> {
+        let is_complete =
+            self.keep_alive && matches!(self.body, Body::Complete) && self.codec.is_some();
+        if is_complete { self.into_idle() } else { None }
     }
 
     /// Closes the connection with a reset, which discards what was not delivered yet.
     pub fn abort(self) {
         // If the option cannot be set, the connection is closed in the usual way.
-        let _ = socket2::SockRef::from(&self.io).set_linger(Some(Duration::ZERO));
+        if let Io::Direct(io) = &self.io {
+            let _ = socket2::SockRef::from(io).set_linger(Some(Duration::ZERO));
+        }
     }
 
     /// Reads more bytes into the buffer; `at_end` is the error if the connection has ended.
@@ -285,6 +319,66 @@
     }
 }
 
+impl AsyncRead for Io {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Io::Direct(io) => Pin::new(io).poll_read(cx, buffer),
+            Io::Tunnelled(_, tunnel) => Pin::new(tunnel).poll_read(cx, buffer),
+        }
+    }
+}
+
+/// Writes `bytes` until all are written or the head of a response has arrived in `read`. Returns the
+/// number of bytes that were written.
+async fn write_until_response(
+    mut reader: impl AsyncRead + Unpin,
+    mut writer: impl AsyncWrite + Unpin,
+    bytes: &[u8],
+    read: &mut BytesMut,
+) -> Result<usize, Fault> {
+    let mut sent = 0;
+    while sent < bytes.len() {
+        tokio::select! {
+            biased;
+            wrote = writer.write(&bytes[sent..]) => match wrote {
+                Ok(count) => sent += count,
+                Err(fault) if sent == 0 => return Err(Fault::NotSent(fault.to_string())),
+                // An early response may still be readable.
+                Err(_) => break,
+            },
+            got = reader.read_buf(read) => match got {
+                Ok(0) => break,
+                Ok(_) => if has_head(read) { break },
+                Err(_) => break,
+            },
+        }
+    }
+    Ok(sent)
+}
+
+/// Returns true if the buffer contains the end of a head.
+fn has_head(buffer: &[u8]) -> bool {
+    buffer.windows(4).any(|end| end == b"\r\n\r\n")
+}
+
+/// Connects to a server from the local address `source`, or from any if it is `None`.
+///
+/// # Errors
+/// If the address can't be bound, or the server can't be reached.
+pub async fn connect(source: Option<IpAddr>, to: SocketAddr) -> io::Result<TcpStream> {
+    let Some(source) = source else { return TcpStream::connect(to).await };
+    let socket = match to {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(to).await
+}
+
 /// Returns true if a request of this method without a body needs no content length.
 fn allows_no_length(method: &Method) -> bool {
     matches!(*method, Method::GET | Method::HEAD | Method::DELETE | Method::OPTIONS)
--- a/src/forward/connectivity.rs
+++ b/src/forward/connectivity.rs
@@ -1,19 +1,20 @@
 //! Checks the links of this VM to the backend servers when attempts get no response, and while no
 //! server of a service can be reached ([`crate::decide::connectivity`]).
 
-use std::net::SocketAddr;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::{self, FutureExt};
 use rand::seq::IndexedRandom;
-use tokio::net::TcpStream;
 
 use super::replica::Replica;
+use super::server::Server;
 use super::vm::Vm;
+use super::{connection, tunnel};
 use crate::decide::connectivity::{self, Change, Connectivity};
 use crate::decide::outcome::AttemptOutcome;
-use crate::unit::{Moment, Service, Span};
+use crate::unit::{Moment, Service, Span, hash};
 
 /// Timeout of a connection; the servers are a few milliseconds away.
 const CONNECT_TIMEOUT: Span = Span::millis(250);
@@ -41,23 +42,45 @@
 /// ends.
 pub async fn run(vm: Rc<Vm>) {
     loop {
-        let is_failing = vm.connectivity.borrow().values().any(Connectivity::has_failed_check);
-        match is_failing {
+        match is_failing(&vm) {
             true => tokio::time::sleep(CHECK_INTERVAL).await,
             false => vm.links_in_doubt.notified().await,
         }
         check_links(&vm).await;
+        if !is_failing(&vm) {
+            tunnel::release(&vm);
+        }
     }
 }
 
+/// Returns true if servers that this VM could not reach have to be checked again.
+fn is_failing(vm: &Vm) -> bool {
+    vm.connectivity.borrow().values().any(Connectivity::has_failed_check)
+        || vm.fleet.borrow().all().any(|server| server.path.is_lost())
+}
+
 /// Returns true if no server of the service can be reached from this VM.
 pub fn is_unreachable(vm: &Vm, service: &Service) -> bool {
     of_service(vm, service).is_unreachable()
 }
 
-/// Records what the end of an attempt says about this VM's links.
-pub fn on_attempt_end(vm: &Vm, service: &Service, end: AttemptOutcome, has_response: bool) {
-    let now = vm.now();
+/// Records that no direct connection to a server could be opened. Returns true if the fault is
+/// likely to be one of this VM's own links, since another server failed alike.
+pub fn on_connect_failure(vm: &Vm, replica: &Replica) -> bool {
+    let server = hash::stable(&[replica.id.as_str()]);
+    let mut known = vm.connectivity.borrow_mut();
+    let known = known.entry(replica.service.clone()).or_default();
+    known.on_connect_failure(server, vm.now());
+    vm.links_in_doubt.notify_one();
+    known.is_suspect(vm.now())
+}
+
+/// Records what the end of an attempt says about this VM's links; nothing if another VM relayed it.
+pub fn on_attempt_end(vm: &Vm, replica: &Replica, end: AttemptOutcome, has_response: bool) {
+    if vm.fleet.borrow().is_path_lost(replica) {
+        return;
+    }
+    let (service, now) = (&replica.service, vm.now());
     if has_response {
         record_response(vm, service, now);
         return;
@@ -95,10 +118,10 @@
     let services: Vec<Service> = vm.fleet.borrow().services().cloned().collect();
     let samples = services.iter().flat_map(|service| {
         let servers = sample_servers(vm, service).into_iter();
-        servers.filter(|one| *one != replica.address).take(OTHERS_PER_SERVICE)
+        servers.filter(|one| one.address != replica.address).take(OTHERS_PER_SERVICE)
     });
-    let others: Vec<SocketAddr> = samples.collect();
-    if others.is_empty() || accepts_any(&others).await {
+    let others: Vec<Replica> = samples.collect();
+    if others.is_empty() || accepts_any(vm.settings.source, &others).await {
         return true;
     }
     vm.links_in_doubt.notify_one();
@@ -110,11 +133,11 @@
 }
 
 /// Checks the links to the servers of all services if one of them had no recent contact.
-async fn check_links(vm: &Vm) {
+async fn check_links(vm: &Rc<Vm>) {
     let started = vm.now();
     let services: Vec<Service> = vm.fleet.borrow().services().cloned().collect();
     let (doubtful, others): (Vec<&Service>, Vec<&Service>) =
-        services.iter().partition(|service| of_service(vm, service).needs_check(started));
+        services.iter().partition(|service| needs_check(vm, service, started));
     if doubtful.is_empty() {
         return;
     }
@@ -123,6 +146,8 @@
     future::join_all(checked.map(|service| check_service(vm, service))).await;
     let known = services.iter().map(|service| of_service(vm, service));
     let has_lost_all = connectivity::has_lost_all(known);
+    let is_helped = has_lost_all && finds_helper(vm, &services).await;
+    let has_lost_all = has_lost_all && !is_helped;
     let is_change = vm
         .links_lost
         .send_if_modified(|lost| std::mem::replace(lost, has_lost_all) != has_lost_all);
@@ -132,15 +157,33 @@
     }
 }
 
-async fn check_service(vm: &Vm, service: &Service) {
+/// Returns true if another VM relays connections to servers of one of the services.
+async fn finds_helper(vm: &Rc<Vm>, services: &[Service]) -> bool {
+    for service in services {
+        if tunnel::find_helper(vm, service).await {
+            return true;
+        }
+    }
+    false
+}
+
+fn needs_check(vm: &Vm, service: &Service, now: Moment) -> bool {
+    let links = of_service(vm, service);
+    links.needs_check(now)
+        || links.is_suspect(now)
+        || vm.fleet.borrow().of_service(service).any(|server| server.path.is_lost())
+}
+
+async fn check_service(vm: &Rc<Vm>, service: &Service) {
     let started = vm.now();
     let servers = sample_servers(vm, service);
     let has_failed = of_service(vm, service).has_failed_check();
-    // Any server shows that the links work. Once they are lost, most have to.
-    let accepted = match has_failed {
-        true => count_accepting(&servers).await,
-        false => usize::from(accepts_any(&servers).await),
-    };
+    let (first, others) = servers.split_at(servers.len().min(FIRST_TRIED));
+    // If the first servers accept, the links work. Once they are lost, most servers have to.
+    let mut accepted = count_accepting(vm, first).await;
+    if has_failed || accepted < first.len() {
+        accepted += count_accepting(vm, others).await;
+    }
     let change = {
         let mut known = vm.connectivity.borrow_mut();
         let known = known.entry(service.clone()).or_default();
@@ -166,20 +209,28 @@
     }
 }
 
-/// Returns the addresses of random servers of a service that may receive requests.
-fn sample_servers(vm: &Vm, service: &Service) -> Vec<SocketAddr> {
+/// Returns random servers of a service that may receive requests, first those that this VM could not
+/// reach directly.
+fn sample_servers(vm: &Vm, service: &Service) -> Vec<Replica> {
     let now = vm.now();
     let fleet = vm.fleet.borrow();
-    let servers: Vec<SocketAddr> =
-        fleet.eligible(service, now).map(|one| one.replica.address).collect();
-    servers.choose_multiple(&mut rand::rng(), SAMPLE_SIZE).copied().collect()
+    let (lost, others): (Vec<&Server>, Vec<&Server>) =
+        fleet.eligible(service, now).partition(|server| server.path.is_lost());
+    let mut rng = rand::rng();
+    let mut sample = |servers: &[&Server], count: usize| -> Vec<Replica> {
+        let chosen = servers.choose_multiple(&mut rng, count);
+        chosen.map(|server| server.replica.clone()).collect()
+    };
+    let mut servers = sample(&lost, SAMPLE_SIZE);
+    servers.extend(sample(&others, SAMPLE_SIZE - servers.len()));
+    servers
 }
 
 /// Returns true if any of the servers accepts a connection.
-async fn accepts_any(servers: &[SocketAddr]) -> bool {
+async fn accepts_any(source: Option<IpAddr>, servers: &[Replica]) -> bool {
     let (first, others) = servers.split_at(servers.len().min(FIRST_TRIED));
     for tried in [first, others].into_iter().filter(|tried| !tried.is_empty()) {
-        let connects = tried.iter().map(|address| connect(*address).boxed_local());
+        let connects = tried.iter().map(|server| connect(source, server).boxed_local());
         if future::select_ok(connects).await.is_ok() {
             return true;
         }
@@ -187,13 +238,22 @@
     false
 }
 
-/// Returns the number of servers that accept a connection.
-async fn count_accepting(servers: &[SocketAddr]) -> usize {
-    let connects = servers.iter().map(|address| connect(*address));
-    future::join_all(connects).await.into_iter().filter(Result::is_ok).count()
+/// Returns the number of servers that accept a connection, and records for each if it does.
+async fn count_accepting(vm: &Rc<Vm>, servers: &[Replica]) -> usize {
+    let connects = servers.iter().map(|server| async move {
+        let is_accepting = connect(vm.settings.source, server).await.is_ok();
+        let mut fleet = vm.fleet.borrow_mut();
+        match is_accepting {
+            true => fleet.on_path_contact(server),
+            false => fleet.on_path_failure(server, vm.now()),
+        }
+        is_accepting
+    });
+    future::join_all(connects).await.into_iter().filter(|accepts| *accepts).count()
 }
 
-async fn connect(address: SocketAddr) -> Result<(), ()> {
-    let connected = tokio::time::timeout(CONNECT_TIMEOUT.duration(), TcpStream::connect(address));
+async fn connect(source: Option<IpAddr>, server: &Replica) -> Result<(), ()> {
+    let connecting = connection::connect(source, server.address);
+    let connected = tokio::time::timeout(CONNECT_TIMEOUT.duration(), connecting);
     connected.await.map_err(|_| ())?.map(drop).map_err(|_| ())
 }
--- a/src/forward/crash.rs
+++ b/src/forward/crash.rs
@@ -10,16 +10,16 @@
 use actix_web::rt::spawn;
 use futures_util::future::join_all;
 
-use super::connectivity;
 use super::delivery;
 use super::liveness::{Liveness, Suspicion};
 use super::message::Message;
+use super::path;
 use super::poison;
 use super::replica::Replica;
 use super::server::Fleet;
 use super::vm::Vm;
 use crate::decide::poison::{BrokenRequest, Outgoing};
-use crate::engine::check::{self, ProcessState};
+use crate::engine::check::ProcessState;
 use crate::engine::crash_check::{Check, Reporter};
 use crate::unit::Digest;
 
@@ -83,13 +83,7 @@
 
 /// Checks the server and records the result for all responses that broke off meanwhile.
 async fn check_server(vm: Rc<Vm>, replica: Replica, reporter: Reporter) {
-    let started = vm.now();
-    let mut found = check::check_process_with(replica.address, || reporter.on_accepted()).await;
-    // A VM that reaches no other server either may have lost its links.
-    let is_gone = found == ProcessState::IsGone;
-    if is_gone && !connectivity::reaches_others(&vm, &replica, started).await {
-        found = ProcessState::Unknown;
-    }
+    let found = path::check_process(&vm, &replica, || reporter.on_accepted()).await;
     let broken = {
         let mut fleet = vm.fleet.borrow_mut();
         let Some(server) = fleet.incarnation_mut(&replica) else { return };
--- a/src/forward/dispatch.rs
+++ b/src/forward/dispatch.rs
@@ -12,6 +12,7 @@
 use super::rollout_attempt::RolloutAttempt;
 use super::selection::{self, Placement};
 use super::stall;
+use super::tunnel;
 use crate::config::RetryPolicy;
 use crate::decide::escalate;
 use crate::decide::outcome::{self, AttemptOutcome, FinalResponse, NextAction};
@@ -109,7 +110,8 @@
         if let Some(cause) = poison::refusal_cause(job) {
             return refuse_quarantined(job, progress, cause);
         }
-        if vm.has_lost_links() || connectivity::is_unreachable(vm, &job.service) {
+        let is_unreachable = vm.has_lost_links() || connectivity::is_unreachable(vm, &job.service);
+        if is_unreachable && !tunnel::find_helper(vm, &job.service).await {
             return refuse_unreachable(job, progress);
         }
         let now = vm.now();
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -19,7 +19,7 @@
 use crate::decide::outcome::AttemptOutcome;
 use crate::decide::poison::Fingerprint;
 use crate::decide::{escalate, priority};
-use crate::unit::{Digest, Model, Moment, Service, Span, Version, hash};
+use crate::unit::{Digest, Model, Moment, Service, Span, Version, Vm as Name, hash};
 
 /// An attempt of an idempotent request times out after this many times the route's latency goal;
 /// the request is then retried at another server if time is left.
@@ -269,6 +269,11 @@
         }
     }
 
+    /// Adds the VM that relays the connection of the present attempt.
+    pub fn add_helper(&self, helper: &Name) {
+        let _ = write!(self.trail.borrow_mut(), " via {helper}");
+    }
+
     /// Records the version that the request's session, if it has one, was last sent to.
     fn record_session(&self, now: Moment) {
         let version = self.version.borrow();
--- a/src/forward/message.rs
+++ b/src/forward/message.rs
@@ -84,6 +84,18 @@
         /// When the request that this answers was sent, by the clock of the VM that asked.
         requested_at: Moment,
     },
+    /// The sender can't reach servers and asks for offers to relay its connections.
+    TunnelRequest {
+        /// The services of the sender.
+        services: Vec<Service>,
+    },
+    /// The sender relays connections to the servers of these services; none withdraws its offer.
+    TunnelOffer {
+        /// The services whose servers the sender reaches.
+        services: Vec<Service>,
+        /// Number of tunnels that the sender relays already.
+        open: u32,
+    },
 }
 
 /// A message with its sender.
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -19,6 +19,8 @@
     pub attempts: IntCounterVec,
     /// Checks of servers after a response broke off, by service and result.
     pub checks: IntCounterVec,
+    /// Tunnels through other VMs, and those relayed for others, by direction and answer.
+    pub tunnels: IntCounterVec,
     /// Announcements in servers' response headers that changed what this VM knows of the servers,
     /// by service and kind.
     pub server_signals: IntCounterVec,
@@ -101,6 +103,11 @@
                 "Servers checked after an answer broke off.",
                 &["service", "found"],
             ),
+            tunnels: counter(
+                "kitepulley_tunnels",
+                "Tunnels to servers: opened through other VMs, and relayed for them.",
+                &["direction", "answer"],
+            ),
             server_signals: counter(
                 "kitepulley_said",
                 "Words of servers that they leave, want rest or name a limit.",
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -45,6 +45,7 @@
 mod message;
 mod metrics;
 pub mod pack;
+mod path;
 pub mod peer;
 pub mod pinned_sessions;
 pub mod poison;
@@ -71,6 +72,7 @@
 pub mod stall;
 pub mod store_watch;
 pub mod suspension;
+mod tunnel;
 pub mod usage;
 mod vm;
 
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -22,6 +22,7 @@
 use crate::decide::poison::{Recipients, Topology};
 use crate::decide::reader::Rank;
 use crate::decide::server_limit;
+use crate::peer::tunnel::Event;
 use crate::peer::wire::{decode, encode};
 use crate::peer::{Incoming, Links, neighbours};
 use crate::platform::client::Client;
@@ -216,6 +217,11 @@
         self.known.get(name).map(|peer| peer.info.address)
     }
 
+    /// Returns the data centre of another VM.
+    pub fn data_centre(&self, name: &Name) -> Option<&DataCentre> {
+        self.known.get(name).map(|peer| &peer.info.data_centre)
+    }
+
     /// Inserts a VM that the store lists. In a full mesh the VM counts as live from its first
     /// message.
     pub fn insert_listed(&mut self, vm: Name, info: PeerInfo, now: Moment) {
@@ -278,6 +284,10 @@
                 let _ = answer.send(poll::respond(&vm, &bytes));
                 continue;
             }
+            Incoming::Tunnel(tunnel) => {
+                vm.tunnel_events.send(Event::Opened(tunnel));
+                continue;
+            }
         };
         match decode::<Envelope>(&bytes) {
             Some(envelope) => on_envelope(&vm, envelope),
@@ -329,6 +339,12 @@
         Message::ShareLoan { service, part, requested_at } => {
             lending::on_loan(vm, &from, &service, part, requested_at)
         }
+        Message::TunnelRequest { services } => {
+            vm.tunnel_events.send(Event::Request { from, address: info.address, services });
+        }
+        Message::TunnelOffer { services, open } => {
+            vm.tunnel_events.send(Event::Offer { from, services, open });
+        }
         Message::Poison(news) => poison::on_message(vm, from.as_str(), &news),
         Message::ServerDraining(life) => announce::on_drain(vm, from.as_str(), &life),
         Message::ServerLimit { server, started_at_ms, address, rate, age } => {
--- a/src/forward/pool.rs
+++ b/src/forward/pool.rs
@@ -39,8 +39,8 @@
                 self.idle.push(idle);
                 return None;
             }
-            if idle.connection.is_idle() {
-                return Some(idle.connection);
+            if let Some(connection) = idle.connection.into_idle() {
+                return Some(connection);
             }
         }
         None
@@ -50,12 +50,10 @@
     /// `idle_timeout` is the one that the server announced, if it did.
     pub fn release(&mut self, connection: Connection, idle_timeout: Option<Span>, now: Moment) {
         let timeout = idle_timeout.unwrap_or(MAX_IDLE_TIMEOUT).min(MAX_IDLE_TIMEOUT);
-        if timeout <= IDLE_TIMEOUT_MARGIN
-            || self.idle.len() >= MAX_IDLE_CONNECTIONS
-            || !connection.is_reusable()
-        {
+        if timeout <= IDLE_TIMEOUT_MARGIN || self.idle.len() >= MAX_IDLE_CONNECTIONS {
             return;
         }
+        let Some(connection) = connection.into_reusable() else { return };
         self.idle.push(IdleConnection {
             connection,
             idle_since: now,
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -11,7 +11,7 @@
 use super::vm::Vm;
 use super::{
     connectivity, duty, follower, lending, listener, peer, pinned_sessions, poison, proof, restore,
-    rollout_steps, store_watch, suspension, usage,
+    rollout_steps, store_watch, suspension, tunnel, usage,
 };
 use crate::error::Error;
 use crate::platform;
@@ -55,6 +55,7 @@
     spawn(restore::broadcast_disputes(vm.clone()));
     spawn(store_watch::expire_servers(vm.clone()));
     spawn(connectivity::run(vm.clone()));
+    spawn(tunnel::run(vm.clone()));
     spawn(rollout_steps::run(vm.clone()));
     spawn(pinned_sessions::run(vm.clone()));
     spawn(suspension::run(vm.clone()));
@@ -149,12 +150,14 @@
     let started = vm.now();
     vm.stopping_since.send_replace(Some(started));
     vm.log("stop started", &[("running", vm.running.get().into())]);
+    tunnel::withdraw(vm);
     let latest = started + Span(vm.settings.bounds.stop_within.0.saturating_sub(KILL_MARGIN.0));
     let earliest = started + READINESS_NOTICE_TIME;
     let mut was_idle = false;
     loop {
         let now = vm.now();
-        let idle = now >= earliest && vm.running.get() == 0;
+        let is_serving = vm.running.get() > 0 || vm.tunnels_relayed.get() > 0;
+        let idle = now >= earliest && !is_serving;
         // A request may still arrive on an open connection, so the VM must be idle at two checks in
         // a row; nothing runs between the second one and the end of the process.
         if now >= latest || (idle && was_idle) {
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -13,6 +13,7 @@
 use crate::decide::backlog::Backlog;
 use crate::decide::cold_start::ColdStart;
 use crate::decide::load::Load;
+use crate::decide::path::DirectPath;
 use crate::decide::server_limit::Pacer;
 use crate::unit::{DataCentre, Moment, Server as Id, Service, Span, Version};
 
@@ -53,6 +54,8 @@
     pub superseded: Rc<Notify>,
     /// How sure this VM is that this incarnation still runs.
     pub liveness: Liveness,
+    /// The direct path to the server.
+    pub path: DirectPath,
     /// Idle connections to the server.
     pub pool: Pool,
     /// Prompts that wait for their prefill at the server, as far as this VM knows.
@@ -79,6 +82,7 @@
             liveness: Liveness::default(),
             cold_until: None,
             possibly_cold_since: None,
+            path: DirectPath::default(),
             pool: Pool::default(),
             backlog: Backlog::default(),
             prefixes: HashMap::new(),
@@ -309,12 +313,40 @@
     }
 
     /// Returns the server of `replica` if it is still the same incarnation.
+    pub fn incarnation(&self, replica: &Replica) -> Option<&Server> {
+        self.servers.get(&replica.id).filter(|one| one.replica.is_same_incarnation(replica))
+    }
+
+    /// Returns the server of `replica`, to change it, if it is still the same incarnation.
     pub fn incarnation_mut(&mut self, replica: &Replica) -> Option<&mut Server> {
         self.servers
             .get_mut(&replica.id)
             .filter(|server| server.replica.is_same_incarnation(replica))
     }
 
+    /// Returns true if a server can't be reached directly.
+    pub fn is_path_lost(&self, replica: &Replica) -> bool {
+        self.incarnation(replica).is_some_and(|server| server.path.is_lost())
+    }
+
+    /// Records that a server can't be reached directly. Its idle connections lead nowhere.
+    pub fn on_path_failure(&mut self, replica: &Replica, now: Moment) {
+        let Some(server) = self.incarnation_mut(replica) else { return };
+        if server.path.on_failure(now) {
+            server.pool = Pool::default();
+        }
+    }
+
+    /// Records that a server accepted a direct connection. The failures recorded while it could not
+    /// be reached were those of the path.
+    pub fn on_path_contact(&mut self, replica: &Replica) {
+        let Some(server) = self.incarnation_mut(replica) else { return };
+        if server.path.on_contact() {
+            server.pool = Pool::default();
+            server.availability.clear_failures();
+        }
+    }
+
     /// Returns a server by its id, to change it.
     pub fn get_mut(&mut self, id: &Id) -> Option<&mut Server> {
         self.servers.get_mut(id)
--- a/src/forward/settings.rs
+++ b/src/forward/settings.rs
@@ -17,6 +17,8 @@
     pub regions: HashMap<DataCentre, Region>,
     /// IP address of the VM.
     pub ip: IpAddr,
+    /// Local address of connections to backend servers; any if it is `None`.
+    pub source: Option<IpAddr>,
     /// CPU quota, in thousandths of a core; larger VMs do more of the work for others.
     pub cpu_quota: Millicores,
     /// Listen address for callers.
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use tokio::sync::Notify;
@@ -31,10 +32,12 @@
 use crate::decide::prefill::PrefillEstimator;
 use crate::decide::pressure::Pressure;
 use crate::decide::reader::Rank;
+use crate::decide::tunnel::Helpers;
 use crate::peer::stall::Gate;
+use crate::peer::tunnel::Events;
 use crate::platform::client::{Client, StoreError};
 use crate::platform::object::Object;
-use crate::unit::{Era, Model, Moment, Position, Service, Span, hash};
+use crate::unit::{Era, Model, Moment, Position, Service, Span, Vm as Name, hash};
 use crate::vm::Clock;
 use crate::watch::label::LabelSet;
 use crate::watch::log::{Logger, Value};
@@ -139,10 +142,20 @@
     pub listed_kinds: RefCell<HashSet<Kind>>,
     /// What this VM knows of its links to the backend servers, by service.
     pub connectivity: RefCell<HashMap<Service, Connectivity>>,
-    /// True while this VM reaches no backend server.
+    /// True while this VM reaches no backend server, directly or through another VM.
     pub links_lost: tokio::sync::watch::Sender<bool>,
     /// Wakes the task that checks the links to the backend servers.
     pub links_in_doubt: Notify,
+    /// Other VMs that relay connections of this one to servers that it can't reach.
+    pub helpers: RefCell<Helpers>,
+    /// Wakes requests that wait for an offer of another VM to relay their connections.
+    pub helper_offered: Notify,
+    /// Queue of what other VMs send about tunnels.
+    pub tunnel_events: Events,
+    /// VMs that this one has offered to relay connections for, with their addresses.
+    pub tunnel_users: RefCell<HashMap<Name, SocketAddr>>,
+    /// Number of tunnels that this VM relays for others.
+    pub tunnels_relayed: Cell<usize>,
     /// When a planned stop began; `None` before.
     pub stopping_since: tokio::sync::watch::Sender<Option<Moment>>,
     /// Number of requests in flight.
@@ -221,6 +234,11 @@
             connectivity: RefCell::default(),
             links_lost: tokio::sync::watch::Sender::new(false),
             links_in_doubt: Notify::new(),
+            helpers: RefCell::default(),
+            helper_offered: Notify::new(),
+            tunnel_events: Events::default(),
+            tunnel_users: RefCell::default(),
+            tunnels_relayed: Cell::new(0),
             stopping_since: tokio::sync::watch::Sender::new(None),
             running: Cell::new(0),
             peers: RefCell::default(),
--- a/src/options.rs
+++ b/src/options.rs
@@ -173,6 +173,7 @@
         let what = format!("--keep-confidence is {given}; give it a percentage from 0 to 100.");
         return Err(Error::Usage(what));
     }
+    settings.source = optional("source-ip", flags.source_ip.as_ref())?;
     settings.metrics = port.map(|port| SocketAddr::new(settings.ip, port));
     Ok(settings)
 }
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -13,7 +13,7 @@
 use quinn::crypto::{CryptoError, HmacKey};
 use quinn::{
     ClientConfig, Connection, ConnectionId, ConnectionIdGenerator, Endpoint, EndpointConfig,
-    ServerConfig, TransportConfig,
+    RecvStream, SendStream, ServerConfig, TransportConfig,
 };
 use rcgen::{BasicConstraints, CertificateParams, DnType, IsCa, Issuer, KeyPair};
 use rustls::RootCertStore;
@@ -21,6 +21,7 @@
 use rustls::server::WebPkiClientVerifier;
 use sha2::{Digest, Sha256};
 
+use super::tunnel::{self, Answer, Destination, Tunnel};
 use crate::error::Error;
 use crate::unit::Size;
 
@@ -33,6 +34,13 @@
 /// A connection without traffic is closed after this time; neighbours probe more often than that.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// A connection that carries tunnels is closed after this time without a sign of life: requests that
+/// are open at a backend server must not wait long for a VM that is gone.
+const TUNNEL_IDLE_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Interval of the signs of life on a connection that carries tunnels.
+const TUNNEL_KEEP_ALIVE: Duration = Duration::from_millis(250);
+
 /// Length of a QUIC connection id.
 const CONNECTION_ID_BYTES: usize = 8;
 
@@ -52,6 +60,8 @@
     Frame(Vec<u8>),
     /// A call, and the channel for its reply.
     Call(Vec<u8>, tokio::sync::oneshot::Sender<Vec<u8>>),
+    /// A tunnel, whose destination has not been read yet.
+    Tunnel(Tunnel),
 }
 
 /// Key of QUIC's stateless resets.
@@ -115,6 +125,9 @@
     connecting: Arc<Mutex<HashMap<SocketAddr, Connecting>>>,
     blocked: Arc<Mutex<HashSet<SocketAddr>>>,
     bytes_sent: Arc<std::sync::atomic::AtomicU64>,
+    tunnel_config: ClientConfig,
+    /// Connections that carry tunnels.
+    tunnelling: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
 }
 
 /// Certificates and key of this VM. The root depends on the fleet key alone, so that all VMs of a
@@ -155,9 +168,16 @@
     [PKCS8_PREFIX.as_slice(), seed].concat()
 }
 
-fn tls_configs(
-    fleet_key: &[u8],
-) -> Result<(ServerConfig, ClientConfig), Box<dyn std::error::Error>> {
+/// Configurations of the QUIC connections of one VM.
+struct Configs {
+    server: ServerConfig,
+    /// For connections that carry messages and calls.
+    client: ClientConfig,
+    /// For connections that carry tunnels.
+    tunnel: ClientConfig,
+}
+
+fn tls_configs(fleet_key: &[u8]) -> Result<Configs, Box<dyn std::error::Error>> {
     let identity = Identity::from_fleet_key(fleet_key)?;
     let provider = Arc::new(rustls::crypto::ring::default_provider());
     let mut roots = RootCertStore::empty();
@@ -181,8 +201,14 @@
     let mut server = ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(server)?));
     server.transport_config(transport.clone());
     let mut client = ClientConfig::new(Arc::new(QuicClientConfig::try_from(client)?));
+    let mut tunnel = client.clone();
     client.transport_config(transport);
-    Ok((server, client))
+    let mut transport = TransportConfig::default();
+    transport.max_idle_timeout(Some(TUNNEL_IDLE_TIMEOUT.try_into()?));
+    transport.keep_alive_interval(Some(TUNNEL_KEEP_ALIVE));
+    transport.initial_rtt(INITIAL_ROUND_TRIP);
+    tunnel.transport_config(Arc::new(transport));
+    Ok(Configs { server, client, tunnel })
 }
 
 impl Links {
@@ -198,7 +224,8 @@
         inbox: tokio::sync::mpsc::UnboundedSender<Incoming>,
     ) -> Result<Links, Error> {
         let fault = |cause: String| Error::Bind(address.to_string(), cause);
-        let (server, client) = tls_configs(fleet_key).map_err(|e| fault(e.to_string()))?;
+        let Configs { server, client, tunnel: tunnel_config } =
+            tls_configs(fleet_key).map_err(|e| fault(e.to_string()))?;
         let reset_key = ResetKey::from_fleet_key(fleet_key);
         let mut config = EndpointConfig::new(Arc::new(reset_key));
         config.cid_generator(|| Box::new(RandomIds));
@@ -214,6 +241,8 @@
             connecting: Arc::default(),
             blocked: Arc::default(),
             bytes_sent: Arc::default(),
+            tunnel_config,
+            tunnelling: Arc::default(),
         };
         actix_web::rt::spawn(links.clone().accept(inbox));
         Ok(links)
@@ -290,6 +319,39 @@
         tokio::time::timeout(CONNECT_TIMEOUT, connecting).await.ok()?.ok()
     }
 
+    /// Opens a tunnel to a server through the VM at `to`. Returns the VM's answer, with the tunnel if
+    /// it is connected, or none if there is no answer within the time.
+    pub async fn open_tunnel(
+        &self,
+        to: SocketAddr,
+        destination: &Destination,
+        within: Duration,
+    ) -> Option<(Answer, Tunnel)> {
+        let open = async {
+            let (send, receive) = self.tunnel_connection(to).await?.open_bi().await.ok()?;
+            let mut tunnel = Tunnel::new(send, receive);
+            let answer = tunnel.request(destination).await.ok()?;
+            Some((answer, tunnel))
+        };
+        tokio::time::timeout(within, open).await.ok().flatten()
+    }
+
+    async fn tunnel_connection(&self, to: SocketAddr) -> Option<Connection> {
+        let open = self.tunnelling.lock().expect("no panic while held").get(&to).cloned();
+        if let Some(open) = open.filter(|open| open.close_reason().is_none()) {
+            return Some(open);
+        }
+        let config = self.tunnel_config.clone();
+        let connection = self.endpoint.connect_with(config, to, SERVER_NAME).ok()?.await.ok()?;
+        self.tunnelling.lock().expect("no panic while held").insert(to, connection.clone());
+        Some(connection)
+    }
+
+    /// Closes the connections for tunnels as soon as the tunnels that are open have ended.
+    pub fn close_tunnels(&self) {
+        self.tunnelling.lock().expect("no panic while held").clear();
+    }
+
     fn count_sent(&self, bytes: &[u8]) {
         self.bytes_sent.fetch_add(bytes.len() as u64, std::sync::atomic::Ordering::Relaxed);
     }
@@ -351,19 +413,29 @@
                 });
             }
             streams = connection.accept_bi() => {
-                let Ok((mut send, mut receive)) = streams else { return };
-                let inbox = inbox.clone();
-                actix_web::rt::spawn(async move {
-                    let bytes = receive.read_to_end(MAX_MESSAGE_SIZE.0 as usize).await;
-                    let Ok(bytes) = bytes else { return };
-                    let (sender, reply) = tokio::sync::oneshot::channel();
-                    let _ = inbox.send(Incoming::Call(bytes, sender));
-                    if let Ok(bytes) = reply.await {
-                        let _ = send.write_all(&bytes).await;
-                        let _ = send.finish();
-                    }
-                });
+                let Ok((send, receive)) = streams else { return };
+                actix_web::rt::spawn(serve_stream(send, receive, inbox.clone()));
             }
         }
     }
 }
+
+/// Receives a call and sends its reply, or passes a tunnel on.
+async fn serve_stream(
+    mut send: SendStream,
+    mut receive: RecvStream,
+    inbox: tokio::sync::mpsc::UnboundedSender<Incoming>,
+) {
+    let Ok(first) = tunnel::read_mark(&mut receive).await else { return };
+    if first == tunnel::MARK {
+        let _ = inbox.send(Incoming::Tunnel(Tunnel::new(send, receive)));
+        return;
+    }
+    let Ok(rest) = receive.read_to_end(MAX_MESSAGE_SIZE.0 as usize).await else { return };
+    let (sender, reply) = tokio::sync::oneshot::channel();
+    let _ = inbox.send(Incoming::Call([vec![first], rest].concat(), sender));
+    if let Ok(bytes) = reply.await {
+        let _ = send.write_all(&bytes).await;
+        let _ = send.finish();
+    }
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -7,6 +7,7 @@
 mod member;
 mod ring;
 pub mod stall;
+pub mod tunnel;
 pub mod wire;
 
 pub use gossip::{Gossip, Outgoing, START_LEASE, Seed};
--- /dev/null
+++ b/src/peer/tunnel.rs
@@ -0,0 +1,214 @@
+//! Tunnels: byte streams to another VM, which relays them to a backend server that this VM can't
+//! reach itself.
+//!
+//! A tunnel starts with [`MARK`], followed by the length of the encoded [`Destination`] and the
+//! destination itself. The other VM sends an [`Answer`]; after [`Answer::Connected`] the tunnel
+//! carries the bytes of the connection. Each end closes it by dropping its stream.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use quinn::{RecvStream, SendStream};
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
+use tokio::sync::mpsc;
+
+use super::wire::{decode, encode};
+use crate::unit::{Server, Service, Vm};
+
+/// First byte of a tunnel. Calls start with the length of the sender's name, which is never empty.
+pub const MARK: u8 = 0;
+
+/// Maximum size of an encoded destination in bytes.
+const MAX_DESTINATION_SIZE: u16 = 1024;
+
+/// The incarnation of a server that a tunnel leads to.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Destination {
+    /// The VM that opens the tunnel.
+    pub from: Vm,
+    /// Id of the server.
+    pub server: Server,
+    /// Start of the incarnation, in milliseconds since 1970 by the server's own clock.
+    pub started_at_ms: Option<u64>,
+    /// Address on which the server listens.
+    pub address: SocketAddr,
+}
+
+/// First answer of the VM that was asked to relay a tunnel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// The server accepted a connection.
+    Connected,
+    /// The server refused a connection: its process is gone.
+    Refused,
+    /// The server did not accept a connection in time.
+    Unreachable,
+    /// The VM does not relay to this server now.
+    Declined,
+}
+
+/// What other VMs send about tunnels.
+pub enum Event {
+    /// A VM asks which servers this one can relay to.
+    Request {
+        /// The VM that asks.
+        from: Vm,
+        /// Where to send the answer.
+        address: SocketAddr,
+        /// The services whose servers it can't reach.
+        services: Vec<Service>,
+    },
+    /// A VM offers to relay to the servers of these services; none withdraws its offer.
+    Offer {
+        /// The VM that offers.
+        from: Vm,
+        /// The services whose servers it reaches.
+        services: Vec<Service>,
+        /// Number of tunnels that it relays already.
+        open: u32,
+    },
+    /// A VM opened a tunnel.
+    Opened(Tunnel),
+}
+
+/// Queue of events about tunnels for the task that handles them.
+pub struct Events {
+    sender: mpsc::UnboundedSender<Event>,
+    receiver: Cell<Option<mpsc::UnboundedReceiver<Event>>>,
+}
+
+impl Default for Events {
+    fn default() -> Events {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        Events { sender, receiver: Cell::new(Some(receiver)) }
+    }
+}
+
+impl Events {
+    /// Queues an event.
+    pub fn send(&self, event: Event) {
+        // Fails if the task has ended with the process, which needs no handling.
+        let _ = self.sender.send(event);
+    }
+
+    /// Returns the receiving end, the first time.
+    pub fn take_receiver(&self) -> Option<mpsc::UnboundedReceiver<Event>> {
+        self.receiver.take()
+    }
+}
+
+/// One end of a tunnel.
+pub struct Tunnel {
+    send: SendStream,
+    receive: RecvStream,
+}
+
+impl Tunnel {
+    /// Returns the end of a tunnel with these streams.
+    pub fn new(send: SendStream, receive: RecvStream) -> Tunnel {
+        Tunnel { send, receive }
+    }
+
+    /// Sends the destination and waits for the answer.
+    ///
+    /// # Errors
+    /// If the stream breaks, or the answer can't be decoded.
+    pub async fn request(&mut self, destination: &Destination) -> io::Result<Answer> {
+        let encoded = encode(destination);
+        let size = encoded.len() as u16;
+        let bytes = [&[MARK][..], &size.to_be_bytes(), &encoded].concat();
+        self.send.write_all(&bytes).await?;
+        let mut answer = [0];
+        self.read_exact(&mut answer).await?;
+        decode(&answer).ok_or_else(|| io::ErrorKind::InvalidData.into())
+    }
+
+    /// Reads the destination, after the mark.
+    ///
+    /// # Errors
+    /// If the stream breaks, or the destination is too long or can't be decoded.
+    pub async fn read_destination(&mut self) -> io::Result<Destination> {
+        let size = self.read_u16().await?;
+        if size > MAX_DESTINATION_SIZE {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        let mut bytes = vec![0; usize::from(size)];
+        self.read_exact(&mut bytes).await?;
+        decode(&bytes).ok_or_else(|| io::ErrorKind::InvalidData.into())
+    }
+
+    /// Sends the answer to the destination.
+    ///
+    /// # Errors
+    /// If the stream breaks.
+    pub async fn answer(&mut self, answer: Answer) -> io::Result<()> {
+        Ok(self.send.write_all(&encode(&answer)).await?)
+    }
+
+    /// Relays between the tunnel and a connection until either is closed. Closes the connection as
+    /// soon as the other VM closes the tunnel, and resets the tunnel if the connection breaks.
+    /// Returns the number of bytes from the server.
+    pub async fn relay<R, W>(mut self, mut from_server: R, mut to_server: W) -> u64
+    where
+        R: AsyncRead + Unpin,
+        W: AsyncWrite + Unpin,
+    {
+        let requests = tokio::io::copy(&mut self.receive, &mut to_server);
+        let responses = tokio::io::copy(&mut from_server, &mut self.send);
+        tokio::select! {
+            _ = requests => 0,
+            copied = responses => match copied {
+                Ok(count) => {
+                    // The other end reads what is under way, then the end of the stream.
+                    drop(self.send.finish());
+                    drop(self.send.stopped().await);
+                    count
+                }
+                Err(_) => {
+                    drop(self.send.reset(0u32.into()));
+                    0
+                }
+            },
+        }
+    }
+}
+
+impl AsyncRead for Tunnel {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        AsyncRead::poll_read(Pin::new(&mut self.receive), cx, buffer)
+    }
+}
+
+impl AsyncWrite for Tunnel {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        AsyncWrite::poll_write(Pin::new(&mut self.send), cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        AsyncWrite::poll_flush(Pin::new(&mut self.send), cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        AsyncWrite::poll_shutdown(Pin::new(&mut self.send), cx)
+    }
+}
+
+/// Returns the next byte of a stream as the reader of its kind expects it.
+///
+/// # Errors
+/// If the stream ends or breaks.
+pub async fn read_mark(receive: &mut RecvStream) -> io::Result<u8> {
+    AsyncReadExt::read_u8(receive).await
+}
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -402,7 +402,7 @@
         };
         let malformed =
             |what: String| StoreError::NoAnswer(format!("the request is malformed: {what}"));
-        let idle = self.connection.take().filter(Connection::is_idle);
+        let idle = self.connection.take().and_then(Connection::into_idle);
         let connection = pool::reuse_or_open(idle, self.address, CONNECT_TIMEOUT);
         let mut connection = connection.await.map_err(no_answer)?;
         let head = request::head(method, self.address, path).map_err(malformed)?;
@@ -410,9 +410,7 @@
         let era = head.headers.get(ERA_HEADER).map(|value| value.to_str().unwrap_or_default());
         let era = self.eras.observe(era);
         let body = connection.read_body(MAX_RESPONSE_BYTES).await.map_err(no_answer)?;
-        if connection.is_reusable() {
-            self.connection = Some(connection);
-        }
+        self.connection = connection.into_reusable();
         let response = Response { era: era.ok_or(StoreError::StaleEra)?, body };
         match head.status {
             StatusCode::OK | StatusCode::CREATED => Ok(response),
--- a/src/platform/duty.rs
+++ b/src/platform/duty.rs
@@ -102,7 +102,7 @@
         let body = serde_json::to_vec(&Report { window_id: window, counts });
         let body = body.map_err(|fault| CallError::NotSent(fault.to_string()))?;
         let head = self.head(USAGE_PATH, caller)?;
-        let idle = self.connection.take().filter(Connection::is_idle);
+        let idle = self.connection.take().and_then(Connection::into_idle);
         let connection = pool::reuse_or_open(idle, self.address, CONNECT_TIMEOUT);
         let mut connection = connection.await.map_err(call_error)?;
         if !may_send() {
@@ -112,7 +112,7 @@
         let exchange = exchange(&mut connection, head, Bytes::from(body));
         match tokio::time::timeout(CALL_TIME.duration(), exchange).await {
             Ok(Ok(status)) => {
-                self.connection = Some(connection).filter(Connection::is_reusable);
+                self.connection = connection.into_reusable();
                 if (200..300).contains(&status) { Ok(()) } else { Err(CallError::Refused(status)) }
             }
             Ok(Err(fault)) => Err(fault),
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -133,6 +133,7 @@
         data_centre: parse_field(path, "zone", required(path, "zone", file.zone)?)?,
         regions: regions(path, &file.zones)?,
         ip,
+        source: None,
         cpu_quota: parse_quota(path, file.limits.cpu_quota)?,
         callers: parse_address(path, "listen.frontend", listen.frontend)?,
         readiness: parse_address(path, "listen.readiness", listen.readiness)?,
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for external systems: object store, model engine, plain service, rating service.
 
 pub mod engine;
+mod packet_filter;
 pub mod platform;
 pub mod rating;
 pub mod replica;
--- a/src/standin/replica.rs
+++ b/src/standin/replica.rs
@@ -3,10 +3,12 @@
 
 use std::collections::VecDeque;
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsFd;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use super::packet_filter;
 use crate::error::Error;
 
 /// Size limit of a request head, in bytes.
@@ -309,6 +311,28 @@
         self
     }
 
+    /// Drops everything that these callers send, from now on, on open connections too. With `reset`
+    /// their open connections are reset. An empty list ends it.
+    ///
+    /// # Panics
+    /// If the kernel takes no filter.
+    pub fn cut_off(&self, callers: &[Ipv4Addr], reset: bool) -> &Replica {
+        let state = self.lock();
+        let sockets = state.open.iter().map(|(_, stream)| stream.as_fd());
+        for socket in state.listener.iter().map(AsFd::as_fd).chain(sockets) {
+            packet_filter::drop_from(socket, callers).expect("the kernel takes a filter");
+        }
+        let is_cut = |caller: &Option<SocketAddr>| {
+            caller.is_some_and(|caller| callers.iter().any(|one| caller.ip() == *one))
+        };
+        for (_, stream) in state.open.iter().filter(|(caller, _)| reset && is_cut(caller)) {
+            // An error means that the caller has closed it already.
+            drop(stream.shutdown(Shutdown::Both));
+        }
+        drop(state);
+        self
+    }
+
     /// Adds this header line to all further responses, in place of an earlier one.
     pub fn set_extra_header(&self, line: &str) -> &Replica {
         self.lock().extra_header = Some(line.to_owned());
--- a/src/vm/control.rs
+++ b/src/vm/control.rs
@@ -164,6 +164,8 @@
                     let _ = reply.send(encode(&answer));
                 });
             }
+            // These VMs open no tunnels to each other.
+            Incoming::Tunnel(_) => {}
         }
     }
 
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::fs::File;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -57,6 +57,8 @@
     pub process: Child,
     pub log: PathBuf,
     settings: PathBuf,
+    /// Flags of the process besides the usual ones.
+    flags: Vec<String>,
 }
 
 impl Drop for Vm {
@@ -83,7 +85,7 @@
 
     /// Starts the process again, with the same settings and the same log.
     pub fn start_again(&mut self) {
-        self.process = process(&self.settings, &self.log, self.metrics);
+        self.process = process(&self.settings, &self.log, self.metrics, &self.flags);
     }
 
     /// Returns true if the readiness check succeeds.
@@ -235,7 +237,17 @@
         self.launch(self.store_server.address, data_centre)
     }
 
+    /// Starts an entry VM that connects to servers from this address.
+    pub fn start_from(&self, source: Ipv4Addr) -> Vm {
+        let more = ["--source-ip".to_owned(), source.to_string()];
+        self.launch_with(self.store_server.address, "here", &more)
+    }
+
     fn launch(&self, store: SocketAddr, data_centre: &str) -> Vm {
+        self.launch_with(store, data_centre, &[])
+    }
+
+    fn launch_with(&self, store: SocketAddr, data_centre: &str, flags: &[String]) -> Vm {
         let number = NEXT_VM.fetch_add(1, Ordering::SeqCst);
         let name = format!("kitepulley-{}-{number}", std::process::id());
         let (callers, readiness, metrics) = (free_address(), free_address(), free_address());
@@ -251,9 +263,10 @@
         });
         merge(&mut text, self.settings.clone());
         std::fs::write(&settings, text.to_string()).unwrap();
-        let process = process(&settings, &log, metrics);
+        let process = process(&settings, &log, metrics, flags);
         let name = format!("vm{number:04}");
-        Vm { name, callers, readiness, metrics, process, log, settings }
+        let flags = flags.to_vec();
+        Vm { name, callers, readiness, metrics, process, log, settings, flags }
     }
 
     /// Starts an entry VM and waits until it is ready.
@@ -286,11 +299,12 @@
     entry
 }
 
-fn process(settings: &Path, log: &Path, metrics: SocketAddr) -> Child {
+fn process(settings: &Path, log: &Path, metrics: SocketAddr, flags: &[String]) -> Child {
     let _lock = PORT_PROBE_LOCK.lock().unwrap();
     let out = std::fs::File::options().create(true).append(true).open(log).unwrap();
     Command::new(env!("CARGO_BIN_EXE_kitepulley"))
         .args(["entry", "--metrics-port", &metrics.port().to_string()])
+        .args(flags)
         .env("KITEPULLEY_CONFIG", settings)
         .stdout(Stdio::from(out))
         .spawn()
@@ -533,6 +547,7 @@
         data_centre: "here".parse().unwrap(),
         regions: HashMap::new(),
         ip: "127.0.0.1".parse().unwrap(),
+        source: None,
         cpu_quota: Millicores(250),
         callers: address,
         readiness: address,
--- /dev/null
+++ b/tests/tunnels.rs
@@ -0,0 +1,255 @@
+//! VMs that lose their links to backend servers while other VMs keep theirs: their callers have to
+//! be served as often as others.
+
+mod site;
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Mutex;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use kitepulley::standin::replica::{Action, Replica};
+use serde_json::json;
+use site::{Site, Vm, are_ready, head, try_ask};
+
+/// Time from a cut until callers of all VMs have to be served alike.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Time in which requests are counted, before a cut and from [`CONTACT_TIME`] on.
+const COUNTED_TIME: Duration = Duration::from_secs(3);
+
+/// Time in which started VMs discover each other.
+const DISCOVERY_TIME: Duration = Duration::from_millis(2500);
+
+/// Smallest part of first attempts at VMs without links that are served. Users allow a third less
+/// than at other VMs; none needs to fail.
+const MIN_SERVED: f64 = 0.95;
+
+/// Time between two requests.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(12);
+
+/// Events of a stream.
+const EVENTS: u64 = 6;
+
+/// A site whose VMs differ in the address from which they connect to servers.
+struct Fleet {
+    _site: Site,
+    vms: Vec<Vm>,
+    /// Servers of the services `api` and `other`.
+    servers: [Vec<Replica>; 2],
+}
+
+/// Which servers some VMs lose.
+#[derive(Clone, Copy, PartialEq)]
+enum Cut {
+    All,
+    AllButOne,
+    OneService,
+}
+
+#[derive(Clone, Debug)]
+struct Outcome {
+    #[expect(dead_code, reason = "shown when a check fails")]
+    id: String,
+    at: Duration,
+    vm: usize,
+    is_served: bool,
+}
+
+fn source(vm: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, 0, 1, vm as u8 + 1)
+}
+
+impl Fleet {
+    fn start(vms: usize) -> Fleet {
+        let mut site = Site::new()
+            .route("safe", "idempotent", json!({}))
+            .route("once", "non_idempotent", json!({}))
+            .route("stream", "streaming", json!({"stream_resume": true}))
+            .route("other", "non_idempotent", json!({"service": "other"}));
+        site.publish();
+        let servers = ["api", "other"].map(|service| {
+            let start = |at: usize| {
+                site.replica_with(&format!("{service}{at}"), json!({"service": service}))
+            };
+            (0..if service == "api" { 8 } else { 4 }).map(start).collect::<Vec<Replica>>()
+        });
+        for server in servers.iter().flatten() {
+            server.set_default_action(Action::Events {
+                last: EVENTS,
+                cut_after: None,
+                confidence: None,
+                pause: Duration::from_millis(20),
+            });
+        }
+        for server in &servers[1] {
+            server.set_default_action(Action::Slow(Duration::from_millis(20)));
+        }
+        let vms: Vec<Vm> = (0..vms).map(|vm| site.start_from(source(vm))).collect();
+        are_ready(&vms);
+        thread::sleep(DISCOVERY_TIME);
+        Fleet { _site: site, vms, servers }
+    }
+
+    /// Cuts the first `count` VMs off.
+    fn cut(&self, cut: Cut, count: usize, reset: bool) {
+        let callers: Vec<Ipv4Addr> = (0..count).map(source).collect();
+        let (api, other) = (&self.servers[0], &self.servers[1]);
+        let spared = usize::from(cut == Cut::AllButOne);
+        for server in &api[spared..] {
+            server.cut_off(&callers, reset);
+        }
+        if cut != Cut::OneService {
+            for server in &other[spared..] {
+                server.cut_off(&callers, reset);
+            }
+        }
+    }
+
+    fn heal(&self) {
+        for server in self.servers.iter().flatten() {
+            server.cut_off(&[], false);
+        }
+    }
+
+    /// Sends requests of all kinds to all VMs in turn for some time, each on a new connection.
+    fn send_requests(&self, name: &str, lasting: Duration) -> Vec<Outcome> {
+        let addresses: Vec<SocketAddr> = self.vms.iter().map(|vm| vm.callers).collect();
+        send_requests(&addresses, name, lasting)
+    }
+
+    /// Returns how often each request ran that may run only once.
+    fn runs_of_once(&self) -> HashMap<String, usize> {
+        let mut runs = HashMap::new();
+        for request in self.servers.iter().flatten().flat_map(Replica::requests) {
+            let is_once = ["POST /once", "POST /other"];
+            if is_once.iter().any(|start| request.line.starts_with(start)) {
+                let id = request.header("x-attempt-id").unwrap_or_default().to_owned();
+                *runs.entry(id).or_default() += 1;
+            }
+        }
+        runs
+    }
+
+    fn logs(&self) -> String {
+        self.vms.iter().map(Vm::log_end).collect()
+    }
+}
+
+fn send_requests(vms: &[SocketAddr], name: &str, lasting: Duration) -> Vec<Outcome> {
+    let outcomes = Mutex::new(Vec::new());
+    let started = Instant::now();
+    thread::scope(|scope| {
+        for number in 0.. {
+            let at = REQUEST_INTERVAL * number;
+            if at >= lasting {
+                break;
+            }
+            thread::sleep(at.saturating_sub(started.elapsed()));
+            let outcomes = &outcomes;
+            scope.spawn(move || {
+                let vm = number as usize % vms.len();
+                let kind = ["safe", "once", "stream", "other"][number as usize / vms.len() % 4];
+                let id = format!("{name}{number}");
+                let answer =
+                    try_ask(vms[vm], &head(&format!("POST /{kind}/x"), &id, ""), b"question");
+                let is_served =
+                    answer.as_ref().is_some_and(|answer| answer.status == 200 && answer.whole);
+                outcomes.lock().unwrap().push(Outcome { id, at, vm, is_served });
+            });
+        }
+    });
+    outcomes.into_inner().unwrap()
+}
+
+/// Returns the part of the requests to VMs that `is_counted` selects that were served.
+fn served(outcomes: &[Outcome], is_counted: impl Fn(&Outcome) -> bool) -> f64 {
+    let counted: Vec<&Outcome> = outcomes.iter().filter(|one| is_counted(one)).collect();
+    let served = counted.iter().filter(|one| one.is_served).count();
+    served as f64 / counted.len().max(1) as f64
+}
+
+/// Cuts `count` of `vms` VMs off, and checks that their callers are served as others are.
+fn serves_callers_without_links(vms: usize, count: usize, cut: Cut, reset: bool) {
+    let fleet = Fleet::start(vms);
+    let before = fleet.send_requests("before", COUNTED_TIME);
+    fleet.cut(cut, count, reset);
+    let outcomes = fleet.send_requests("cut", CONTACT_TIME + COUNTED_TIME);
+    fleet.heal();
+    thread::sleep(Duration::from_secs(1));
+    let after = fleet.send_requests("after", COUNTED_TIME);
+    let early = served(&outcomes, |one| one.at < CONTACT_TIME && one.vm < count);
+    let late = served(&outcomes, |one| one.at >= CONTACT_TIME && one.vm < count);
+    let others = served(&outcomes, |one| one.at >= CONTACT_TIME && one.vm >= count);
+    let (before, after) = (served(&before, |_| true), served(&after, |_| true));
+    println!(
+        "{vms} VMs, {count} cut off: {before:.2} before, {early:.2} for 3 s, then {late:.2} \
+         (others {others:.2}), {after:.2} after"
+    );
+    let logs = || fleet.logs();
+    assert!(before >= MIN_SERVED && others >= MIN_SERVED && after >= MIN_SERVED, "{}", logs());
+    assert!(late >= MIN_SERVED, "{late:.2} served\n{}", logs());
+    assert!(fleet.runs_of_once().values().all(|runs| *runs == 1), "{}", logs());
+}
+
+#[test]
+fn callers_of_two_of_three_vms_without_links_are_served() {
+    serves_callers_without_links(3, 2, Cut::All, false);
+}
+
+#[test]
+fn callers_of_five_of_seven_vms_whose_links_were_reset_are_served() {
+    serves_callers_without_links(7, 5, Cut::All, true);
+}
+
+#[test]
+fn callers_of_most_of_fourteen_vms_without_links_are_served() {
+    serves_callers_without_links(14, 12, Cut::All, false);
+}
+
+#[test]
+fn callers_of_vms_that_lost_one_service_are_served() {
+    serves_callers_without_links(7, 4, Cut::OneService, true);
+}
+
+#[test]
+fn callers_of_vms_that_reach_one_server_of_each_service_are_served() {
+    serves_callers_without_links(7, 4, Cut::AllButOne, false);
+}
+
+#[test]
+fn requests_that_may_not_be_repeated_run_once_when_a_helper_is_killed() {
+    let mut fleet = Fleet::start(5);
+    fleet.cut(Cut::All, 2, false);
+    let addresses: Vec<SocketAddr> = fleet.vms[..2].iter().map(|vm| vm.callers).collect();
+    let outcomes = thread::scope(|scope| {
+        let sending =
+            scope.spawn(|| send_requests(&addresses, "cut", CONTACT_TIME + 2 * COUNTED_TIME));
+        thread::sleep(CONTACT_TIME + COUNTED_TIME / 2);
+        fleet.vms[4].kill();
+        sending.join().unwrap()
+    });
+    let late = served(&outcomes, |one| one.at >= CONTACT_TIME + COUNTED_TIME);
+    let all = served(&outcomes, |one| one.at >= CONTACT_TIME);
+    println!("{all:.2} served, {late:.2} later than 1.5 s after the kill");
+    assert!(late >= MIN_SERVED, "{late:.2}\n{}", fleet.logs());
+    assert!(fleet.runs_of_once().values().all(|runs| *runs == 1), "{}", fleet.logs());
+}
+
+#[test]
+fn a_planned_stop_of_a_helper_cuts_off_no_request() {
+    let fleet = Fleet::start(3);
+    fleet.cut(Cut::All, 1, true);
+    let addresses = [fleet.vms[0].callers];
+    let outcomes = thread::scope(|scope| {
+        let sending = scope.spawn(|| send_requests(&addresses, "cut", CONTACT_TIME * 3));
+        thread::sleep(CONTACT_TIME + COUNTED_TIME / 2);
+        fleet.vms[2].signal(libc::SIGTERM);
+        sending.join().unwrap()
+    });
+    let late = served(&outcomes, |one| one.at >= CONTACT_TIME);
+    let failed: Vec<&Outcome> =
+        outcomes.iter().filter(|one| one.at >= CONTACT_TIME && !one.is_served).collect();
+    assert!(late >= 0.99, "{late:.3} {failed:?}\n{}", fleet.logs());
+}
