--- a/src/decide/availability.rs
+++ b/src/decide/availability.rs
@@ -98,6 +98,8 @@
 pub struct Availability {
     /// Rate limit that the server advertises in response headers, for all VMs together.
     pub rate_limit: KnownLimit,
+    /// Rejections per second beyond which the server announces that it fails.
+    pub rejection_limit: KnownLimit,
     outliers: OutlierDetector,
     /// Time since which the server's entry in the store marks it as draining.
     entry_draining_since: Option<Moment>,
--- a/src/decide/server_limit.rs
+++ b/src/decide/server_limit/mod.rs
@@ -1,5 +1,5 @@
-//! Rate limits of backend servers: how fast all VMs together send requests to one incarnation of a
-//! server.
+//! Limits of backend servers: how fast all VMs together send requests to one incarnation of a
+//! server, and how many it may have at a time ([`places`]).
 //!
 //! A server that is cold (has just started), or advertises a limit in its response headers, fails
 //! or slows down above some requests per second. Its short queue makes every VM choose the server
@@ -7,6 +7,8 @@
 //! of them may still send at once. So only a few VMs, the *senders*, which each VM computes alike,
 //! may send to such a server, each at a fixed interval in its *send slots*.
 
+pub mod places;
+
 use std::fmt;
 
 use crate::unit::hash::mix;
@@ -314,16 +316,26 @@
     }
 }
 
-/// Reason for withholding a request: this VM has no send slot at the rate-limited server now.
+/// Reason for withholding a request from a server.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Throttled(pub RateLimit);
+pub enum Throttled {
+    /// This VM has no send slot at the rate-limited server now.
+    Rate(RateLimit),
+    /// All places of this VM at the brittle server are taken.
+    Places(usize),
+}
 
 impl fmt::Display for Throttled {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "the server is limited to {} from all VMs, and this VM has no send slot now",
-            self.0.rate
-        )
+        match self {
+            Throttled::Rate(limit) => write!(
+                f,
+                "the server is limited to {} from all VMs, and this VM has no send slot now",
+                limit.rate
+            ),
+            Throttled::Places(places) => {
+                write!(f, "the server is brittle, and this VM's {places} places are taken")
+            }
+        }
     }
 }
--- /dev/null
+++ b/src/experiment/brittle.rs
@@ -0,0 +1,380 @@
+//! Brittle servers behind many VMs, in virtual time: ways to divide what a server takes at once, so
+//! that it rejects few requests and stays busy.
+//!
+//! All servers of a service are brittle and have a short queue. A server that rejects more than its
+//! limit in a second fails, and is back after three seconds. Requests wait at their VM for a place
+//! until they are too old. Reports of the servers' loads are late by the same time for all VMs.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::options::Options;
+use super::table::{Row, Table};
+use crate::decide::server_limit::places::{EXTRA_PAUSE, Share};
+use crate::unit::{Moment, Span, hash};
+
+/// VMs and servers by default.
+const SIZES: [(usize, usize); 6] = [(7, 12), (23, 24), (84, 12), (84, 96), (295, 96), (295, 600)];
+
+/// Slots of a server, places in its queue, and time that a request runs.
+const SLOTS: usize = 4;
+const QUEUE: usize = 1;
+const WORK: Span = Span::millis(80);
+
+/// Rejections in a second beyond which a server fails, and time for which it is gone then.
+const REJECTION_LIMIT: usize = 2;
+const RESTART_TIME: Span = Span::secs(3);
+
+/// Time that a request travels to a server, or its response back.
+const TRAVEL: Span = Span::millis(2);
+
+/// Age at which a request that waits at its VM is refused.
+const MAX_AGE: Span = Span::millis(400);
+
+/// Length of a step of the simulation, and of a run.
+const STEP: Span = Span::millis(1);
+const RUN_LENGTH: Span = Span::secs(8);
+
+/// Time for which a VM leaves out a server that rejected its request, if each acts by itself.
+const PAUSE: Span = Span::millis(300);
+
+/// Part of the VMs that are dead, with places that nobody uses, in the cases with dead VMs.
+const DEAD_SHARE: f64 = 0.1;
+
+/// How the room of a server is divided among VMs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Strategy {
+    /// Each VM sends to the least loaded server it knows of.
+    Unheeded,
+    /// Each VM leaves a server out for a while after a rejection.
+    EachAlone,
+    /// Each VM has an even part of the slots of each server, at least one.
+    EvenParts,
+    /// The slots are dealt to VMs in an order that all compute alike.
+    Places,
+    /// The same with room for one request in the queue: the strategy of the router.
+    PlacesAndExtra,
+    /// One VM for each server grants its slots on request, which takes a round trip between VMs.
+    Granted,
+}
+
+impl Strategy {
+    const ALL: [Strategy; 6] = [
+        Strategy::Unheeded,
+        Strategy::EachAlone,
+        Strategy::EvenParts,
+        Strategy::Places,
+        Strategy::PlacesAndExtra,
+        Strategy::Granted,
+    ];
+
+    fn name(self) -> &'static str {
+        match self {
+            Strategy::Unheeded => "unheeded",
+            Strategy::EachAlone => "each alone",
+            Strategy::EvenParts => "even parts",
+            Strategy::Places => "places",
+            Strategy::PlacesAndExtra => "places and extra",
+            Strategy::Granted => "granted",
+        }
+    }
+}
+
+/// What is simulated beside size and strategy.
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    load: f64,
+    burst: usize,
+    stale: Span,
+    dead: f64,
+}
+
+const CASES: [Case; 5] = [
+    Case { load: 0.7, burst: 1, stale: Span::millis(50), dead: 0.0 },
+    Case { load: 1.6, burst: 1, stale: Span::millis(50), dead: 0.0 },
+    Case { load: 1.6, burst: 1, stale: Span::secs(1), dead: 0.0 },
+    Case { load: 1.2, burst: 40, stale: Span::millis(200), dead: 0.0 },
+    Case { load: 1.6, burst: 1, stale: Span::millis(200), dead: DEAD_SHARE },
+];
+
+/// One server, with the load that VMs know of.
+#[derive(Default)]
+struct Server {
+    running: usize,
+    waiting: usize,
+    /// Requests that VMs sent and have not heard of.
+    in_use: usize,
+    rejections: VecDeque<Moment>,
+    gone_until: Moment,
+    incarnation: u64,
+    reported: usize,
+    failures: u64,
+}
+
+/// One VM, with its requests at each server.
+struct Node {
+    is_dead: bool,
+    queue: VecDeque<Moment>,
+    open: Vec<usize>,
+    shares: Vec<Share>,
+    rejected_at: Vec<Option<Moment>>,
+}
+
+/// What happens at a moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    /// A request of a VM reaches a server.
+    Arrives(usize, usize),
+    /// A request of a VM ends at an incarnation of a server.
+    Ends(usize, usize, u64),
+    /// The VM hears that its request was served.
+    Served(usize, usize),
+    /// The VM hears that its request was rejected or lost.
+    Rejected(usize, usize),
+}
+
+struct Simulation {
+    strategy: Strategy,
+    case: Case,
+    nodes: Vec<Node>,
+    servers: Vec<Server>,
+    events: BinaryHeap<Reverse<(Moment, Event)>>,
+    /// Requests that wait in the queue of each server, by VM.
+    queues: Vec<VecDeque<usize>>,
+    rng: SmallRng,
+    sent: u64,
+    served: u64,
+    rejected: u64,
+}
+
+impl Simulation {
+    fn new(vms: usize, servers: usize, strategy: Strategy, case: Case, seed: u64) -> Simulation {
+        let names: Vec<u64> = (0..vms).map(|vm| hash::stable(&[&format!("vm{vm}")])).collect();
+        let dead = (vms as f64 * case.dead) as usize;
+        let node = |vm: usize| {
+            let others: Vec<u64> =
+                names.iter().copied().filter(|other| *other != names[vm]).collect();
+            let share = |server: usize| {
+                let server = hash::stable(&[&format!("r{server}")]);
+                Share::of_vm(SLOTS, server, names[vm], &others)
+            };
+            Node {
+                is_dead: vm < dead,
+                queue: VecDeque::new(),
+                open: vec![0; servers],
+                shares: (0..servers).map(share).collect(),
+                rejected_at: vec![None; servers],
+            }
+        };
+        Simulation {
+            strategy,
+            case,
+            nodes: (0..vms).map(node).collect(),
+            servers: (0..servers).map(|_| Server::default()).collect(),
+            events: BinaryHeap::new(),
+            queues: vec![VecDeque::new(); servers],
+            rng: SmallRng::seed_from_u64(seed),
+            sent: 0,
+            served: 0,
+            rejected: 0,
+        }
+    }
+
+    fn capacity(&self) -> f64 {
+        (self.servers.len() * SLOTS) as f64 / WORK.as_secs()
+    }
+
+    fn run(&mut self) {
+        let alive: Vec<usize> =
+            (0..self.nodes.len()).filter(|vm| !self.nodes[*vm].is_dead).collect();
+        let per_step = self.case.load * self.capacity() * STEP.as_secs();
+        let (mut now, mut due, mut reported_at) = (Moment(0), 0.0, Moment(0));
+        while now < Moment(RUN_LENGTH.0) {
+            self.handle_events(now);
+            if now >= reported_at {
+                reported_at = now + self.case.stale;
+                for server in &mut self.servers {
+                    server.reported = server.running + server.waiting;
+                }
+            }
+            due += per_step;
+            while due >= self.case.burst as f64 {
+                due -= self.case.burst as f64;
+                for _ in 0..self.case.burst {
+                    let vm = alive[self.rng.random_range(0..alive.len())];
+                    self.nodes[vm].queue.push_back(now);
+                    self.sent += 1;
+                }
+            }
+            for vm in &alive {
+                self.send_waiting(*vm, now);
+            }
+            now = now + STEP;
+        }
+    }
+
+    fn send_waiting(&mut self, vm: usize, now: Moment) {
+        while let Some(arrived) = self.nodes[vm].queue.front().copied() {
+            if now.since(arrived) > MAX_AGE {
+                self.nodes[vm].queue.pop_front();
+                continue;
+            }
+            let Some(server) = self.choose(vm, now) else { return };
+            self.nodes[vm].queue.pop_front();
+            self.nodes[vm].open[server] += 1;
+            self.servers[server].in_use += 1;
+            // A grant takes a round trip between VMs.
+            let grant = if self.strategy == Strategy::Granted { TRAVEL.0 * 2 } else { 0 };
+            let arrives = now + Span(TRAVEL.0 + grant);
+            self.events.push(Reverse((arrives, Event::Arrives(vm, server))));
+        }
+    }
+
+    /// Returns the least loaded of the servers that the VM may send to, by the last report.
+    fn choose(&mut self, vm: usize, now: Moment) -> Option<usize> {
+        let start = self.rng.random_range(0..self.servers.len());
+        let order = (0..self.servers.len()).map(|at| (start + at) % self.servers.len());
+        let allowed = order.filter(|server| self.allows(vm, *server, now));
+        allowed.min_by_key(|server| self.servers[*server].reported + self.nodes[vm].open[*server])
+    }
+
+    fn allows(&self, vm: usize, server: usize, now: Moment) -> bool {
+        let node = &self.nodes[vm];
+        // Failed servers refuse connections, which VMs notice at once.
+        if self.servers[server].gone_until > now {
+            return false;
+        }
+        let was_rejected =
+            |within: Span| node.rejected_at[server].is_some_and(|at| now.since(at) < within);
+        let share = node.shares[server];
+        match self.strategy {
+            Strategy::Unheeded => true,
+            Strategy::EachAlone => !was_rejected(PAUSE),
+            Strategy::EvenParts => node.open[server] < (SLOTS / self.nodes.len()).max(1),
+            Strategy::Places => node.open[server] < share.places,
+            Strategy::PlacesAndExtra => {
+                let extra = usize::from(share.has_extra && !was_rejected(EXTRA_PAUSE));
+                node.open[server] < share.places + extra
+            }
+            Strategy::Granted => self.servers[server].in_use < SLOTS,
+        }
+    }
+
+    fn handle_events(&mut self, now: Moment) {
+        while let Some(Reverse((at, event))) = self.events.peek().copied() {
+            if at > now {
+                return;
+            }
+            self.events.pop();
+            match event {
+                Event::Arrives(vm, server) => self.on_arrival(vm, server, now),
+                Event::Ends(vm, server, incarnation) => self.on_end(vm, server, incarnation, now),
+                Event::Served(vm, server) => {
+                    self.release(vm, server);
+                    self.served += 1;
+                }
+                Event::Rejected(vm, server) => {
+                    self.release(vm, server);
+                    self.nodes[vm].rejected_at[server] = Some(now);
+                }
+            }
+        }
+    }
+
+    fn release(&mut self, vm: usize, server: usize) {
+        self.nodes[vm].open[server] -= 1;
+        self.servers[server].in_use -= 1;
+    }
+
+    fn on_arrival(&mut self, vm: usize, server: usize, now: Moment) {
+        let state = &mut self.servers[server];
+        let answer = Event::Rejected(vm, server);
+        if state.gone_until > now {
+            self.events.push(Reverse((now + TRAVEL, answer)));
+        } else if state.running < SLOTS {
+            state.running += 1;
+            let end = Event::Ends(vm, server, state.incarnation);
+            self.events.push(Reverse((now + WORK, end)));
+        } else if state.waiting < QUEUE {
+            state.waiting += 1;
+            self.queues[server].push_back(vm);
+        } else {
+            self.rejected += 1;
+            state.rejections.retain(|at| now.since(*at) < Span::secs(1));
+            state.rejections.push_back(now);
+            self.events.push(Reverse((now + TRAVEL, answer)));
+            if state.rejections.len() > REJECTION_LIMIT {
+                self.fail(server, now);
+            }
+        }
+    }
+
+    /// Ends an incarnation of a server; its requests are lost.
+    fn fail(&mut self, server: usize, now: Moment) {
+        let state = &mut self.servers[server];
+        state.failures += 1;
+        state.incarnation += 1;
+        state.gone_until = now + RESTART_TIME;
+        (state.running, state.waiting) = (0, 0);
+        state.rejections.clear();
+        for vm in std::mem::take(&mut self.queues[server]) {
+            self.events.push(Reverse((now + TRAVEL, Event::Rejected(vm, server))));
+        }
+    }
+
+    fn on_end(&mut self, vm: usize, server: usize, incarnation: u64, now: Moment) {
+        let state = &mut self.servers[server];
+        if state.incarnation != incarnation {
+            self.events.push(Reverse((now, Event::Rejected(vm, server))));
+            return;
+        }
+        self.events.push(Reverse((now + TRAVEL, Event::Served(vm, server))));
+        match self.queues[server].pop_front() {
+            Some(next) => {
+                state.waiting -= 1;
+                self.events.push(Reverse((now + WORK, Event::Ends(next, server, incarnation))));
+            }
+            None => state.running -= 1,
+        }
+    }
+
+    fn row(&self) -> Row {
+        let able = self.capacity() * RUN_LENGTH.as_secs();
+        let failures: u64 = self.servers.iter().map(|server| server.failures).sum();
+        Row::named("way", self.strategy.name())
+            .with("vms", self.nodes.len())
+            .with("servers", self.servers.len())
+            .number("load", self.case.load, 1)
+            .with("burst", self.case.burst)
+            .number("stale ms", self.case.stale.as_millis(), 0)
+            .number("dead", self.case.dead, 1)
+            .with("failures", failures)
+            .with("allowed", 2 + self.servers.len() / 10)
+            .number("served", self.served as f64 / able.min(self.sent as f64), 3)
+            .number("rejected", self.rejected as f64 / self.sent.max(1) as f64, 4)
+    }
+}
+
+/// Simulates all strategies for each size and case.
+pub fn run(options: &Options) -> Table {
+    let sizes = SIZES.iter().filter(|(vms, _)| options.vms.is_empty() || options.vms.contains(vms));
+    let mut rows = Vec::new();
+    for (vms, servers) in sizes.copied() {
+        for case in CASES {
+            for strategy in Strategy::ALL {
+                let mut simulation = Simulation::new(vms, servers, strategy, case, options.seed);
+                simulation.run();
+                rows.push(simulation.row());
+            }
+        }
+    }
+    let notes = vec![
+        "Failures of servers, and how many users allow. Served: part of what the servers can do, or \
+         of what is asked if that is less. Rejected: part of the requests, by servers."
+            .to_owned(),
+    ];
+    Table { rows, notes }
+}
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -2,6 +2,7 @@
 //! that the router runs in production.
 
 mod bound;
+mod brittle;
 mod cascade;
 mod links;
 mod once;
@@ -24,8 +25,8 @@
 use crate::error::Error;
 
 /// Names of all experiments, as listed in the error for an unknown name.
-pub const NAMES: &str = "cascade, rollout, replica, overload, spread, reading, poison, shed, bound, links, path, once, \
-     slopes";
+pub const NAMES: &str = "cascade, rollout, replica, overload, spread, reading, poison, shed, \
+                         bound, brittle, links, path, once, slopes";
 
 /// Runs the named experiment.
 ///
@@ -42,6 +43,7 @@
         "poison" => Ok(poison::run(options)),
         "shed" => Ok(shed::run(options)),
         "bound" => Ok(bound::run(options)),
+        "brittle" => Ok(brittle::run(options)),
         "links" => Ok(links::run(options)),
         "path" => path::run(options),
         "once" => once::run(options),
--- /dev/null
+++ b/tests/places.rs
@@ -0,0 +1,120 @@
+//! Division of the slots of brittle servers among VMs, and choice of VMs that relay connections.
+
+use kitepulley::decide::path::DirectPath;
+use kitepulley::decide::server_limit::places::{self, Lingering, RELEASE_DELAY, Share, Turnover};
+use kitepulley::decide::tunnel::{Helpers, Offer, Relaying};
+use kitepulley::unit::{Moment, Rate, Service, Span, Vm, hash};
+use quickcheck::{TestResult, quickcheck};
+
+fn shares(slots: usize, vms: usize, server: u64) -> Vec<Share> {
+    let names: Vec<u64> = (0..vms).map(|vm| hash::mix(7, vm as u64)).collect();
+    let share = |own: &u64| {
+        let others: Vec<u64> = names.iter().copied().filter(|other| other != own).collect();
+        Share::of_vm(slots, server, *own, &others)
+    };
+    names.iter().map(share).collect()
+}
+
+quickcheck! {
+    fn places_of_all_vms_are_the_slots_and_one_more(slots: u8, vms: u8, server: u64) -> TestResult {
+        if vms == 0 {
+            return TestResult::discard();
+        }
+        let shares = shares(slots.into(), vms.into(), server);
+        let places: usize = shares.iter().map(|share| share.places).sum();
+        let extra = shares.iter().filter(|share| share.has_extra).count();
+        TestResult::from_bool(places == usize::from(slots) && extra == 1)
+    }
+
+    fn a_vm_that_is_not_known_adds_one_place_at_most(slots: u8, vms: u8, server: u64) -> TestResult {
+        if vms < 2 {
+            return TestResult::discard();
+        }
+        // Each VM but the last does not know that one.
+        let all = shares(slots.into(), vms.into(), server);
+        let known = shares(slots.into(), usize::from(vms) - 1, server);
+        let sum: usize = known.iter().map(|share| share.places).sum();
+        let last = all.last().map_or(0, |share| share.places);
+        TestResult::from_bool(sum + last <= usize::from(slots) + usize::from(slots).div_ceil(vms.into()))
+    }
+
+    fn parts_of_places_never_add_up_to_more(places: u8, lent: f64) -> TestResult {
+        if !(0.0..=1.0).contains(&lent) {
+            return TestResult::discard();
+        }
+        let places = usize::from(places);
+        let kept = places::with_parts(places, 1.0 - lent, std::iter::empty());
+        let borrowed = places::with_parts(0, 1.0, std::iter::once((places, lent)));
+        TestResult::from_bool(kept + borrowed <= places)
+    }
+}
+
+#[test]
+fn requests_without_a_place_are_fewer_than_a_server_bears_to_reject() {
+    assert_eq!(places::spare_limit(Rate(3.0)), None);
+    assert_eq!(places::spare_limit(Rate(10.0)).map(|limit| limit.rate), Some(Rate(2.0)));
+}
+
+#[test]
+fn a_request_that_was_given_up_keeps_its_place_for_a_while() {
+    let mut lingering = Lingering::default();
+    lingering.on_given_up(Moment(0));
+    assert_eq!(lingering.count(Moment(1)), 1);
+    assert_eq!(lingering.count(Moment(RELEASE_DELAY.0)), 0);
+}
+
+#[test]
+fn a_wait_grows_with_the_requests_that_wait_already() {
+    let mut turnover = Turnover::default();
+    turnover.record(Span::millis(80));
+    assert_eq!(turnover.expected_wait(0, 4), Span::millis(20));
+    assert_eq!(turnover.expected_wait(7, 4), Span::millis(160));
+}
+
+#[test]
+fn a_path_is_lost_until_the_server_accepts_a_direct_connection() {
+    let mut path = DirectPath::default();
+    assert!(path.on_failure(Moment(1)) && !path.on_failure(Moment(2)) && path.is_lost());
+    assert!(path.on_contact() && !path.on_contact() && !path.is_lost());
+}
+
+fn offer(services: &[&str], is_local: bool, open: u32, at: Moment) -> Offer {
+    let services = services.iter().map(|name| name.parse().unwrap()).collect();
+    Offer { services, is_local, open, at }
+}
+
+#[test]
+fn the_helper_is_a_vm_that_offered_lately_and_has_little_to_relay() {
+    let [near, far, other]: [Vm; 3] = ["near", "far", "other"].map(|name| name.parse().unwrap());
+    let service: Service = "api".parse().unwrap();
+    let mut helpers = Helpers::default();
+    let now = Moment(10_000_000);
+    helpers.on_offer(near.clone(), offer(&["api"], true, 2, now));
+    helpers.on_offer(far.clone(), offer(&["api"], false, 0, now));
+    helpers.on_offer(other.clone(), offer(&["db"], true, 0, now));
+    assert_eq!(helpers.choose(&service, now, || 0.0), Some(far.clone()));
+    // The tunnel that it got counts.
+    assert_eq!(helpers.choose(&service, now, || 0.0).as_ref(), Some(&near));
+    helpers.on_offer(near, offer(&[], true, 0, now));
+    assert_eq!(helpers.choose(&service, now, || 0.0), Some(far));
+    let later = now + Span::secs(2);
+    assert!(!helpers.has_offer(&service, later), "an offer that is not renewed ends");
+}
+
+#[test]
+fn a_vm_asks_for_offers_at_once_and_then_at_intervals_while_it_needs_them() {
+    let mut helpers = Helpers::default();
+    let now = Moment(10_000_000);
+    assert!(!helpers.is_request_due(now), "nothing is needed");
+    assert!(helpers.on_need(now) && !helpers.on_need(now));
+    assert!(helpers.search_ends(now).is_some());
+    assert!(helpers.is_request_due(now + Span::millis(500)));
+    assert!(!helpers.is_request_due(now + Span::secs(3)), "the need has ended");
+}
+
+#[test]
+fn a_vm_that_stops_or_lacks_processor_time_relays_nothing() {
+    assert!(Relaying { open: 0, is_unavailable: false }.accepts());
+    assert!(!Relaying { open: 0, is_unavailable: true }.accepts());
+    assert!(!Relaying { open: 100_000, is_unavailable: false }.accepts());
+}
