Send brittle servers no more than what certainly fits, from all VMs together

What callers saw: servers that had announced that they are brittle failed, came back and failed again for as long as the load lasted; nearly nobody was served. Cause: the announcement was ignored. What each VM infers from rejections is no bound on what all send. Class: something is found out by an attempt whose cost is borne by the server that is asked. Change: the slots of a brittle server are places, divided among VMs beforehand (decide::server_limit::places), asked at the choice and before the first byte as rate limits are. One VM has one place more, in the queue, until it is rejected. Requests wait at their VM for a place while their goal can be met. A server that has not responded yet is taken for brittle if others of its service are. VMs tell each other; the message is new, at the end of the list.

--- a/src/forward/announce.rs
+++ b/src/forward/announce.rs
@@ -11,10 +11,11 @@
 use std::rc::Rc;
 
 use super::peer::{self, Message};
+use super::rate_limit;
 use super::replica::{Incarnation, Replica};
 use super::vm::Vm;
-use crate::decide::availability::Signal;
-use crate::decide::server_limit::{Recipients, Update};
+use crate::decide::availability::{Availability, Signal};
+use crate::decide::server_limit::{KnownLimit, Recipients, Update};
 use crate::unit::{Moment, Rate, Server, Span};
 
 /// Broadcasts that an incarnation of a server drains.
@@ -47,42 +48,60 @@
     broadcast_drain(vm, &replica);
 }
 
-/// Sends what this VM knows of the rate limit of an incarnation to the VMs that need it, if an
-/// update is due.
-pub fn broadcast_limit(vm: &Rc<Vm>, replica: &Replica) {
+/// Which limit of a server a report is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitKind {
+    /// Requests per second.
+    Requests,
+    /// Rejections per second that a brittle server bears.
+    Rejections,
+}
+
+impl LimitKind {
+    /// Returns what is known of the limit.
+    fn known(self, availability: &mut Availability) -> &mut KnownLimit {
+        match self {
+            LimitKind::Requests => &mut availability.rate_limit,
+            LimitKind::Rejections => &mut availability.rejection_limit,
+        }
+    }
+}
+
+/// Sends what this VM knows of a limit of an incarnation to the VMs that need it, if an update is
+/// due.
+pub fn broadcast_limit(vm: &Rc<Vm>, replica: &Replica, kind: LimitKind) {
     let now = vm.now();
     let report = {
         let mut fleet = vm.fleet.borrow_mut();
-        fleet
-            .incarnation_mut(replica)
-            .and_then(|server| server.availability.rate_limit.next_announcement(now))
+        let server = fleet.incarnation_mut(replica);
+        server.and_then(|server| kind.known(&mut server.availability).next_announcement(now))
     };
     match report {
-        Some((update, Recipients::All)) => {
-            peer::broadcast(vm, &limit_message(replica, update, now))
-        }
-        Some((update, Recipients::Senders(rates))) => {
-            let message = limit_message(replica, update, now);
+        Some((update, Recipients::Senders(rates))) if kind == LimitKind::Requests => {
+            let message = limit_message(replica, kind, update, now);
             peer::send_to_senders(vm, &replica.id, rates, &message);
         }
+        Some((update, _)) => peer::broadcast(vm, &limit_message(replica, kind, update, now)),
         None => {}
     }
 }
 
-fn limit_message(replica: &Replica, update: Update, now: Moment) -> Message {
+fn limit_message(replica: &Replica, kind: LimitKind, update: Update, now: Moment) -> Message {
     let (server, started_at_ms, address) =
         (replica.id.clone(), replica.started_at_ms, replica.address);
-    Message::ServerLimit {
-        server,
-        started_at_ms,
-        address,
-        rate: update.rate,
-        age: now.since(update.as_of),
+    let (rate, age) = (update.rate, now.since(update.as_of));
+    match kind {
+        LimitKind::Requests => Message::ServerLimit { server, started_at_ms, address, rate, age },
+        LimitKind::Rejections => {
+            Message::ServerBrittle { server, started_at_ms, address, rate, age }
+        }
     }
 }
 
-/// Report of another VM on the rate limit of an incarnation of a server.
+/// Report of another VM on a limit of an incarnation of a server.
 pub struct LimitReport<'a> {
+    /// Which limit.
+    pub kind: LimitKind,
     /// Name of the sender.
     pub from: &'a str,
     /// Id of the server.
@@ -91,13 +110,13 @@
     pub started_at_ms: Option<u64>,
     /// Address on which the server listens.
     pub address: SocketAddr,
-    /// Rate limit in requests per second from all VMs together; `None` if the limit has ended.
+    /// The limit, per second and for all VMs together; `None` if it has ended.
     pub rate: Option<Rate>,
     /// Time since the server announced the rate limit or its end.
     pub age: Span,
 }
 
-/// Applies the report of another VM on a server's rate limit, and relays the report if it changes
+/// Applies the report of another VM on a limit of a server, and relays the report if it changes
 /// what this VM knows.
 pub fn on_limit(vm: &Rc<Vm>, report: &LimitReport) {
     let now = vm.now();
@@ -109,12 +128,19 @@
         };
         let server = fleet.get_mut(report.server).filter(|one| is_same(&one.replica));
         let Some(server) = server else { return };
-        let limit = &mut server.availability.rate_limit;
+        let limit = report.kind.known(&mut server.availability);
         let before = limit.rate(now);
         let relays = limit.merge(update, now);
         (server.replica.clone(), before != limit.rate(now), relays)
     };
+    if let (LimitKind::Rejections, Some(rejections)) = (report.kind, report.rate) {
+        rate_limit::on_brittle(vm, &replica.service, rejections, update.as_of);
+    }
     if changed {
+        let event = match report.kind {
+            LimitKind::Requests => "server rate limit reported by peer",
+            LimitKind::Rejections => "brittle server reported by peer",
+        };
         let fields = [
             ("server", report.server.as_str().into()),
             ("born_ms", report.started_at_ms.unwrap_or_default().into()),
@@ -122,9 +148,9 @@
             ("limit_per_s", report.rate.map_or(-1.0, |rate| rate.0).into()),
             ("age_ms", report.age.as_millis().into()),
         ];
-        vm.log("server rate limit reported by peer", &fields);
+        vm.log(event, &fields);
     }
     if relays {
-        peer::broadcast(vm, &limit_message(&replica, update, now));
+        peer::broadcast(vm, &limit_message(&replica, report.kind, update, now));
     }
 }
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -6,12 +6,13 @@
 use actix_http::{ResponseHead, StatusCode};
 use bytes::Bytes;
 
+use super::announce::LimitKind;
 use super::call::Response;
 use super::connection::{Connection, Fault};
 use super::job::{Job, OpenRequestGuard, PendingPrompt};
 use super::replica::Replica;
 use super::sse::{Batch, EventBuffer};
-use super::{announce, connectivity, crash, path, poison, stall, usage};
+use super::{announce, connectivity, crash, path, poison, rate_limit, stall, usage};
 use crate::config::RetryPolicy;
 use crate::decide::outcome::AttemptOutcome;
 use crate::decide::poison::BrokenRequest;
@@ -163,6 +164,9 @@
     if outcome.head.as_ref().is_some_and(is_misdirected) {
         server.availability.mark_address_reused();
     }
+    if outcome.end == AttemptOutcome::NotRun {
+        server.rejected_at = Some(now);
+    }
     let left_out = server.availability.record(outcome.end, usual, now);
     let failures = server.availability.failure_rate();
     drop(fleet);
@@ -232,6 +236,7 @@
     let head = header::server_request(&job.head, &extra);
     // From here on bytes of the request may have been sent.
     *sent = true;
+    open.mark_sent();
     let (head, response) = match send_and_read_head(job, replica, &mut connection, head).await {
         Ok(answered) => answered,
         Err(fault) => return outcome_of(fault),
@@ -252,6 +257,7 @@
         Ok(body) => body,
         Err(fault) => return outcome_of(fault),
     };
+    open.mark_complete();
     let end = match (response.not_run, head.status.is_server_error()) {
         (true, _) => AttemptOutcome::NotRun,
         (false, true) => AttemptOutcome::Failed,
@@ -327,23 +333,32 @@
     }
     let vm = &job.vm;
     let now = vm.now();
-    let (signal_changed, limit_changed, rate) = {
+    if let server_limit::LimitHeader::Present(rejections) = response.rejections {
+        rate_limit::on_brittle(vm, &replica.service, rejections, now);
+    }
+    let (signal_changed, limit_changed, rejections_changed, rate) = {
         let mut fleet = vm.fleet.borrow_mut();
         let Some(server) = fleet.incarnation_mut(replica) else { return };
+        server.has_responded = true;
         let availability = &mut server.availability;
-        let limit_changed =
-            availability.rate_limit.observe(response.limit, sent_at.unwrap_or_default(), now);
+        let sent_at = sent_at.unwrap_or_default();
+        let limit_changed = availability.rate_limit.observe(response.limit, sent_at, now);
+        let rejections_changed =
+            availability.rejection_limit.observe(response.rejections, sent_at, now);
         (
             availability.observe(response.signal, now),
             limit_changed,
+            rejections_changed,
             availability.rate_limit.rate(now),
         )
     };
-    announce::broadcast_limit(vm, replica);
+    announce::broadcast_limit(vm, replica, LimitKind::Requests);
+    announce::broadcast_limit(vm, replica, LimitKind::Rejections);
     let signals = [
         ("leaves", signal_changed && response.signal.draining),
         ("rest", signal_changed && !response.signal.draining),
         ("limit", limit_changed),
+        ("brittle", rejections_changed),
         ("unreadable limit", response.limit == server_limit::LimitHeader::Invalid),
     ];
     let mut is_any_new = false;
@@ -362,6 +377,10 @@
 /// Logs what a response head reports about its server; `limit` is the server's rate limit as now
 /// known.
 fn log_signal(job: &Job, replica: &Replica, response: &Response, limit: Option<Rate>) {
+    let rejections = match response.rejections {
+        server_limit::LimitHeader::Present(rate) => rate.0,
+        server_limit::LimitHeader::Absent | server_limit::LimitHeader::Invalid => -1.0,
+    };
     let is_read = response.limit != server_limit::LimitHeader::Invalid;
     let fields = [
         ("server", replica.id.as_str().into()),
@@ -372,6 +391,7 @@
         ("rest_ms", response.signal.backoff.map_or(-1.0, Span::as_millis).into()),
         ("limit_per_s", limit.map_or(-1.0, |rate| rate.0).into()),
         ("limit_read", is_read.into()),
+        ("rejections_per_s", rejections.into()),
     ];
     job.vm.log("server signal received", &fields);
 }
--- a/src/forward/call.rs
+++ b/src/forward/call.rs
@@ -58,6 +58,8 @@
     pub signal: Signal,
     /// The rate limit that the server reports.
     pub limit: server_limit::LimitHeader,
+    /// The rejections per second beyond which a brittle server fails.
+    pub rejections: server_limit::LimitHeader,
     /// The load that the server reports.
     pub load: Option<Load>,
     /// The model's own rough confidence in its response, 0 to 100.
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -11,6 +11,7 @@
 
 use super::call::Call;
 use super::lending;
+use super::place_queue::Waiting;
 use super::rate_limit::Permit;
 use super::replica::Replica;
 use super::selection::{self, Criteria, Estimate, Placement, Reason, Skipped, Wait};
@@ -111,6 +112,7 @@
         let vm = &self.vm;
         let goal = self.arrived + self.route.latency_goal;
         let until = if vm.now() < goal { goal.min(self.deadline) } else { self.deadline };
+        let mut waiting = None;
         loop {
             let now = vm.now();
             if let Some(placement) = selection::select_server(vm, criteria, now) {
@@ -119,12 +121,27 @@
             if selection::is_throttled(vm, criteria, now) {
                 lending::on_throttled(vm, criteria.service);
             }
-            let wait = selection::next_wait(vm, criteria, until, now)?;
-            self.record.add_wait(&wait, now);
-            tokio::time::sleep(wait.until.since(now).duration()).await;
-            if let Some(placement) = selection::select_after_wait(vm, criteria, wait, vm.now()) {
-                return Some(placement);
+            if let Some(wait) = selection::next_wait(vm, criteria, until, now) {
+                self.record.add_wait(&wait, now);
+                tokio::time::sleep(wait.until.since(now).duration()).await;
+                let placement = selection::select_after_wait(vm, criteria, wait, vm.now());
+                if placement.is_some() {
+                    return placement;
+                }
+                continue;
+            }
+            // A request that has begun to wait keeps its turn until its time is up.
+            if waiting.is_none() && !selection::may_wait_for_place(vm, criteria, until, now) {
+                return None;
             }
+            if now >= until {
+                return None;
+            }
+            let waiting = waiting.get_or_insert_with(|| {
+                self.record.add_place_wait(now);
+                Waiting::new(vm.place_queue(criteria.service))
+            });
+            waiting.wait(until.since(now)).await;
         }
     }
 
@@ -295,6 +312,15 @@
         let _ = write!(trail, "{what} in {}", wait.until.since(now));
     }
 
+    /// Adds a wait for a place at a brittle server.
+    fn add_place_wait(&self, now: Moment) {
+        let mut trail = self.trail.borrow_mut();
+        start_step(&mut trail);
+        let after = now.since(self.arrived).0 / 1000;
+        // Writing to a string cannot fail.
+        let _ = write!(trail, "{after}ms waits for a place at a brittle server");
+    }
+
     /// Adds the inputs of the decision on an escalation to a larger model.
     pub fn add_escalation_check(&self, known: &escalate::Inputs) {
         let mut trail = self.trail.borrow_mut();
@@ -433,6 +459,9 @@
     vm: Rc<Vm>,
     replica: Replica,
     restarted: Rc<Notify>,
+    opened_at: Moment,
+    /// True from when the request is sent until its response is complete.
+    may_run: Cell<bool>,
 }
 
 impl OpenRequestGuard {
@@ -448,6 +477,8 @@
             vm: vm.clone(),
             replica: replica.clone(),
             restarted: restarted.unwrap_or_default(),
+            opened_at: vm.now(),
+            may_run: Cell::new(false),
         }
     }
 
@@ -456,12 +487,29 @@
     pub fn server_restarted(&self) -> Rc<Notify> {
         self.restarted.clone()
     }
+
+    /// Marks that the request is sent: the server may run it although it is given up.
+    pub fn mark_sent(&self) {
+        self.may_run.set(true);
+    }
+
+    /// Marks that the response is complete.
+    pub fn mark_complete(&self) {
+        self.may_run.set(false);
+    }
 }
 
 impl Drop for OpenRequestGuard {
     fn drop(&mut self) {
+        let now = self.vm.now();
         if let Some(server) = self.vm.fleet.borrow_mut().incarnation_mut(&self.replica) {
             server.load.on_close();
+            if self.may_run.get() {
+                server.lingering.on_given_up(now);
+            }
+        }
+        if let Some(queue) = self.vm.place_queues.borrow().get(&self.replica.service) {
+            queue.on_freed(now.since(self.opened_at));
         }
     }
 }
--- a/src/forward/message.rs
+++ b/src/forward/message.rs
@@ -96,6 +96,19 @@
         /// Number of tunnels that the sender relays already.
         open: u32,
     },
+    /// An incarnation of a server announced that it is brittle, or no longer is.
+    ServerBrittle {
+        /// Id of the server.
+        server: Server,
+        /// Start of the incarnation, in milliseconds since 1970 by the server's own clock.
+        started_at_ms: Option<u64>,
+        /// Address on which the server listens.
+        address: SocketAddr,
+        /// Rejections per second beyond which the server fails; `None` if it is no longer brittle.
+        rate: Option<Rate>,
+        /// Time since the server announced it.
+        age: Span,
+    },
 }
 
 /// A message with its sender.
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -48,6 +48,8 @@
     pub evacuated: IntGaugeVec,
     /// Backend servers that are cold, by service.
     pub cold_servers: IntGaugeVec,
+    /// Backend servers that are brittle, by service.
+    pub brittle_servers: IntGaugeVec,
     /// Backend servers that announce a rate limit, by service.
     pub limited_servers: IntGaugeVec,
     /// Revision of the configuration in force.
@@ -84,6 +86,8 @@
         let limited = "Backend servers that name a limit.";
         let limited = Opts::new("kitepulley_limited_servers", limited);
         let limited = IntGaugeVec::new(limited, &["service"]);
+        let brittle = Opts::new("kitepulley_brittle_servers", "Backend servers that are brittle.");
+        let brittle = IntGaugeVec::new(brittle, &["service"]);
         let revision = IntGauge::new("kitepulley_revision", "Revision in force.");
         let era = IntGauge::new("kitepulley_store_era", "Era of the store.");
         let fence = Opts::new("kitepulley_duty_fence", "Fencing token of a duty that is held.");
@@ -137,6 +141,7 @@
             running: register(&registry, running.expect("the name is well formed")),
             evacuated: register(&registry, emptied.expect("the name is well formed")),
             cold_servers: register(&registry, cold.expect("the name is well formed")),
+            brittle_servers: register(&registry, brittle.expect("the name is well formed")),
             limited_servers: register(&registry, limited.expect("the name is well formed")),
             revision: register(&registry, revision.expect("the name is well formed")),
             era: register(&registry, era.expect("the name is well formed")),
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -48,6 +48,7 @@
 mod path;
 pub mod peer;
 pub mod pinned_sessions;
+mod place_queue;
 pub mod poison;
 pub mod poll;
 pub mod pool;
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -12,7 +12,7 @@
 use rand::seq::IteratorRandom;
 use tokio::sync::mpsc;
 
-use super::announce::{self, LimitReport};
+use super::announce::{self, LimitKind, LimitReport};
 use super::kind::VMS;
 use super::message::Envelope;
 use super::role::Role;
@@ -349,9 +349,17 @@
         Message::ServerDraining(life) => announce::on_drain(vm, from.as_str(), &life),
         Message::ServerLimit { server, started_at_ms, address, rate, age } => {
             let from = from.as_str();
+            let kind = LimitKind::Requests;
             announce::on_limit(
                 vm,
-                &LimitReport { from, server: &server, started_at_ms, address, rate, age },
+                &LimitReport { kind, from, server: &server, started_at_ms, address, rate, age },
+            );
+        }
+        Message::ServerBrittle { server, started_at_ms, address, rate, age } => {
+            let (from, kind) = (from.as_str(), LimitKind::Rejections);
+            announce::on_limit(
+                vm,
+                &LimitReport { kind, from, server: &server, started_at_ms, address, rate, age },
             );
         }
     }
--- a/src/forward/rate_limit.rs
+++ b/src/forward/rate_limit.rs
@@ -1,6 +1,7 @@
-//! Enforces the rate limits of backend servers at this VM. A server's limit holds for the requests
-//! of all VMs together; each VM that may send to the server (a sender) has a share of it.
-//! [`crate::decide::server_limit`] decides which VMs may send to a server, and how far apart.
+//! Enforces the limits of backend servers at this VM. A server's limit holds for the requests of all
+//! VMs together; each VM that may send to the server (a sender) has a share of its rate limit, and
+//! places at it while it is brittle. [`crate::decide::server_limit`] decides which VMs may send to a
+//! server, how far apart, and how many requests at a time.
 
 use std::cell::{Cell, OnceCell};
 use std::fmt;
@@ -11,27 +12,53 @@
 use super::server::{Fleet, Server};
 use super::vm::Vm;
 use crate::decide::cold_start;
-use crate::decide::server_limit::{self, RateLimit, Reservation, Share, Throttled};
-use crate::unit::{Moment, Service, Span, hash};
+use crate::decide::server_limit::{self, RateLimit, Reservation, Share, Throttled, places};
+use crate::unit::{Moment, Rate, Service, Span, hash};
 
 /// A VM that has just started does not know all others yet, and sends nothing to rate-limited
 /// servers for this long: each VM that counts itself among a server's senders by mistake adds its
 /// share to the load of the server.
 const VM_DISCOVERY_TIME: Span = Span::millis(1500);
 
+/// Time for which a service counts as brittle after one of its servers announced that it is. A server
+/// that has not responded yet is then taken for brittle as well.
+const BRITTLE_SERVICE_TTL: Span = Span::secs(10);
+
+/// The last announcement of any server of a service that it is brittle.
+#[derive(Clone, Copy, Debug)]
+pub struct BrittleService {
+    rejections: Rate,
+    at: Moment,
+}
+
+/// Records that a server of a service announced the rejections per second that it bears.
+pub fn on_brittle(vm: &Vm, service: &Service, rejections: Rate, now: Moment) {
+    let latest = BrittleService { rejections, at: now };
+    vm.brittle_services.borrow_mut().insert(service.clone(), latest);
+}
+
+/// Returns the rejections per second that servers of a service bear, if it counts as brittle.
+fn brittle_service(vm: &Vm, service: &Service, now: Moment) -> Option<Rate> {
+    let services = vm.brittle_services.borrow();
+    let latest = services.get(service).filter(|one| now.since(one.at) < BRITTLE_SERVICE_TTL)?;
+    Some(latest.rejections)
+}
+
 /// Updates the gauges of cold servers and of servers that announce a rate limit, by service.
 pub fn update_gauges(vm: &Vm) {
     let fleet = vm.fleet.borrow();
     let now = vm.now();
     for service in fleet.services() {
         let limiter = limiter(vm, service, now);
-        let (mut cold, mut limited) = (0, 0);
+        let (mut cold, mut limited, mut brittle) = (0, 0, 0);
         for server in fleet.of_service(service) {
             cold += usize::from(limiter.is_cold(server));
             limited += usize::from(server.availability.rate_limit.rate(now).is_some());
+            brittle += usize::from(limiter.rejections(server).is_some());
         }
         vm.metrics.cold_servers.with_label_values(&[service.as_str()]).set(cold as i64);
         vm.metrics.limited_servers.with_label_values(&[service.as_str()]).set(limited as i64);
+        vm.metrics.brittle_servers.with_label_values(&[service.as_str()]).set(brittle as i64);
     }
 }
 
@@ -47,6 +74,23 @@
 }
 
 impl Vms {
+    /// Returns the number of places of this VM at a server that bears `rejections`, with those that
+    /// others lent to it.
+    fn places(&self, server: &Server, rejections: Rate, now: Moment) -> usize {
+        let number = hash::stable(&[server.replica.id.as_str()]);
+        let slots = server.replica.slots as usize;
+        let own = places::Share::of_vm(slots, number, self.own, &self.others);
+        let of_lender = |lender: u64| {
+            let others = self.others.iter().copied().filter(|other| *other != lender);
+            let others: Vec<u64> = others.chain([self.own]).collect();
+            places::Share::of_vm(slots, number, lender, &others).places
+        };
+        let borrowed = self.lenders.iter().map(|(lender, part)| (of_lender(*lender), *part));
+        let is_full = server.rejected_at.is_some_and(|at| now.since(at) < places::EXTRA_PAUSE);
+        let uses_extra = own.has_extra && !is_full && rejections.0 >= 1.0;
+        places::with_parts(own.places, self.kept, borrowed) + usize::from(uses_extra)
+    }
+
     /// Returns true if another VM is a sender of a server.
     fn is_sender(&self, share: &Share, server: u64, other: u64) -> bool {
         // A VM does not count against itself, so `other` may be in the list.
@@ -59,6 +103,8 @@
 pub struct Limiter<'a> {
     /// Rate limit that the service declares for cold servers.
     cold: Option<cold_start::ColdStart>,
+    /// Rejections per second that servers of the service bear, if it counts as brittle.
+    brittle: Option<Rate>,
     now: Moment,
     /// Returns the VMs, or `None` if this one does not know the others yet.
     find_vms: Box<dyn Fn() -> Option<Vms> + 'a>,
@@ -68,7 +114,8 @@
 /// Returns the limiter for the servers of a service.
 pub fn limiter<'a>(vm: &'a Vm, service: &'a Service, now: Moment) -> Limiter<'a> {
     let cold = vm.routes().and_then(|table| table.pool(service)?.cold_start);
-    Limiter::new(cold, now, move || find_vms(vm, service, now))
+    let brittle = brittle_service(vm, service, now);
+    Limiter { brittle, ..Limiter::new(cold, now, move || find_vms(vm, service, now)) }
 }
 
 /// Returns all VMs, or `None` if this one does not know the others yet.
@@ -98,7 +145,7 @@
         now: Moment,
         find_vms: impl Fn() -> Option<Vms> + 'a,
     ) -> Limiter<'a> {
-        Limiter { cold, now, find_vms: Box::new(find_vms), vms: OnceCell::new() }
+        Limiter { cold, brittle: None, now, find_vms: Box::new(find_vms), vms: OnceCell::new() }
     }
 
     /// Returns true if a server is cold and the service declares a rate limit for that.
@@ -113,12 +160,48 @@
         cold.into_iter().chain(advertised).reduce(RateLimit::strictest)
     }
 
-    /// Returns true if the rate limit of a server allows this VM a request now.
+    /// Returns true if the limits of a server allow this VM one more request now.
     pub fn allows(&self, server: &Server) -> bool {
+        let has_place = self.free_places(server).is_none_or(|free| free > 0);
+        self.allows_rate(server) && (has_place || self.has_spare(server))
+    }
+
+    /// Returns true if the rate limit of a server allows this VM a request now.
+    fn allows_rate(&self, server: &Server) -> bool {
         let may = |limit: RateLimit| self.next(&limit, server).is_some_and(|next| next <= self.now);
         self.rate_limit(server).is_none_or(may)
     }
 
+    /// Returns the rejections per second that a server bears; `None` if it is not brittle.
+    pub fn rejections(&self, server: &Server) -> Option<Rate> {
+        let announced = server.availability.rejection_limit.rate(self.now);
+        announced.or_else(|| self.brittle.filter(|_| !server.has_responded))
+    }
+
+    /// Returns the number of requests that this VM may have at a server at a time; `None` if the
+    /// server is not brittle.
+    pub fn places(&self, server: &Server) -> Option<usize> {
+        let rejections = self.rejections(server)?;
+        let vms = self.vms.get_or_init(&self.find_vms);
+        Some(vms.as_ref().map_or(0, |vms| vms.places(server, rejections, self.now)))
+    }
+
+    /// Returns how many more requests this VM may have at a server; `None` if the server is not
+    /// brittle.
+    fn free_places(&self, server: &Server) -> Option<usize> {
+        let places = self.places(server)?;
+        Some(places.saturating_sub(server.taken_places(self.now)))
+    }
+
+    /// Returns true if this VM may send a request without a place to a brittle server now.
+    fn has_spare(&self, server: &Server) -> bool {
+        let limit = self.rejections(server).and_then(places::spare_limit);
+        let share = limit.and_then(|limit| self.share(&limit, server));
+        let is_due =
+            share.is_some_and(|share| server.spare.next_send(&share, self.now) <= self.now);
+        is_due && server.load.estimate(self.now) < f64::from(server.replica.slots)
+    }
+
     /// Returns when this VM may next send to a server; `None` if the server has no rate limit, or
     /// this VM is not among its senders.
     pub fn next_permit(&self, server: &Server) -> Option<Moment> {
@@ -189,9 +272,18 @@
         let mut fleet = self.vm.fleet.borrow_mut();
         let Some(server) = fleet.incarnation_mut(&self.replica) else { return Ok(()) };
         let limiter = limiter(&self.vm, &self.replica.service, now);
+        // This request counts as open already.
+        let is_beyond = limiter.places(server).filter(|most| server.taken_places(now) > *most);
+        if let Some(places) = is_beyond {
+            if !limiter.has_spare(server) {
+                return Err(Throttled::Places(places));
+            }
+            server.spare.on_send(now);
+        }
         if self.reservation.take().is_none() {
-            if let (Some(limit), false) = (limiter.rate_limit(server), limiter.allows(server)) {
-                return Err(Throttled(limit));
+            if let (Some(limit), false) = (limiter.rate_limit(server), limiter.allows_rate(server))
+            {
+                return Err(Throttled::Rate(limit));
             }
             limiter.reserve(server);
         }
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -83,7 +83,10 @@
                     }
                     Err(reason) => reason,
                 },
-                None if self.current.stream.ended => return None,
+                None if self.current.stream.ended => {
+                    self.current.stream.open.mark_complete();
+                    return None;
+                }
                 None => match self.read().await {
                     Ok(()) => continue,
                     Err(reason) => reason,
--- a/src/forward/selection/mod.rs
+++ b/src/forward/selection/mod.rs
@@ -86,6 +86,8 @@
     /// Servers whose reported rate limit does not allow this VM a request now, for the same
     /// reasons.
     pub limited: usize,
+    /// Brittle servers at which all places of this VM are taken.
+    pub brittle: usize,
     /// Servers that are backing off, or are being probed after a backoff.
     pub backing_off: usize,
 }
@@ -104,6 +106,7 @@
                 }
                 Some(reason) if reason.is_hard() => {}
                 _ if limiter.allows(server) => {}
+                _ if limiter.rejections(server).is_some() => skipped.brittle += 1,
                 _ if limiter.is_cold(server) => skipped.cold += 1,
                 _ => skipped.limited += 1,
             }
@@ -114,11 +117,11 @@
 
 impl std::fmt::Display for Skipped {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let Skipped { evacuated, cold, limited, backing_off } = self;
+        let Skipped { evacuated, cold, limited, brittle, backing_off } = self;
         write!(
             f,
             "skipped {evacuated} evacuated, {cold} cold, {backing_off} backing off, \
-             {limited} limited"
+             {limited} limited, {brittle} brittle"
         )
     }
 }
@@ -153,6 +156,23 @@
     permit_wait(vm, criteria, until, now).or_else(|| backoff_wait(vm, criteria, until, now))
 }
 
+/// Returns true if a request may wait until a place of this VM at a brittle server is free, which is
+/// expected by `until`.
+pub fn may_wait_for_place(vm: &Vm, criteria: &Criteria, until: Moment, now: Moment) -> bool {
+    let (versions, _) = eligible_versions(vm, criteria.service, criteria.call, now);
+    let limiter = rate_limit::limiter(vm, criteria.service, now);
+    let fleet = vm.fleet.borrow();
+    let considered = considered(vm, &fleet, criteria, &versions).servers;
+    let allowed = considered.into_iter().filter(|one| {
+        fleet.is_eligible(one, now)
+            && versions.contains(&one.replica.version)
+            && criteria.allows_region(vm, one)
+            && !criteria.has_tried(&one.replica)
+    });
+    let places: usize = allowed.filter_map(|one| limiter.places(one)).sum();
+    places > 0 && now + vm.place_queue(criteria.service).expected_wait(places) <= until
+}
+
 /// Returns a wait for the backoff that ends first, with jitter so that the requests that wait for
 /// it do not all retry at once.
 fn backoff_wait(vm: &Vm, criteria: &Criteria, until: Moment, now: Moment) -> Option<Wait> {
@@ -277,7 +297,10 @@
     let fleet = vm.fleet.borrow();
     let is_eligible =
         |one: &Server| versions.contains(&one.replica.version) && criteria.allows_region(vm, one);
-    let is_limited = |one: &Server| one.availability.rate_limit.rate(now).is_some();
+    let limiter = rate_limit::limiter(vm, criteria.service, now);
+    let is_limited = |one: &Server| {
+        one.availability.rate_limit.rate(now).is_some() || limiter.rejections(one).is_some()
+    };
     let waits_for_permit = !matches!(reason, Reason::Drawn { .. });
     considered(vm, &fleet, criteria, versions).servers.into_iter().any(|one| {
         let is_backing_off = fleet.backoff_left(one, now).is_some();
@@ -286,14 +309,15 @@
     })
 }
 
-/// Returns true if a server that the request may go to has a rate limit.
+/// Returns true if a server that the request may go to has a rate limit or is brittle.
 pub fn is_throttled(vm: &Vm, criteria: &Criteria, now: Moment) -> bool {
     let fleet = vm.fleet.borrow();
     let limiter = rate_limit::limiter(vm, criteria.service, now);
     let considered = considered(vm, &fleet, criteria, &Versions::Any).servers;
     considered
         .into_iter()
-        .any(|one| fleet.is_eligible(one, now) && limiter.rate_limit(one).is_some())
+        .filter(|one| fleet.is_eligible(one, now))
+        .any(|one| limiter.rate_limit(one).is_some() || limiter.rejections(one).is_some())
 }
 
 /// Returns the time after which a refused caller should retry, when the first backoff ends or the
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -15,6 +15,7 @@
 use crate::decide::load::Load;
 use crate::decide::path::DirectPath;
 use crate::decide::server_limit::Pacer;
+use crate::decide::server_limit::places::Lingering;
 use crate::unit::{DataCentre, Moment, Server as Id, Service, Span, Version};
 
 /// How long a server whose entry may have expired in an outage of the store stays in use after this
@@ -49,6 +50,14 @@
     pub availability: Availability,
     /// Spaces the requests of this VM while the server has a rate limit.
     pub pacer: Pacer,
+    /// Spaces the requests of this VM without a place while the server is brittle.
+    pub spare: Pacer,
+    /// Places at the server that requests of this VM take after they were given up.
+    pub lingering: Lingering,
+    /// When the server last rejected a request of this VM.
+    pub rejected_at: Option<Moment>,
+    /// True once this incarnation has responded to this VM.
+    pub has_responded: bool,
     /// Notified when a later incarnation of the server starts: requests that are open at this one
     /// are lost.
     pub superseded: Rc<Notify>,
@@ -78,6 +87,10 @@
             load: Load::default(),
             availability: Availability::default(),
             pacer: Pacer::default(),
+            spare: Pacer::default(),
+            lingering: Lingering::default(),
+            rejected_at: None,
+            has_responded: false,
             superseded: Rc::default(),
             liveness: Liveness::default(),
             cold_until: None,
@@ -90,6 +103,11 @@
         }
     }
 
+    /// Returns the number of places that requests of this VM take at the server.
+    pub fn taken_places(&self, now: Moment) -> usize {
+        self.load.open() as usize + self.lingering.count(now)
+    }
+
     /// Records that a prompt prefix was sent to the server, which now caches it for a while.
     pub fn record_prefix(&mut self, prefix: u64, now: Moment) {
         if self.prefixes.len() >= MAX_PREFIXES {
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -13,7 +13,9 @@
 use super::metrics::Metrics;
 use super::peer::Peers;
 use super::pinned_sessions::PinnedSessions;
+use super::place_queue::PlaceQueue;
 use super::positions::Positions;
+use super::rate_limit::BrittleService;
 use super::replica::Rollout;
 use super::restore::Restore;
 use super::role::{Decline, Role};
@@ -168,6 +170,10 @@
     pub usage: Option<RefCell<Usage>>,
     /// Shares of the servers' rate limits that this VM has lent or borrowed, by service.
     pub lending: RefCell<HashMap<Service, Lending>>,
+    /// Services whose servers announced lately that they are brittle.
+    pub brittle_services: RefCell<HashMap<Service, BrittleService>>,
+    /// Requests that wait for a place at a brittle server, by service.
+    pub place_queues: RefCell<HashMap<Service, Rc<PlaceQueue>>>,
     /// Buffered log lines.
     pub logger: Logger,
     /// Metrics of the process.
@@ -245,6 +251,8 @@
             is_unregistered: Cell::new(false),
             usage,
             lending: RefCell::default(),
+            brittle_services: RefCell::default(),
+            place_queues: RefCell::default(),
             logger: lines,
             metrics: Metrics::new(),
             unknown_headers: RefCell::default(),
@@ -500,6 +508,11 @@
         self.budget(service, |budget| budget.try_spend_optional(now))
     }
 
+    /// Returns the queue of the requests that wait for a place at a brittle server of a service.
+    pub fn place_queue(&self, service: &Service) -> Rc<PlaceQueue> {
+        self.place_queues.borrow_mut().entry(service.clone()).or_default().clone()
+    }
+
     /// Calls `act` with the retry budget of a service, which is created if needed and gets this
     /// VM's even share of the extra retries of all VMs.
     fn budget<T>(&self, service: &Service, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -25,10 +25,11 @@
 const PRIORITY: &str = "x-request-priority";
 const SERVER_LEAVING: &str = "server-leaving";
 const SERVER_LIMIT: &str = "server-limit";
+const SERVER_BRITTLE: &str = "server-brittle";
 
 /// Response headers that are not decoded: standard HTTP headers, and headers of the platform that
 /// are for callers or belong to requests that the router does not send.
-const IGNORED: [&str; 29] = [
+const IGNORED: [&str; 28] = [
     "accept-ranges",
     "age",
     "allow",
@@ -49,7 +50,6 @@
     "location",
     "pragma",
     "server",
-    "server-brittle",
     "set-cookie",
     "strict-transport-security",
     "trailer",
@@ -61,7 +61,7 @@
 ];
 
 /// Response headers that are decoded.
-const DECODED: [&str; 8] = [
+const DECODED: [&str; 9] = [
     ATTEMPT_ID,
     SIGNATURE,
     NOT_EXECUTED,
@@ -69,6 +69,7 @@
     CONFIDENCE,
     SERVER_LEAVING,
     SERVER_LIMIT,
+    SERVER_BRITTLE,
     "retry-after",
 ];
 
@@ -219,6 +220,7 @@
         encoded: headers.contains_key(header::CONTENT_ENCODING),
         signal: decode_signal(head),
         limit: headers.get(SERVER_LIMIT).map_or(LimitHeader::Absent, parse_limit),
+        rejections: headers.get(SERVER_BRITTLE).map_or(LimitHeader::Absent, parse_limit),
         load: header_text(headers, SERVER_LOAD).and_then(parse_load),
         confidence: header_text(headers, CONFIDENCE).and_then(|text| text.trim().parse().ok()),
         idle_timeout: header_text(headers, "keep-alive").and_then(parse_keep_alive),
@@ -242,7 +244,7 @@
     Signal { draining, backoff: backoff.and_then(parse_seconds) }
 }
 
-/// Parses a rate limit in requests per second, a decimal number.
+/// Parses a limit in requests, or rejections, per second, a decimal number.
 fn parse_limit(value: &HeaderValue) -> LimitHeader {
     let rate = value.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
     let rate = rate.filter(|rate| rate.is_finite() && *rate >= 0.0);
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -5,6 +5,7 @@
 pub mod platform;
 pub mod rating;
 pub mod replica;
+pub mod room;
 mod server;
 pub mod service;
 mod text;
--- a/src/standin/replica.rs
+++ b/src/standin/replica.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use super::packet_filter;
+use super::room::{Admission, Capacity, Room};
 use crate::error::Error;
 
 /// Size limit of a request head, in bytes.
@@ -155,6 +156,8 @@
     is_draining: bool,
     limit: Option<String>,
     extra_header: Option<String>,
+    /// Room of the current incarnation; none if the server takes everything.
+    room: Option<Arc<Room>>,
     rejections: Vec<Instant>,
     started: Option<StartCallback>,
     crashes: Vec<Instant>,
@@ -333,13 +336,49 @@
         self
     }
 
+    /// Sets how much the server takes at once. Without that it takes everything.
+    pub fn set_capacity(&self, capacity: Capacity) -> &Replica {
+        let mut state = self.lock();
+        match &state.room {
+            Some(room) => room.set_capacity(capacity),
+            None => state.room = Some(Arc::new(Room::new(capacity))),
+        }
+        drop(state);
+        self
+    }
+
+    /// Runs the request in the room of the server. Returns true if it ran; otherwise it is rejected,
+    /// or the server has failed.
+    fn run_in_room(
+        &self,
+        room: &Room,
+        stream: &mut TcpStream,
+        response: &ResponseHead,
+    ) -> std::io::Result<bool> {
+        let admission = room.run();
+        match admission {
+            Admission::Ran => return Ok(true),
+            Admission::Rejected => {}
+            Admission::Fails => {
+                let capacity = room.capacity();
+                self.crash(Some(capacity.restart_after));
+                self.lock().room = Some(Arc::new(Room::new(capacity)));
+            }
+        }
+        self.lock().rejections.push(Instant::now());
+        stream.write_all(
+            response.not_run(&format!("X-Server-Load: {}\r\n", room.load())).as_bytes(),
+        )?;
+        Ok(false)
+    }
+
     /// Adds this header line to all further responses, in place of an earlier one.
     pub fn set_extra_header(&self, line: &str) -> &Replica {
         self.lock().extra_header = Some(line.to_owned());
         self
     }
 
-    /// Returns the times at which it responded with `Retry-After`.
+    /// Returns the times at which it rejected a request.
     pub fn rejection_times(&self) -> Vec<Instant> {
         self.lock().rejections.clone()
     }
@@ -385,6 +424,18 @@
             if self.crash_if_triggered(&mut stream, &seen, &response)? {
                 return Ok(());
             }
+            let room = self.lock().room.clone();
+            if let Some(room) = room {
+                if !self.run_in_room(&room, &mut stream, &response)? {
+                    continue;
+                }
+                let load = format!("X-Server-Load: {}\r\n", room.load());
+                let body = "Content-Length: 4\r\n\r\ndone";
+                let signature = format!("X-Response-Signature: sig.{id}\r\n");
+                let text = response.head(200, &format!("{signature}{load}{body}"));
+                stream.write_all(text.as_bytes())?;
+                continue;
+            }
             let rejects = matches!(action, Action::RetryAfter(_));
             let keep_alive = respond(&mut stream, &seen, &response, action)?;
             if rejects {
