--- a/src/decide/server_limit/places.rs
+++ b/src/decide/server_limit/places.rs
@@ -47,7 +47,9 @@
     /// weights for the server.
     pub fn of_vm(slots: usize, server: u64, own: u64, others: &[u64]) -> Share {
         let weight = mix(server, own);
-        let rank = others.iter().filter(|other| mix(server, **other) > weight).count();
+        let higher = others.iter().filter(|other| mix(server, **other) > weight);
+        // A VM that ranks lower than that has neither a place nor the extra one.
+        let rank = higher.take(slots + 1).count();
         let vms = others.len() + 1;
         Share {
             places: slots / vms + usize::from(rank < slots % vms),
--- a/src/decide/tunnel.rs
+++ b/src/decide/tunnel.rs
@@ -62,18 +62,30 @@
     offers: HashMap<Vm, Offer>,
     needed_at: Option<Moment>,
     asked_at: Option<Moment>,
+    /// Until when requests wait for an offer.
+    search_ends: Moment,
 }
 
 impl Helpers {
     /// Records that help is needed now. Returns true if others should be asked for offers at once.
+    ///
+    /// Requests wait for an offer when help was not needed before. If none comes, later ones don't
+    /// wait until others can help again.
     pub fn on_need(&mut self, now: Moment) -> bool {
+        if !self.is_needed(now) {
+            self.search_ends = now + SEARCH_TIME;
+        }
         self.needed_at = Some(now);
         self.is_request_due(now)
     }
 
+    fn is_needed(&self, now: Moment) -> bool {
+        self.needed_at.is_some_and(|at| now.since(at) < NEED_TTL)
+    }
+
     /// Returns true if others should be asked for offers now.
     pub fn is_request_due(&mut self, now: Moment) -> bool {
-        let is_needed = self.needed_at.is_some_and(|at| now.since(at) < NEED_TTL);
+        let is_needed = self.is_needed(now);
         let is_due = self.asked_at.is_none_or(|at| now.since(at) >= REQUEST_INTERVAL);
         if is_needed && is_due {
             self.asked_at = Some(now);
@@ -83,7 +95,7 @@
 
     /// Returns until when a request may wait for an offer; `None` if the search is over.
     pub fn search_ends(&self, now: Moment) -> Option<Moment> {
-        self.asked_at.map(|at| at + SEARCH_TIME).filter(|end| *end > now)
+        Some(self.search_ends).filter(|end| *end > now)
     }
 
     /// Records the offer of another VM; one without services withdraws it.
@@ -94,9 +106,14 @@
         }
     }
 
-    /// Removes the offer of a VM that did not answer.
-    pub fn remove(&mut self, helper: &Vm) {
+    /// Removes the offer of a VM that did not answer. If it was the last one, others are asked at
+    /// once, and requests wait for their offers.
+    pub fn remove(&mut self, helper: &Vm, now: Moment) {
         self.offers.remove(helper);
+        if self.offers.is_empty() {
+            self.asked_at = None;
+            self.search_ends = now + SEARCH_TIME;
+        }
     }
 
     /// Returns true if a VM offers to relay to servers of the service.
--- a/src/experiment/links.rs
+++ b/src/experiment/links.rs
@@ -297,7 +297,7 @@
         let helper = self.nodes[at].helpers.choose(&self.service, now, || rng.random())?;
         let found = self.nodes.iter().position(|node| node.name == helper)?;
         if self.is_dead(found) || self.is_late(found) {
-            self.nodes[at].helpers.remove(&helper);
+            self.nodes[at].helpers.remove(&helper, now);
             let rng = &mut self.rng;
             let next = self.nodes[at].helpers.choose(&self.service, now, || rng.random())?;
             return self.nodes.iter().position(|node| node.name == next);
--- a/src/forward/connectivity.rs
+++ b/src/forward/connectivity.rs
@@ -42,13 +42,20 @@
 /// ends.
 pub async fn run(vm: Rc<Vm>) {
     loop {
-        match is_failing(&vm) {
-            true => tokio::time::sleep(CHECK_INTERVAL).await,
-            false => vm.links_in_doubt.notified().await,
-        }
-        check_links(&vm).await;
+        let is_doubtful = match is_failing(&vm) {
+            true => {
+                tokio::time::timeout(CHECK_INTERVAL, vm.links_in_doubt.notified()).await.is_ok()
+            }
+            false => {
+                vm.links_in_doubt.notified().await;
+                true
+            }
+        };
+        check_links(&vm, is_doubtful).await;
         if !is_failing(&vm) {
             tunnel::release(&vm);
+        } else if is_doubtful {
+            tokio::time::sleep(CHECK_INTERVAL).await;
         }
     }
 }
@@ -117,7 +124,8 @@
     }
     let services: Vec<Service> = vm.fleet.borrow().services().cloned().collect();
     let samples = services.iter().flat_map(|service| {
-        let servers = sample_servers(vm, service).into_iter();
+        let (lost, others) = sample_servers(vm, service);
+        let servers = others.into_iter().chain(lost);
         servers.filter(|one| one.address != replica.address).take(OTHERS_PER_SERVICE)
     });
     let others: Vec<Replica> = samples.collect();
@@ -132,13 +140,20 @@
     vm.connectivity.borrow().get(service).copied().unwrap_or_default()
 }
 
-/// Checks the links to the servers of all services if one of them had no recent contact.
-async fn check_links(vm: &Rc<Vm>) {
+/// Checks the servers that this VM could not reach, and the links to the servers of all services if
+/// those to one of them are in doubt. With `is_doubtful`, that includes a service without recent
+/// contact.
+async fn check_links(vm: &Rc<Vm>, is_doubtful: bool) {
     let started = vm.now();
     let services: Vec<Service> = vm.fleet.borrow().services().cloned().collect();
-    let (doubtful, others): (Vec<&Service>, Vec<&Service>) =
-        services.iter().partition(|service| needs_check(vm, service, started));
+    let needs_check = |service: &&Service| {
+        let links = of_service(vm, service);
+        links.is_suspect(started) || (is_doubtful && links.needs_check(started))
+    };
+    let (doubtful, others): (Vec<&Service>, Vec<&Service>) = services.iter().partition(needs_check);
     if doubtful.is_empty() {
+        let checks = services.iter().map(|service| check_lost_paths(vm, service));
+        future::join_all(checks).await;
         return;
     }
     // If the links of one service are lost, those of the others may be too.
@@ -167,32 +182,34 @@
     false
 }
 
-fn needs_check(vm: &Vm, service: &Service, now: Moment) -> bool {
-    let links = of_service(vm, service);
-    links.needs_check(now)
-        || links.is_suspect(now)
-        || vm.fleet.borrow().of_service(service).any(|server| server.path.is_lost())
+/// Checks servers of a service that this VM could not reach directly.
+async fn check_lost_paths(vm: &Rc<Vm>, service: &Service) {
+    let (lost, _) = sample_servers(vm, service);
+    count_accepting(vm, &lost).await;
 }
 
 async fn check_service(vm: &Rc<Vm>, service: &Service) {
     let started = vm.now();
-    let servers = sample_servers(vm, service);
+    let (lost, others) = sample_servers(vm, service);
     let has_failed = of_service(vm, service).has_failed_check();
-    let (first, others) = servers.split_at(servers.len().min(FIRST_TRIED));
+    let (first, rest) = others.split_at(others.len().min(FIRST_TRIED));
+    let (of_lost, of_first) =
+        future::join(count_accepting(vm, &lost), count_accepting(vm, first)).await;
     // If the first servers accept, the links work. Once they are lost, most servers have to.
-    let mut accepted = count_accepting(vm, first).await;
-    if has_failed || accepted < first.len() {
-        accepted += count_accepting(vm, others).await;
-    }
+    let of_rest = match has_failed || of_first < first.len() {
+        true => count_accepting(vm, rest).await,
+        false => 0,
+    };
+    let (tried, accepted) = (lost.len() + others.len(), of_lost + of_first + of_rest);
     let change = {
         let mut known = vm.connectivity.borrow_mut();
         let known = known.entry(service.clone()).or_default();
-        known.on_check(servers.len(), accepted, started, vm.now())
+        known.on_check(tried, accepted, started, vm.now())
     };
     match change {
         None => {}
         Some(Change::Lost) => {
-            let fields = [("service", service.as_str().into()), ("tried", servers.len().into())];
+            let fields = [("service", service.as_str().into()), ("tried", tried.into())];
             vm.log("links to servers lost", &fields);
         }
         Some(Change::Regained(lost_for)) => {
@@ -201,7 +218,7 @@
             let fields = [
                 ("service", service.as_str().into()),
                 ("lost_ms", lost_for.as_millis().into()),
-                ("tried", servers.len().into()),
+                ("tried", tried.into()),
                 ("accepted", accepted.into()),
             ];
             vm.log("links to servers regained", &fields);
@@ -209,9 +226,9 @@
     }
 }
 
-/// Returns random servers of a service that may receive requests, first those that this VM could not
-/// reach directly.
-fn sample_servers(vm: &Vm, service: &Service) -> Vec<Replica> {
+/// Returns random servers of a service that may receive requests: those that this VM could not reach
+/// directly, and others.
+fn sample_servers(vm: &Vm, service: &Service) -> (Vec<Replica>, Vec<Replica>) {
     let now = vm.now();
     let fleet = vm.fleet.borrow();
     let (lost, others): (Vec<&Server>, Vec<&Server>) =
@@ -221,9 +238,9 @@
         let chosen = servers.choose_multiple(&mut rng, count);
         chosen.map(|server| server.replica.clone()).collect()
     };
-    let mut servers = sample(&lost, SAMPLE_SIZE);
-    servers.extend(sample(&others, SAMPLE_SIZE - servers.len()));
-    servers
+    let lost = sample(&lost, SAMPLE_SIZE);
+    let others = sample(&others, SAMPLE_SIZE - lost.len());
+    (lost, others)
 }
 
 /// Returns true if any of the servers accepts a connection.
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -355,6 +355,12 @@
         }
     }
 
+    /// Closes the idle connections to servers that can't be reached directly.
+    pub fn close_idle_tunnels(&mut self) {
+        let lost = self.servers.values_mut().filter(|server| server.path.is_lost());
+        lost.for_each(|server| server.pool = Pool::default());
+    }
+
     /// Records that a server accepted a direct connection. The failures recorded while it could not
     /// be reached were those of the path.
     pub fn on_path_contact(&mut self, replica: &Replica) {
--- a/src/forward/tunnel/client.rs
+++ b/src/forward/tunnel/client.rs
@@ -27,7 +27,8 @@
             Some((helper, Ok(tunnel))) => return Ok(Connection::tunnelled(helper, tunnel)),
             Some((helper, Err(answer))) => {
                 reason = format!("connection not relayed by {helper}: {answer:?}");
-                if answer == Answer::Refused {
+                // Another VM would not reach the server either.
+                if matches!(answer, Answer::Refused | Answer::Unreachable) {
                     break;
                 }
             }
@@ -45,8 +46,8 @@
     }
 }
 
-/// Opens a tunnel through the best helper. Returns the helper with the tunnel or its answer; `None`
-/// if there is no helper.
+/// Opens a tunnel through the best helper. Returns the helper with the tunnel or its answer, which
+/// is `Declined` if it does not respond; `None` if there is no helper.
 async fn try_helper(vm: &Vm, replica: &Replica) -> Option<(Name, Result<Tunnel, Answer>)> {
     let now = vm.now();
     let helper = vm.helpers.borrow_mut().choose(&replica.service, now, rand::random)?;
@@ -68,8 +69,8 @@
         Some((Answer::Connected, tunnel)) => Ok(tunnel),
         Some((answer, _)) => Err(answer),
         None => {
-            vm.helpers.borrow_mut().remove(&helper);
-            Err(Answer::Unreachable)
+            vm.helpers.borrow_mut().remove(&helper, vm.now());
+            Err(Answer::Declined)
         }
     };
     let answer = outcome.as_ref().err().copied().unwrap_or(Answer::Connected);
--- a/src/forward/tunnel/helpers.rs
+++ b/src/forward/tunnel/helpers.rs
@@ -63,6 +63,10 @@
         ];
         vm.log("offer of tunnels changed", &fields);
     }
+    if services.is_empty() {
+        // The VM stops once nobody uses its tunnels.
+        vm.fleet.borrow_mut().close_idle_tunnels();
+    }
     vm.helpers.borrow_mut().on_offer(from, Offer { services, is_local, open, at: now });
     vm.helper_offered.notify_waiters();
 }
--- a/src/standin/replica.rs
+++ b/src/standin/replica.rs
@@ -152,6 +152,8 @@
     default_action: Option<Action>,
     seen: Vec<RecordedRequest>,
     connections: usize,
+    /// Streams that are being sent.
+    streams: usize,
     crash: Option<Crash>,
     is_draining: bool,
     limit: Option<String>,
@@ -388,6 +390,11 @@
         self.lock().seen.clone()
     }
 
+    /// Returns the number of streams that it is sending.
+    pub fn open_streams(&self) -> usize {
+        self.lock().streams
+    }
+
     /// Returns the number of connections that it accepted.
     pub fn connections(&self) -> usize {
         self.lock().connections
@@ -437,7 +444,11 @@
                 continue;
             }
             let rejects = matches!(action, Action::RetryAfter(_));
-            let keep_alive = respond(&mut stream, &seen, &response, action)?;
+            let is_stream = usize::from(matches!(action, Action::Events { .. }));
+            self.lock().streams += is_stream;
+            let responded = respond(&mut stream, &seen, &response, action);
+            self.lock().streams -= is_stream;
+            let keep_alive = responded?;
             if rejects {
                 self.lock().rejections.push(Instant::now());
             }
--- a/tests/tunnels.rs
+++ b/tests/tunnels.rs
@@ -4,14 +4,15 @@
 mod site;
 
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use kitepulley::standin::replica::{Action, Replica};
 use serde_json::json;
-use site::{Site, Vm, are_ready, head, try_ask};
+use site::{Site, Vm, are_ready, eventually, head, try_ask};
 
 /// Time from a cut until callers of all VMs have to be served alike.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -29,6 +30,15 @@
 /// Time between two requests.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(12);
 
+/// Time within which a server notices that a caller has left its stream.
+const LEAVE_TIME: Duration = Duration::from_millis(500);
+
+/// Time within which a request that can't be served is refused.
+const REFUSAL_TIME: Duration = Duration::from_millis(100);
+
+/// Size of the largest body that the configuration allows.
+const MAX_BODY: usize = 100_000;
+
 /// Events of a stream.
 const EVENTS: u64 = 6;
 
@@ -253,3 +263,75 @@
         outcomes.iter().filter(|one| one.at >= CONTACT_TIME && !one.is_served).collect();
     assert!(late >= 0.99, "{late:.3} {failed:?}\n{}", fleet.logs());
 }
+
+/// Waits until the VM whose links were cut serves through another one.
+fn await_tunnels(vm: &Vm) {
+    let serves = || {
+        let request = head("POST /safe/x", "probe", "");
+        try_ask(vm.callers, &request, b"").is_some_and(|answer| answer.status == 200)
+    };
+    eventually("another VM relays", serves);
+    thread::sleep(Duration::from_secs(1));
+}
+
+#[test]
+fn a_caller_that_leaves_a_relayed_stream_is_noticed_at_the_server() {
+    let fleet = Fleet::start(3);
+    fleet.cut(Cut::All, 1, true);
+    await_tunnels(&fleet.vms[0]);
+    for server in &fleet.servers[0] {
+        server.set_default_action(Action::Events {
+            last: 10_000,
+            cut_after: None,
+            confidence: None,
+            pause: Duration::from_millis(20),
+        });
+    }
+    let mut stream = TcpStream::connect(fleet.vms[0].callers).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let request = head("POST /stream/x", "leaving", "");
+    write!(stream, "{request}Content-Length: 0\r\n\r\n").unwrap();
+    let mut read = String::new();
+    while !read.contains("piece 9") {
+        let mut bytes = [0; 4096];
+        let count = stream.read(&mut bytes).unwrap_or_else(|fault| {
+            panic!("{fault} after {read}\n{}", fleet.logs());
+        });
+        assert!(count > 0, "{read}\n{}", fleet.logs());
+        read.push_str(&String::from_utf8_lossy(&bytes[..count]));
+    }
+    let open = || fleet.servers[0].iter().map(Replica::open_streams).sum::<usize>();
+    assert_eq!(open(), 1);
+    drop(stream);
+    let left = Instant::now();
+    eventually("the server notices", || open() == 0);
+    assert!(left.elapsed() < LEAVE_TIME, "{:?}", left.elapsed());
+}
+
+#[test]
+fn bodies_up_to_the_largest_are_relayed_whole() {
+    let fleet = Fleet::start(3);
+    fleet.cut(Cut::All, 1, false);
+    await_tunnels(&fleet.vms[0]);
+    let body = vec![b'x'; MAX_BODY];
+    let answer = try_ask(fleet.vms[0].callers, &head("POST /other/x", "large", ""), &body);
+    assert_eq!(answer.expect("an answer").status, 200);
+    let requests = fleet.servers[1].iter().flat_map(Replica::requests);
+    let bodies: Vec<usize> = requests.map(|request| request.body.len()).collect();
+    assert!(bodies.contains(&MAX_BODY), "{bodies:?}");
+}
+
+#[test]
+fn a_vm_that_no_other_can_help_refuses_at_once() {
+    let fleet = Fleet::start(3);
+    fleet.cut(Cut::All, 3, true);
+    fleet.send_requests("early", CONTACT_TIME);
+    for number in 0..20 {
+        let vm = &fleet.vms[number % 3];
+        let started = Instant::now();
+        let answer = try_ask(vm.callers, &head("POST /once/x", &format!("late{number}"), ""), b"x");
+        assert_eq!(answer.map(|answer| answer.status), Some(503));
+        assert!(started.elapsed() < REFUSAL_TIME, "{:?}\n{}", started.elapsed(), fleet.logs());
+        thread::sleep(Duration::from_millis(60));
+    }
+}
