--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -32,6 +32,7 @@
 use kitepulley::watch::log::Logger;
 use serde_json::{Value, json};
 
+pub mod fleet;
 pub mod link;
 pub mod proxy;
 
@@ -88,6 +89,13 @@
         self.process = process(&self.settings, &self.log, self.metrics, &self.flags);
     }
 
+    /// Starts the process again if it has ended.
+    pub fn restart_if_ended(&mut self) {
+        if self.process.try_wait().unwrap().is_some() {
+            self.start_again();
+        }
+    }
+
     /// Returns true if the readiness check succeeds.
     pub fn is_ready(&self) -> bool {
         let answer = try_ask(self.readiness, "GET /v1/readyz HTTP/1.1\r\nHost: x\r\n", b"");
--- a/tests/tunnels.rs
+++ b/tests/tunnels.rs
@@ -3,16 +3,15 @@
 
 mod site;
 
-use std::collections::HashMap;
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use kitepulley::standin::replica::{Action, Replica};
-use serde_json::json;
-use site::{Site, Vm, are_ready, eventually, head, try_ask};
+use site::fleet::{Cut, Fleet};
+use site::{Vm, eventually, head, try_ask};
 
 /// Time from a cut until callers of all VMs have to be served alike.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -20,9 +19,6 @@
 /// Time in which requests are counted, before a cut and from [`CONTACT_TIME`] on.
 const COUNTED_TIME: Duration = Duration::from_secs(3);
 
-/// Time in which started VMs discover each other.
-const DISCOVERY_TIME: Duration = Duration::from_millis(2500);
-
 /// Smallest part of first attempts at VMs without links that are served. Users allow a third less
 /// than at other VMs; none needs to fail.
 const MIN_SERVED: f64 = 0.95;
@@ -39,25 +35,6 @@
 /// Size of the largest body that the configuration allows.
 const MAX_BODY: usize = 100_000;
 
-/// Events of a stream.
-const EVENTS: u64 = 6;
-
-/// A site whose VMs differ in the address from which they connect to servers.
-struct Fleet {
-    _site: Site,
-    vms: Vec<Vm>,
-    /// Servers of the services `api` and `other`.
-    servers: [Vec<Replica>; 2],
-}
-
-/// Which servers some VMs lose.
-#[derive(Clone, Copy, PartialEq)]
-enum Cut {
-    All,
-    AllButOne,
-    OneService,
-}
-
 #[derive(Clone, Debug)]
 struct Outcome {
     #[expect(dead_code, reason = "shown when a check fails")]
@@ -67,86 +44,6 @@
     is_served: bool,
 }
 
-fn source(vm: usize) -> Ipv4Addr {
-    Ipv4Addr::new(127, 0, 1, vm as u8 + 1)
-}
-
-impl Fleet {
-    fn start(vms: usize) -> Fleet {
-        let mut site = Site::new()
-            .route("safe", "idempotent", json!({}))
-            .route("once", "non_idempotent", json!({}))
-            .route("stream", "streaming", json!({"stream_resume": true}))
-            .route("other", "non_idempotent", json!({"service": "other"}));
-        site.publish();
-        let servers = ["api", "other"].map(|service| {
-            let start = |at: usize| {
-                site.replica_with(&format!("{service}{at}"), json!({"service": service}))
-            };
-            (0..if service == "api" { 8 } else { 4 }).map(start).collect::<Vec<Replica>>()
-        });
-        for server in servers.iter().flatten() {
-            server.set_default_action(Action::Events {
-                last: EVENTS,
-                cut_after: None,
-                confidence: None,
-                pause: Duration::from_millis(20),
-            });
-        }
-        for server in &servers[1] {
-            server.set_default_action(Action::Slow(Duration::from_millis(20)));
-        }
-        let vms: Vec<Vm> = (0..vms).map(|vm| site.start_from(source(vm))).collect();
-        are_ready(&vms);
-        thread::sleep(DISCOVERY_TIME);
-        Fleet { _site: site, vms, servers }
-    }
-
-    /// Cuts the first `count` VMs off.
-    fn cut(&self, cut: Cut, count: usize, reset: bool) {
-        let callers: Vec<Ipv4Addr> = (0..count).map(source).collect();
-        let (api, other) = (&self.servers[0], &self.servers[1]);
-        let spared = usize::from(cut == Cut::AllButOne);
-        for server in &api[spared..] {
-            server.cut_off(&callers, reset);
-        }
-        if cut != Cut::OneService {
-            for server in &other[spared..] {
-                server.cut_off(&callers, reset);
-            }
-        }
-    }
-
-    fn heal(&self) {
-        for server in self.servers.iter().flatten() {
-            server.cut_off(&[], false);
-        }
-    }
-
-    /// Sends requests of all kinds to all VMs in turn for some time, each on a new connection.
-    fn send_requests(&self, name: &str, lasting: Duration) -> Vec<Outcome> {
-        let addresses: Vec<SocketAddr> = self.vms.iter().map(|vm| vm.callers).collect();
-        send_requests(&addresses, name, lasting)
-    }
-
-    /// Returns how often each request ran that may run only once.
-    fn runs_of_once(&self) -> HashMap<String, usize> {
-        let mut runs = HashMap::new();
-        for request in self.servers.iter().flatten().flat_map(Replica::requests) {
-            let is_once = ["POST /once", "POST /other"];
-            if is_once.iter().any(|start| request.line.starts_with(start)) {
-                let id = request.header("x-attempt-id").unwrap_or_default().to_owned();
-                *runs.entry(id).or_default() += 1;
-            }
-        }
-        runs
-    }
-
-    fn logs(&self) -> String {
-        self.vms.iter().map(Vm::log_end).collect()
-    }
-}
-
 fn send_requests(vms: &[SocketAddr], name: &str, lasting: Duration) -> Vec<Outcome> {
     let outcomes = Mutex::new(Vec::new());
     let started = Instant::now();
@@ -173,6 +70,12 @@
     outcomes.into_inner().unwrap()
 }
 
+/// Sends requests to all VMs of a fleet in turn.
+fn send_to_all(fleet: &Fleet, name: &str, lasting: Duration) -> Vec<Outcome> {
+    let addresses: Vec<SocketAddr> = fleet.vms.iter().map(|vm| vm.callers).collect();
+    send_requests(&addresses, name, lasting)
+}
+
 /// Returns the part of the requests to VMs that `is_counted` selects that were served.
 fn served(outcomes: &[Outcome], is_counted: impl Fn(&Outcome) -> bool) -> f64 {
     let counted: Vec<&Outcome> = outcomes.iter().filter(|one| is_counted(one)).collect();
@@ -183,12 +86,12 @@
 /// Cuts `count` of `vms` VMs off, and checks that their callers are served as others are.
 fn serves_callers_without_links(vms: usize, count: usize, cut: Cut, reset: bool) {
     let fleet = Fleet::start(vms);
-    let before = fleet.send_requests("before", COUNTED_TIME);
+    let before = send_to_all(&fleet, "before", COUNTED_TIME);
     fleet.cut(cut, count, reset);
-    let outcomes = fleet.send_requests("cut", CONTACT_TIME + COUNTED_TIME);
+    let outcomes = send_to_all(&fleet, "cut", CONTACT_TIME + COUNTED_TIME);
     fleet.heal();
     thread::sleep(Duration::from_secs(1));
-    let after = fleet.send_requests("after", COUNTED_TIME);
+    let after = send_to_all(&fleet, "after", COUNTED_TIME);
     let early = served(&outcomes, |one| one.at < CONTACT_TIME && one.vm < count);
     let late = served(&outcomes, |one| one.at >= CONTACT_TIME && one.vm < count);
     let others = served(&outcomes, |one| one.at >= CONTACT_TIME && one.vm >= count);
@@ -325,7 +228,7 @@
 fn a_vm_that_no_other_can_help_refuses_at_once() {
     let fleet = Fleet::start(3);
     fleet.cut(Cut::All, 3, true);
-    fleet.send_requests("early", CONTACT_TIME);
+    send_to_all(&fleet, "early", CONTACT_TIME);
     for number in 0..20 {
         let vm = &fleet.vms[number % 3];
         let started = Instant::now();
