Keep the record of brittle services in decide; refuse waiting requests once no place is left

rate_limit no longer lies on the way of messages between VMs, so it stays outside the circle of imports. A request that waits for a place is refused when its VM has none any more. Paths to servers that may get no requests are not checked again.

--- a/src/decide/server_limit/places.rs
+++ b/src/decide/server_limit/places.rs
@@ -7,9 +7,11 @@
 //! message is needed to keep their sum. Few requests beyond them go to servers with free room, at a
 //! rate at which the server bears to reject them all.
 
+use std::collections::HashMap;
+
 use super::RateLimit;
 use crate::unit::hash::mix;
-use crate::unit::{Moment, Rate, Span};
+use crate::unit::{Moment, Rate, Service, Span};
 
 /// Window in which a server counts its rejections.
 const REJECTION_WINDOW: Span = Span::secs(1);
@@ -29,6 +31,28 @@
 /// Time for which the extra place at a server is not used after the server rejected a request.
 pub const EXTRA_PAUSE: Span = Span::secs(10);
 
+/// Time for which a service counts as brittle after one of its servers announced that it is.
+const BRITTLE_SERVICE_TTL: Span = Span::secs(10);
+
+/// The last announcements of brittle servers, by service. A server that has not responded yet is
+/// taken for brittle if others of its service are: servers come back under new ids.
+#[derive(Debug, Default)]
+pub struct BrittleServices(HashMap<Service, (Rate, Moment)>);
+
+impl BrittleServices {
+    /// Records that a server of a service announced the rejections per second that it bears.
+    pub fn on_announcement(&mut self, service: &Service, rejections: Rate, at: Moment) {
+        self.0.insert(service.clone(), (rejections, at));
+    }
+
+    /// Returns the rejections per second that servers of a service bear; `None` if the service does
+    /// not count as brittle.
+    pub fn rejections(&self, service: &Service, now: Moment) -> Option<Rate> {
+        let (rejections, at) = self.0.get(service)?;
+        (now.since(*at) < BRITTLE_SERVICE_TTL).then_some(*rejections)
+    }
+}
+
 /// Places of one VM at a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Share {
--- a/src/forward/announce.rs
+++ b/src/forward/announce.rs
@@ -11,7 +11,6 @@
 use std::rc::Rc;
 
 use super::peer::{self, Message};
-use super::rate_limit;
 use super::replica::{Incarnation, Replica};
 use super::vm::Vm;
 use crate::decide::availability::{Availability, Signal};
@@ -134,7 +133,8 @@
         (server.replica.clone(), before != limit.rate(now), relays)
     };
     if let (LimitKind::Rejections, Some(rejections)) = (report.kind, report.rate) {
-        rate_limit::on_brittle(vm, &replica.service, rejections, update.as_of);
+        let mut services = vm.brittle_services.borrow_mut();
+        services.on_announcement(&replica.service, rejections, update.as_of);
     }
     if changed {
         let event = match report.kind {
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -12,7 +12,7 @@
 use super::job::{Job, OpenRequestGuard, PendingPrompt};
 use super::replica::Replica;
 use super::sse::{Batch, EventBuffer};
-use super::{announce, connectivity, crash, path, poison, rate_limit, stall, usage};
+use super::{announce, connectivity, crash, path, poison, stall, usage};
 use crate::config::RetryPolicy;
 use crate::decide::outcome::AttemptOutcome;
 use crate::decide::poison::BrokenRequest;
@@ -334,7 +334,8 @@
     let vm = &job.vm;
     let now = vm.now();
     if let server_limit::LimitHeader::Present(rejections) = response.rejections {
-        rate_limit::on_brittle(vm, &replica.service, rejections, now);
+        let mut services = vm.brittle_services.borrow_mut();
+        services.on_announcement(&replica.service, rejections, now);
     }
     let (signal_changed, limit_changed, rejections_changed, rate) = {
         let mut fleet = vm.fleet.borrow_mut();
--- a/src/forward/connectivity.rs
+++ b/src/forward/connectivity.rs
@@ -62,8 +62,10 @@
 
 /// Returns true if servers that this VM could not reach have to be checked again.
 fn is_failing(vm: &Vm) -> bool {
+    let now = vm.now();
+    let fleet = vm.fleet.borrow();
     vm.connectivity.borrow().values().any(Connectivity::has_failed_check)
-        || vm.fleet.borrow().all().any(|server| server.path.is_lost())
+        || fleet.all().any(|server| server.path.is_lost() && fleet.is_eligible(server, now))
 }
 
 /// Returns true if no server of the service can be reached from this VM.
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -102,8 +102,8 @@
         Criteria { service, call, body_bytes: self.body.len(), regions, model, tried }
     }
 
-    /// Returns the server for this request, waiting for a permit at a rate-limited server or for
-    /// the end of a backoff if no other server may receive it.
+    /// Returns the server for this request, waiting for a permit at a rate-limited server, the end of
+    /// a backoff or a place at a brittle server if no other server may receive it.
     ///
     /// Waits while the response can still come within the route's latency goal, or within the
     /// deadline once the goal has passed. Returns `None` if no server may receive the request by
@@ -130,11 +130,10 @@
                 }
                 continue;
             }
+            let expected_wait = selection::place_wait(vm, criteria, now)?;
             // A request that has begun to wait keeps its turn until its time is up.
-            if waiting.is_none() && !selection::may_wait_for_place(vm, criteria, until, now) {
-                return None;
-            }
-            if now >= until {
+            let is_too_long = waiting.is_none() && now + expected_wait > until;
+            if is_too_long || now >= until {
                 return None;
             }
             let waiting = waiting.get_or_insert_with(|| {
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -16,6 +16,9 @@
 //! - Incarnation: one lifetime of a backend server's process.
 //! - Lapsed: said of an entry that may have expired only because the store was unavailable.
 //! - Cold: said of a server that has started recently and accepts few requests per second.
+//! - Brittle: said of a server that fails if it has to reject too many requests in a second. A place
+//!   is the right of a VM to have one request at such a server.
+//! - Tunnel: connection to a server through another VM, the helper, which relays its bytes.
 //! - Trial: comparison of a service's old and new version while a rollout runs.
 //! - Content: what a request asks for, identified by a digest; see [`content`].
 //! - Duty: calls to the platform that one VM at a time makes for the fleet, under a lease.
--- a/src/forward/rate_limit.rs
+++ b/src/forward/rate_limit.rs
@@ -20,30 +20,6 @@
 /// share to the load of the server.
 const VM_DISCOVERY_TIME: Span = Span::millis(1500);
 
-/// Time for which a service counts as brittle after one of its servers announced that it is. A server
-/// that has not responded yet is then taken for brittle as well.
-const BRITTLE_SERVICE_TTL: Span = Span::secs(10);
-
-/// The last announcement of any server of a service that it is brittle.
-#[derive(Clone, Copy, Debug)]
-pub struct BrittleService {
-    rejections: Rate,
-    at: Moment,
-}
-
-/// Records that a server of a service announced the rejections per second that it bears.
-pub fn on_brittle(vm: &Vm, service: &Service, rejections: Rate, now: Moment) {
-    let latest = BrittleService { rejections, at: now };
-    vm.brittle_services.borrow_mut().insert(service.clone(), latest);
-}
-
-/// Returns the rejections per second that servers of a service bear, if it counts as brittle.
-fn brittle_service(vm: &Vm, service: &Service, now: Moment) -> Option<Rate> {
-    let services = vm.brittle_services.borrow();
-    let latest = services.get(service).filter(|one| now.since(one.at) < BRITTLE_SERVICE_TTL)?;
-    Some(latest.rejections)
-}
-
 /// Updates the gauges of cold servers and of servers that announce a rate limit, by service.
 pub fn update_gauges(vm: &Vm) {
     let fleet = vm.fleet.borrow();
@@ -114,7 +90,7 @@
 /// Returns the limiter for the servers of a service.
 pub fn limiter<'a>(vm: &'a Vm, service: &'a Service, now: Moment) -> Limiter<'a> {
     let cold = vm.routes().and_then(|table| table.pool(service)?.cold_start);
-    let brittle = brittle_service(vm, service, now);
+    let brittle = vm.brittle_services.borrow().rejections(service, now);
     Limiter { brittle, ..Limiter::new(cold, now, move || find_vms(vm, service, now)) }
 }
 
--- a/src/forward/selection/mod.rs
+++ b/src/forward/selection/mod.rs
@@ -156,9 +156,9 @@
     permit_wait(vm, criteria, until, now).or_else(|| backoff_wait(vm, criteria, until, now))
 }
 
-/// Returns true if a request may wait until a place of this VM at a brittle server is free, which is
-/// expected by `until`.
-pub fn may_wait_for_place(vm: &Vm, criteria: &Criteria, until: Moment, now: Moment) -> bool {
+/// Returns the expected time until a place of this VM at a brittle server is free for a request;
+/// `None` if the VM has no place at a server that the request may go to.
+pub fn place_wait(vm: &Vm, criteria: &Criteria, now: Moment) -> Option<Span> {
     let (versions, _) = eligible_versions(vm, criteria.service, criteria.call, now);
     let limiter = rate_limit::limiter(vm, criteria.service, now);
     let fleet = vm.fleet.borrow();
@@ -170,7 +170,7 @@
             && !criteria.has_tried(&one.replica)
     });
     let places: usize = allowed.filter_map(|one| limiter.places(one)).sum();
-    places > 0 && now + vm.place_queue(criteria.service).expected_wait(places) <= until
+    (places > 0).then(|| vm.place_queue(criteria.service).expected_wait(places))
 }
 
 /// Returns a wait for the backoff that ends first, with jitter so that the requests that wait for
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -15,7 +15,6 @@
 use super::pinned_sessions::PinnedSessions;
 use super::place_queue::PlaceQueue;
 use super::positions::Positions;
-use super::rate_limit::BrittleService;
 use super::replica::Rollout;
 use super::restore::Restore;
 use super::role::{Decline, Role};
@@ -34,6 +33,7 @@
 use crate::decide::prefill::PrefillEstimator;
 use crate::decide::pressure::Pressure;
 use crate::decide::reader::Rank;
+use crate::decide::server_limit::places::BrittleServices;
 use crate::decide::tunnel::Helpers;
 use crate::peer::stall::Gate;
 use crate::peer::tunnel::Events;
@@ -171,7 +171,7 @@
     /// Shares of the servers' rate limits that this VM has lent or borrowed, by service.
     pub lending: RefCell<HashMap<Service, Lending>>,
     /// Services whose servers announced lately that they are brittle.
-    pub brittle_services: RefCell<HashMap<Service, BrittleService>>,
+    pub brittle_services: RefCell<BrittleServices>,
     /// Requests that wait for a place at a brittle server, by service.
     pub place_queues: RefCell<HashMap<Service, Rc<PlaceQueue>>>,
     /// Buffered log lines.
--- a/tests/places.rs
+++ b/tests/places.rs
@@ -1,7 +1,9 @@
 //! Division of the slots of brittle servers among VMs, and choice of VMs that relay connections.
 
 use kitepulley::decide::path::DirectPath;
-use kitepulley::decide::server_limit::places::{self, Lingering, RELEASE_DELAY, Share, Turnover};
+use kitepulley::decide::server_limit::places::{
+    self, BrittleServices, Lingering, RELEASE_DELAY, Share, Turnover,
+};
 use kitepulley::decide::tunnel::{Helpers, Offer, Relaying};
 use kitepulley::unit::{Moment, Rate, Service, Span, Vm, hash};
 use quickcheck::{TestResult, quickcheck};
@@ -118,3 +120,13 @@
     assert!(!Relaying { open: 0, is_unavailable: true }.accepts());
     assert!(!Relaying { open: 100_000, is_unavailable: false }.accepts());
 }
+
+#[test]
+fn a_service_counts_as_brittle_for_a_while_after_one_of_its_servers_said_so() {
+    let [service, other]: [Service; 2] = ["api", "db"].map(|name| name.parse().unwrap());
+    let mut services = BrittleServices::default();
+    services.on_announcement(&service, Rate(3.0), Moment(0));
+    assert_eq!(services.rejections(&service, Moment(1)), Some(Rate(3.0)));
+    assert_eq!(services.rejections(&other, Moment(1)), None);
+    assert_eq!(services.rejections(&service, Moment(0) + Span::secs(10)), None);
+}
