--- a/tests/site/fleet.rs
+++ b/tests/site/fleet.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -17,8 +18,12 @@
 /// Events of a stream.
 const EVENTS: u64 = 6;
 
+/// Held by the fleet that runs: each uses much of the machine.
+static ALONE: Mutex<()> = Mutex::new(());
+
 /// A site whose VMs differ in the address from which they connect to servers.
 pub struct Fleet {
+    _alone: MutexGuard<'static, ()>,
     _site: Site,
     pub vms: Vec<Vm>,
     /// Servers of the services `api` and `other`.
@@ -39,6 +44,7 @@
 
 impl Fleet {
     pub fn start(vms: usize) -> Fleet {
+        let alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
         let mut site = Site::new()
             .route("safe", "idempotent", json!({}))
             .route("once", "non_idempotent", json!({}))
@@ -65,7 +71,7 @@
         let vms: Vec<Vm> = (0..vms).map(|vm| site.start_from(source(vm))).collect();
         are_ready(&vms);
         thread::sleep(DISCOVERY_TIME);
-        Fleet { _site: site, vms, servers }
+        Fleet { _alone: alone, _site: site, vms, servers }
     }
 
     /// Cuts the first `count` VMs off.
