--- a/src/decide/tunnel.rs
+++ b/src/decide/tunnel.rs
@@ -38,7 +38,7 @@
     pub services: Vec<Service>,
     /// True if the VM is in the data centre of the one that asked.
     pub is_local: bool,
-    /// Number of tunnels that the VM relays.
+    /// Load that the VM reports, in tunnels.
     pub open: u32,
     /// When the offer arrived.
     pub at: Moment,
@@ -154,12 +154,18 @@
     }
 }
 
+/// Number of tunnels that a VM which lacks processor time adds to those that it reports, so that
+/// others are chosen if there are any.
+const STALL_LOAD: u32 = 64;
+
 /// State of a VM that decides what it relays for others.
 #[derive(Clone, Copy, Debug)]
 pub struct Relaying {
     /// Number of tunnels that it relays.
     pub open: usize,
-    /// True if it stops, or has had no processor time lately: its own callers come first.
+    /// True if it has had no processor time lately: its own callers come first.
+    pub is_stalled: bool,
+    /// True if it stops, or does not know the servers yet.
     pub is_unavailable: bool,
 }
 
@@ -168,4 +174,9 @@
     pub fn accepts(&self) -> bool {
         !self.is_unavailable && self.open < MAX_RELAYED
     }
+
+    /// Returns the load that it reports with an offer, in tunnels.
+    pub fn reported_load(&self) -> u32 {
+        self.open as u32 + if self.is_stalled { STALL_LOAD } else { 0 }
+    }
 }
--- a/src/forward/connectivity.rs
+++ b/src/forward/connectivity.rs
@@ -184,7 +184,7 @@
     false
 }
 
-/// Checks servers of a service that this VM could not reach directly.
+/// Checks again servers of a service that this VM could not reach directly.
 async fn check_lost_paths(vm: &Rc<Vm>, service: &Service) {
     let (lost, _) = sample_servers(vm, service);
     count_accepting(vm, &lost).await;
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -287,6 +287,7 @@
 
     /// Adds the VM that relays the connection of the present attempt.
     pub fn add_helper(&self, helper: &Name) {
+        // Writing to a string cannot fail.
         let _ = write!(self.trail.borrow_mut(), " via {helper}");
     }
 
--- a/src/forward/message.rs
+++ b/src/forward/message.rs
@@ -86,7 +86,7 @@
     },
     /// The sender can't reach servers and asks for offers to relay its connections.
     TunnelRequest {
-        /// The services of the sender.
+        /// The services that the sender forwards requests to.
         services: Vec<Service>,
     },
     /// The sender relays connections to the servers of these services; none withdraws its offer.
--- a/src/forward/tunnel/helpers.rs
+++ b/src/forward/tunnel/helpers.rs
@@ -40,7 +40,7 @@
     }
 }
 
-/// Asks other VMs to relay connections to the services whose servers this VM can't reach.
+/// Asks other VMs which of this VM's services they can relay connections to.
 fn ask(vm: &Rc<Vm>) {
     let services: Vec<Service> = {
         let fleet = vm.fleet.borrow();
--- a/src/forward/tunnel/relay.rs
+++ b/src/forward/tunnel/relay.rs
@@ -18,7 +18,8 @@
 /// Time within which the destination of a tunnel must arrive.
 const DESTINATION_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time after a stall in which this VM relays nothing: it lacks processor time for its own callers.
+/// Time after a stall in which this VM offers to relay only what no other VM would: it lacks processor
+/// time for its own callers.
 const STALL_PAUSE: Span = Span::secs(1);
 
 /// Counts a tunnel as relayed until it is dropped.
@@ -40,10 +41,10 @@
 /// Returns what decides if this VM relays.
 fn relaying(vm: &Vm) -> Relaying {
     let now = vm.now();
-    let was_stalled = vm.stalled_at.get().is_some_and(|at| now.since(at) < STALL_PAUSE);
     Relaying {
         open: vm.tunnels_relayed.get(),
-        is_unavailable: vm.is_stopping() || was_stalled || !vm.has_required_state(),
+        is_stalled: vm.stalled_at.get().is_some_and(|at| now.since(at) < STALL_PAUSE),
+        is_unavailable: vm.is_stopping() || !vm.has_required_state(),
     }
 }
 
@@ -65,7 +66,7 @@
         return;
     }
     vm.tunnel_users.borrow_mut().insert(from.clone(), address);
-    let open = relaying.open as u32;
+    let open = relaying.reported_load();
     peer::send(vm, address, Message::TunnelOffer { services, open });
 }
 
--- a/src/peer/tunnel.rs
+++ b/src/peer/tunnel.rs
@@ -53,13 +53,13 @@
 
 /// What other VMs send about tunnels.
 pub enum Event {
-    /// A VM asks which servers this one can relay to.
+    /// A VM that can't reach servers asks which ones this one can relay to.
     Request {
         /// The VM that asks.
         from: Vm,
         /// Where to send the answer.
         address: SocketAddr,
-        /// The services whose servers it can't reach.
+        /// The services that it forwards requests to.
         services: Vec<Service>,
     },
     /// A VM offers to relay to the servers of these services; none withdraws its offer.
@@ -205,7 +205,7 @@
     }
 }
 
-/// Returns the next byte of a stream as the reader of its kind expects it.
+/// Returns the first byte of a stream, which tells a tunnel from a call.
 ///
 /// # Errors
 /// If the stream ends or breaks.
