Compare loans of places at brittle servers, and VMs that are cut off

The experiment gets VMs that lend places on request, for one request or for half a second; VMs that are cut off from others; 84 VMs before five servers; 295 VMs; and what is served at VMs without places. Numbers of dead VMs are rounded up: there were none of 7.

Granted stops where the granting VM is cut off or dead, which the experiment does not play.

--- a/src/experiment/brittle.rs
+++ b/src/experiment/brittle.rs
@@ -17,7 +17,7 @@
 use crate::unit::{Moment, Span, hash};
 
 /// VMs and servers by default.
-const SIZES: [(usize, usize); 6] = [(7, 12), (23, 24), (84, 12), (84, 96), (295, 96), (295, 600)];
+const SIZES: [(usize, usize); 6] = [(7, 12), (23, 24), (84, 5), (84, 12), (84, 96), (295, 96)];
 
 /// Slots of a server, places in its queue, and time that a request runs.
 const SLOTS: usize = 4;
@@ -41,8 +41,18 @@
 /// Time for which a VM leaves out a server that rejected its request, if each acts by itself.
 const PAUSE: Span = Span::millis(300);
 
-/// Part of the VMs that are dead, with places that nobody uses, in the cases with dead VMs.
-const DEAD_SHARE: f64 = 0.1;
+/// Part of the VMs that are dead, with places that nobody uses, or that reach no other VM, in the
+/// cases with such VMs.
+const FAULTY_SHARE: f64 = 0.1;
+
+/// Time for which a VM keeps the request of another one for a place, and until that asks again.
+const ASK_TTL: Span = Span::millis(100);
+
+/// Number of VMs that are asked for places at a time.
+const ASKED_VMS: usize = 2;
+
+/// Time for which a place is lent, if it is not lent for one request.
+const LOAN_TIME: Span = Span::millis(500);
 
 /// How the room of a server is divided among VMs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,17 +67,23 @@
     Places,
     /// The same with room for one request in the queue: the strategy of the router.
     PlacesAndExtra,
+    /// A VM without a free place asks VMs that have some, which lend one for one request.
+    LentOnce,
+    /// The same, for as long as the borrower has requests, up to [`LOAN_TIME`].
+    LentForTime,
     /// One VM for each server grants its slots on request, which takes a round trip between VMs.
     Granted,
 }
 
 impl Strategy {
-    const ALL: [Strategy; 6] = [
+    const ALL: [Strategy; 8] = [
         Strategy::Unheeded,
         Strategy::EachAlone,
         Strategy::EvenParts,
         Strategy::Places,
         Strategy::PlacesAndExtra,
+        Strategy::LentOnce,
+        Strategy::LentForTime,
         Strategy::Granted,
     ];
 
@@ -78,9 +94,15 @@
             Strategy::EvenParts => "even parts",
             Strategy::Places => "places",
             Strategy::PlacesAndExtra => "places and extra",
+            Strategy::LentOnce => "lent for a request",
+            Strategy::LentForTime => "lent for a time",
             Strategy::Granted => "granted",
         }
     }
+
+    fn lends(self) -> bool {
+        matches!(self, Strategy::LentOnce | Strategy::LentForTime)
+    }
 }
 
 /// What is simulated beside size and strategy.
@@ -89,15 +111,19 @@
     load: f64,
     burst: usize,
     stale: Span,
+    /// Part of the VMs that are dead.
     dead: f64,
+    /// Part of the VMs that exchange nothing with others.
+    cut_off: f64,
 }
 
-const CASES: [Case; 5] = [
-    Case { load: 0.7, burst: 1, stale: Span::millis(50), dead: 0.0 },
-    Case { load: 1.6, burst: 1, stale: Span::millis(50), dead: 0.0 },
-    Case { load: 1.6, burst: 1, stale: Span::secs(1), dead: 0.0 },
-    Case { load: 1.2, burst: 40, stale: Span::millis(200), dead: 0.0 },
-    Case { load: 1.6, burst: 1, stale: Span::millis(200), dead: DEAD_SHARE },
+const CASES: [Case; 6] = [
+    Case { load: 0.7, burst: 1, stale: Span::millis(50), dead: 0.0, cut_off: 0.0 },
+    Case { load: 1.6, burst: 1, stale: Span::millis(50), dead: 0.0, cut_off: 0.0 },
+    Case { load: 1.6, burst: 1, stale: Span::secs(1), dead: 0.0, cut_off: 0.0 },
+    Case { load: 1.2, burst: 40, stale: Span::millis(200), dead: 0.0, cut_off: 0.0 },
+    Case { load: 1.6, burst: 1, stale: Span::millis(200), dead: FAULTY_SHARE, cut_off: 0.0 },
+    Case { load: 1.6, burst: 1, stale: Span::millis(200), dead: 0.0, cut_off: FAULTY_SHARE },
 ];
 
 /// One server, with the load that VMs know of.
@@ -117,10 +143,21 @@
 /// One VM, with its requests at each server.
 struct Node {
     is_dead: bool,
+    is_cut_off: bool,
     queue: VecDeque<Moment>,
     open: Vec<usize>,
     shares: Vec<Share>,
     rejected_at: Vec<Option<Moment>>,
+    /// Places at each server that are lent to other VMs.
+    lent: Vec<usize>,
+    /// Lenders of places at each server, with the time until which the place is used.
+    borrowed: Vec<Vec<(usize, Moment)>>,
+    sent: u64,
+    served: u64,
+    /// VMs that asked for a place, with the time until which they need it.
+    askers: VecDeque<(usize, Moment)>,
+    /// When the VM may ask for places again.
+    asks_at: Moment,
 }
 
 /// What happens at a moment.
@@ -134,6 +171,12 @@
     Served(usize, usize),
     /// The VM hears that its request was rejected or lost.
     Rejected(usize, usize),
+    /// The first VM's request for a place reaches the second.
+    Asked(usize, usize),
+    /// A place of the second VM at a server is lent to the first.
+    Lent(usize, usize, usize),
+    /// The first VM returns a place of the second at a server.
+    Returned(usize, usize, usize),
 }
 
 struct Simulation {
@@ -144,6 +187,10 @@
     events: BinaryHeap<Reverse<(Moment, Event)>>,
     /// Requests that wait in the queue of each server, by VM.
     queues: Vec<VecDeque<usize>>,
+    /// VMs that have places, each once for each server where it does.
+    owners: Vec<usize>,
+    /// Messages between VMs.
+    messages: u64,
     rng: SmallRng,
     sent: u64,
     served: u64,
@@ -153,7 +200,8 @@
 impl Simulation {
     fn new(vms: usize, servers: usize, strategy: Strategy, case: Case, seed: u64) -> Simulation {
         let names: Vec<u64> = (0..vms).map(|vm| hash::stable(&[&format!("vm{vm}")])).collect();
-        let dead = (vms as f64 * case.dead) as usize;
+        let dead = (vms as f64 * case.dead).ceil() as usize;
+        let cut_off = (vms as f64 * case.cut_off).ceil() as usize;
         let node = |vm: usize| {
             let others: Vec<u64> =
                 names.iter().copied().filter(|other| *other != names[vm]).collect();
@@ -163,16 +211,28 @@
             };
             Node {
                 is_dead: vm < dead,
+                is_cut_off: vm < cut_off,
                 queue: VecDeque::new(),
                 open: vec![0; servers],
                 shares: (0..servers).map(share).collect(),
                 rejected_at: vec![None; servers],
+                lent: vec![0; servers],
+                borrowed: vec![Vec::new(); servers],
+                sent: 0,
+                served: 0,
+                askers: VecDeque::new(),
+                asks_at: Moment(0),
             }
         };
+        let nodes: Vec<Node> = (0..vms).map(node).collect();
+        let has_places = |vm: usize| nodes[vm].shares.iter().filter(|share| share.places > 0);
+        let owners = (0..vms).flat_map(|vm| has_places(vm).map(move |_| vm)).collect();
         Simulation {
             strategy,
             case,
-            nodes: (0..vms).map(node).collect(),
+            nodes,
+            owners,
+            messages: 0,
             servers: (0..servers).map(|_| Server::default()).collect(),
             events: BinaryHeap::new(),
             queues: vec![VecDeque::new(); servers],
@@ -206,11 +266,15 @@
                 for _ in 0..self.case.burst {
                     let vm = alive[self.rng.random_range(0..alive.len())];
                     self.nodes[vm].queue.push_back(now);
+                    self.nodes[vm].sent += 1;
                     self.sent += 1;
                 }
             }
             for vm in &alive {
                 self.send_waiting(*vm, now);
+                if self.strategy.lends() {
+                    self.exchange_places(*vm, now);
+                }
             }
             now = now + STEP;
         }
@@ -233,6 +297,58 @@
         }
     }
 
+    /// Lends free places of a VM, returns those that it doesn't need, and asks for some if it needs
+    /// more.
+    fn exchange_places(&mut self, vm: usize, now: Moment) {
+        let has_waiting = !self.nodes[vm].queue.is_empty();
+        for server in 0..self.servers.len() {
+            self.return_unused(vm, server, has_waiting, now);
+        }
+        if has_waiting && now >= self.nodes[vm].asks_at {
+            self.nodes[vm].asks_at = now + ASK_TTL;
+            for _ in 0..ASKED_VMS.min(self.nodes[vm].queue.len()) {
+                let owner = self.owners[self.rng.random_range(0..self.owners.len())];
+                self.send_message(vm, owner, now, Event::Asked(vm, owner));
+            }
+        }
+        while let Some((asker, until)) = self.nodes[vm].askers.pop_front() {
+            if has_waiting || now > until {
+                continue;
+            }
+            let has_free = |server: &usize| {
+                let node = &self.nodes[vm];
+                let taken = node.open[*server] + node.lent[*server];
+                taken < node.shares[*server].places && self.servers[*server].gone_until <= now
+            };
+            let Some(server) = (0..self.servers.len()).find(has_free) else {
+                self.nodes[vm].askers.push_front((asker, until));
+                return;
+            };
+            self.nodes[vm].lent[server] += 1;
+            self.send_message(vm, asker, now, Event::Lent(asker, vm, server));
+        }
+    }
+
+    /// Returns a borrowed place that no request uses and that is not needed any more.
+    fn return_unused(&mut self, vm: usize, server: usize, has_waiting: bool, now: Moment) {
+        let node = &mut self.nodes[vm];
+        let own = node.shares[server].places.saturating_sub(node.lent[server]);
+        let is_unused = node.open[server] < own + node.borrowed[server].len();
+        let is_needed = |until: Moment| has_waiting && now < until;
+        let unneeded = node.borrowed[server].iter().position(|(_, until)| !is_needed(*until));
+        if let (true, Some(at)) = (is_unused, unneeded) {
+            let (lender, _) = node.borrowed[server].swap_remove(at);
+            self.send_message(vm, lender, now, Event::Returned(vm, lender, server));
+        }
+    }
+
+    fn send_message(&mut self, from: usize, to: usize, now: Moment, event: Event) {
+        self.messages += 1;
+        if !self.nodes[from].is_cut_off && !self.nodes[to].is_cut_off && !self.nodes[to].is_dead {
+            self.events.push(Reverse((now + TRAVEL, event)));
+        }
+    }
+
     /// Returns the least loaded of the servers that the VM may send to, by the last report.
     fn choose(&mut self, vm: usize, now: Moment) -> Option<usize> {
         let start = self.rng.random_range(0..self.servers.len());
@@ -259,6 +375,11 @@
                 let extra = usize::from(share.has_extra && !was_rejected(EXTRA_PAUSE));
                 node.open[server] < share.places + extra
             }
+            Strategy::LentOnce | Strategy::LentForTime => {
+                let extra = usize::from(share.has_extra && !was_rejected(EXTRA_PAUSE));
+                let taken = node.open[server] + node.lent[server];
+                taken < share.places + extra + node.borrowed[server].len()
+            }
             Strategy::Granted => self.servers[server].in_use < SLOTS,
         }
     }
@@ -274,12 +395,28 @@
                 Event::Ends(vm, server, incarnation) => self.on_end(vm, server, incarnation, now),
                 Event::Served(vm, server) => {
                     self.release(vm, server);
+                    self.nodes[vm].served += 1;
+                    if self.strategy == Strategy::LentOnce {
+                        self.return_unused(vm, server, false, now);
+                    }
                     self.served += 1;
                 }
                 Event::Rejected(vm, server) => {
                     self.release(vm, server);
                     self.nodes[vm].rejected_at[server] = Some(now);
                 }
+                Event::Asked(vm, owner) => {
+                    self.nodes[owner].askers.push_back((vm, now + ASK_TTL));
+                }
+                Event::Lent(vm, lender, server) => {
+                    let time = match self.strategy {
+                        Strategy::LentForTime => LOAN_TIME,
+                        _ => Span(1),
+                    };
+                    self.nodes[vm].borrowed[server].push((lender, now + time));
+                    self.send_waiting(vm, now);
+                }
+                Event::Returned(_, lender, server) => self.nodes[lender].lent[server] -= 1,
             }
         }
     }
@@ -341,8 +478,20 @@
         }
     }
 
+    /// Returns the part of the requests that is served at VMs without places, relative to the part
+    /// at all VMs.
+    fn served_without_places(&self) -> f64 {
+        let has_places = |node: &Node| node.shares.iter().any(|share| share.places > 0);
+        let without: Vec<&Node> = self.nodes.iter().filter(|node| !has_places(node)).collect();
+        let sent: u64 = without.iter().map(|node| node.sent).sum();
+        let served: u64 = without.iter().map(|node| node.served).sum();
+        let all = self.served as f64 / self.sent.max(1) as f64;
+        served as f64 / sent.max(1) as f64 / all.max(f64::MIN_POSITIVE)
+    }
+
     fn row(&self) -> Row {
-        let able = self.capacity() * RUN_LENGTH.as_secs();
+        let (seconds, vms) = (RUN_LENGTH.as_secs(), self.nodes.len() as f64);
+        let able = self.capacity() * seconds;
         let failures: u64 = self.servers.iter().map(|server| server.failures).sum();
         Row::named("way", self.strategy.name())
             .with("vms", self.nodes.len())
@@ -351,10 +500,13 @@
             .with("burst", self.case.burst)
             .number("stale ms", self.case.stale.as_millis(), 0)
             .number("dead", self.case.dead, 1)
+            .number("cut off", self.case.cut_off, 1)
             .with("failures", failures)
             .with("allowed", 2 + self.servers.len() / 10)
             .number("served", self.served as f64 / able.min(self.sent as f64), 3)
+            .number("without places", self.served_without_places(), 3)
             .number("rejected", self.rejected as f64 / self.sent.max(1) as f64, 4)
+            .number("messages/s a VM", self.messages as f64 / seconds / vms, 1)
     }
 }
 
@@ -373,7 +525,8 @@
     }
     let notes = vec![
         "Failures of servers, and how many users allow. Served: part of what the servers can do, or \
-         of what is asked if that is less. Rejected: part of the requests, by servers."
+         of what is asked if that is less. Without places: part that is served at VMs without places, \
+         relative to that at all VMs. Rejected: part of the requests, by servers."
             .to_owned(),
     ];
     Table { rows, notes }
