Lend places at brittle servers to VMs that have none free

What callers saw: where a service has fewer slots than there are VMs, most VMs have no place at its brittle servers and refuse, while places of others stay empty.

Cause: places are dealt beforehand and were lent only as parts of a place, which round to none. Ruled out: rejections and failures (none), processor time (the few requests that look, change before this).

A VM whose requests wait asks two VMs that have places (drawn among the owners of places at a brittle server, which all compute alike). They lend a free place when no caller of theirs waits, or decline within 0.1 s. A borrower uses it for one request after another, up to half a second while its requests wait, and returns it. The lender counts a lent place as taken until it is returned, or for 30 s, so the sum holds whatever is lost (quickcheck). Requests wait by the larger of own places and an even part of all; only own places count if no VM answers. Loans of parts of places are gone, with their quickcheck; those of rate limits stay. Three new messages at the end of the list; none changed its form.

--- a/src/decide/server_limit/mod.rs
+++ b/src/decide/server_limit/mod.rs
@@ -7,6 +7,7 @@
 //! of them may still send at once. So only a few VMs, the *senders*, which each VM computes alike,
 //! may send to such a server, each at a fixed interval in its *send slots*.
 
+pub mod loans;
 pub mod places;
 
 use std::fmt;
--- a/src/decide/server_limit/places.rs
+++ b/src/decide/server_limit/places.rs
@@ -4,7 +4,8 @@
 //! without notice. A VM learns of a rejection only by causing it, so rejections can't be divided
 //! among VMs as they happen. What certainly fits are the slots in which requests run. They are
 //! divided beforehand: each VM computes alike which slots of a server are its *places*, and no
-//! message is needed to keep their sum. Few requests beyond them go to servers with free room, at a
+//! message is needed to keep their sum. VMs lend each other places that they don't need
+//! ([`super::loans`]). Few requests beyond them go to servers with free room, at a
 //! rate at which the server bears to reject them all.
 
 use std::collections::HashMap;
@@ -82,15 +83,6 @@
     }
 }
 
-/// Returns the places that a VM may use, with these parts (0 to 1) of its own and of those of
-/// lenders, given with their numbers of places. Parts of one VM's places are rounded so that they
-/// add up to no more than all.
-pub fn with_parts(own: usize, kept: f64, borrowed: impl Iterator<Item = (usize, f64)>) -> usize {
-    let part = |places: usize, part: f64| places as f64 * part;
-    let borrowed: f64 = borrowed.map(|(places, lent)| part(places, lent).floor()).sum();
-    (part(own, kept).ceil() + borrowed) as usize
-}
-
 /// Returns the limit of requests without a place at a server that bears this rate of rejections;
 /// `None` if it bears too few of them.
 pub fn spare_limit(rejections: Rate) -> Option<RateLimit> {
@@ -132,9 +124,10 @@
     }
 
     /// Returns the time after which a place is expected to be free for a request, if all `places`
-    /// are taken and `waiting` requests wait before it.
-    pub fn expected_wait(&self, waiting: usize, places: usize) -> Span {
+    /// are taken and `waiting` requests wait before it. A part of a place is one that is borrowed
+    /// for that part of the time.
+    pub fn expected_wait(&self, waiting: usize, places: f64) -> Span {
         let mean = self.mean.unwrap_or(Span(0));
-        mean.mul_f64((waiting + 1) as f64 / places.max(1) as f64)
+        mean.mul_f64((waiting + 1) as f64 / places)
     }
 }
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -11,7 +11,7 @@
 
 use super::call::Call;
 use super::lending;
-use super::place_queue::Waiting;
+use super::places::{Event, Waiting};
 use super::rate_limit::Permit;
 use super::replica::Replica;
 use super::selection::{self, Criteria, Estimate, Placement, Reason, Skipped, Wait};
@@ -130,6 +130,7 @@
                 }
                 continue;
             }
+            self.request_place(criteria, now);
             let expected_wait = selection::place_wait(vm, criteria, now)?;
             // A request that has begun to wait keeps its turn until its time is up.
             let is_too_long = waiting.is_none() && now + expected_wait > until;
@@ -144,6 +145,14 @@
         }
     }
 
+    /// Has other VMs asked for a place at a brittle server, unless they were asked just now.
+    fn request_place(&self, criteria: &Criteria<'_>, now: Moment) {
+        let queue = self.vm.place_queue(criteria.service);
+        if queue.lenders.borrow_mut().is_request_due(now) {
+            self.vm.place_events.send(Event::Needed(criteria.service.clone()));
+        }
+    }
+
     /// Records that the request is about to be sent to a server. Returns the estimate for the
     /// attempt, and a guard that keeps the prompt in the server's backlog until it is dropped.
     pub fn begin_attempt(
@@ -510,6 +519,9 @@
         }
         if let Some(queue) = self.vm.place_queues.borrow().get(&self.replica.service) {
             queue.on_freed(now.since(self.opened_at));
+            if queue.has_loans() {
+                self.vm.place_events.send(Event::Freed(self.replica.clone()));
+            }
         }
     }
 }
--- a/src/forward/message.rs
+++ b/src/forward/message.rs
@@ -109,6 +109,26 @@
         /// Time since the server announced it.
         age: Span,
     },
+    /// The sender has requests that wait for a place at brittle servers of a service, and asks for
+    /// one.
+    PlaceRequest {
+        /// The service.
+        service: Service,
+        /// When this was sent, by the sender's clock.
+        sent_at: Moment,
+    },
+    /// Answer to a request for a place.
+    PlaceAnswer {
+        /// The server at which the sender lends a place; `None` if it has none to lend.
+        place: Option<Incarnation>,
+        /// When the request was sent, by the clock of the VM that asked.
+        requested_at: Moment,
+    },
+    /// The sender returns a place that it had borrowed.
+    PlaceReturn {
+        /// The server.
+        place: Incarnation,
+    },
 }
 
 /// A message with its sender.
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -21,6 +21,9 @@
     pub checks: IntCounterVec,
     /// Tunnels through other VMs, and those relayed for others, by direction and answer.
     pub tunnels: IntCounterVec,
+    /// Places at brittle servers that were borrowed from other VMs, and other VMs' requests for
+    /// places, by outcome.
+    pub place_loans: IntCounterVec,
     /// Announcements in servers' response headers that changed what this VM knows of the servers,
     /// by service and kind.
     pub server_signals: IntCounterVec,
@@ -112,6 +115,11 @@
                 "Tunnels to servers: opened through other VMs, and relayed for them.",
                 &["direction", "answer"],
             ),
+            place_loans: counter(
+                "kitepulley_place_loans",
+                "Places at brittle servers: borrowed, lent to other VMs, or declined to them.",
+                &["outcome"],
+            ),
             server_signals: counter(
                 "kitepulley_said",
                 "Words of servers that they leave, want rest or name a limit.",
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -15,6 +15,7 @@
 use super::announce::{self, LimitKind, LimitReport};
 use super::kind::VMS;
 use super::message::Envelope;
+use super::places::Event as PlaceEvent;
 use super::role::Role;
 use super::rollout_trial::Source;
 use super::vm::Vm;
@@ -345,6 +346,17 @@
         Message::TunnelOffer { services, open } => {
             vm.tunnel_events.send(Event::Offer { from, services, open });
         }
+        Message::PlaceRequest { service, sent_at } => {
+            let address = info.address;
+            vm.place_events.send(PlaceEvent::Request { from, address, service, sent_at });
+        }
+        Message::PlaceAnswer { place, requested_at } => {
+            let address = info.address;
+            vm.place_events.send(PlaceEvent::Answer { from, address, place, requested_at });
+        }
+        Message::PlaceReturn { place } => {
+            vm.place_events.send(PlaceEvent::Return { from, place });
+        }
         Message::Poison(news) => poison::on_message(vm, from.as_str(), &news),
         Message::ServerDraining(life) => announce::on_drain(vm, from.as_str(), &life),
         Message::ServerLimit { server, started_at_ms, address, rate, age } => {
--- a/src/forward/rate_limit.rs
+++ b/src/forward/rate_limit.rs
@@ -50,21 +50,10 @@
 }
 
 impl Vms {
-    /// Returns the number of places of this VM at a server that bears `rejections`, with those that
-    /// others lent to it.
-    fn places(&self, server: &Server, rejections: Rate, now: Moment) -> usize {
+    /// Returns this VM's share of the slots of a server.
+    fn places(&self, server: &Server) -> places::Share {
         let number = hash::stable(&[server.replica.id.as_str()]);
-        let slots = server.replica.slots as usize;
-        let own = places::Share::of_vm(slots, number, self.own, &self.others);
-        let of_lender = |lender: u64| {
-            let others = self.others.iter().copied().filter(|other| *other != lender);
-            let others: Vec<u64> = others.chain([self.own]).collect();
-            places::Share::of_vm(slots, number, lender, &others).places
-        };
-        let borrowed = self.lenders.iter().map(|(lender, part)| (of_lender(*lender), *part));
-        let is_full = server.rejected_at.is_some_and(|at| now.since(at) < places::EXTRA_PAUSE);
-        let uses_extra = own.has_extra && !is_full && rejections.0 >= 1.0;
-        places::with_parts(own.places, self.kept, borrowed) + usize::from(uses_extra)
+        places::Share::of_vm(server.replica.slots as usize, number, self.own, &self.others)
     }
 
     /// Returns true if another VM is a sender of a server.
@@ -154,21 +143,46 @@
         announced.or_else(|| self.brittle.filter(|_| !server.has_responded))
     }
 
-    /// Returns the number of requests that this VM may have at a server at a time; `None` if the
-    /// server is not brittle.
+    /// Returns the number of requests that this VM may have at a server at a time, with places that
+    /// it has borrowed; `None` if the server is not brittle.
     pub fn places(&self, server: &Server) -> Option<usize> {
         let rejections = self.rejections(server)?;
-        let vms = self.vms.get_or_init(&self.find_vms);
-        Some(vms.as_ref().map_or(0, |vms| vms.places(server, rejections, self.now)))
+        let own = self.own_places(server).map_or(0, |own| {
+            let is_full =
+                server.rejected_at.is_some_and(|at| self.now.since(at) < places::EXTRA_PAUSE);
+            own.places + usize::from(own.has_extra && !is_full && rejections.0 >= 1.0)
+        });
+        Some(own + server.loans.borrowed())
+    }
+
+    /// Returns this VM's share of the slots of a server, or `None` if it does not know the other VMs
+    /// yet.
+    fn own_places(&self, server: &Server) -> Option<places::Share> {
+        let vms = self.vms.get_or_init(&self.find_vms).as_ref()?;
+        Some(vms.places(server))
     }
 
     /// Returns how many more requests this VM may have at a server; `None` if the server is not
     /// brittle.
-    fn free_places(&self, server: &Server) -> Option<usize> {
+    pub fn free_places(&self, server: &Server) -> Option<usize> {
         let places = self.places(server)?;
         Some(places.saturating_sub(server.taken_places(self.now)))
     }
 
+    /// Returns the number of places at a server that this VM may lend to others.
+    pub fn lendable_places(&self, server: &Server) -> usize {
+        let own = self.rejections(server).and_then(|_| self.own_places(server));
+        own.map_or(0, |own| own.places.saturating_sub(server.taken_places(self.now)))
+    }
+
+    /// Returns the number of places at a server that this VM has on average if VMs lend each other
+    /// all that they don't need; `None` if the server is not brittle.
+    pub fn even_places(&self, server: &Server) -> Option<f64> {
+        self.rejections(server)?;
+        let vms = self.vms.get_or_init(&self.find_vms).as_ref();
+        Some(vms.map_or(0.0, |vms| f64::from(server.replica.slots) / (vms.others.len() + 1) as f64))
+    }
+
     /// Returns true if this VM may send a request without a place to a brittle server now.
     fn has_spare(&self, server: &Server) -> bool {
         let limit = self.rejections(server).and_then(places::spare_limit);
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -10,8 +10,8 @@
 use super::settings::Settings;
 use super::vm::Vm;
 use super::{
-    connectivity, duty, follower, lending, listener, peer, pinned_sessions, poison, proof, restore,
-    rollout_steps, store_watch, suspension, tunnel, usage,
+    connectivity, duty, follower, lending, listener, peer, pinned_sessions, places, poison, proof,
+    restore, rollout_steps, store_watch, suspension, tunnel, usage,
 };
 use crate::error::Error;
 use crate::platform;
@@ -56,6 +56,7 @@
     spawn(store_watch::expire_servers(vm.clone()));
     spawn(connectivity::run(vm.clone()));
     spawn(tunnel::run(vm.clone()));
+    spawn(places::lending::run(vm.clone()));
     spawn(rollout_steps::run(vm.clone()));
     spawn(pinned_sessions::run(vm.clone()));
     spawn(suspension::run(vm.clone()));
--- a/src/forward/selection/mod.rs
+++ b/src/forward/selection/mod.rs
@@ -156,8 +156,8 @@
     permit_wait(vm, criteria, until, now).or_else(|| backoff_wait(vm, criteria, until, now))
 }
 
-/// Returns the expected time until a place of this VM at a brittle server is free for a request;
-/// `None` if the VM has no place at a server that the request may go to.
+/// Returns the expected time until this VM has a place at a brittle server for a request; `None` if
+/// it has no place at a server that the request may go to, and can't borrow one.
 pub fn place_wait(vm: &Vm, criteria: &Criteria, now: Moment) -> Option<Span> {
     let (versions, _) = eligible_versions(vm, criteria.service, criteria.call, now);
     let limiter = rate_limit::limiter(vm, criteria.service, now);
@@ -169,8 +169,15 @@
             && criteria.allows_region(vm, one)
             && !criteria.has_tried(&one.replica)
     });
-    let places: usize = allowed.filter_map(|one| limiter.places(one)).sum();
-    (places > 0).then(|| vm.place_queue(criteria.service).expected_wait(places))
+    let (mut own, mut even) = (0, 0.0);
+    for server in allowed {
+        own += limiter.places(server).unwrap_or(0);
+        even += limiter.even_places(server).unwrap_or(0.0);
+    }
+    let queue = vm.place_queue(criteria.service);
+    let can_borrow = queue.lenders.borrow().respond(now);
+    let places = if can_borrow { even.max(own as f64) } else { own as f64 };
+    (places > 0.0).then(|| queue.expected_wait(places))
 }
 
 /// Returns a wait for the backoff that ends first, with jitter so that the requests that wait for
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -15,6 +15,7 @@
 use crate::decide::load::Load;
 use crate::decide::path::DirectPath;
 use crate::decide::server_limit::Pacer;
+use crate::decide::server_limit::loans::Loans;
 use crate::decide::server_limit::places::Lingering;
 use crate::unit::{DataCentre, Moment, Server as Id, Service, Span, Version};
 
@@ -54,6 +55,8 @@
     pub spare: Pacer,
     /// Places at the server that requests of this VM take after they were given up.
     pub lingering: Lingering,
+    /// Places at the server that this VM has lent and borrowed.
+    pub loans: Loans,
     /// When the server last rejected a request of this VM.
     pub rejected_at: Option<Moment>,
     /// True once this incarnation has responded to this VM.
@@ -89,6 +92,7 @@
             pacer: Pacer::default(),
             spare: Pacer::default(),
             lingering: Lingering::default(),
+            loans: Loans::default(),
             rejected_at: None,
             has_responded: false,
             superseded: Rc::default(),
@@ -103,9 +107,10 @@
         }
     }
 
-    /// Returns the number of places that requests of this VM take at the server.
+    /// Returns the number of places at the server that requests of this VM take, or other VMs have
+    /// borrowed from it.
     pub fn taken_places(&self, now: Moment) -> usize {
-        self.load.open() as usize + self.lingering.count(now)
+        self.load.open() as usize + self.lingering.count(now) + self.loans.lent(now)
     }
 
     /// Records that a prompt prefix was sent to the server, which now caches it for a while.
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -8,12 +8,13 @@
 use tokio::sync::Notify;
 
 use super::era::Tracker;
+use super::events::Events;
 use super::feed::{Feed, Origin, Reachability};
 use super::kind::Kind;
 use super::metrics::Metrics;
 use super::peer::Peers;
 use super::pinned_sessions::PinnedSessions;
-use super::place_queue::PlaceQueue;
+use super::places::{Event as PlaceEvent, PlaceQueue};
 use super::positions::Positions;
 use super::replica::Rollout;
 use super::restore::Restore;
@@ -36,7 +37,7 @@
 use crate::decide::server_limit::places::BrittleServices;
 use crate::decide::tunnel::Helpers;
 use crate::peer::stall::Gate;
-use crate::peer::tunnel::Events;
+use crate::peer::tunnel::Event as TunnelEvent;
 use crate::platform::client::{Client, StoreError};
 use crate::platform::object::Object;
 use crate::unit::{Era, Model, Moment, Position, Service, Span, Vm as Name, hash};
@@ -153,7 +154,7 @@
     /// Wakes requests that wait for an offer of another VM to relay their connections.
     pub helper_offered: Notify,
     /// Queue of what other VMs send about tunnels.
-    pub tunnel_events: Events,
+    pub tunnel_events: Events<TunnelEvent>,
     /// VMs that this one has offered to relay connections for, with their addresses.
     pub tunnel_users: RefCell<HashMap<Name, SocketAddr>>,
     /// Number of tunnels that this VM relays for others.
@@ -174,6 +175,8 @@
     pub brittle_services: RefCell<BrittleServices>,
     /// Requests that wait for a place at a brittle server, by service.
     pub place_queues: RefCell<HashMap<Service, Rc<PlaceQueue>>>,
+    /// Queue of what happens to places at brittle servers.
+    pub place_events: Events<PlaceEvent>,
     /// Buffered log lines.
     pub logger: Logger,
     /// Metrics of the process.
@@ -253,6 +256,7 @@
             lending: RefCell::default(),
             brittle_services: RefCell::default(),
             place_queues: RefCell::default(),
+            place_events: Events::default(),
             logger: lines,
             metrics: Metrics::new(),
             unknown_headers: RefCell::default(),
--- a/src/peer/tunnel.rs
+++ b/src/peer/tunnel.rs
@@ -5,7 +5,6 @@
 //! destination itself. The other VM sends an [`Answer`]; after [`Answer::Connected`] the tunnel
 //! carries the bytes of the connection. Each end closes it by dropping its stream.
 
-use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -14,7 +13,6 @@
 use quinn::{RecvStream, SendStream};
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
-use tokio::sync::mpsc;
 
 use super::wire::{decode, encode};
 use crate::unit::{Server, Service, Vm};
@@ -75,32 +73,6 @@
     Opened(Tunnel),
 }
 
-/// Queue of events about tunnels for the task that handles them.
-pub struct Events {
-    sender: mpsc::UnboundedSender<Event>,
-    receiver: Cell<Option<mpsc::UnboundedReceiver<Event>>>,
-}
-
-impl Default for Events {
-    fn default() -> Events {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        Events { sender, receiver: Cell::new(Some(receiver)) }
-    }
-}
-
-impl Events {
-    /// Queues an event.
-    pub fn send(&self, event: Event) {
-        // Fails if the task has ended with the process, which needs no handling.
-        let _ = self.sender.send(event);
-    }
-
-    /// Returns the receiving end, the first time.
-    pub fn take_receiver(&self) -> Option<mpsc::UnboundedReceiver<Event>> {
-        self.receiver.take()
-    }
-}
-
 /// One end of a tunnel.
 pub struct Tunnel {
     send: SendStream,
--- a/tests/brittle.rs
+++ b/tests/brittle.rs
@@ -155,3 +155,8 @@
 fn brittle_servers_that_bear_many_rejections_stay_up_and_busy() {
     keeps_brittle_servers_up_and_busy(Case { vms: 7, servers: 8, limit: 10, load: 2.5, burst: 1 });
 }
+
+#[test]
+fn brittle_servers_with_fewer_slots_than_vms_stay_up_and_busy() {
+    keeps_brittle_servers_up_and_busy(Case { vms: 14, servers: 2, limit: 2, load: 0.8, burst: 1 });
+}
