--- a/src/decide/server_limit/places.rs
+++ b/src/decide/server_limit/places.rs
@@ -6,7 +6,7 @@
 //! divided beforehand: each VM computes alike which slots of a server are its *places*, and no
 //! message is needed to keep their sum. VMs lend each other places that they don't need
 //! ([`super::loans`]). Few requests beyond them go to servers with free room, at a
-//! rate at which the server bears to reject them all.
+//! rate that the server tolerates even if it rejects them all.
 
 use std::collections::HashMap;
 
@@ -17,7 +17,7 @@
 /// Window in which a server counts its rejections.
 const REJECTION_WINDOW: Span = Span::secs(1);
 
-/// Part of the rejections that a server bears that is used for requests without a place. Such a
+/// Part of the rejections that a server tolerates that is used for requests without a place. Such a
 /// request may take the room of one with a place, which is then rejected as well, and VMs may know
 /// different members for a moment.
 const SPARE_PART: f64 = 0.25;
@@ -41,12 +41,12 @@
 pub struct BrittleServices(HashMap<Service, (Rate, Moment)>);
 
 impl BrittleServices {
-    /// Records that a server of a service announced the rejections per second that it bears.
+    /// Records that a server of a service announced the rejections per second that it tolerates.
     pub fn on_announcement(&mut self, service: &Service, rejections: Rate, at: Moment) {
         self.0.insert(service.clone(), (rejections, at));
     }
 
-    /// Returns the rejections per second that servers of a service bear; `None` if the service does
+    /// Returns the rejections per second that servers of a service tolerate; `None` if the service does
     /// not count as brittle.
     pub fn rejections(&self, service: &Service, now: Moment) -> Option<Rate> {
         let (rejections, at) = self.0.get(service)?;
@@ -83,8 +83,8 @@
     }
 }
 
-/// Returns the limit of requests without a place at a server that bears this rate of rejections;
-/// `None` if it bears too few of them.
+/// Returns the limit of requests without a place at a server that tolerates this rate of rejections;
+/// `None` if it tolerates too few of them.
 pub fn spare_limit(rejections: Rate) -> Option<RateLimit> {
     let rate = Rate((rejections.0 * SPARE_PART).floor());
     (rate.0 >= 1.0).then_some(RateLimit { rate, window: REJECTION_WINDOW })
--- a/src/experiment/brittle.rs
+++ b/src/experiment/brittle/simulation.rs
@@ -1,9 +1,4 @@
-//! Brittle servers behind many VMs, in virtual time: ways to divide what a server takes at once, so
-//! that it rejects few requests and stays busy.
-//!
-//! All servers of a service are brittle and have a short queue. A server that rejects more than its
-//! limit in a second fails, and is back after three seconds. Requests wait at their VM for a place
-//! until they are too old. Reports of the servers' loads are late by the same time for all VMs.
+//! Simulates one strategy for one fleet in virtual time.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
@@ -11,14 +6,11 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::options::Options;
-use super::table::{Row, Table};
+use super::{Case, Strategy};
 use crate::decide::server_limit::places::{EXTRA_PAUSE, Share};
+use crate::experiment::table::Row;
 use crate::unit::{Moment, Span, hash};
 
-/// VMs and servers by default.
-const SIZES: [(usize, usize); 6] = [(7, 12), (23, 24), (84, 5), (84, 12), (84, 96), (295, 96)];
-
 /// Slots of a server, places in its queue, and time that a request runs.
 const SLOTS: usize = 4;
 const QUEUE: usize = 1;
@@ -41,10 +33,6 @@
 /// Time for which a VM leaves out a server that rejected its request, if each acts by itself.
 const PAUSE: Span = Span::millis(300);
 
-/// Part of the VMs that are dead, with places that nobody uses, or that reach no other VM, in the
-/// cases with such VMs.
-const FAULTY_SHARE: f64 = 0.1;
-
 /// Time for which a VM keeps the request of another one for a place, and until that asks again.
 const ASK_TTL: Span = Span::millis(100);
 
@@ -54,84 +42,12 @@
 /// Time for which a place is lent, if it is not lent for one request.
 const LOAN_TIME: Span = Span::millis(500);
 
-/// How the room of a server is divided among VMs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Strategy {
-    /// Each VM sends to the least loaded server it knows of.
-    Unheeded,
-    /// Each VM leaves a server out for a while after a rejection.
-    EachAlone,
-    /// Each VM has an even part of the slots of each server, at least one.
-    EvenParts,
-    /// The slots are dealt to VMs in an order that all compute alike.
-    Places,
-    /// The same with room for one request in the queue: the strategy of the router.
-    PlacesAndExtra,
-    /// A VM without a free place asks VMs that have some, which lend one for one request.
-    LentOnce,
-    /// The same, for as long as the borrower has requests, up to [`LOAN_TIME`].
-    LentForTime,
-    /// One VM for each server grants its slots on request, which takes a round trip between VMs.
-    Granted,
-}
-
-impl Strategy {
-    const ALL: [Strategy; 8] = [
-        Strategy::Unheeded,
-        Strategy::EachAlone,
-        Strategy::EvenParts,
-        Strategy::Places,
-        Strategy::PlacesAndExtra,
-        Strategy::LentOnce,
-        Strategy::LentForTime,
-        Strategy::Granted,
-    ];
-
-    fn name(self) -> &'static str {
-        match self {
-            Strategy::Unheeded => "unheeded",
-            Strategy::EachAlone => "each alone",
-            Strategy::EvenParts => "even parts",
-            Strategy::Places => "places",
-            Strategy::PlacesAndExtra => "places and extra",
-            Strategy::LentOnce => "lent for a request",
-            Strategy::LentForTime => "lent for a time",
-            Strategy::Granted => "granted",
-        }
-    }
-
-    fn lends(self) -> bool {
-        matches!(self, Strategy::LentOnce | Strategy::LentForTime)
-    }
-}
-
-/// What is simulated beside size and strategy.
-#[derive(Clone, Copy, Debug)]
-struct Case {
-    load: f64,
-    burst: usize,
-    stale: Span,
-    /// Part of the VMs that are dead.
-    dead: f64,
-    /// Part of the VMs that exchange nothing with others.
-    cut_off: f64,
-}
-
-const CASES: [Case; 6] = [
-    Case { load: 0.7, burst: 1, stale: Span::millis(50), dead: 0.0, cut_off: 0.0 },
-    Case { load: 1.6, burst: 1, stale: Span::millis(50), dead: 0.0, cut_off: 0.0 },
-    Case { load: 1.6, burst: 1, stale: Span::secs(1), dead: 0.0, cut_off: 0.0 },
-    Case { load: 1.2, burst: 40, stale: Span::millis(200), dead: 0.0, cut_off: 0.0 },
-    Case { load: 1.6, burst: 1, stale: Span::millis(200), dead: FAULTY_SHARE, cut_off: 0.0 },
-    Case { load: 1.6, burst: 1, stale: Span::millis(200), dead: 0.0, cut_off: FAULTY_SHARE },
-];
-
 /// One server, with the load that VMs know of.
 #[derive(Default)]
 struct Server {
     running: usize,
     waiting: usize,
-    /// Requests that VMs sent and have not heard of.
+    /// Requests that VMs sent and that have not ended for them.
     in_use: usize,
     rejections: VecDeque<Moment>,
     gone_until: Moment,
@@ -167,9 +83,9 @@
     Arrives(usize, usize),
     /// A request of a VM ends at an incarnation of a server.
     Ends(usize, usize, u64),
-    /// The VM hears that its request was served.
+    /// The VM receives the response of a request that was served.
     Served(usize, usize),
-    /// The VM hears that its request was rejected or lost.
+    /// The VM learns that its request was rejected or lost.
     Rejected(usize, usize),
     /// The first VM's request for a place reaches the second.
     Asked(usize, usize),
@@ -179,7 +95,7 @@
     Returned(usize, usize, usize),
 }
 
-struct Simulation {
+pub struct Simulation {
     strategy: Strategy,
     case: Case,
     nodes: Vec<Node>,
@@ -198,7 +114,14 @@
 }
 
 impl Simulation {
-    fn new(vms: usize, servers: usize, strategy: Strategy, case: Case, seed: u64) -> Simulation {
+    /// Returns a simulation with all servers up and idle.
+    pub fn new(
+        vms: usize,
+        servers: usize,
+        strategy: Strategy,
+        case: Case,
+        seed: u64,
+    ) -> Simulation {
         let names: Vec<u64> = (0..vms).map(|vm| hash::stable(&[&format!("vm{vm}")])).collect();
         let dead = (vms as f64 * case.dead).ceil() as usize;
         let cut_off = (vms as f64 * case.cut_off).ceil() as usize;
@@ -247,7 +170,8 @@
         (self.servers.len() * SLOTS) as f64 / WORK.as_secs()
     }
 
-    fn run(&mut self) {
+    /// Runs the simulation to its end.
+    pub fn run(&mut self) {
         let alive: Vec<usize> =
             (0..self.nodes.len()).filter(|vm| !self.nodes[*vm].is_dead).collect();
         let per_step = self.case.load * self.capacity() * STEP.as_secs();
@@ -489,7 +413,8 @@
         served as f64 / sent.max(1) as f64 / all.max(f64::MIN_POSITIVE)
     }
 
-    fn row(&self) -> Row {
+    /// Returns the row of the table with the results.
+    pub fn row(&self) -> Row {
         let (seconds, vms) = (RUN_LENGTH.as_secs(), self.nodes.len() as f64);
         let able = self.capacity() * seconds;
         let failures: u64 = self.servers.iter().map(|server| server.failures).sum();
@@ -509,25 +434,3 @@
             .number("messages/s a VM", self.messages as f64 / seconds / vms, 1)
     }
 }
-
-/// Simulates all strategies for each size and case.
-pub fn run(options: &Options) -> Table {
-    let sizes = SIZES.iter().filter(|(vms, _)| options.vms.is_empty() || options.vms.contains(vms));
-    let mut rows = Vec::new();
-    for (vms, servers) in sizes.copied() {
-        for case in CASES {
-            for strategy in Strategy::ALL {
-                let mut simulation = Simulation::new(vms, servers, strategy, case, options.seed);
-                simulation.run();
-                rows.push(simulation.row());
-            }
-        }
-    }
-    let notes = vec![
-        "Failures of servers, and how many users allow. Served: part of what the servers can do, or \
-         of what is asked if that is less. Without places: part that is served at VMs without places, \
-         relative to that at all VMs. Rejected: part of the requests, by servers."
-            .to_owned(),
-    ];
-    Table { rows, notes }
-}
--- a/src/forward/announce.rs
+++ b/src/forward/announce.rs
@@ -52,7 +52,7 @@
 pub enum LimitKind {
     /// Requests per second.
     Requests,
-    /// Rejections per second that a brittle server bears.
+    /// Rejections per second that a brittle server tolerates.
     Rejections,
 }
 
--- a/src/forward/rate_limit.rs
+++ b/src/forward/rate_limit.rs
@@ -68,7 +68,7 @@
 pub struct Limiter<'a> {
     /// Rate limit that the service declares for cold servers.
     cold: Option<cold_start::ColdStart>,
-    /// Rejections per second that servers of the service bear, if it counts as brittle.
+    /// Rejections per second that servers of the service tolerate, if it counts as brittle.
     brittle: Option<Rate>,
     now: Moment,
     /// Returns the VMs, or `None` if this one does not know the others yet.
@@ -137,7 +137,7 @@
         self.rate_limit(server).is_none_or(may)
     }
 
-    /// Returns the rejections per second that a server bears; `None` if it is not brittle.
+    /// Returns the rejections per second that a server tolerates; `None` if it is not brittle.
     pub fn rejections(&self, server: &Server) -> Option<Rate> {
         let announced = server.availability.rejection_limit.rate(self.now);
         announced.or_else(|| self.brittle.filter(|_| !server.has_responded))
