--- a/src/forward/places/lending.rs
+++ b/src/forward/places/lending.rs
@@ -33,11 +33,16 @@
                 Some(event) => on_event(&vm, event),
                 None => return,
             },
-            _ = ticks.tick() => sweep(&vm),
+            _ = ticks.tick(), if has_loans(&vm) => sweep(&vm),
         }
     }
 }
 
+/// Returns true if places are borrowed, or other VMs want to borrow some.
+fn has_loans(vm: &Vm) -> bool {
+    vm.place_queues.borrow().values().any(|queue| queue.has_loans())
+}
+
 fn on_event(vm: &Rc<Vm>, event: Event) {
     match event {
         Event::Needed(service) => ask(vm, &service),
