--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -156,6 +156,8 @@
     def __init__(self, to):
         self.to = to
         self.address = None
+        # While set, each call is answered 503: the store turns this machine away.
+        self.refuses = False
         self.links = []
         self.on_request = lambda link, text: None
         self.on_loss = lambda link: None
@@ -193,6 +195,10 @@
                         break
                     if is_request:
                         self.on_request(link, data.decode("latin-1"))
+                        if self.refuses:
+                            writer.write(b"HTTP/1.1 503 Service Unavailable\r\n"
+                                         b"Store-Era: 0\r\nContent-Length: 0\r\n\r\n")
+                            continue
                     sink.write(data)
                     await sink.drain()
             except (OSError, asyncio.IncompleteReadError):
