--- a/review/3/run.py
+++ b/review/3/run.py
@@ -95,7 +95,8 @@
             id = "%s.c%d-%d" % (in_touch[number % len(in_touch)].name, number, count)
             count += 1
             headers = {"X-Attempt-Id": id, "X-Deadline-Ms": "1500", "Authorization": "Token " + KEY}
-            done.append(await connection.send("POST", PATH, HOST_NAME, headers, b"x" * 600))
+            status = await connection.send("POST", PATH, HOST_NAME, headers, b"x" * 600)
+            done.append((id, at, status, h.now()))
             await asyncio.sleep(max(0.0, CLIENTS / RATE - (h.now() - at)))
         connection.close()
 
@@ -120,12 +121,17 @@
     stop.set()
     await asyncio.gather(*clients)
 
+    ran = {id: (name, at) for id, name, at in arrivals}
+    for id, at, status, answered in done:
+        name, arrived = ran.get(id, ("none", at))
+        record("%s sent %.3f, reached %s %.3f, answered %s %.3f" % (
+            id, at - record.start, name, arrived - record.start, status, answered - record.start))
     late = []
     for id, name, at in arrivals:
         if name in left and at > left[name] + DRAIN_S:
             late.append(id)
             record("%s reaches %s %.3f s after it has left" % (id, name, at - left[name]))
-    served = sum(status == 200 for status in done)
+    served = sum(status == 200 for _, _, status, _ in done)
     record("%d requests, %d served; %d reached a replica later than %.1f s after it had left" % (
         len(done), served, len(late), DRAIN_S))
     if served < len(done) * 0.9:
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -48,7 +48,9 @@
 
     def __call__(self, text):
         self.file.write("%8.3f  %s\n" % (now() - self.start, text))
-        self.file.flush()
+
+    def close(self):
+        self.file.close()
 
 
 class Processes:
@@ -300,6 +302,7 @@
     finally:
         processes.end_all()
     record("exit %d" % code)
+    record.close()
     sys.stdout.write("exit %d, see %s\n" % (code, os.path.join(folder, "record.txt")))
     sys.stdout.flush()
     os._exit(code)
