Bound the age of the configuration at a VM that nobody follows

Cause: such a VM learns of configurations by a watch alone, which is repeated 7.2 s after its start if its answer is lost. Proofs, which read the configuration over a connection of their own, were made on a schedule only by readers with followers, or every 3.3 s where revoked keys have a bound. Evidence: 'store call failed ... timed out after 7.20s' a millisecond before 'configuration in force', and no proof after the followers were gone. Ruled out: proofs that are rejected, a lost store (neither is logged).

Fix: every reader makes proofs after 0.45 of the bound of the configuration. Intervals, timeouts and largest ages of all kinds are worked out in decide::freshness, which also sums them up for a reader and a follower; the time without contact is bounded by the shortest bound of all kinds, since an update carries all.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -15,6 +15,7 @@
 pub mod connectivity;
 pub mod escalate;
 pub mod fair;
+pub mod freshness;
 pub mod lease;
 pub mod lending;
 pub mod limit;
--- a/src/decide/reader.rs
+++ b/src/decide/reader.rs
@@ -18,6 +18,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::freshness::{MAX_FORWARDED_AGE_FRACTION, READ_STORE_AGE_FRACTION};
 use crate::unit::{Millicores, Moment, Span, Vm};
 
 /// Time between two polls of a source.
@@ -73,18 +74,6 @@
 /// some sources are not up yet when all VMs restart.
 pub const FIRST_POLL_TIMEOUT: Span = Span::millis(250);
 
-/// Maximum age of server data that a VM forwards to followers, as a fraction of the time in which a
-/// draining server may still get work. With a smaller fraction most VMs read the store themselves
-/// when the store delays a request for a second. For the data that a follower uses itself,
-/// [`READ_STORE_AGE_FRACTION`] is the bound.
-const MAX_FORWARDED_AGE_FRACTION: f64 = 0.65;
-
-/// Age of a follower's server data, as a fraction of the time in which a draining server may still
-/// get work, at which the follower reads the store itself, even if a source may still answer: a
-/// read of the store takes some milliseconds. One poll interval, two timeouts and the oldest data
-/// that is forwarded would add up to more than the whole time.
-const READ_STORE_AGE_FRACTION: f64 = 0.8;
-
 /// Maximum number of VMs that an update may have been forwarded by. Two hops are usual, and three
 /// if the first VM of a group is skipped.
 const MAX_HOPS: u8 = 4;
@@ -105,10 +94,10 @@
     }
 }
 
-/// Returns true if server data of this age is too old to be forwarded to followers. `leave_within`
-/// is the time in which a draining server may still get work.
-pub fn is_too_old_to_forward(servers_age: Span, leave_within: Span) -> bool {
-    servers_age > leave_within.mul_f64(MAX_FORWARDED_AGE_FRACTION)
+/// Returns true if server data of this age is too old to be forwarded to followers, whose time
+/// without contact has this bound.
+pub fn is_too_old_to_forward(servers_age: Span, contact_bound: Span) -> bool {
+    servers_age > contact_bound.mul_f64(MAX_FORWARDED_AGE_FRACTION)
 }
 
 /// Returns true if the VM `by` may accept an update that `reader` read from the store and that took
@@ -121,9 +110,9 @@
 /// Returns the timeout of the next poll, or none if the VM should read the store instead. `known`
 /// is when a follower's server data were read from the store; a VM that reads the store itself
 /// passes none and always gets the full timeout.
-pub fn poll_timeout(known: Option<Moment>, leave_within: Span, now: Moment) -> Option<Span> {
+pub fn poll_timeout(known: Option<Moment>, contact_bound: Span, now: Moment) -> Option<Span> {
     let Some(known) = known else { return Some(POLL_TIMEOUT) };
-    let left = (known + leave_within.mul_f64(READ_STORE_AGE_FRACTION)).since(now);
+    let left = (known + contact_bound.mul_f64(READ_STORE_AGE_FRACTION)).since(now);
     (left > Span::default()).then(|| left.min(POLL_TIMEOUT))
 }
 
--- a/src/forward/backoff.rs
+++ b/src/forward/backoff.rs
@@ -1,10 +1,8 @@
 //! Exponential backoff with jitter after failed calls to the store.
 
+use crate::decide::freshness::FIRST_RETRY_DELAY;
 use crate::unit::Span;
 
-/// Delay after the first failed call, before jitter.
-const INITIAL_DELAY: Span = Span::millis(150);
-
 /// Number of failures after which the delay no longer doubles.
 const MAX_DOUBLINGS: u32 = 8;
 
@@ -23,7 +21,7 @@
 
     /// Records a failure and returns the delay before the next call, at most `longest`.
     pub fn next_delay(&mut self, longest: Span) -> Span {
-        let doubled = INITIAL_DELAY.0 << self.failures.min(MAX_DOUBLINGS);
+        let doubled = FIRST_RETRY_DELAY.0 << self.failures.min(MAX_DOUBLINGS);
         self.failures += 1;
         let most = doubled.min(longest.0) as f64;
         Span((most * (0.5 + 0.5 * rand::random::<f64>())) as u64)
--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -140,11 +140,7 @@
     fn poll_timeout(&self, candidates: &Candidates) -> Option<Span> {
         let now = self.vm.now();
         let lost = self.vm.upstream_store_lost.get() || self.is_store_reported_down(candidates);
-        poll_timeout(
-            self.servers_as_of.filter(|_| !lost),
-            self.vm.settings.bounds.drain_within,
-            now,
-        )
+        poll_timeout(self.servers_as_of.filter(|_| !lost), self.vm.schedules.contact_bound(), now)
     }
 
     /// Returns true if the VMs of the group that this VM polls report the store as down.
@@ -342,7 +338,7 @@
         }
         self.update_rank(candidates);
         let now = vm.now();
-        let bound = vm.settings.bounds.drain_within;
+        let bound = vm.schedules.contact_bound();
         let group_position = self.own_place(candidates);
         let without = FollowerState {
             group_position,
--- a/src/forward/kind.rs
+++ b/src/forward/kind.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::decide::freshness::{Schedule, Schedules};
 use crate::platform::object::{CONFIG, EVACUATIONS, ROLLOUTS, SERVERS};
 
 /// Name of the kind of objects that register the VMs with their data centres and addresses.
@@ -27,6 +28,17 @@
     pub const ALL: [Kind; 5] =
         [Kind::Config, Kind::Servers, Kind::Rollouts, Kind::Evacuations, Kind::Vms];
 
+    /// Returns how a reader keeps its state of the kind current.
+    pub fn schedule(self, schedules: &Schedules) -> Schedule {
+        match self {
+            Kind::Config => schedules.config,
+            Kind::Servers => schedules.servers,
+            Kind::Rollouts => schedules.rollouts,
+            Kind::Evacuations => schedules.evacuations,
+            Kind::Vms => schedules.vms,
+        }
+    }
+
     /// Returns the kind's name in the paths of the store.
     pub fn name(self) -> &'static str {
         match self {
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -57,7 +57,7 @@
 pub mod poll;
 pub mod pool;
 pub mod positions;
-mod proof;
+pub mod proof;
 pub mod rate_limit;
 mod relay;
 pub mod replica;
--- a/src/forward/poll.rs
+++ b/src/forward/poll.rs
@@ -145,11 +145,6 @@
     if vm.is_stopping() {
         return Err(Decline::Stops);
     }
-    if !vm.has_followers(now) {
-        // A VM with followers renews its proof earlier than one without.
-        vm.proof_requested.notify_one();
-    }
-    vm.follower_polled_at.set(Some(now));
     let proof_age = vm.proof_age(now);
     let verdicts = rollout_counts::verdicts(vm);
     let store = reachability(vm, check_ages(vm, proof_age))?;
@@ -190,7 +185,7 @@
     // A proof of the configuration does not cover servers, which have an age of their own.
     let servers = vm.feed.borrow().freshness(Kind::Servers).ok_or(Decline::KnowsTooLittle)?;
     let age = vm.now().since(servers.read_sent_at);
-    if is_too_old_to_forward(age, vm.settings.bounds.drain_within) {
+    if is_too_old_to_forward(age, vm.schedules.contact_bound()) {
         return Err(Decline::OldServers);
     }
     Ok(())
--- a/src/forward/proof.rs
+++ b/src/forward/proof.rs
@@ -16,19 +16,6 @@
 use crate::platform::object::CONFIG;
 use crate::unit::Span;
 
-/// Age at which a proof is renewed, as a fraction of the age up to which requests with a key may be
-/// forwarded ([`Vm::max_proof_age`]); the remainder is a reserve for a store that is slow or
-/// unavailable for a moment.
-const RENEWAL_FRACTION: f64 = 0.7;
-
-/// Age at which a VM that reads the store for followers renews its proof, as a fraction of
-/// [`Vm::max_proof_age`]. Followers deny routes and keys by the reader's proofs, and need time to
-/// notice that the reader is gone and to read the store themselves.
-const READER_RENEWAL_FRACTION: f64 = 0.35;
-/// Age at which a VM that reads the store for followers renews its proof, as a fraction of the time
-/// within which a configuration change must be in force. The lower of the two ages applies.
-const DENIAL_RENEWAL_FRACTION: f64 = 0.45;
-
 /// Time that the first list of the configuration after the start may take before a separate proof
 /// is made; the list is a proof as well.
 const STARTUP_LIST_GRACE: Span = Span::millis(300);
@@ -143,8 +130,8 @@
 async fn wait_for_due(vm: &Vm) -> bool {
     let asked = vm.proof_requested.notified();
     let proved = vm.proved_at.get();
-    // Without a bound on the time in which revoked keys are refused, proofs are needed only on
-    // request.
+    // Without a bound on the time in which revoked keys are refused, a follower needs proofs only
+    // on request.
     let Some(wait) = time_until_due(vm) else {
         asked.await;
         return true;
@@ -156,13 +143,10 @@
 }
 
 /// Returns the time until the next proof is due, or `None` if proofs are made only on request.
-fn time_until_due(vm: &Vm) -> Option<Span> {
-    let longest = vm.max_proof_age();
-    let interval = if vm.is_reader() && vm.has_followers(vm.now()) {
-        let to_deny = vm.settings.bounds.config_propagation.mul_f64(DENIAL_RENEWAL_FRACTION);
-        longest.map_or(to_deny, |longest| longest.mul_f64(READER_RENEWAL_FRACTION).min(to_deny))
-    } else {
-        longest?.mul_f64(RENEWAL_FRACTION)
+pub fn time_until_due(vm: &Vm) -> Option<Span> {
+    let interval = match vm.is_reader() {
+        true => vm.schedules.reader_proof_interval(),
+        false => vm.schedules.follower_proof_interval()?,
     };
     // The first list of the configuration is a proof too, so without any proof there is still a
     // short wait for that list.
--- a/src/forward/settings.rs
+++ b/src/forward/settings.rs
@@ -3,9 +3,14 @@
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 
-use crate::decide::{lease, usage};
+use crate::decide::freshness::Schedules;
+use crate::decide::{freshness, lease, usage};
 use crate::unit::{DataCentre, Millicores, Region, Span, Vm};
 
+/// Safety margin on the age of a proof that the configuration is the newest, for differences
+/// between clock rates.
+const PROOF_AGE_MARGIN: Span = Span::millis(250);
+
 /// Settings of one entry VM.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -81,3 +86,22 @@
     /// Number of requests that a bad version may get in addition to its fraction.
     pub exposure_tolerance: f64,
 }
+
+impl Bounds {
+    /// Returns the longest age of a proof at which requests with a key may be forwarded; `None` if
+    /// the time after which a revoked key is refused is not bounded.
+    pub fn max_proof_age(&self) -> Option<Span> {
+        Some(Span(self.key_staleness?.0.saturating_sub(PROOF_AGE_MARGIN.0)))
+    }
+
+    /// Returns the times of reads that keep the state of the store within these bounds.
+    pub fn schedules(&self) -> Schedules {
+        Schedules::new(freshness::Bounds {
+            config: self.config_propagation,
+            servers: self.drain_within,
+            rollouts: self.rollback,
+            evacuations: self.evacuate_within,
+            key_proof: self.max_proof_age(),
+        })
+    }
+}
--- a/src/forward/store_watch.rs
+++ b/src/forward/store_watch.rs
@@ -9,34 +9,10 @@
 use super::kind::Kind;
 use super::role::Role;
 use super::vm::Vm;
-use crate::platform::client::{
-    Client, Consistency, Events, Listing, RESPONSE_TIMEOUT, SHORT_RESPONSE_TIMEOUT, StoreError,
-};
+use crate::decide::freshness::RESPONSE_TIMEOUT;
+use crate::platform::client::{Client, Consistency, Events, Listing, StoreError};
 use crate::unit::{Moment, Position, Span};
 
-/// Longest time that a watch request waits for events. The store allows 30 s, but an answer may be
-/// lost without an error, and then no event arrives for that long.
-const WATCH_TIMEOUT: Span = Span::secs(6);
-
-/// Longest wait of a watch of rollouts, as a fraction of the time within which a version found bad
-/// must be out of use (`Bounds::rollback`): with a bound of 5 s, a watch that hangs is repeated at
-/// most 3.4 s after the change, and after 7.4 s with [`WATCH_TIMEOUT`].
-const ROLLOUTS_WATCH_FRACTION: f64 = 0.4;
-
-/// Longest wait of a watch of evacuations, as a fraction of the time within which a data centre
-/// must be evacuated (`Bounds::evacuate_within`): with a bound of 5 s, a watch that hangs is
-/// repeated at most 3.2 s after the order.
-const EVACUATIONS_WATCH_FRACTION: f64 = 0.4;
-
-/// Delay of the next watch after an event, so that the events of one change arrive in one response.
-const EVENT_BATCH_DELAY: Duration = Duration::from_millis(250);
-
-/// Interval of polls for changes of servers, as a fraction of the time within which a draining
-/// server may still get requests (`Bounds::drain_within`). Servers are polled because a watch that
-/// waits proves nothing: one that hung on a connection slowed by a network cut of 0.8 s delayed an
-/// entry by 2.0 s, while proofs of the configuration went on over a new connection.
-const SERVERS_POLL_FRACTION: f64 = 0.3;
-
 /// After this time without a response to a poll for changes of servers, the store counts as
 /// doubtful: the response may not come at all. A store that was 60 times slower than usual answered
 /// after 240 ms.
@@ -111,9 +87,10 @@
                 vm.on_store_response();
                 from = from.max(Some(position));
                 backoff = Backoff::default();
+                let interval = kind.schedule(&vm.schedules).interval;
                 let delay = match kind {
-                    Kind::Servers => until_servers_due(&vm, sent),
-                    _ if has_events => EVENT_BATCH_DELAY,
+                    Kind::Servers => (sent + interval).since(vm.now()).duration(),
+                    _ if has_events => interval.duration(),
                     _ => Duration::ZERO,
                 };
                 // If the store recovers meanwhile, request what was missed at once, on a new
@@ -173,24 +150,15 @@
     from: Position,
     backoff: &Backoff,
 ) -> Result<Events, StoreError> {
-    let wait = match kind {
-        Kind::Servers => {
-            // The first timeout is short, in case the connection hangs; a slow store gets more time
-            // at the next call.
-            let within =
-                if backoff.has_failed() { RESPONSE_TIMEOUT } else { SHORT_RESPONSE_TIMEOUT };
-            let changes = store.changes(kind.name(), from, within);
-            return flag_if_slow(vm, changes).await;
-        }
-        Kind::Rollouts => {
-            WATCH_TIMEOUT.min(vm.settings.bounds.rollback.mul_f64(ROLLOUTS_WATCH_FRACTION))
-        }
-        Kind::Evacuations => WATCH_TIMEOUT
-            .min(vm.settings.bounds.evacuate_within.mul_f64(EVACUATIONS_WATCH_FRACTION)),
-        // Proofs read the configuration as well, and changes of VMs have no bound.
-        Kind::Config | Kind::Vms => WATCH_TIMEOUT,
-    };
-    store.watch(kind.name(), from, wait).await
+    let schedule = kind.schedule(&vm.schedules);
+    if kind != Kind::Servers {
+        return store.watch(kind.name(), from, schedule.wait, schedule.timeout).await;
+    }
+    // The first timeout is short, in case the connection hangs; a slow store gets more time at the
+    // next call.
+    let within = if backoff.has_failed() { RESPONSE_TIMEOUT } else { schedule.timeout };
+    let changes = store.changes(kind.name(), from, within);
+    flag_if_slow(vm, changes).await
 }
 
 /// Waits for a response. If it takes longer than [`SLOW_ANSWER_THRESHOLD`], marks the store as
@@ -204,12 +172,6 @@
     call.await
 }
 
-/// Returns the time until the next poll for servers, if the last one was sent at `sent`.
-fn until_servers_due(vm: &Vm, sent: Moment) -> Duration {
-    let due = sent + vm.settings.bounds.drain_within.mul_f64(SERVERS_POLL_FRACTION);
-    due.since(vm.now()).duration()
-}
-
 /// Lists and applies all objects of a kind. Returns the position of the list, and false, since a
 /// list has no events.
 async fn list(vm: &Vm, kind: Kind, store: &mut Client) -> Result<(Position, bool), StoreError> {
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -28,6 +28,7 @@
 use crate::config::Table;
 use crate::decide::budget::RetryBudget;
 use crate::decide::connectivity::Connectivity;
+use crate::decide::freshness::Schedules;
 use crate::decide::lending::Lending;
 use crate::decide::limit;
 use crate::decide::poison::Exchange;
@@ -45,18 +46,10 @@
 use crate::watch::label::LabelSet;
 use crate::watch::log::{Logger, Value};
 
-/// Safety margin on the age of a proof that the configuration is the newest, for differences
-/// between clock rates.
-const PROOF_AGE_MARGIN: Span = Span::millis(250);
-
 /// How long new streams are accepted after a planned stop began. The balancer takes two to three
 /// seconds to notice the stop, and a stream itself lasts some seconds.
 const STREAM_ACCEPT_TIME: Span = Span::millis(2800);
 
-/// A VM that was polled for updates within this time has followers; followers poll a few times a
-/// second.
-const FOLLOWER_TIMEOUT: Span = Span::secs(2);
-
 /// Kinds that a VM must have listed, besides the configuration, before it forwards requests.
 const REQUIRED_KINDS: [Kind; 3] = [Kind::Servers, Kind::Rollouts, Kind::Evacuations];
 
@@ -64,6 +57,8 @@
 pub struct Vm {
     /// Settings that were read at the start.
     pub settings: Settings,
+    /// Times of reads that keep the state within the bounds of the settings.
+    pub schedules: Schedules,
     /// Clocks; tests put in their own.
     pub clock: Clock,
     /// When the process started.
@@ -133,8 +128,6 @@
     pub stalled_at: Cell<Option<Moment>>,
     /// Holds requests back after a stall of this process.
     pub stall_gate: Gate,
-    /// When a follower polled last.
-    pub follower_polled_at: Cell<Option<Moment>>,
     /// Wakes the task that gets proofs that the configuration is the newest.
     pub proof_requested: Notify,
     /// Wakes tasks that wait for a proof.
@@ -203,6 +196,7 @@
             point: hash::stable(&[settings.vm.as_str()]),
         };
         Vm {
+            schedules: settings.bounds.schedules(),
             settings,
             started: clock.now(),
             clock,
@@ -235,7 +229,6 @@
             last_decline: Cell::new(None),
             stalled_at: Cell::new(None),
             stall_gate: Gate::default(),
-            follower_polled_at: Cell::new(None),
             proof_requested: Notify::new(),
             proof_received: Notify::new(),
             store_recoveries: tokio::sync::watch::Sender::new(0),
@@ -405,16 +398,10 @@
         self.metrics.store_calls.with_label_values(&[call, outcome]).inc();
     }
 
-    /// Returns true if other VMs poll this one for updates.
-    pub fn has_followers(&self, now: Moment) -> bool {
-        self.follower_polled_at.get().is_some_and(|at| now.since(at) < FOLLOWER_TIMEOUT)
-    }
-
     /// Returns the longest age of the proof at which requests with a key may be forwarded; `None`
     /// if the settings give no bound for revoked keys.
     pub fn max_proof_age(&self) -> Option<Span> {
-        let bound = self.settings.bounds.key_staleness?;
-        Some(Span(bound.0.saturating_sub(PROOF_AGE_MARGIN.0)))
+        self.settings.bounds.max_proof_age()
     }
 
     /// Returns true if requests with a key may be forwarded: a key that was revoked is not used for
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -12,6 +12,7 @@
 
 use super::object::{Metadata, Object};
 use super::request;
+use crate::decide::freshness::RESPONSE_TIMEOUT;
 use crate::forward::connection::{Connection, Fault};
 use crate::forward::era::Tracker;
 use crate::forward::pool;
@@ -21,13 +22,6 @@
 /// timeout notices sooner that a broken network path works again.
 const CONNECT_TIMEOUT: Span = Span::millis(400);
 
-/// Timeout for a response; the store usually takes some milliseconds.
-pub const RESPONSE_TIMEOUT: Span = Span::millis(1200);
-
-/// Timeout for a response where time must be left to repeat the request over another connection if
-/// this one hangs.
-pub const SHORT_RESPONSE_TIMEOUT: Span = Span::millis(800);
-
 /// Largest response body in bytes: a list of about 1 MB, with room for its framing.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
@@ -224,7 +218,7 @@
     }
 
     /// Returns the changes of a kind after a position as soon as there is one, or none after
-    /// `wait`.
+    /// `wait`. The response must arrive within `timeout` after that.
     ///
     /// # Errors
     /// `HistoryGone` if the store no longer has the changes or was restored; otherwise if it
@@ -234,8 +228,9 @@
         kind: &str,
         from: Position,
         wait: Span,
+        timeout: Span,
     ) -> Result<Events, StoreError> {
-        self.request_events(kind, from, wait, Span(wait.0 + RESPONSE_TIMEOUT.0)).await
+        self.request_events(kind, from, wait, wait + timeout).await
     }
 
     /// Returns the changes of a kind after a position that exist now. The response must arrive
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -10,6 +10,7 @@
 
 use super::client::{Client, Consistency, StoreError};
 use super::object::Object as Raw;
+use crate::decide::freshness::RESPONSE_TIMEOUT;
 use crate::error::Error;
 use crate::forward::era::Tracker;
 use crate::standin::platform::VmEntry;
@@ -182,7 +183,7 @@
     let mut from = after;
     loop {
         let remaining = Span(wait.0.saturating_sub(started.elapsed().as_micros() as u64));
-        let events = client.watch(kind, from, remaining).await?;
+        let events = client.watch(kind, from, remaining, RESPONSE_TIMEOUT).await?;
         let is_watched =
             |object: &Raw| object.metadata.name == name && object.metadata.position > after;
         from = from.max(events.position());
