Tell entries of servers that were taken away from those that lapsed

Cause: a reader that was turned away took each entry that went in the 2 s after its return as one that may only have lapsed, however short it was away, and its followers believed it, though they had read the store through another VM meanwhile. Ruled out: a grace that is started anew within one (2.11 s in all).

Fix: each VM decides by the times of the reads that its own state is based on (decide::lapse). Without a read for longer than the bound for servers, the store was away, and servers whose entries are missing stay until those of live servers are back. If a read failed but reads were never that far apart, such a server stays for 0.8 of the bound after the read that had its entry, so within the bound in any case. Otherwise it goes at once, as it does if the reporting VM saw the entry taken away. No message changed its form.

Fleet::remove takes the end of the grace instead of a flag; two tests pass that, their checks are the same.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,6 +16,7 @@
 pub mod escalate;
 pub mod fair;
 pub mod freshness;
+pub mod lapse;
 pub mod lease;
 pub mod lending;
 pub mod limit;
--- a/src/forward/apply.rs
+++ b/src/forward/apply.rs
@@ -9,7 +9,7 @@
 use super::replica::{Phase, Replica, Rollout};
 use super::vm::Vm;
 use crate::platform::object::{self, CONFIG, EVACUATIONS, MAIN, Object, ROLLOUTS, SERVERS};
-use crate::unit::{Moment, Position, Revision, Vm as Name};
+use crate::unit::{Moment, Position, Revision, Span, Vm as Name};
 use crate::watch::log::Value;
 
 /// Where objects that this VM applies come from, and the position of the store that they reflect.
@@ -46,7 +46,7 @@
         Kind::Config => return apply_config_list(vm, objects),
         Kind::Rollouts => apply_rollouts(vm, objects),
         Kind::Servers => {
-            let may_lapse = vm.has_listed(kind) && vm.was_store_lost_recently(vm.now());
+            let may_lapse = vm.has_listed(kind) && vm.lapsed_server_kept_until(vm.now()).is_some();
             log_list(vm, objects.len(), may_lapse, source);
             reconcile(vm, kind, objects, may_lapse, source);
         }
@@ -160,9 +160,10 @@
     }
 }
 
-/// Removes an object unless a newer state is known. With `lapsed`, a backend server is kept for a
-/// while, as its entry may only have expired while the store was unavailable.
-pub fn remove_object(vm: &Vm, kind: Kind, name: &str, lapsed: bool, source: &Source) {
+/// Removes an object unless a newer state is known. A backend server is kept for a while if its
+/// entry may only have lapsed: this VM knows of an outage of the store, and the VM that reported the
+/// removal did not see the entry taken away (`may_lapse`).
+pub fn remove_object(vm: &Vm, kind: Kind, name: &str, may_lapse: bool, source: &Source) {
     vm.enter_era_of(source.as_of);
     // The operator never removes the configuration or a rollout; its last state stays in force.
     if matches!(kind, Kind::Config | Kind::Rollouts) {
@@ -172,18 +173,27 @@
         log_stale(vm, kind, 1, source);
         return;
     }
-    vm.feed.borrow_mut().remove(kind, name, lapsed);
+    let now = vm.now();
+    let kept_until = vm.lapsed_server_kept_until(now).filter(|_| may_lapse);
+    vm.feed.borrow_mut().remove(kind, name, kept_until.is_some());
     match kind {
         Kind::Vms => membership::remove_entry(vm, name),
         Kind::Evacuations => withdraw_evacuation(vm, name, source),
         // Only servers get here: the other two kinds have returned above.
         Kind::Servers | Kind::Config | Kind::Rollouts => {
             let [from, era, as_of] = source.fields();
-            let fields =
-                [("server", name.into()), ("may_be_back", lapsed.into()), from, era, as_of];
+            let kept = kept_until.map_or(Span(0), |until| until.since(now));
+            let fields = [
+                ("server", name.into()),
+                ("may_be_back", kept_until.is_some().into()),
+                ("kept_ms", kept.as_millis().into()),
+                from,
+                era,
+                as_of,
+            ];
             vm.log("server gone", &fields);
             if let Ok(id) = name.parse() {
-                vm.fleet.borrow_mut().remove(&id, lapsed, vm.now());
+                vm.fleet.borrow_mut().remove(&id, kept_until, now);
             }
         }
     }
@@ -304,7 +314,7 @@
             log_unreadable(vm, SERVERS, object, &why);
             // The server's earlier entry is no longer valid.
             if let Ok(id) = object.metadata.name.parse() {
-                vm.fleet.borrow_mut().remove(&id, false, vm.now());
+                vm.fleet.borrow_mut().remove(&id, None, vm.now());
             }
         }
     }
--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -375,6 +375,10 @@
 
 /// Applies the objects, freshness and proof of an update that was requested at `requested_at`.
 fn apply_contents(vm: &Vm, requested_at: Moment, from: &Name, update: &Update, changes: &[Change]) {
+    let servers_age = update.staleness_of(Kind::Servers).map(|staleness| staleness.age);
+    if let Some(sent) = dated_at(requested_at, servers_age) {
+        vm.on_servers_read(sent);
+    }
     if update.is_full {
         for kind in Kind::ALL {
             let of_kind = changes.iter().filter(|change| change.kind == kind);
--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -19,12 +19,6 @@
 use crate::decide::server_limit::places::Lingering;
 use crate::unit::{DataCentre, Moment, Server as Id, Service, Span, Version};
 
-/// How long a server whose entry may have expired in an outage of the store stays in use after this
-/// VM noticed the recovery: entries of live servers come back within two seconds. Noticing takes up
-/// to 0.7 s, among many VMs up to 1 s; sites with few VMs allow three seconds after the recovery,
-/// those with many four.
-pub const LAPSED_ENTRY_GRACE: Span = Span::millis(2000);
-
 /// Services with more servers than this are not searched completely: a decision considers a bounded
 /// number of their servers, so that it takes no longer in a larger fleet.
 const MAX_SEARCHED: usize = 256;
@@ -79,8 +73,9 @@
     cold_until: Option<Moment>,
     /// Since when the server may have become cold although its entry does not show that yet.
     possibly_cold_since: Option<Moment>,
-    /// True if the server's entry in the store disappeared during an outage of the store.
-    entry_expired: bool,
+    /// Until when the server stays in use although its entry is missing from the store; `None` if
+    /// it has an entry.
+    kept_until: Option<Moment>,
 }
 
 impl Server {
@@ -103,7 +98,7 @@
             pool: Pool::default(),
             backlog: Backlog::default(),
             prefixes: HashMap::new(),
-            entry_expired: false,
+            kept_until: None,
         }
     }
 
@@ -210,7 +205,7 @@
                 let is_changed = server.replica != replica;
                 server.availability.apply_entry(replica.ready, now);
                 server.replica = replica;
-                server.entry_expired = false;
+                server.kept_until = None;
                 if is_changed {
                     server.update_cold_until(now);
                 }
@@ -254,7 +249,7 @@
         let (is_accepted, is_disputed) =
             match (self.servers.get_mut(&replica.id), self.removed.get(&replica.id)) {
                 (Some(server), _) if is_same(&server.replica) => {
-                    server.entry_expired = false;
+                    server.kept_until = None;
                     let is_accepted = server.replica == *replica || !replica.ready;
                     (is_accepted, !is_accepted && server.availability.is_draining())
                 }
@@ -293,21 +288,21 @@
         }
     }
 
-    /// Removes a server whose entry disappeared. If `in_outage` is set, the entry may only have
-    /// expired because the store was unavailable, and the server stays in use until
-    /// [`Fleet::expire`].
-    pub fn remove(&mut self, id: &Id, in_outage: bool, now: Moment) {
-        if !in_outage {
+    /// Removes a server whose entry disappeared. If the entry may only have lapsed in an outage of
+    /// the store, the server stays in use until `kept_until`; [`Fleet::expire`] removes it then.
+    pub fn remove(&mut self, id: &Id, kept_until: Option<Moment>, now: Moment) {
+        if kept_until.is_none() {
             self.move_to_removed(id, now);
         } else if let Some(server) = self.servers.get_mut(id) {
-            server.entry_expired = true;
+            server.kept_until = kept_until;
         }
     }
 
-    /// Removes servers whose entries expired in an outage of the store and did not come back, and
-    /// returns their ids. Called when the store has been reachable for long enough.
+    /// Removes servers whose entries lapsed in an outage of the store and did not come back in time,
+    /// and returns their ids.
     pub fn expire(&mut self, now: Moment) -> Vec<Id> {
-        let expired = self.servers.iter().filter(|(_, server)| server.entry_expired);
+        let is_due = |server: &Server| server.kept_until.is_some_and(|until| until <= now);
+        let expired = self.servers.iter().filter(|(_, server)| is_due(server));
         let gone: Vec<Id> = expired.map(|(id, _)| id.clone()).collect();
         for id in &gone {
             self.move_to_removed(id, now);
--- a/src/forward/store_watch.rs
+++ b/src/forward/store_watch.rs
@@ -63,7 +63,7 @@
                 let watched = watch(&vm, kind, &mut store, position, &backoff);
                 tokio::select! {
                     watched = watched => watched.map(|events| {
-                        apply_events(&vm, kind, &events);
+                        apply_events(&vm, kind, &events, sent);
                         vm.feed.borrow_mut().record_read(kind, events.position(), sent);
                         (events.position(), !events.events.is_empty())
                     }),
@@ -184,6 +184,9 @@
 /// Applies a list that was requested at `sent`; a list of the configuration also proves that this
 /// configuration is the newest.
 pub fn apply_listing(vm: &Vm, kind: Kind, listing: &Listing, sent: Moment) {
+    if kind == Kind::Servers {
+        vm.on_servers_read(sent);
+    }
     let source = Source { reader: None, as_of: listing.position() };
     let configuration = apply::apply_list(vm, kind, &listing.items, &source);
     vm.feed.borrow_mut().record_read(kind, listing.position(), sent);
@@ -194,14 +197,16 @@
     }
 }
 
-/// Applies the changes that a watch or a poll returned.
-fn apply_events(vm: &Vm, kind: Kind, events: &Events) {
-    let lapsed = vm.was_store_lost_recently(vm.now());
+/// Applies the changes that a watch or a poll returned, which was sent at `sent`.
+fn apply_events(vm: &Vm, kind: Kind, events: &Events, sent: Moment) {
+    if kind == Kind::Servers {
+        vm.on_servers_read(sent);
+    }
     let source = Source { reader: None, as_of: events.position() };
     for event in &events.events {
         if event.is_deleted {
             let name = event.object.metadata.name.as_str();
-            apply::remove_object(vm, kind, name, lapsed, &source);
+            apply::remove_object(vm, kind, name, true, &source);
         } else {
             apply::apply_object(vm, kind, &event.object, &source);
         }
@@ -213,7 +218,7 @@
 pub async fn expire_servers(vm: Rc<Vm>) {
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL).await;
-        if vm.was_store_lost_recently(vm.now()) || vm.upstream_store_lost.get() {
+        if vm.may_entries_be_missing(vm.now()) {
             continue;
         }
         for id in vm.fleet.borrow_mut().expire(vm.now()) {
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -20,7 +20,7 @@
 use super::restore::Restore;
 use super::role::{Decline, Role};
 use super::rollout_trial::RolloutTrial;
-use super::server::{Fleet, LAPSED_ENTRY_GRACE};
+use super::server::Fleet;
 use super::server_index::Viewpoint;
 use super::session::Sessions;
 use super::settings::Settings;
@@ -29,6 +29,7 @@
 use crate::decide::budget::RetryBudget;
 use crate::decide::connectivity::Connectivity;
 use crate::decide::freshness::Schedules;
+use crate::decide::lapse::{LAPSED_ENTRY_GRACE, Lapses};
 use crate::decide::lending::Lending;
 use crate::decide::limit;
 use crate::decide::poison::Exchange;
@@ -98,6 +99,9 @@
     pub store_lost: Cell<bool>,
     /// When the store became reachable again, or was restored.
     pub store_recovered_at: Cell<Option<Moment>>,
+    /// When this VM's state of the servers was read, to tell entries that may only have lapsed from
+    /// those that were taken away.
+    pub lapses: Cell<Lapses>,
     /// How this VM gets the state of the store: it reads the store itself, or follows another VM.
     pub role: tokio::sync::watch::Sender<Role>,
     /// Which VM read the last update from the store, and the number of VMs that relayed it; `None`
@@ -216,6 +220,7 @@
             proved_at: Cell::new(None),
             store_lost: Cell::new(false),
             store_recovered_at: Cell::new(None),
+            lapses: Cell::default(),
             role: tokio::sync::watch::Sender::new(Role::Joins),
             updates_origin: RefCell::default(),
             upstream_store_lost: Cell::new(false),
@@ -324,6 +329,9 @@
         if before.is_some() {
             self.log("store restored", &[("era", era.0.into())]);
             self.store_recovered_at.set(Some(self.now()));
+            let mut lapses = self.lapses.get();
+            lapses.on_restore(self.now());
+            self.lapses.set(lapses);
             self.recent_restore.send_replace(restore);
             self.store_recoveries.send_modify(|times| *times += 1);
         }
@@ -385,11 +393,30 @@
         self.store_lost.get() || self.upstream_store_lost.get()
     }
 
-    /// Returns true if the store is lost or recovered only recently: entries of backend servers may
-    /// have lapsed meanwhile, and those of live servers come back.
-    pub fn was_store_lost_recently(&self, now: Moment) -> bool {
+    /// Records a read of the servers that was sent at `sent`, by this VM or by the one that it
+    /// follows, before its changes are applied.
+    pub fn on_servers_read(&self, sent: Moment) {
+        let mut lapses = self.lapses.get();
+        let unread = lapses.on_read(sent, self.settings.bounds.drain_within);
+        self.lapses.set(lapses);
+        if let Some(unread) = unread {
+            self.log("servers read again", &[("unread_ms", unread.as_millis().into())]);
+        }
+    }
+
+    /// Returns true if entries of live servers may be missing, during an outage of the store or
+    /// soon after it.
+    pub fn may_entries_be_missing(&self, now: Moment) -> bool {
+        self.lapses.get().may_be_missing(self.settings.bounds.drain_within, now)
+    }
+
+    /// Returns until when a server stays in use whose entry is missing from the last read; `None`
+    /// if the entry was taken away.
+    pub fn lapsed_server_kept_until(&self, now: Moment) -> Option<Moment> {
         let is_recent = |at: Moment| now.since(at) < LAPSED_ENTRY_GRACE;
-        self.store_lost.get() || self.store_recovered_at.get().is_some_and(is_recent)
+        let has_read_failed =
+            self.store_lost.get() || self.store_recovered_at.get().is_some_and(is_recent);
+        self.lapses.get().kept_until(has_read_failed, self.schedules.max_followed_age(), now)
     }
 
     /// Counts a call to the store by its outcome.
--- a/tests/selection.rs
+++ b/tests/selection.rs
@@ -174,7 +174,7 @@
         let replica = replica(at, "v1");
         let server = fleet.incarnation_mut(&replica).expect("just inserted");
         server.availability.observe(draining, NOW);
-        fleet.remove(&replica.id, false, NOW);
+        fleet.remove(&replica.id, None, NOW);
     }
     (0..6000).for_each(|at| {
         fleet.upsert(replica(at, "v1"), NOW);
--- a/tests/site/proxy.rs
+++ b/tests/site/proxy.rs
@@ -20,11 +20,23 @@
 
 type Connections = Arc<Mutex<Vec<Arc<Mutex<Connection>>>>>;
 
+/// How the store turns a VM away while it serves others.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Rejection {
+    /// Each call gets this status.
+    Status(u16),
+    /// Each call ends its connection.
+    Reset,
+    /// Calls get no answer, and their connections say nothing more.
+    Silence,
+}
+
 /// A proxy on the loopback interface. VMs connect to `address`.
 pub struct Proxy {
     pub address: SocketAddr,
     connections: Connections,
     cut: Arc<AtomicBool>,
+    rejection: Arc<Mutex<Option<Rejection>>>,
 }
 
 impl Proxy {
@@ -36,6 +48,8 @@
         let accepted = connections.clone();
         let cut = Arc::new(AtomicBool::new(false));
         let is_cut = cut.clone();
+        let rejection = Arc::<Mutex<Option<Rejection>>>::default();
+        let of_calls = Arc::clone(&rejection);
         std::thread::spawn(move || {
             for vm in listener.incoming().map_while(Result::ok) {
                 let Ok(store) = TcpStream::connect(store) else { continue };
@@ -43,10 +57,15 @@
                 let connection =
                     Arc::new(Mutex::new(Connection { silent, ..Connection::default() }));
                 accepted.lock().unwrap().push(connection.clone());
-                relay(vm, store, connection);
+                relay(vm, store, connection, of_calls.clone());
             }
         });
-        Proxy { address, connections, cut }
+        Proxy { address, connections, cut, rejection }
+    }
+
+    /// Turns the VM away from the store in this way, or serves it again.
+    pub fn reject(&self, rejection: Option<Rejection>) {
+        *self.rejection.lock().unwrap() = rejection;
     }
 
     /// Makes all connections hang, including new ones.
@@ -71,28 +90,49 @@
     }
 }
 
-fn relay(vm: TcpStream, store: TcpStream, connection: Arc<Mutex<Connection>>) {
+fn relay(
+    vm: TcpStream,
+    store: TcpStream,
+    connection: Arc<Mutex<Connection>>,
+    rejection: Arc<Mutex<Option<Rejection>>>,
+) {
     let (from_vm, from_store) = (vm.try_clone().unwrap(), store.try_clone().unwrap());
     let sender = connection.clone();
+    let mut to_vm = vm.try_clone().unwrap();
     std::thread::spawn(move || {
         copy(from_vm, store, &sender, |connection, bytes| {
             connection.last_request = String::from_utf8_lossy(bytes).into_owned();
+            let Some(rejection) = *rejection.lock().unwrap() else { return true };
+            match rejection {
+                Rejection::Status(status) => {
+                    let head = format!(
+                        "HTTP/1.1 {status} Rejected\r\nStore-Era: 0\r\nContent-Length: 0\r\n\r\n"
+                    );
+                    let _ = to_vm.write_all(head.as_bytes());
+                }
+                Rejection::Reset => {
+                    let _ = to_vm.shutdown(std::net::Shutdown::Both);
+                }
+                Rejection::Silence => connection.silent = true,
+            }
+            false
         });
     });
-    std::thread::spawn(move || copy(from_store, vm, &connection, |_, _| {}));
+    std::thread::spawn(move || copy(from_store, vm, &connection, |_, _| true));
 }
 
+/// Copies bytes until one side ends. `on_read` returns false for bytes that are dropped.
 fn copy(
     mut from: TcpStream,
     mut to: TcpStream,
     connection: &Mutex<Connection>,
-    on_read: impl Fn(&mut Connection, &[u8]),
+    mut on_read: impl FnMut(&mut Connection, &[u8]) -> bool,
 ) {
     let mut buffer = [0; 16 * 1024];
     loop {
         let read = from.read(&mut buffer).unwrap_or(0);
-        if read > 0 {
-            on_read(&mut connection.lock().unwrap(), &buffer[..read]);
+        if read > 0 && !on_read(&mut connection.lock().unwrap(), &buffer[..read]) {
+            continue;
         }
         while connection.lock().unwrap().silent {
             std::thread::sleep(POLL_INTERVAL);
--- a/tests/standing.rs
+++ b/tests/standing.rs
@@ -363,8 +363,8 @@
     fleet.incarnation_mut(&first).unwrap().availability.observe(said, at(10));
     fleet.upsert(first.clone(), at(20));
     assert!(matches!(fleet.unavailable_reason(&first, at(30)), Some(Unavailable::Draining(_))));
-    for in_outage in [true, false] {
-        fleet.remove(&first.id, in_outage, at(40));
+    for kept_until in [Some(at(50)), None] {
+        fleet.remove(&first.id, kept_until, at(40));
         fleet.expire(at(50));
         assert_eq!(fleet.unavailable_reason(&first, at(50)), Some(Unavailable::Removed));
         fleet.upsert(first.clone(), at(60));
