--- a/src/experiment/reading/mod.rs
+++ b/src/experiment/reading/mod.rs
@@ -3,8 +3,9 @@
 //!
 //! A run covers the start of all VMs, a calm period, a store outage of eight seconds, a crash of
 //! the VM that reads the store, and a crash and restart of all VMs. The router's strategy is
-//! compared with its predecessor, in which a VM without updates reads the store itself at once.
-//! Both are computed from the times of calls and polls; packets are counted, not sent.
+//! compared with one in which only readers with followers make proofs on a schedule, and with its
+//! predecessor, in which a VM without updates reads the store itself at once.
+//! All are computed from the times of calls and polls; packets are counted, not sent.
 
 mod node;
 mod simulation;
@@ -42,7 +43,15 @@
     let seconds = RUN_END.as_secs();
     let largest = simulation.nodes.iter().map(|node| node.bytes).max().unwrap_or(0);
     let mean = simulation.nodes.iter().map(|node| node.bytes).sum::<u64>() as f64 / vms as f64;
-    Row::named("way", if strategy == Strategy::Relayed { "passed on" } else { "each itself" })
+    let store_bytes = simulation
+        .store_bytes_between(Span(STORE_LOST_AT.0 - CALM_DURATION.0), STORE_LOST_AT)
+        / CALM_DURATION.as_secs();
+    let way = match strategy {
+        Strategy::Relayed => "passed on",
+        Strategy::ProofsForFollowers => "proofs for followers only",
+        Strategy::Direct => "each itself",
+    };
+    Row::named("way", way)
         .with("vms", vms)
         .number("start, calls a VM", per_vm(simulation.price_between(Span(0), Span::secs(5))), 2)
         .number("calm, calls/s", calm / CALM_DURATION.as_secs(), 2)
@@ -53,15 +62,16 @@
         .number("ready after p99 ms", quantile(&mut ready, 0.99), 0)
         .number("bytes/s a VM", mean / seconds, 0)
         .number("bytes/s largest", largest as f64 / seconds, 0)
+        .number("calm, bytes/s of the store", store_bytes, 0)
 }
 
 /// Fleet sizes by default.
 const VMS: [usize; 5] = [10, 23, 60, 300, 1000];
 
-/// Simulates both strategies for each fleet size.
+/// Simulates all strategies for each fleet size.
 pub fn run(options: &Options) -> Table {
     let vms = if options.vms.is_empty() { VMS.to_vec() } else { options.vms.clone() };
-    let strategies = [Strategy::Relayed, Strategy::Direct];
+    let strategies = [Strategy::Relayed, Strategy::ProofsForFollowers, Strategy::Direct];
     let rows =
         vms.iter().flat_map(|vms| strategies.map(|strategy| row(strategy, *vms, options.seed)));
     let rows: Vec<Row> = rows.collect();
--- a/src/experiment/reading/node.rs
+++ b/src/experiment/reading/node.rs
@@ -50,8 +50,10 @@
     pub ready_at: Option<Moment>,
     /// VMs that have sent it a full snapshot, with their incarnation at that time.
     pub snapshots_from: HashMap<usize, u32>,
-    /// Bytes sent and received.
+    /// Bytes sent to and received from other VMs.
     pub bytes: u64,
+    /// Time of the last poll of it by another VM.
+    pub polled_at: Option<Moment>,
 }
 
 impl Node {
@@ -73,6 +75,7 @@
             ready_at: None,
             snapshots_from: HashMap::new(),
             bytes: 0,
+            polled_at: None,
         }
     }
 }
--- a/src/experiment/reading/simulation.rs
+++ b/src/experiment/reading/simulation.rs
@@ -8,6 +8,7 @@
 
 use super::node::{DATA_CENTRES, Node, Role};
 use super::snapshot::snapshot_bytes;
+use crate::decide::freshness::{Bounds, Schedules};
 use crate::decide::reader::{
     FAST_POLL_INTERVAL, FIRST_POLL_TIMEOUT, FollowerState, GroupPosition, POLL_INTERVAL,
     POLL_TIMEOUT, Rank, STORE_LOSS_CONFIRMED_AFTER, may_accept_update, poll_timeout,
@@ -18,6 +19,15 @@
 /// Time for which a draining server may still receive work, on the users' largest site.
 const DRAIN_WINDOW: Span = Span::secs(4);
 
+/// Bounds of the same site.
+const BOUNDS: Bounds = Bounds {
+    config: Span::secs(4),
+    servers: DRAIN_WINDOW,
+    rollouts: Span::secs(5),
+    evacuations: Span::secs(5),
+    key_proof: Some(Span::millis(4750)),
+};
+
 /// Times of the events of a run.
 pub const STORE_LOST_AT: Span = Span::secs(20);
 pub const STORE_RECOVERED_AT: Span = Span::secs(28);
@@ -32,9 +42,14 @@
 /// Duration of a poll between data centres.
 const ROUND_TRIP: Span = Span::millis(4);
 
-/// Mean interval of the store calls of a reader: servers every 1.2 s, proofs every 1.66 s,
-/// roll-outs every 2 s, and two others every 6 s.
-const CALL_INTERVAL: Span = Span::millis(440);
+/// Time after a poll for which a VM has followers.
+const FOLLOWER_TIMEOUT: Span = Span::secs(2);
+
+/// Bytes of a proof: a configuration of some 60 routes.
+const PROOF_BYTES: u64 = 12_000;
+
+/// Bytes of another call to the store without changes.
+const CALL_BYTES: u64 = 400;
 
 /// Price of the calls with which a VM becomes a reader.
 const FIRST_READ_CALLS: f64 = 4.0;
@@ -66,6 +81,8 @@
 pub enum Strategy {
     /// VMs relay what a reader has read: the strategy of the router.
     Relayed,
+    /// The same, but only readers with followers make proofs on a schedule.
+    ProofsForFollowers,
     /// A VM without updates reads the store itself at once: the earlier strategy.
     Direct,
 }
@@ -81,11 +98,14 @@
 /// One run of the simulation.
 pub struct Simulation {
     strategy: Strategy,
+    schedules: Schedules,
     /// All VMs, by index.
     pub nodes: Vec<Node>,
     queue: BinaryHeap<Reverse<(Moment, Event)>>,
     now: Moment,
     calls: Vec<(Moment, f64)>,
+    /// Bytes of the readers' calls, with their times.
+    store_bytes: Vec<(Moment, f64)>,
     /// Times at which VMs became readers, with their indices.
     pub reader_starts: Vec<(Moment, usize)>,
     index: HashMap<Name, usize>,
@@ -100,9 +120,19 @@
         let index = index.collect();
         let (queue, snapshot_bytes) = (BinaryHeap::new(), snapshot_bytes(vms));
         let now = Moment(0);
-        let (calls, reader_starts) = (Vec::new(), Vec::new());
-        let mut simulation =
-            Simulation { strategy, nodes, queue, now, calls, reader_starts, index, snapshot_bytes };
+        let schedules = Schedules::new(BOUNDS);
+        let mut simulation = Simulation {
+            strategy,
+            schedules,
+            nodes,
+            queue,
+            now,
+            calls: Vec::new(),
+            store_bytes: Vec::new(),
+            reader_starts: Vec::new(),
+            index,
+            snapshot_bytes,
+        };
         for at in 0..vms {
             let delay = |rng: &mut SmallRng| Span(rng.random_range(0..START_SPREAD.0));
             simulation.schedule(Moment(0) + delay(rng), Event::Start(at));
@@ -164,8 +194,8 @@
         let first = self.now < Moment(0) + ALL_CRASH_AT;
         let price = match (self.strategy, first) {
             (Strategy::Direct, _) => DIRECT_START_PRICE,
-            (Strategy::Relayed, true) => FIRST_START_PRICE,
-            (Strategy::Relayed, false) => RESTART_PRICE,
+            (_, true) => FIRST_START_PRICE,
+            (_, false) => RESTART_PRICE,
         };
         self.record_call(price);
         let node = &mut self.nodes[at];
@@ -186,11 +216,15 @@
         let store_lost = self.is_store_unavailable();
         let price = match (store_lost, self.strategy) {
             (false, _) => 1.0,
-            (true, Strategy::Relayed) => RETRY_PRICE,
             (true, Strategy::Direct) => DIRECT_RETRY_PRICE,
+            (true, _) => RETRY_PRICE,
         };
         self.record_call(price);
         let now = self.now;
+        let rates = self.call_rates(at);
+        if !store_lost {
+            self.store_bytes.push((now, rates.bytes_per_call()));
+        }
         let node = &mut self.nodes[at];
         if !store_lost {
             node.synced_at = Some(now);
@@ -200,10 +234,29 @@
             }
         }
         node.store_lost = store_lost;
-        let pause = if store_lost { RETRY_INTERVAL } else { CALL_INTERVAL };
+        let pause = if store_lost { RETRY_INTERVAL } else { rates.interval() };
         self.schedule(now + pause, Event::ReadStore(at, incarnation));
     }
 
+    /// Returns the rates of a reader's calls.
+    fn call_rates(&self, at: usize) -> CallRates {
+        let polled_at = self.nodes[at].polled_at;
+        let has_followers =
+            polled_at.is_some_and(|polled| self.now.since(polled) < FOLLOWER_TIMEOUT);
+        let schedules = &self.schedules;
+        let proofs = match (self.strategy, has_followers) {
+            (Strategy::ProofsForFollowers, false) => schedules.follower_proof_interval(),
+            _ => Some(schedules.reader_proof_interval()),
+        };
+        let rate = |interval: Span| 1.0 / interval.as_secs();
+        let watched = [schedules.rollouts, schedules.evacuations, schedules.config, schedules.vms];
+        let watches: f64 = watched.iter().map(|schedule| rate(schedule.wait)).sum();
+        CallRates {
+            proofs: proofs.map_or(0.0, rate),
+            others: rate(schedules.servers.interval) + watches,
+        }
+    }
+
     fn group(&self, at: usize) -> impl Iterator<Item = &Rank> {
         let own = at % DATA_CENTRES;
         let of_group = move |other: &usize| other % DATA_CENTRES == own && *other != at;
@@ -229,10 +282,10 @@
         let node = &self.nodes[at];
         let next = match (self.place(at), self.strategy) {
             (GroupPosition::First, Strategy::Direct) => None,
-            (GroupPosition::First, Strategy::Relayed) if node.store_lost => {
+            (GroupPosition::First, _) if node.store_lost => {
                 node.sources.any_source(self.first_per_data_centre(at).into_iter(), self.now)
             }
-            (GroupPosition::First, Strategy::Relayed) => node.sources.next_source(
+            (GroupPosition::First, _) => node.sources.next_source(
                 &node.rank,
                 self.first_per_data_centre(at).into_iter(),
                 self.now,
@@ -281,11 +334,12 @@
             }
             return None;
         }
+        self.nodes[other].polled_at = Some(now);
         let source = &self.nodes[other];
         let (synced_at, lost, incarnation) =
             (source.synced_at, source.store_lost, source.incarnation);
         let (reader, hops) = if source.role == Role::Reader { (other, 0) } else { source.origin };
-        let may_answer = source.role == Role::Reader || self.strategy == Strategy::Relayed;
+        let may_answer = source.role == Role::Reader || self.strategy != Strategy::Direct;
         let reader_name = self.nodes[reader].rank.vm.clone();
         let node = &mut self.nodes[at];
         let Some(synced_at) = synced_at.filter(|_| may_answer) else {
@@ -334,7 +388,7 @@
         let group_position = self.place(at);
         let state = FollowerState {
             group_position,
-            has_other_groups: self.strategy == Strategy::Relayed,
+            has_other_groups: self.strategy != Strategy::Direct,
             has_source: self.next_source(at).is_some(),
             is_store_unavailable: node.sources.is_store_reported_unavailable(
                 &node.rank,
@@ -346,8 +400,8 @@
             is_overdue: poll_timeout(node.synced_at, DRAIN_WINDOW, self.now).is_none(),
         };
         let reads_store = match self.strategy {
-            Strategy::Relayed => should_read_store(&state),
             Strategy::Direct => !state.has_source,
+            _ => should_read_store(&state),
         };
         if reads_store {
             self.become_reader(at, state.is_store_unavailable);
@@ -371,8 +425,36 @@
 
     /// Returns the price of the store calls between two times of the run.
     pub fn price_between(&self, from: Span, to: Span) -> f64 {
-        let (from, to) = (Moment(0) + from, Moment(0) + to);
-        let within = self.calls.iter().filter(|(at, _)| (from..to).contains(at));
-        within.map(|(_, price)| price).sum()
+        sum_between(&self.calls, from, to)
     }
+
+    /// Returns the bytes of the readers' calls between two times of the run.
+    pub fn store_bytes_between(&self, from: Span, to: Span) -> f64 {
+        sum_between(&self.store_bytes, from, to)
+    }
+}
+
+/// Calls per second of a reader.
+struct CallRates {
+    proofs: f64,
+    others: f64,
+}
+
+impl CallRates {
+    /// Returns the mean interval of the calls.
+    fn interval(&self) -> Span {
+        Span::secs(1).mul_f64(1.0 / (self.proofs + self.others))
+    }
+
+    /// Returns the mean bytes of a call.
+    fn bytes_per_call(&self) -> f64 {
+        let bytes = self.proofs * PROOF_BYTES as f64 + self.others * CALL_BYTES as f64;
+        bytes / (self.proofs + self.others)
+    }
+}
+
+fn sum_between(values: &[(Moment, f64)], from: Span, to: Span) -> f64 {
+    let (from, to) = (Moment(0) + from, Moment(0) + to);
+    let within = values.iter().filter(|(at, _)| (from..to).contains(at));
+    within.map(|(_, value)| value).sum()
 }
