--- a/src/decide/freshness.rs
+++ b/src/decide/freshness.rs
@@ -119,6 +119,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Schedules {
     bounds: Bounds,
+    proof_interval: Span,
     /// Schedule of the configuration.
     pub config: Schedule,
     /// Schedule of the entries of backend servers.
@@ -136,7 +137,7 @@
     pub fn new(bounds: Bounds) -> Schedules {
         let to_deny = bounds.config.mul_f64(PROOF_INTERVAL_FRACTION);
         let to_use_keys = bounds.key_proof.map(|age| age.mul_f64(READER_KEY_PROOF_FRACTION));
-        let proofs = to_use_keys.map_or(to_deny, |interval| interval.min(to_deny));
+        let proof_interval = to_use_keys.map_or(to_deny, |interval| interval.min(to_deny));
         let servers = Schedule {
             interval: bounds.shortest().mul_f64(SERVERS_INTERVAL_FRACTION),
             wait: Span(0),
@@ -145,7 +146,8 @@
         };
         Schedules {
             bounds,
-            config: Schedule { proofs: Some(proofs), ..Schedule::watched(None) },
+            proof_interval,
+            config: Schedule { proofs: Some(proof_interval), ..Schedule::watched(None) },
             servers,
             rollouts: Schedule::watched(Some(bounds.rollouts)),
             evacuations: Schedule::watched(Some(bounds.evacuations)),
@@ -159,9 +161,9 @@
         self.bounds.shortest()
     }
 
-    /// Returns the age at which a reader renews its proof.
+    /// Returns the age at which a reader renews its proof of the configuration.
     pub fn reader_proof_interval(&self) -> Span {
-        self.config.proofs.unwrap_or(self.bounds.config)
+        self.proof_interval
     }
 
     /// Returns the age at which a follower that gets no newer proof makes one; `None` if it makes
