Keep the first deadline of a server whose removal is reported again

The later deadline replaced the first one, counted from a read that lacked the entry already, so the server could be used past the bound.

The new test fails before and passes after; tests/standing.rs 13 of 13, lapse 8 of 8, forward 44 of 44, lints.

--- a/src/forward/server.rs
+++ b/src/forward/server.rs
@@ -294,7 +294,8 @@
         if kept_until.is_none() {
             self.move_to_removed(id, now);
         } else if let Some(server) = self.servers.get_mut(id) {
-            server.kept_until = kept_until;
+            // A removal may be reported again, by another VM.
+            server.kept_until = server.kept_until.or(kept_until);
         }
     }
 
--- a/tests/standing.rs
+++ b/tests/standing.rs
@@ -376,6 +376,19 @@
     assert_eq!(fleet.unavailable_reason(&first, at(80)), Some(Unavailable::Removed));
 }
 
+/// Guards against a removal that another VM reports once more, which keeps the server for longer.
+#[test]
+fn a_removal_that_is_reported_again_does_not_keep_a_server_for_longer() {
+    let at = |ms: u64| Moment(ms * 1000);
+    let mut fleet = Fleet::default();
+    let server = replica("r0", 1);
+    fleet.upsert(server.clone(), at(0));
+    fleet.remove(&server.id, Some(at(50)), at(40));
+    fleet.remove(&server.id, Some(at(90)), at(45));
+    fleet.expire(at(50));
+    assert_eq!(fleet.unavailable_reason(&server, at(50)), Some(Unavailable::Removed));
+}
+
 /// Runs an attempt whose server was chosen before it announced `said`, as after a wait or a slow
 /// connect. Returns its end and the number of requests that reached the server.
 fn run_after_signal(said: Signal) -> (AttemptOutcome, usize) {
