--- a/review/lib-2/stage.rs
+++ b/review/lib-2/stage.rs
@@ -11,7 +11,7 @@
 use std::os::fd::AsRawFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -187,6 +187,70 @@
     (data, false)
 }
 
+/// VM to start.
+pub struct VmPlan {
+    pub zone: char,
+    /// Number within the zone.
+    pub number: u8,
+    /// Address of the store, or of a gate before it.
+    pub store: SocketAddr,
+}
+
+/// Proxy before the store for one VM. While it is shut, the store turns the VM away: connections are
+/// reset.
+#[derive(Clone)]
+pub struct Gate {
+    pub address: SocketAddr,
+    is_shut: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Gate {
+    /// Starts an open gate.
+    pub fn start(stage: &mut Stage) -> Gate {
+        let store = stage.store_address;
+        let address = stage.server_address();
+        let listener = TcpListener::bind(address).expect("the address is free");
+        let gate = Gate { address, is_shut: Arc::default(), open: Arc::default() };
+        let accepting = gate.clone();
+        std::thread::spawn(move || {
+            for vm in listener.incoming().flatten() {
+                if accepting.is_shut.load(Ordering::Relaxed) {
+                    reset_on_close(&vm);
+                    continue;
+                }
+                let Ok(store) = TcpStream::connect(store) else { continue };
+                for stream in [&vm, &store] {
+                    let _ = stream.set_nodelay(true);
+                }
+                let ends = (vm.try_clone(), store.try_clone());
+                let (Ok(vm_end), Ok(store_end)) = ends else { continue };
+                let mut open = accepting.open.lock().unwrap();
+                open.extend([vm.try_clone(), store.try_clone()].into_iter().flatten());
+                std::thread::spawn(move || copy(vm, store));
+                std::thread::spawn(move || copy(store_end, vm_end));
+            }
+        });
+        gate
+    }
+
+    /// Turns the VM away, or serves it again.
+    pub fn set_shut(&self, is_shut: bool) {
+        self.is_shut.store(is_shut, Ordering::Relaxed);
+        for stream in self.open.lock().unwrap().drain(..).filter(|_| is_shut) {
+            reset_on_close(&stream);
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+}
+
+/// Copies bytes until a connection ends, and ends both.
+fn copy(mut from: TcpStream, mut to: TcpStream) {
+    let _ = std::io::copy(&mut from, &mut to);
+    let _ = to.shutdown(std::net::Shutdown::Both);
+    let _ = from.shutdown(std::net::Shutdown::Both);
+}
+
 /// Entry VM that runs as a process.
 pub struct Vm {
     pub name: String,
@@ -211,7 +275,7 @@
     next_server: u8,
     folder: PathBuf,
     store: Option<Child>,
-    store_address: SocketAddr,
+    pub store_address: SocketAddr,
     pub vms: Vec<Vm>,
 }
 
@@ -230,14 +294,16 @@
 impl Stage {
     /// Starts the store. `case` is the folder of the case, in which the record is written.
     pub fn start(case: &str) -> Result<Stage, String> {
-        let file = File::create(PathBuf::from(case).join("record.txt")).map_err(|e| e.to_string())?;
+        let file =
+            File::create(PathBuf::from(case).join("record.txt")).map_err(|e| e.to_string())?;
         let record = Record { file: Arc::new(Mutex::new(file)), start: Instant::now() };
         let nanos = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_nanos());
         let seed = nanos as u64 ^ (u64::from(std::process::id()) << 20);
         let net = [(seed % 200) as u8 + 20, (seed / 200 % 250) as u8 + 1];
         let folder = std::env::temp_dir().join(format!("review-2-{}-{seed}", std::process::id()));
         std::fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
-        let store_address = SocketAddr::new(Ipv4Addr::new(127, net[0], net[1], 2).into(), STORE_PORT);
+        let store_address =
+            SocketAddr::new(Ipv4Addr::new(127, net[0], net[1], 2).into(), STORE_PORT);
         let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
         let mut stage = Stage {
             record,
@@ -273,10 +339,17 @@
         Store { address: self.store_address, record: self.record.clone() }
     }
 
-    /// Starts VMs with the command of the deploy file, and waits until they are ready.
+    /// Starts VMs of one zone with the command of the deploy file, and waits until they are ready.
     pub fn start_vms(&mut self, count: u8) -> Result<(), String> {
-        for number in 1..=count {
-            self.start_vm(number)?;
+        let store = self.store_address;
+        let plans: Vec<_> = (1..=count).map(|number| VmPlan { zone: 'a', number, store }).collect();
+        self.start_planned(&plans)
+    }
+
+    /// Starts VMs with the command of the deploy file, and waits until they are ready.
+    pub fn start_planned(&mut self, plans: &[VmPlan]) -> Result<(), String> {
+        for plan in plans {
+            self.start_vm(plan)?;
         }
         let vms = &self.vms;
         let all_ready = || vms.iter().all(Vm::is_ready);
@@ -286,13 +359,15 @@
         Ok(())
     }
 
-    fn start_vm(&mut self, number: u8) -> Result<(), String> {
-        let ip = Ipv4Addr::new(127, self.net[0], self.net[1], 10 + number);
-        let name = format!("edge-a-{number}");
+    fn start_vm(&mut self, plan: &VmPlan) -> Result<(), String> {
+        let VmPlan { zone, number, store } = plan;
+        let ip = Ipv4Addr::new(127, self.net[0], self.net[1], 10 + self.vms.len() as u8);
+        let name = format!("edge-{zone}-{number}");
         let settings = SETTINGS
             .replace("@NAME@", &name)
             .replace("@IP@", &ip.to_string())
-            .replace("@STORE@", &self.store_address.to_string());
+            .replace("@ZONE@", &zone.to_string())
+            .replace("@STORE@", &store.to_string());
         let path = self.folder.join(format!("{name}.json"));
         std::fs::write(&path, settings).map_err(|e| e.to_string())?;
         let log = self.folder.join(format!("{name}.log"));
@@ -421,7 +496,11 @@
         server
     }
 
-    fn serve(&self, mut stream: TcpStream, handle: &dyn Fn(&Server, &Request, &mut TcpStream) -> bool) {
+    fn serve(
+        &self,
+        mut stream: TcpStream,
+        handle: &dyn Fn(&Server, &Request, &mut TcpStream) -> bool,
+    ) {
         let _ = stream.set_nodelay(true);
         while let Some((line, headers, begun)) = read_head(&mut stream) {
             let mut words = line.split(' ').map(str::to_owned);
@@ -531,7 +610,8 @@
 /// Settings file of a VM, with the bounds and limits of `rkt-tellimus`.
 const SETTINGS: &str = r#"{
   "node_name": "@NAME@", "role": "entry", "machine_class": "edge", "serves": ["edge"],
-  "ip": "@IP@", "zone": "a", "region": "r", "zones": {"a": "r"},
+  "ip": "@IP@", "zone": "@ZONE@", "region": "r",
+  "zones": {"a": "r", "b": "r"},
   "listen": {"frontend": "@IP@:8227", "readiness": "@IP@:8220"},
   "port_range": [7340, 7355], "seeds": [], "bootstrap": true, "in_tolerance": false,
   "limits": {"cpu_quota": 0.25, "cores": 1, "memory_mb": 110, "max_fds": 4100,
