--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -26,14 +26,26 @@
 const WORK: Duration = Duration::from_millis(15);
 const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 
-const CONFIG: &str = r#"{"version": 4,
+/// Configuration; `@VERSION@` and `@MORE@`, a further route, are filled in.
+const CONFIG: &str = r#"{"version": @VERSION@,
   "routes": [{"name": "status", "host": "h.example", "path_prefix": "/status/",
               "type": "non_idempotent", "timeout_ms": 1500, "latency_goal_ms": 100, "priority": 2,
-              "max_attempts": 3, "service": "api"}],
+              "max_attempts": 3, "service": "api"}@MORE@],
   "services": [{"name": "api", "max_connections": 110}],
   "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000,
              "idle_timeout_ms": 15000}}"#;
 
+/// Route that the second configuration drops.
+const DROPPED_ROUTE: &str = r#", {"name": "old", "host": "h.example", "path_prefix": "/old/",
+  "type": "non_idempotent", "timeout_ms": 1500, "latency_goal_ms": 100, "priority": 2,
+  "max_attempts": 3, "service": "api"}"#;
+/// Time after which a configuration must be in force.
+const CONFIG_BOUND_S: f64 = 2.0;
+
+fn config(version: &str, more: &str) -> String {
+    CONFIG.replace("@VERSION@", version).replace("@MORE@", more)
+}
+
 fn main() {
     stage::main(run);
 }
@@ -69,7 +81,7 @@
         store.write_server(&server, "ready");
         servers.push(server);
     }
-    store.write("config", "main", CONFIG);
+    store.write("config", "main", &config("4", DROPPED_ROUTE));
     let mut plans = Vec::new();
     let mut gates = Vec::new();
     for (zone, number) in
@@ -84,21 +96,33 @@
     stage.start_planned(&plans)?;
     std::thread::sleep(SETTLE);
     let is_over = Arc::new(AtomicBool::new(false));
+    // When the store acknowledged that a route is dropped, and requests on it that ran later.
+    let dropped_at: Arc<Mutex<Option<f64>>> = Arc::default();
+    let by_old: Arc<Mutex<BTreeMap<String, usize>>> = Arc::default();
     let clients: Vec<_> = stage
         .vms
         .iter()
         .map(|vm| {
             let (name, to, is_over) = (vm.name.clone(), vm.callers, is_over.clone());
+            let (dropped_at, by_old, record) =
+                (dropped_at.clone(), by_old.clone(), stage.record.clone());
             std::thread::spawn(move || {
                 let mut number = 0;
                 while !is_over.load(Ordering::Relaxed) {
                     number += 1;
+                    let path = if number % 2 == 0 { "old" } else { "status" };
                     let head = format!(
-                        "POST /status/x HTTP/1.1\r\nHost: h.example\r\n\
+                        "POST /{path}/x HTTP/1.1\r\nHost: h.example\r\n\
                          X-Attempt-Id: {name}.{number}\r\nX-Deadline-Ms: 1500\r\n\
                          X-Sent-To: {name}\r\n"
                     );
-                    ask(to, &head, b"{}", Duration::from_secs(3));
+                    let sent_at = record.now();
+                    let got = ask(to, &head, b"{}", Duration::from_secs(3)).unwrap_or_default();
+                    let after = dropped_at.lock().unwrap().map_or(0.0, |at| sent_at - at);
+                    if path == "old" && got.status == 200 && after > CONFIG_BOUND_S {
+                        record.line(format!("{name}.{number}, sent {after:.3} s after, is run"));
+                        *by_old.lock().unwrap().entry(name.clone()).or_insert(0) += 1;
+                    }
                     std::thread::sleep(REQUEST_INTERVAL);
                 }
             })
@@ -114,6 +138,10 @@
         return Err("the entry was not written".to_owned());
     }
     *drained_at.lock().unwrap() = Some(stage.record.now());
+    if !store.write("config", "main", &config("5", "")) {
+        return Err("the configuration was not written".to_owned());
+    }
+    *dropped_at.lock().unwrap() = Some(stage.record.now());
     std::thread::sleep(DISRUPTION - DRAIN_AFTER);
     gates.iter().for_each(|gate| gate.set_shut(false));
     stage.record.line("the store serves all");
@@ -133,6 +161,12 @@
         stage.record.line(line);
         broken += if is_away { 0 } else { *count };
     }
+    for (vm, count) in by_old.lock().unwrap().iter() {
+        let is_away = away.contains(vm);
+        let line = format!("{vm} (turned away: {is_away}): {count} requests on the dropped route");
+        println!("{line}");
+        stage.record.line(line);
+    }
     stage.record_log(
         &["reads the store itself", "store lost", "told of the store", "store regained"],
         12,
