Don't take the end of a connection for the end of an answer once a write has failed

Cause: while a long request is being written, an early answer without a length and the reset that breaks it off both arrive before the task runs. The write is polled first, fails with the reset and so clears the error of the socket; the read after the answer's bytes then returns 0, as after a regular end. Ruled out: the codec (answers with a length or in chunks are not affected) and the check of idle connections, which drops a connection that reports anything.

A failed write is remembered: the end of the bytes completes no answer then, unless the write failed as a broken pipe, which is how the kernel reports a reset that follows the regular end. So a good early answer of a server that closes without reading the rest of the request still reaches its caller. A failed read ends the exchange at once, as all bytes before it have been read.

--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -73,6 +73,9 @@
     body: Body,
     /// Set if the whole request was sent.
     request_sent: bool,
+    /// Set if a failed write has reported a reset, which no read reports again. The end of the bytes
+    /// is not the end of a response then.
+    is_reset: bool,
     /// Set if the connection may be reused after the response.
     keep_alive: bool,
     method: Method,
@@ -117,6 +120,7 @@
             codec: Some(ClientCodec::default()),
             body: Body::Complete,
             request_sent: true,
+            is_reset: false,
             keep_alive: true,
             method: Method::GET,
         }
@@ -148,7 +152,7 @@
     /// `NotSent` if no byte was sent, else `Broken`.
     pub async fn send(&mut self, head: RequestHead, body: &Bytes) -> Result<ResponseHead, Fault> {
         let bytes = self.encode(head, body)?;
-        let sent = match &mut self.io {
+        let written = match &mut self.io {
             Io::Direct(io) => {
                 let (reader, writer) = io.split();
                 write_until_response(reader, writer, &bytes, &mut self.read).await?
@@ -158,7 +162,8 @@
                 write_until_response(reader, writer, &bytes, &mut self.read).await?
             }
         };
-        self.request_sent = sent == bytes.len();
+        self.request_sent = written.count == bytes.len();
+        self.is_reset = written.fault.as_ref().is_some_and(is_reset);
         self.read_head().await
     }
 
@@ -254,6 +259,9 @@
                 Body::UntilClose(_) => {
                     let got = self.io.read_buf(&mut self.read).await;
                     if got.map_err(|e| Fault::Broken(e.to_string()))? == 0 {
+                        if self.is_reset {
+                            return Err(Fault::Broken("the connection was reset".to_owned()));
+                        }
                         self.finish_body();
                         return Ok(None);
                     }
@@ -332,32 +340,49 @@
     }
 }
 
-/// Writes `bytes` until all are written or the head of a response has arrived in `read`. Returns the
-/// number of bytes that were written.
+/// How far a request was written.
+struct Written {
+    /// Number of bytes.
+    count: usize,
+    /// Error of the last write, if it failed.
+    fault: Option<io::Error>,
+}
+
+/// Writes `bytes` until all are written, a write fails or the head of a response has arrived in
+/// `read`.
+///
+/// # Errors
+/// `NotSent` if the first write fails, `Broken` if a read fails: no complete head has arrived then.
 async fn write_until_response(
     mut reader: impl AsyncRead + Unpin,
     mut writer: impl AsyncWrite + Unpin,
     bytes: &[u8],
     read: &mut BytesMut,
-) -> Result<usize, Fault> {
-    let mut sent = 0;
-    while sent < bytes.len() {
+) -> Result<Written, Fault> {
+    let mut count = 0;
+    while count < bytes.len() {
         tokio::select! {
             biased;
-            wrote = writer.write(&bytes[sent..]) => match wrote {
-                Ok(count) => sent += count,
-                Err(fault) if sent == 0 => return Err(Fault::NotSent(fault.to_string())),
+            wrote = writer.write(&bytes[count..]) => match wrote {
+                Ok(more) => count += more,
+                Err(fault) if count == 0 => return Err(Fault::NotSent(fault.to_string())),
                 // An early response may still be readable.
-                Err(_) => break,
+                Err(fault) => return Ok(Written { count, fault: Some(fault) }),
             },
             got = reader.read_buf(read) => match got {
                 Ok(0) => break,
                 Ok(_) => if has_head(read) { break },
-                Err(_) => break,
+                Err(fault) => return Err(Fault::Broken(fault.to_string())),
             },
         }
     }
-    Ok(sent)
+    Ok(Written { count, fault: None })
+}
+
+/// Returns true if the error of a write shows that the connection broke off before the peer had
+/// ended its bytes. The kernel reports a reset that follows their end as a broken pipe.
+pub fn is_reset(fault: &io::Error) -> bool {
+    fault.kind() != io::ErrorKind::BrokenPipe
 }
 
 /// Returns true if the buffer contains the end of a head.
