Reset a stream between VMs that is given up before its end

Cause: dropping a stream of quinn finishes it. peer::stream::Sender resets it unless it was finished; messages, calls, their replies and tunnels send through it. An answer that declines a tunnel now finishes its stream itself. No message changes its form; the build before reads a reset as an error.

Test: a_message_that_was_given_up_is_not_received_in_part, failing before, passing now.

--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -13,7 +13,7 @@
 use quinn::crypto::{CryptoError, HmacKey};
 use quinn::{
     ClientConfig, Connection, ConnectionId, ConnectionIdGenerator, Endpoint, EndpointConfig,
-    RecvStream, SendStream, ServerConfig, TransportConfig,
+    RecvStream, ServerConfig, TransportConfig,
 };
 use rcgen::{BasicConstraints, CertificateParams, DnType, IsCa, Issuer, KeyPair};
 use rustls::RootCertStore;
@@ -21,6 +21,7 @@
 use rustls::server::WebPkiClientVerifier;
 use sha2::{Digest, Sha256};
 
+use super::stream::Sender;
 use super::tunnel::{self, Answer, Destination, Tunnel};
 use crate::error::Error;
 use crate::unit::Size;
@@ -349,7 +350,7 @@
     ) -> Option<(Answer, Tunnel)> {
         let open = async {
             let (send, receive) = self.tunnels.get(to).await?.open_bi().await.ok()?;
-            let mut tunnel = Tunnel::new(send, receive);
+            let mut tunnel = Tunnel::new(Sender::new(send), receive);
             let answer = tunnel.request(destination).await.ok()?;
             Some((answer, tunnel))
         };
@@ -368,10 +369,11 @@
     /// Sends a one-way message, without a report of its delivery; the caller repeats it if needed.
     pub async fn send(&self, to: SocketAddr, bytes: Vec<u8>) {
         let send = async {
-            let mut stream = self.connection(to).await?.open_uni().await.ok()?;
+            let mut stream = Sender::new(self.connection(to).await?.open_uni().await.ok()?);
             self.count_sent(&bytes);
             stream.write_all(&bytes).await.ok()?;
-            stream.finish().ok()
+            stream.finish();
+            Some(())
         };
         let _ = tokio::time::timeout(CALL_TIMEOUT, send).await;
     }
@@ -383,26 +385,26 @@
     /// handled yet.
     pub async fn deliver(&self, to: SocketAddr, bytes: &[u8], within: Duration) -> bool {
         let deliver = async {
-            let mut stream = self.connection(to).await?.open_uni().await.ok()?;
+            let mut stream = Sender::new(self.connection(to).await?.open_uni().await.ok()?);
             self.count_sent(bytes);
             stream.write_all(bytes).await.ok()?;
             // The end of the stream goes into a second packet: a single packet is acknowledged only
             // after a delay.
             tokio::task::yield_now().await;
-            stream.finish().ok()?;
-            let stop_code = stream.stopped().await.ok()?;
-            stop_code.is_none().then_some(())
+            stream.finish();
+            Some(stream.received().await)
         };
-        tokio::time::timeout(within, deliver).await.ok().flatten().is_some()
+        tokio::time::timeout(within, deliver).await.ok().flatten().unwrap_or(false)
     }
 
     /// Sends a call and returns its reply, or none if it fails or takes longer than `CALL_TIMEOUT`.
     pub async fn call(&self, to: SocketAddr, bytes: Vec<u8>) -> Option<Vec<u8>> {
         let call = async {
-            let (mut send, mut receive) = self.connection(to).await?.open_bi().await.ok()?;
+            let (send, mut receive) = self.connection(to).await?.open_bi().await.ok()?;
+            let mut send = Sender::new(send);
             self.count_sent(&bytes);
             send.write_all(&bytes).await.ok()?;
-            send.finish().ok()?;
+            send.finish();
             receive.read_to_end(MAX_MESSAGE_SIZE.0 as usize).await.ok()
         };
         tokio::time::timeout(CALL_TIMEOUT, call).await.ok().flatten()
@@ -423,7 +425,7 @@
             }
             streams = connection.accept_bi() => {
                 let Ok((send, receive)) = streams else { return };
-                actix_web::rt::spawn(serve_stream(send, receive, inbox.clone()));
+                actix_web::rt::spawn(serve_stream(Sender::new(send), receive, inbox.clone()));
             }
         }
     }
@@ -431,7 +433,7 @@
 
 /// Receives a call and sends its reply, or passes a tunnel on.
 async fn serve_stream(
-    mut send: SendStream,
+    mut send: Sender,
     mut receive: RecvStream,
     inbox: tokio::sync::mpsc::UnboundedSender<Incoming>,
 ) {
@@ -444,7 +446,8 @@
     let (sender, reply) = tokio::sync::oneshot::channel();
     let _ = inbox.send(Incoming::Call([vec![first], rest].concat(), sender));
     if let Ok(bytes) = reply.await {
-        let _ = send.write_all(&bytes).await;
-        let _ = send.finish();
+        if send.write_all(&bytes).await.is_ok() {
+            send.finish();
+        }
     }
 }
--- a/src/peer/tunnel.rs
+++ b/src/peer/tunnel.rs
@@ -10,10 +10,11 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use quinn::{RecvStream, SendStream};
+use quinn::RecvStream;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 
+use super::stream::Sender;
 use super::wire::{decode, encode};
 use crate::unit::{Server, Service, Vm};
 
@@ -75,13 +76,13 @@
 
 /// One end of a tunnel.
 pub struct Tunnel {
-    send: SendStream,
+    send: Sender,
     receive: RecvStream,
 }
 
 impl Tunnel {
     /// Returns the end of a tunnel with these streams.
-    pub fn new(send: SendStream, receive: RecvStream) -> Tunnel {
+    pub fn new(send: Sender, receive: RecvStream) -> Tunnel {
         Tunnel { send, receive }
     }
 
@@ -113,12 +114,17 @@
         decode(&bytes).ok_or_else(|| io::ErrorKind::InvalidData.into())
     }
 
-    /// Sends the answer to the destination.
+    /// Sends the answer to the destination, which ends the tunnel unless it is
+    /// [`Answer::Connected`].
     ///
     /// # Errors
     /// If the stream breaks.
     pub async fn answer(&mut self, answer: Answer) -> io::Result<()> {
-        Ok(self.send.write_all(&encode(&answer)).await?)
+        self.send.write_all(&encode(&answer)).await?;
+        if answer != Answer::Connected {
+            self.send.finish();
+        }
+        Ok(())
     }
 
     /// Relays between the tunnel and a connection until either is closed. Closes the connection as
@@ -136,14 +142,11 @@
             copied = responses => match copied {
                 Ok(count) => {
                     // The other end reads what is under way, then the end of the stream.
-                    drop(self.send.finish());
-                    drop(self.send.stopped().await);
+                    self.send.finish();
+                    self.send.received().await;
                     count
                 }
-                Err(_) => {
-                    drop(self.send.reset(0u32.into()));
-                    0
-                }
+                Err(_) => 0,
             },
         }
     }
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -107,3 +107,25 @@
         assert!(!sender.deliver(to, b"news", WITHIN).await);
     });
 }
+
+/// Guards against a part of a message that is read as a whole one, since the sender gave it up.
+#[test]
+fn a_message_that_was_given_up_is_not_received_in_part() {
+    const LARGE: usize = 4_000_000;
+    kitepulley::command::block_on(async {
+        let (sender, _inbox) = receiver();
+        let (recipient, mut incoming) = receiver();
+        let to = recipient.address().unwrap();
+        sender.send(to, b"news".to_vec()).await;
+        assert!(matches!(incoming.recv().await, Some(Incoming::Frame(bytes)) if bytes == b"news"));
+        let large = sender.send(to, vec![0; LARGE]);
+        let given_up = tokio::time::timeout(Duration::from_millis(1), large).await;
+        assert!(given_up.is_err(), "the message is too large to be sent at once");
+        let received = tokio::time::timeout(Duration::from_millis(500), incoming.recv()).await;
+        let size = received.ok().flatten().map(|message| match message {
+            Incoming::Frame(bytes) => bytes.len(),
+            _ => 0,
+        });
+        assert_eq!(size, None, "a part of the message was received");
+    });
+}
