Reset a tunnel whose server has reset its connection

Through another VM, half of an answer without a length that is reset reached the caller as complete (MIXED), and an early answer with a length was lost.

Cause: in a tunnel's relay a failed write of the request ended everything at once: a write that consumed the reset ended the tunnel in the regular way, and what the server had sent before was not read.

Now the rest of the server's bytes is relayed after a failed write. If that write shows a reset, the tunnel is reset after the other VM has had 0.25 s to read a response that has a length; else it ends in the regular way.

Test: an_answer_that_is_reset_is_not_complete_through_another_vm, in both orders of the failed write and the answer.

--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -20,6 +20,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio_util::codec::{Decoder, Encoder};
 
+use crate::peer::stream::is_reset;
 use crate::peer::tunnel::Tunnel;
 use crate::unit::{Span, Vm};
 
@@ -379,12 +380,6 @@
     Ok(Written { count, fault: None })
 }
 
-/// Returns true if the error of a write shows that the connection broke off before the peer had
-/// ended its bytes. The kernel reports a reset that follows their end as a broken pipe.
-pub fn is_reset(fault: &io::Error) -> bool {
-    fault.kind() != io::ErrorKind::BrokenPipe
-}
-
 /// Returns true if the buffer contains the end of a head.
 fn has_head(buffer: &[u8]) -> bool {
     buffer.windows(4).any(|end| end == b"\r\n\r\n")
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -7,7 +7,7 @@
 mod member;
 mod ring;
 pub mod stall;
-mod stream;
+pub mod stream;
 pub mod tunnel;
 pub mod wire;
 
--- a/src/peer/stream.rs
+++ b/src/peer/stream.rs
@@ -1,4 +1,4 @@
-//! The sending half of a stream between VMs.
+//! Ends of byte streams, and the sending half of a stream between VMs.
 
 use std::io;
 use std::pin::Pin;
@@ -7,6 +7,14 @@
 use quinn::SendStream;
 use tokio::io::AsyncWrite;
 
+/// Returns true if the error of a write shows that the connection broke off before the peer had
+/// ended its bytes. The kernel reports a reset that follows their end as a broken pipe.
+///
+/// No read reports such a reset again: it returns the bytes that arrived, and then their end.
+pub fn is_reset(fault: &io::Error) -> bool {
+    fault.kind() != io::ErrorKind::BrokenPipe
+}
+
 /// Sends the bytes of a stream. The recipient reads the end of the stream only after
 /// [`Sender::finish`]: if the sender is dropped before, the stream is reset, so that a part of a
 /// message is not taken for a whole one.
--- a/src/peer/tunnel.rs
+++ b/src/peer/tunnel.rs
@@ -7,14 +7,15 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use quinn::RecvStream;
 use serde::{Deserialize, Serialize};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 
-use super::stream::Sender;
+use super::stream::{Sender, is_reset};
 use super::wire::{decode, encode};
 use crate::unit::{Server, Service, Vm};
 
@@ -24,6 +25,12 @@
 /// Maximum size of an encoded destination in bytes.
 const MAX_DESTINATION_SIZE: u16 = 1024;
 
+/// Largest part of a request that is relayed at once, in bytes.
+const MAX_CHUNK_SIZE: usize = 64 * 1024;
+
+/// Time for the other VM to read what the server sent before its connection was reset.
+const RESET_DELAY: Duration = Duration::from_millis(250);
+
 /// The incarnation of a server that a tunnel leads to.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Destination {
@@ -130,26 +137,49 @@
     /// Relays between the tunnel and a connection until either is closed. Closes the connection as
     /// soon as the other VM closes the tunnel, and resets the tunnel if the connection breaks.
     /// Returns the number of bytes from the server.
-    pub async fn relay<R, W>(mut self, mut from_server: R, mut to_server: W) -> u64
+    pub async fn relay<R, W>(self, mut from_server: R, to_server: W) -> u64
     where
         R: AsyncRead + Unpin,
         W: AsyncWrite + Unpin,
     {
-        let requests = tokio::io::copy(&mut self.receive, &mut to_server);
-        let responses = tokio::io::copy(&mut from_server, &mut self.send);
-        tokio::select! {
-            _ = requests => 0,
-            copied = responses => match copied {
-                Ok(count) => {
-                    // The other end reads what is under way, then the end of the stream.
-                    self.send.finish();
-                    self.send.received().await;
-                    count
-                }
-                Err(_) => 0,
-            },
+        let Tunnel { mut send, mut receive } = self;
+        let (copied, is_reset) = {
+            let mut responses = pin!(tokio::io::copy(&mut from_server, &mut send));
+            tokio::select! {
+                fault = relay_requests(&mut receive, to_server) => match fault {
+                    // What the server sent before is still to be read.
+                    Some(fault) => (responses.await, is_reset(&fault)),
+                    None => return 0,
+                },
+                copied = &mut responses => (copied, false),
+            }
+        };
+        let Ok(count) = copied else { return 0 };
+        if is_reset {
+            // A response with a length is complete all the same: the other VM reads it first.
+            drop(receive.stop(0u32.into()));
+            drop(tokio::time::timeout(RESET_DELAY, send.received()).await);
+            return count;
+        }
+        // The other end reads what is under way, then the end of the stream.
+        send.finish();
+        send.received().await;
+        count
+    }
+}
+
+/// Writes the bytes of a tunnel to a server until the other VM closes the tunnel or a write fails.
+/// Returns the error of that write.
+async fn relay_requests(
+    receive: &mut RecvStream,
+    mut to_server: impl AsyncWrite + Unpin,
+) -> Option<io::Error> {
+    while let Ok(Some(chunk)) = receive.read_chunk(MAX_CHUNK_SIZE, true).await {
+        if let Err(fault) = to_server.write_all(&chunk.bytes).await {
+            return Some(fault);
         }
     }
+    None
 }
 
 impl AsyncRead for Tunnel {
--- a/tests/connection.rs
+++ b/tests/connection.rs
@@ -1,15 +1,21 @@
 //! Which ends of a connection complete a response, with both sides in a fixed order of events.
 
-use std::io::{Read, Write};
+use std::cell::{Cell, RefCell};
+use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::pin::Pin;
 use std::sync::mpsc;
+use std::task::{Context, Poll, Waker};
 use std::thread;
 use std::time::Duration;
 
 use actix_http::{Method, RequestHead};
 use bytes::Bytes;
 use kitepulley::forward::connection::{Connection, Fault};
+use kitepulley::peer::tunnel::{Answer, Destination};
+use kitepulley::peer::{Incoming, Links};
 use kitepulley::unit::Span;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Size of a request body that the kernel's buffers don't hold.
 const LONG_BODY: usize = 16_000_000;
@@ -60,7 +66,7 @@
         End::CloseThenReset => stream.shutdown(Shutdown::Write).unwrap(),
         End::Close => {
             stream.shutdown(Shutdown::Write).unwrap();
-            let _ = std::io::copy(&mut stream, &mut std::io::sink());
+            let _ = io::copy(&mut stream, &mut io::sink());
         }
     }
 }
@@ -120,3 +126,95 @@
         assert!(got.as_ref().is_ok_and(|body| *body == "whole"), "{answer}, {end:?}: {got:?}");
     }
 }
+
+/// A server's connection that is reset while the request is written to it, as the kernel reports it:
+/// the write fails, and the reads after it return what arrived and then nothing.
+#[derive(Default)]
+struct ResetServer {
+    answer: Cell<Option<&'static [u8]>>,
+    /// True if the answer is read only after the write has failed.
+    is_late: bool,
+    is_reset: Cell<bool>,
+    reader: RefCell<Option<Waker>>,
+}
+
+impl AsyncRead for &ResetServer {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let is_readable = self.is_reset.get() || !self.is_late;
+        if let Some(answer) = is_readable.then(|| self.answer.take()).flatten() {
+            buffer.put_slice(answer);
+            return Poll::Ready(Ok(()));
+        }
+        if self.is_reset.get() {
+            return Poll::Ready(Ok(()));
+        }
+        self.reader.replace(Some(cx.waker().clone()));
+        Poll::Pending
+    }
+}
+
+impl AsyncWrite for &ResetServer {
+    fn poll_write(self: Pin<&mut Self>, _: &mut Context<'_>, _: &[u8]) -> Poll<io::Result<usize>> {
+        self.is_reset.set(true);
+        self.reader.take().into_iter().for_each(Waker::wake);
+        Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// Sends a request through another VM, whose connection to the server breaks off as
+/// [`ResetServer`]. Returns the body that arrives.
+async fn exchange_through_tunnel(answer: &'static [u8], is_late: bool) -> Result<Bytes, Fault> {
+    let (sender, _inbox) = tokio::sync::mpsc::unbounded_channel();
+    let caller = Links::bind("127.0.0.1:0".parse().unwrap(), b"a fleet key", sender).unwrap();
+    let (sender, mut incoming) = tokio::sync::mpsc::unbounded_channel();
+    let helper = Links::bind("127.0.0.1:0".parse().unwrap(), b"a fleet key", sender).unwrap();
+    let to = helper.address().unwrap();
+    actix_web::rt::spawn(async move {
+        let Some(Incoming::Tunnel(mut tunnel)) = incoming.recv().await else { return };
+        tunnel.read_destination().await.unwrap();
+        tunnel.answer(Answer::Connected).await.unwrap();
+        let answer = Cell::new(Some(answer));
+        let server = ResetServer { answer, is_late, ..ResetServer::default() };
+        tunnel.relay(&server, &server).await;
+    });
+    let destination = Destination {
+        from: "vm-1".parse().unwrap(),
+        server: "i-1".parse().unwrap(),
+        started_at_ms: None,
+        address: to,
+    };
+    let opened = caller.open_tunnel(to, &destination, Duration::from_secs(2)).await;
+    let Some((Answer::Connected, tunnel)) = opened else { panic!("no tunnel") };
+    let mut connection = Connection::tunnelled("vm-2".parse().unwrap(), tunnel);
+    connection.send(request(), &Bytes::from(vec![b'x'; MAX_BODY])).await?;
+    connection.read_body(MAX_BODY).await
+}
+
+/// Guards against a helper that ends a tunnel in the regular way after the server has reset its
+/// connection.
+#[test]
+fn an_answer_that_is_reset_is_not_complete_through_another_vm() {
+    kitepulley::command::block_on(async {
+        for is_late in [false, true] {
+            let half = b"HTTP/1.1 200 OK\r\n\r\nhalf";
+            let answer = exchange_through_tunnel(half, is_late).await;
+            assert!(matches!(answer, Err(Fault::Broken(_))), "late: {is_late}, {answer:?}");
+            let sized = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+            let answer = exchange_through_tunnel(sized, is_late).await;
+            let is_whole = answer.as_ref().is_ok_and(|body| *body == "whole");
+            assert!(is_whole, "late: {is_late}, {answer:?}");
+        }
+    });
+}
