Read an answer whose transfer encoding isn't chunked until its connection ends

An answer with "Transfer-Encoding: identity" and a body reached the caller as complete with an empty body: a header named a framing, so the response counted as one without a body. Found while looking for other ways in which an end that was not seen completes an answer.

An answer that has neither a length nor chunks now ends with its connection, whichever headers it has; the codec rejects all other encodings.

Test: one more row of an_early_answer_is_delivered_if_its_end_was_seen; before, Ok(b"").

--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -13,7 +13,7 @@
 
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
-use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use actix_http::header::CONTENT_LENGTH;
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
@@ -218,11 +218,10 @@
         self.keep_alive = codec.keep_alive() && self.request_sent;
         let has_no_body = self.method == Method::HEAD
             || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-        let has_no_length = !head.headers.contains_key(CONTENT_LENGTH)
-            && !head.headers.contains_key(TRANSFER_ENCODING);
+        let has_length = head.headers.contains_key(CONTENT_LENGTH);
         self.body = match codec.message_type() {
             _ if has_no_body => self.without_body(codec),
-            MessageType::None if has_no_length => Body::UntilClose(codec),
+            MessageType::None if !has_length => Body::UntilClose(codec),
             MessageType::None => self.without_body(codec),
             MessageType::Payload | MessageType::Stream => Body::Framed(codec.into_payload_codec()),
         };
--- a/tests/connection.rs
+++ b/tests/connection.rs
@@ -114,7 +114,9 @@
     let until_close = "HTTP/1.1 200 OK\r\n\r\nwhole";
     let sized = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
     let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+    let not_chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nwhole";
     let ends = [
+        (not_chunked, End::Close),
         (until_close, End::Close),
         (until_close, End::CloseThenReset),
         (sized, End::Reset),
