--- a/src/decide/freshness.rs
+++ b/src/decide/freshness.rs
@@ -28,6 +28,10 @@
 /// Time that a read takes if nothing is wrong, with a new connection.
 const READ_TIME: Span = Span::millis(100);
 
+/// Time until a VM that reads the store itself has all kinds: it probes a store that others report
+/// as lost, proves the configuration, and reads the other kinds.
+const FIRST_READS_TIME: Span = Span(3 * READ_TIME.0);
+
 /// Time that a poll between VMs takes if nothing is wrong.
 const POLL_TIME: Span = Span::millis(50);
 
@@ -183,12 +187,10 @@
         self.contact_bound().mul_f64(READ_STORE_AGE_FRACTION)
     }
 
-    /// Returns the largest age of a follower's server data while one connection on the way is
-    /// silent: it accepts what is just not too old, learns at its next poll that it is, and reads
-    /// the store.
+    /// Returns the largest age of a follower's server data, whatever other VMs answer, and if they
+    /// don't: it reads the store itself at a certain age.
     pub fn max_servers_age(&self) -> Span {
-        let at_next_poll = self.max_forwarded_age() + POLL_TIME + POLL_INTERVAL;
-        at_next_poll.max(self.max_followed_age()) + READ_TIME
+        self.max_followed_age() + FIRST_READS_TIME
     }
 
     /// Returns the largest age of a follower's state of a kind other than servers, `hops` VMs from
@@ -198,6 +200,6 @@
     pub fn max_follower_age(&self, schedule: &Schedule, hops: u32) -> Span {
         let hop = POLL_INTERVAL + POLL_TIME;
         let through_reader = schedule.max_age() + Span(hop.0 * u64::from(hops));
-        through_reader.max(self.max_servers_age() + READ_TIME)
+        through_reader.max(self.max_servers_age())
     }
 }
--- a/src/decide/reader.rs
+++ b/src/decide/reader.rs
@@ -10,8 +10,10 @@
 //! others poll the first VM of their group. There is no election, and two readers do no harm.
 //!
 //! The ranking bounds the load on the store when hundreds of VMs lack updates at the same moment,
-//! at a start or while the store does not answer: VMs keep polling higher-ranked ones, and only the
-//! first VM of each group, or the two of next rank, try the store.
+//! at a start or while the store does not answer. VMs poll higher-ranked ones first, and those of
+//! higher rank try the store earlier and more often. But no VM waits for others beyond the age up to
+//! which it may use its data: it tries the store then, whatever they report, since a store may
+//! reject some VMs and serve the others.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -107,6 +109,51 @@
     reader != by && hops <= MAX_HOPS
 }
 
+/// Returns true if updates that `reader` read and that took `hops` hops to their sender come by a
+/// longer way than those that a VM has already, which `current_reader` read and which took
+/// `current_hops` hops to it.
+pub fn is_detour(reader: &Vm, hops: u8, current_reader: &Vm, current_hops: u8) -> bool {
+    reader == current_reader && hops >= current_hops
+}
+
+/// Returns true if a VM that reads the store without failures may stop for the updates of another
+/// reader: only if that one ranks before it. Otherwise two readers could stop for each other, and
+/// the data of all VMs would get too old.
+pub fn may_stop_reading(own: &Rank, reader: &Rank) -> bool {
+    reader < own
+}
+
+/// Returns the age of its server data at which a VM reads the store itself. `lost` is the number of
+/// responsive VMs that rank before it, if its sources report the store as unavailable. VMs of higher
+/// rank then try the store earlier, so that the others can follow one that succeeds.
+pub fn read_store_age(contact_bound: Span, lost: Option<usize>) -> Span {
+    let latest = contact_bound.mul_f64(READ_STORE_AGE_FRACTION);
+    let Some(ranked_before) = lost else { return latest };
+    let earliest = contact_bound.mul_f64(MAX_FORWARDED_AGE_FRACTION);
+    let delay = ranked_before as f64 / (ranked_before + MAX_SOURCES) as f64;
+    earliest + Span(latest.0.saturating_sub(earliest.0)).mul_f64(delay)
+}
+
+/// Returns the longest delay between two probes of a store that is unavailable, for a VM with this
+/// number of responsive VMs of higher rank. It grows with their number, so that the probes of a
+/// group grow with the logarithm of its size.
+pub fn max_probe_delay(ranked_before: usize) -> Span {
+    Span(MAX_PROBE_DELAY.0 * (1 + ranked_before as u64))
+}
+
+/// Returns how long a VM polls those that rank before it when the store answers again, instead of
+/// reading it, as otherwise several VMs would do the same reads at once. The first of them probes the
+/// store at least every `probe_delay`.
+pub fn first_vm_grace(probe_delay: Span) -> Span {
+    probe_delay + FIRST_VM_READ_TIME
+}
+
+/// Returns the pause before the next poll: `pause`, or less if the VM reads the store itself
+/// earlier, which it does once its server data, read at `known`, has the age `read_age`.
+pub fn poll_pause(pause: Span, known: Option<Moment>, read_age: Span, now: Moment) -> Span {
+    known.map_or(pause, |known| pause.min((known + read_age).since(now)))
+}
+
 /// Returns the timeout of the next poll, or none if the VM should read the store instead. `known`
 /// is when a follower's server data were read from the store; a VM that reads the store itself
 /// passes none and always gets the full timeout.
@@ -116,6 +163,13 @@
     (left > Span::default()).then(|| left.min(POLL_TIMEOUT))
 }
 
+/// Time until the first VM of a group serves updates after a probe of the store has succeeded.
+const FIRST_VM_READ_TIME: Span = Span::millis(100);
+
+/// Maximum delay between two probes of a lost store by the VM of highest rank. The probe is a stale
+/// read.
+const MAX_PROBE_DELAY: Span = Span::millis(600);
+
 /// Reason why a source is not polled for now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum BackoffReason {
@@ -178,13 +232,16 @@
         group: impl Iterator<Item = &'a Rank>,
         now: Moment,
     ) -> bool {
-        let reports_lost = |rank: &&Rank| {
-            let backoff = self.backoffs.get(&rank.vm);
-            backoff.is_some_and(|one| {
-                one.reason == BackoffReason::StoreLost && now < one.until + STORE_UNAVAILABLE_GRACE
-            })
-        };
-        self.responsive_sources(own, group, now).iter().any(reports_lost)
+        let sources = self.responsive_sources(own, group, now);
+        sources.into_iter().take(MAX_SOURCES).any(|rank| self.reports_store_lost(&rank.vm, now))
+    }
+
+    /// Returns true if the last answer of a VM was that the store is unavailable, and is still
+    /// valid.
+    fn reports_store_lost(&self, vm: &Vm, now: Moment) -> bool {
+        self.backoffs.get(vm).is_some_and(|one| {
+            one.reason == BackoffReason::StoreLost && now < one.until + STORE_UNAVAILABLE_GRACE
+        })
     }
 
     /// Backs off briefly from a source that does not have a full snapshot yet.
@@ -234,8 +291,7 @@
         }
     }
 
-    /// Returns the responsive sources of higher rank than `own`, the highest first, at most
-    /// [`MAX_SOURCES`].
+    /// Returns the responsive VMs of higher rank than `own`, the highest first.
     fn responsive_sources<'a>(
         &'a self,
         own: &'a Rank,
@@ -245,20 +301,30 @@
         let mut sources: Vec<&Rank> =
             group.filter(|rank| *rank < own && !self.is_silent(&rank.vm, now)).collect();
         sources.sort();
-        sources.truncate(MAX_SOURCES);
         sources
     }
 
-    /// Returns the source in `group` that the VM `own` polls next. None if `own` is the first
-    /// responsive VM, or if all of its sources are in backoff.
+    /// Returns the source in `group` that the VM `own` polls next: one of the first [`MAX_SOURCES`]
+    /// that respond. Those that report the store as unavailable are polled as well and not counted,
+    /// as the store may serve VMs of lower rank. None if `own` is the first responsive VM, or if all
+    /// of its sources are in backoff.
     pub fn next_source<'a>(
         &'a self,
         own: &'a Rank,
         group: impl Iterator<Item = &'a Rank>,
         now: Moment,
     ) -> Option<&'a Vm> {
-        let sources = self.responsive_sources(own, group, now);
-        sources.into_iter().map(|rank| &rank.vm).find(|vm| self.backoff_reason(vm, now).is_none())
+        let mut counted = 0;
+        for Rank { vm, .. } in self.responsive_sources(own, group, now) {
+            if counted == MAX_SOURCES {
+                return None;
+            }
+            if self.backoff_reason(vm, now).is_none() {
+                return Some(vm);
+            }
+            counted += usize::from(!self.reports_store_lost(vm, now));
+        }
+        None
     }
 
     /// Returns any VM to poll next, whatever its rank. Used by a VM that has lost the store.
@@ -279,6 +345,16 @@
         group.filter(|rank| !self.is_silent(&rank.vm, now)).min()
     }
 
+    /// Returns the highest-ranked responsive VM of a group that does not report the store as
+    /// unavailable.
+    pub fn first_with_store<'a>(
+        &'a self,
+        group: impl Iterator<Item = &'a Rank>,
+        now: Moment,
+    ) -> Option<&'a Rank> {
+        self.first_responsive(group.filter(|rank| !self.reports_store_lost(&rank.vm, now)), now)
+    }
+
     /// Returns how many VMs of a group rank before the VM `own`, and how many of these are known as
     /// unresponsive.
     pub fn count_ranked_before<'a>(
@@ -316,6 +392,13 @@
     pub silent: usize,
 }
 
+impl RankedBefore {
+    /// Returns the number of VMs that answer.
+    pub fn responsive(&self) -> usize {
+        self.known.saturating_sub(self.silent)
+    }
+}
+
 /// Position of a VM in its group, by the number of responsive VMs of higher rank. It decides if the
 /// VM reads the store when its sources have no update.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -360,34 +443,42 @@
     pub is_overdue: bool,
 }
 
-/// Returns true if a VM that got no update from its sources reads the store itself.
+impl FollowerState {
+    /// Returns true if the VM must not wait for others any longer: its data is too old, or it has
+    /// none and has waited for its first update.
+    fn must_not_wait(&self) -> bool {
+        self.is_overdue || (!self.has_snapshot && !self.is_starting)
+    }
+}
+
+/// Returns true if a VM that got no update from its sources reads the store itself. It does in each
+/// state once it must not wait any longer.
 pub fn should_read_store(state: &FollowerState) -> bool {
+    if state.must_not_wait() {
+        return true;
+    }
     if state.is_store_unavailable {
         return should_try_unavailable_store(state);
     }
-    if state.is_overdue {
-        return true;
-    }
     if state.has_source {
         return false;
     }
     match state.group_position {
         GroupPosition::First => true,
-        GroupPosition::Next => state.has_snapshot || !state.is_starting,
+        GroupPosition::Next => state.has_snapshot,
         // One of the VM's sources will have an update soon.
-        GroupPosition::Behind => !state.has_snapshot && !state.is_starting,
+        GroupPosition::Behind => false,
     }
 }
 
-/// Returns true if a VM tries to read a store that a source reported as unavailable. The first VM
-/// of a group always does, and in a fleet of one group also the two of next rank: a store that
-/// refuses a third of the VMs and serves the others refuses three given VMs at once on one day in
-/// twenty. VMs whose data is too old try too, except, in a fleet of several groups, those with
-/// three or more VMs of higher rank.
+/// Returns true if a VM that could still wait tries to read a store that a source reported as
+/// unavailable. The first VM of a group always does, and in a fleet of one group also the two of
+/// next rank: a store that refuses a third of the VMs and serves the others refuses three given VMs
+/// at once on one day in twenty.
 fn should_try_unavailable_store(state: &FollowerState) -> bool {
     match state.group_position {
         GroupPosition::First => true,
-        GroupPosition::Next => !state.has_other_groups || state.is_overdue,
-        GroupPosition::Behind => !state.has_other_groups && state.is_overdue,
+        GroupPosition::Next => !state.has_other_groups,
+        GroupPosition::Behind => false,
     }
 }
--- a/src/experiment/reading/mod.rs
+++ b/src/experiment/reading/mod.rs
@@ -6,6 +6,9 @@
 //! compared with one in which only readers with followers make proofs on a schedule, and with its
 //! predecessor, in which a VM without updates reads the store itself at once.
 //! All are computed from the times of calls and polls; packets are counted, not sent.
+//!
+//! A second run has an outage in which the store turns away the three VMs of highest rank in each
+//! data centre and serves the others.
 
 mod node;
 mod simulation;
@@ -19,17 +22,22 @@
 use crate::unit::{Moment, Span};
 use node::Node;
 use simulation::{
-    ALL_CRASH_AT, ALL_RESTART_AT, READER_CRASH_AT, RUN_END, STORE_LOST_AT, STORE_RECOVERED_AT,
-    Simulation, Strategy,
+    ALL_CRASH_AT, ALL_RESTART_AT, Outage, READER_CRASH_AT, RUN_END, STORE_LOST_AT,
+    STORE_RECOVERED_AT, Simulation, Strategy,
 };
 
 /// Time before the outage and after it in which calls are counted.
 const CALM_DURATION: Span = Span::secs(10);
 
+/// Number of VMs of each data centre that the store turns away in the second run: those that others
+/// poll for updates.
+const TURNED_AWAY: usize = 3;
+
 fn row(strategy: Strategy, vms: usize, seed: u64) -> Row {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let mut simulation = Simulation::new(strategy, vms, &mut rng);
+    let mut simulation = Simulation::new(strategy, Outage::Everywhere, vms, &mut rng);
     simulation.run();
+    let partial = partial_outage(strategy, vms, seed);
     let per_vm = |price: f64| price / vms as f64;
     let calm = simulation.price_between(Span(STORE_LOST_AT.0 - CALM_DURATION.0), STORE_LOST_AT);
     let during_outage = simulation.price_between(STORE_LOST_AT, STORE_RECOVERED_AT);
@@ -57,6 +65,8 @@
         .number("calm, calls/s", calm / CALM_DURATION.as_secs(), 2)
         .number("away 8 s, calls", during_outage, 0)
         .number("return 10 s, calls", after_outage, 0)
+        .number("turned away 8 s, calls", partial.calls, 0)
+        .number("oldest at VMs served ms", partial.oldest_data.as_millis(), 0)
         .with("fall, VMs that read", new_readers)
         .number("again, calls a VM", per_vm(simulation.price_between(ALL_RESTART_AT, RUN_END)), 2)
         .number("ready after p99 ms", quantile(&mut ready, 0.99), 0)
@@ -65,6 +75,25 @@
         .number("calm, bytes/s of the store", store_bytes, 0)
 }
 
+/// Result of an outage in which the store turns away some VMs and serves the others.
+struct PartialOutage {
+    /// Price of all calls.
+    calls: f64,
+    /// Largest age of the data of a VM that the store serves.
+    oldest_data: Span,
+}
+
+fn partial_outage(strategy: Strategy, vms: usize, seed: u64) -> PartialOutage {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let outage = Outage::FirstOfEach(TURNED_AWAY);
+    let mut simulation = Simulation::new(strategy, outage, vms, &mut rng);
+    simulation.run();
+    PartialOutage {
+        calls: simulation.price_between(STORE_LOST_AT, STORE_RECOVERED_AT),
+        oldest_data: simulation.oldest_data,
+    }
+}
+
 /// Fleet sizes by default.
 const VMS: [usize; 5] = [10, 23, 60, 300, 1000];
 
--- a/src/experiment/reading/node.rs
+++ b/src/experiment/reading/node.rs
@@ -42,6 +42,10 @@
     pub origin: (usize, u8),
     /// True if it believes that the store is lost.
     pub store_lost: bool,
+    /// True if it became a reader since others report the store as lost, and has not tried it yet.
+    pub store_untested: bool,
+    /// True while it gives VMs of higher rank time to read a store that answers again.
+    pub yields_to_first: bool,
     /// Time since which its sources report that the store is lost.
     pub store_lost_since: Option<Moment>,
     /// Time at which it learned that the store had recovered.
@@ -70,6 +74,8 @@
             synced_at: None,
             origin: (at, 0),
             store_lost: false,
+            store_untested: false,
+            yields_to_first: false,
             store_lost_since: None,
             recovered_at: None,
             ready_at: None,
--- a/src/experiment/reading/simulation.rs
+++ b/src/experiment/reading/simulation.rs
@@ -11,8 +11,9 @@
 use crate::decide::freshness::{Bounds, Schedules};
 use crate::decide::reader::{
     FAST_POLL_INTERVAL, FIRST_POLL_TIMEOUT, FollowerState, GroupPosition, POLL_INTERVAL,
-    POLL_TIMEOUT, Rank, STORE_LOSS_CONFIRMED_AFTER, may_accept_update, poll_timeout,
-    should_read_store, startup_wait,
+    POLL_TIMEOUT, Rank, STORE_LOSS_CONFIRMED_AFTER, first_vm_grace, max_probe_delay,
+    may_accept_update, may_stop_reading, poll_pause, read_store_age, should_read_store,
+    startup_wait,
 };
 use crate::unit::{Moment, Span, Vm as Name};
 
@@ -54,8 +55,8 @@
 /// Price of the calls with which a VM becomes a reader.
 const FIRST_READ_CALLS: f64 = 4.0;
 
-/// Mean interval of the retries of a reader while the store is lost.
-const RETRY_INTERVAL: Span = Span::millis(450);
+/// Mean interval of a VM's probes while the store is lost, as a fraction of the longest one.
+const MEAN_PROBE_DELAY_FRACTION: f64 = 0.75;
 
 /// Price of a retry: a read that may be stale.
 const RETRY_PRICE: f64 = 0.1;
@@ -87,6 +88,15 @@
     Direct,
 }
 
+/// The VMs that do not reach the store during its outage.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Outage {
+    /// All VMs.
+    Everywhere,
+    /// This number of VMs of highest rank in each data centre; the store serves the others.
+    FirstOfEach(usize),
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Start(usize),
@@ -98,6 +108,7 @@
 /// One run of the simulation.
 pub struct Simulation {
     strategy: Strategy,
+    outage: Outage,
     schedules: Schedules,
     /// All VMs, by index.
     pub nodes: Vec<Node>,
@@ -110,11 +121,13 @@
     pub reader_starts: Vec<(Moment, usize)>,
     index: HashMap<Name, usize>,
     snapshot_bytes: u64,
+    /// Largest age of the data of a VM during the outage, if the store serves that VM.
+    pub oldest_data: Span,
 }
 
 impl Simulation {
     /// Creates a run with all its starts and crashes scheduled.
-    pub fn new(strategy: Strategy, vms: usize, rng: &mut SmallRng) -> Simulation {
+    pub fn new(strategy: Strategy, outage: Outage, vms: usize, rng: &mut SmallRng) -> Simulation {
         let nodes: Vec<Node> = (0..vms).map(Node::new).collect();
         let index = nodes.iter().enumerate().map(|(at, node)| (node.rank.vm.clone(), at));
         let index = index.collect();
@@ -123,6 +136,7 @@
         let schedules = Schedules::new(BOUNDS);
         let mut simulation = Simulation {
             strategy,
+            outage,
             schedules,
             nodes,
             queue,
@@ -132,6 +146,7 @@
             reader_starts: Vec::new(),
             index,
             snapshot_bytes,
+            oldest_data: Span(0),
         };
         for at in 0..vms {
             let delay = |rng: &mut SmallRng| Span(rng.random_range(0..START_SPREAD.0));
@@ -146,10 +161,28 @@
         self.queue.push(Reverse((at, event)));
     }
 
-    fn is_store_unavailable(&self) -> bool {
+    fn is_outage(&self) -> bool {
         (Moment(0) + STORE_LOST_AT..Moment(0) + STORE_RECOVERED_AT).contains(&self.now)
     }
 
+    /// Returns true if the store does not serve this VM during the outage.
+    fn is_turned_away(&self, at: usize) -> bool {
+        match self.outage {
+            Outage::Everywhere => true,
+            Outage::FirstOfEach(count) => at / DATA_CENTRES < count,
+        }
+    }
+
+    /// Records the age of a VM's data, before the data is renewed.
+    fn record_age(&mut self, at: usize) {
+        if let Some(synced_at) = self.nodes[at].synced_at
+            && self.is_outage()
+            && !self.is_turned_away(at)
+        {
+            self.oldest_data = self.oldest_data.max(self.now.since(synced_at));
+        }
+    }
+
     fn record_call(&mut self, price: f64) {
         self.calls.push((self.now, price));
     }
@@ -213,8 +246,14 @@
         if self.nodes[at].role != Role::Reader {
             return;
         }
-        let store_lost = self.is_store_unavailable();
+        self.record_age(at);
+        let store_lost = self.is_outage() && self.is_turned_away(at);
+        if !store_lost && self.yields_to_first(at) {
+            return;
+        }
+        let was_untested = std::mem::take(&mut self.nodes[at].store_untested);
         let price = match (store_lost, self.strategy) {
+            (false, _) if was_untested => RETRY_PRICE + FIRST_READ_CALLS,
             (false, _) => 1.0,
             (true, Strategy::Direct) => DIRECT_RETRY_PRICE,
             (true, _) => RETRY_PRICE,
@@ -222,6 +261,8 @@
         self.record_call(price);
         let now = self.now;
         let rates = self.call_rates(at);
+        let probe_delay =
+            max_probe_delay(self.ranked_before(at)).mul_f64(MEAN_PROBE_DELAY_FRACTION);
         if !store_lost {
             self.store_bytes.push((now, rates.bytes_per_call()));
         }
@@ -234,10 +275,27 @@
             }
         }
         node.store_lost = store_lost;
-        let pause = if store_lost { RETRY_INTERVAL } else { rates.interval() };
+        let pause = if store_lost { probe_delay } else { rates.interval() };
         self.schedule(now + pause, Event::ReadStore(at, incarnation));
     }
 
+    /// Returns true if a VM lets those that rank before it read a store that answers again. The VM reads the store later unless it follows another one by then.
+    fn yields_to_first(&mut self, at: usize) -> bool {
+        let is_first = self.ranked_before(at) == 0;
+        let now = self.now;
+        let node = &mut self.nodes[at];
+        let has_found_it_lost = node.store_lost && !node.store_untested;
+        if std::mem::take(&mut node.yields_to_first) || !has_found_it_lost || is_first {
+            return false;
+        }
+        node.yields_to_first = true;
+        node.sources.clear_declined();
+        let incarnation = node.incarnation;
+        self.record_call(RETRY_PRICE);
+        self.schedule(now + first_vm_grace(max_probe_delay(0)), Event::ReadStore(at, incarnation));
+        true
+    }
+
     /// Returns the rates of a reader's calls.
     fn call_rates(&self, at: usize) -> CallRates {
         let polled_at = self.nodes[at].polled_at;
@@ -258,21 +316,65 @@
     }
 
     fn group(&self, at: usize) -> impl Iterator<Item = &Rank> {
-        let own = at % DATA_CENTRES;
-        let of_group = move |other: &usize| other % DATA_CENTRES == own && *other != at;
-        (0..self.nodes.len()).filter(of_group).map(|other| &self.nodes[other].rank)
+        self.data_centre(at, at % DATA_CENTRES)
     }
 
     /// Returns the first responsive VM of each other data centre.
     fn first_per_data_centre(&self, at: usize) -> Vec<&Rank> {
         let others = (0..DATA_CENTRES).filter(|other| *other != at % DATA_CENTRES);
-        let of = |other: usize| (other..self.nodes.len()).step_by(DATA_CENTRES);
         let sources = &self.nodes[at].sources;
-        let first =
-            |other| sources.first_responsive(of(other).map(|one| &self.nodes[one].rank), self.now);
+        let first = |other| sources.first_responsive(self.data_centre(at, other), self.now);
         others.filter_map(first).collect()
     }
 
+    /// Returns the first responsive VM of the data centre of a VM, if it is another one.
+    fn first_of_group(&self, at: usize) -> Option<usize> {
+        let node = &self.nodes[at];
+        let first = node.sources.first_responsive(self.group(at), self.now)?;
+        (*first < node.rank).then(|| self.index[&first.vm])
+    }
+
+    /// Returns the first VM of each data centre that does not report the store as lost.
+    fn first_with_store(&self, at: usize) -> Vec<&Rank> {
+        let sources = &self.nodes[at].sources;
+        let first = |other| sources.first_with_store(self.data_centre(at, other), self.now);
+        (0..DATA_CENTRES).filter_map(first).collect()
+    }
+
+    /// Returns the ranks of the VMs of a data centre without the VM `at`.
+    fn data_centre(&self, at: usize, number: usize) -> impl Iterator<Item = &Rank> {
+        let vms = (number..self.nodes.len()).step_by(DATA_CENTRES);
+        vms.filter(move |other| *other != at).map(|other| &self.nodes[other].rank)
+    }
+
+    /// Returns how many VMs probe a lost store before this one: VMs of its data centre or, for the
+    /// first of a data centre, the firsts of others.
+    fn ranked_before(&self, at: usize) -> usize {
+        let node = &self.nodes[at];
+        let before = match self.place(at) {
+            GroupPosition::First => node.sources.count_ranked_before(
+                &node.rank,
+                self.first_per_data_centre(at).into_iter(),
+                self.now,
+            ),
+            GroupPosition::Next | GroupPosition::Behind => {
+                node.sources.count_ranked_before(&node.rank, self.group(at), self.now)
+            }
+        };
+        before.responsive()
+    }
+
+    /// Returns the age of its data at which a VM reads the store itself.
+    fn read_store_age(&self, at: usize) -> Span {
+        let is_lost = self.is_store_reported_lost(at);
+        read_store_age(DRAIN_WINDOW, is_lost.then(|| self.ranked_before(at)))
+    }
+
+    fn is_store_reported_lost(&self, at: usize) -> bool {
+        let node = &self.nodes[at];
+        node.sources.is_store_reported_unavailable(&node.rank, self.group(at), self.now)
+    }
+
     fn place(&self, at: usize) -> GroupPosition {
         let node = &self.nodes[at];
         node.sources.group_position(&node.rank, self.group(at), self.now)
@@ -283,7 +385,8 @@
         let next = match (self.place(at), self.strategy) {
             (GroupPosition::First, Strategy::Direct) => None,
             (GroupPosition::First, _) if node.store_lost => {
-                node.sources.any_source(self.first_per_data_centre(at).into_iter(), self.now)
+                let polled = self.first_per_data_centre(at).into_iter();
+                node.sources.any_source(polled.chain(self.first_with_store(at)), self.now)
             }
             (GroupPosition::First, _) => node.sources.next_source(
                 &node.rank,
@@ -298,8 +401,10 @@
     }
 
     fn poll(&mut self, at: usize) {
+        self.record_age(at);
         let current = match self.nodes[at].role {
             Role::Follower(other) => Some(other),
+            Role::Reader if self.nodes[at].store_lost => self.first_of_group(at),
             Role::Starting | Role::Reader => None,
         };
         let next = self.next_source(at).filter(|next| Some(*next) != current);
@@ -315,6 +420,9 @@
             (false, Some(_)) => POLL_TIMEOUT,
         };
         let pause = if is_settled { POLL_INTERVAL } else { FAST_POLL_INTERVAL };
+        let node = &self.nodes[at];
+        let known = node.synced_at.filter(|_| node.role != Role::Reader);
+        let pause = poll_pause(pause, known, self.read_store_age(at), self.now + waited);
         let incarnation = self.nodes[at].incarnation;
         self.schedule(self.now + waited + pause, Event::Poll(at, incarnation));
     }
@@ -340,14 +448,16 @@
             (source.synced_at, source.store_lost, source.incarnation);
         let (reader, hops) = if source.role == Role::Reader { (other, 0) } else { source.origin };
         let may_answer = source.role == Role::Reader || self.strategy != Strategy::Direct;
-        let reader_name = self.nodes[reader].rank.vm.clone();
+        let reader_rank = self.nodes[reader].rank.clone();
         let node = &mut self.nodes[at];
+        let reads = node.role == Role::Reader && !node.store_lost;
         let Some(synced_at) = synced_at.filter(|_| may_answer) else {
             node.sources.on_not_ready(&name, now);
             return None;
         };
-        if !may_accept_update(&reader_name, hops, &node.rank.vm)
+        if !may_accept_update(&reader_rank.vm, hops, &node.rank.vm)
             || (lost && node.role == Role::Reader)
+            || (reads && !may_stop_reading(&node.rank, &reader_rank))
         {
             node.sources.on_declined(&name, now);
             return None;
@@ -383,21 +493,19 @@
     fn on_no_update(&mut self, at: usize, store_reported_lost: bool) -> bool {
         let node = &self.nodes[at];
         if node.role == Role::Reader {
-            return true;
+            return !node.yields_to_first;
         }
         let group_position = self.place(at);
         let state = FollowerState {
             group_position,
             has_other_groups: self.strategy != Strategy::Direct,
             has_source: self.next_source(at).is_some(),
-            is_store_unavailable: node.sources.is_store_reported_unavailable(
-                &node.rank,
-                self.group(at),
-                self.now,
-            ),
+            is_store_unavailable: self.is_store_reported_lost(at),
             has_snapshot: node.synced_at.is_some(),
             is_starting: self.now.since(node.started_at) < startup_wait(group_position),
-            is_overdue: poll_timeout(node.synced_at, DRAIN_WINDOW, self.now).is_none(),
+            is_overdue: node
+                .synced_at
+                .is_some_and(|known| self.now.since(known) >= self.read_store_age(at)),
         };
         let reads_store = match self.strategy {
             Strategy::Direct => !state.has_source,
@@ -419,6 +527,7 @@
         }
         let node = &mut self.nodes[at];
         node.role = Role::Reader;
+        node.store_untested = store_reported_lost;
         let incarnation = node.incarnation;
         self.schedule(self.now, Event::ReadStore(at, incarnation));
     }
--- a/src/forward/backoff.rs
+++ b/src/forward/backoff.rs
@@ -23,7 +23,11 @@
     pub fn next_delay(&mut self, longest: Span) -> Span {
         let doubled = FIRST_RETRY_DELAY.0 << self.failures.min(MAX_DOUBLINGS);
         self.failures += 1;
-        let most = doubled.min(longest.0) as f64;
-        Span((most * (0.5 + 0.5 * rand::random::<f64>())) as u64)
+        with_jitter(Span(doubled).min(longest))
     }
 }
+
+/// Returns a random delay between a half and the whole of `longest`.
+pub fn with_jitter(longest: Span) -> Span {
+    longest.mul_f64(0.5 + 0.5 * rand::random::<f64>())
+}
--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -18,8 +18,8 @@
 use super::{peer, poison, usage};
 use crate::decide::reader::{
     self as decide, FAST_POLL_INTERVAL, FIRST_POLL_TIMEOUT, FollowerState, POLL_INTERVAL, Rank,
-    RankedBefore, STARTUP_WAIT, STORE_LOSS_CONFIRMED_AFTER, SourceHistory, may_accept_update,
-    poll_timeout, startup_wait,
+    RankedBefore, STARTUP_WAIT, STORE_LOSS_CONFIRMED_AFTER, SourceHistory, is_detour,
+    may_accept_update, may_stop_reading, poll_pause, poll_timeout, read_store_age, startup_wait,
 };
 use crate::platform::object::Object;
 use crate::unit::{Moment, Span, Vm as Name};
@@ -44,6 +44,7 @@
     };
     loop {
         let pause = if follower.poll().await { POLL_INTERVAL } else { FAST_POLL_INTERVAL };
+        let pause = follower.pause_before_poll(pause);
         let expected = follower.vm.now() + pause;
         let search_requested = follower.vm.reader_search.notified();
         if tokio::time::timeout(pause.duration(), search_requested).await.is_ok() {
@@ -84,6 +85,8 @@
     group: Vec<Rank>,
     /// The highest-ranked VM that responds, of each other group.
     firsts: Vec<Rank>,
+    /// The highest-ranked VM of each group that may reach a store which this VM has lost.
+    with_store: Vec<Rank>,
 }
 
 /// Outcome of one poll.
@@ -98,6 +101,16 @@
     reply: Response,
 }
 
+impl Outcome {
+    /// Returns the update, if there is one from a VM that doesn't report the store as lost.
+    fn current_update(&self) -> Option<&Update> {
+        match &self.reply {
+            Response::Update(update) if update.store != Reachability::Down => Some(update),
+            _ => None,
+        }
+    }
+}
+
 /// What a poll brought, from worst to best. An update may also be rejected; see
 /// [`Follower::apply_update`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -118,13 +131,15 @@
         let candidates = self.candidates();
         let followed = match &*self.vm.role.borrow() {
             Role::Follows(name) => Some(name.clone()),
+            // The first VM of the group notices the recovery of the store before this one.
+            Role::Reads if self.vm.store_lost.get() => self.first_of_group(&candidates),
             Role::Joins | Role::Reads => None,
         };
         self.update_rank(&candidates);
         let next = self.next_target(&candidates).filter(|next| Some(next) != followed.as_ref());
         // Both at the same time, so that two timeouts take no longer than one.
-        let (of_next, of_followed) =
-            join(self.poll_vm(next, &candidates), self.poll_vm(followed, &candidates)).await;
+        let (of_next, of_followed) = join(self.poll_vm(next), self.poll_vm(followed)).await;
+        let of_next = self.without_detour(of_next, of_followed.as_ref());
         let gain = self.apply_outcome(of_next);
         let gain =
             if gain < Gain::Fresh { gain.max(self.apply_outcome(of_followed)) } else { gain };
@@ -134,13 +149,60 @@
         gain == Gain::Fresh || self.decide_without_update(gain == Gain::Stale, &candidates)
     }
 
-    /// Returns the timeout of the next poll, or `None` if the state of the servers is too old to
-    /// wait for an answer. While the store is reported down, VMs are polled however old the state
-    /// is.
-    fn poll_timeout(&self, candidates: &Candidates) -> Option<Span> {
+    /// Returns the outcome of the poll of the next candidate, or `None` if its updates take a longer
+    /// way from the same reader than those of the followed VM, which answered too. Otherwise two VMs
+    /// could follow each other, and their state would get old.
+    fn without_detour(
+        &mut self,
+        of_next: Option<Outcome>,
+        of_followed: Option<&Outcome>,
+    ) -> Option<Outcome> {
+        let has_detour = {
+            let origin = self.vm.updates_origin.borrow();
+            let current = of_followed.and_then(Outcome::current_update);
+            let offered = of_next.as_ref().and_then(Outcome::current_update);
+            offered.zip(current).zip(origin.as_ref()).is_some_and(|((offered, _), origin)| {
+                is_detour(&offered.origin.reader, offered.origin.hops, &origin.reader, origin.hops)
+            })
+        };
+        if !has_detour {
+            return of_next;
+        }
         let now = self.vm.now();
-        let lost = self.vm.upstream_store_lost.get() || self.is_store_reported_down(candidates);
-        poll_timeout(self.servers_as_of.filter(|_| !lost), self.vm.schedules.contact_bound(), now)
+        of_next.iter().for_each(|outcome| self.source_history.on_declined(&outcome.name, now));
+        None
+    }
+
+    /// Returns the age of its state of the servers at which this VM reads the store itself.
+    fn read_store_age(&self, candidates: &Candidates) -> Span {
+        let is_lost = self.is_store_reported_down(candidates);
+        let ranked_before = is_lost.then(|| self.ranked_before(candidates).responsive());
+        read_store_age(self.vm.schedules.contact_bound(), ranked_before)
+    }
+
+    /// Returns true if the state of the servers is too old to wait for updates any longer.
+    fn is_overdue(&self, candidates: &Candidates) -> bool {
+        let read_age = self.read_store_age(candidates);
+        self.servers_as_of.is_some_and(|known| self.vm.now().since(known) >= read_age)
+    }
+
+    /// Returns the pause before the next poll, at which this VM decides again if it reads the store
+    /// itself.
+    fn pause_before_poll(&self, pause: Span) -> Span {
+        let read_age = self.read_store_age(&self.candidates());
+        poll_pause(pause, self.servers_as_of, read_age, self.vm.now())
+    }
+
+    /// Returns the timeout of the next poll, or `None` if the state of the servers is too old to
+    /// wait for an answer.
+    fn poll_timeout(&self) -> Option<Span> {
+        poll_timeout(self.servers_as_of, self.vm.schedules.contact_bound(), self.vm.now())
+    }
+
+    /// Returns how many VMs of this VM's group rank before it.
+    fn ranked_before(&self, candidates: &Candidates) -> RankedBefore {
+        let group = candidates.group.iter();
+        self.source_history.count_ranked_before(&candidates.own, group, self.vm.now())
     }
 
     /// Returns true if the VMs of the group that this VM polls report the store as down.
@@ -169,11 +231,19 @@
         let now = vm.now();
         let peers = vm.peers.borrow();
         let (group, others) = peers.groups(&vm.settings.data_centre);
-        let firsts = others.into_values();
-        let firsts = firsts
-            .filter_map(|group| self.source_history.first_responsive(group.iter(), now).cloned());
-        let firsts = firsts.collect();
-        Candidates { own, group, firsts }
+        let history = &self.source_history;
+        let first = |group: &Vec<Rank>| history.first_responsive(group.iter(), now).cloned();
+        let firsts = others.values().filter_map(first).collect();
+        let with_store = |group: &Vec<Rank>| history.first_with_store(group.iter(), now).cloned();
+        let with_store = others.values().chain([&group]).filter_map(with_store).collect();
+        Candidates { own, group, firsts, with_store }
+    }
+
+    /// Returns the first VM of this VM's group that responds, if it is another one.
+    fn first_of_group(&self, candidates: &Candidates) -> Option<Name> {
+        let group = candidates.group.iter();
+        let first = self.source_history.first_responsive(group, self.vm.now());
+        first.filter(|first| **first < candidates.own).map(|first| first.vm.clone())
     }
 
     /// Returns this VM's place among the VMs of its group that respond.
@@ -181,27 +251,28 @@
         self.source_history.group_position(&candidates.own, candidates.group.iter(), self.vm.now())
     }
 
-    /// Updates since when this VM is the first of its group. Also updates `probes_rarely`: set if
-    /// so many firsts of other groups rank before this VM that it need not probe a lost store
-    /// often.
+    /// Updates since when this VM is the first of its group, and how many VMs probe a lost store
+    /// before it: VMs of its group or, for the first of a group, the firsts of other groups.
     fn update_rank(&self, candidates: &Candidates) {
         let now = self.vm.now();
         let is_first = self.own_place(candidates) == decide::GroupPosition::First;
         let since = self.vm.first_in_group_since.get();
         self.vm.first_in_group_since.set(is_first.then(|| since.unwrap_or(now)));
-        let among =
-            self.source_history.group_position(&candidates.own, candidates.firsts.iter(), now);
-        self.vm.probes_rarely.set(among == decide::GroupPosition::Behind);
+        let others = if is_first { &candidates.firsts } else { &candidates.group };
+        let before = self.source_history.count_ranked_before(&candidates.own, others.iter(), now);
+        self.vm.ranked_before.set(before.responsive());
     }
 
     /// Returns the next VM to poll: one that ranks before this one in its group or, for the first
-    /// of a group, the first of another group.
+    /// of a group, the first of another group. A first that has lost the store polls any VM that may
+    /// reach it.
     fn next_target(&self, candidates: &Candidates) -> Option<Name> {
         let now = self.vm.now();
         let next = if self.own_place(candidates) != decide::GroupPosition::First {
             self.source_history.next_source(&candidates.own, candidates.group.iter(), now)
         } else if self.vm.store_lost.get() || self.vm.store_suspect.get() {
-            self.source_history.any_source(candidates.firsts.iter(), now)
+            let polled = candidates.firsts.iter().chain(&candidates.with_store);
+            self.source_history.any_source(polled, now)
         } else {
             self.source_history.next_source(&candidates.own, candidates.firsts.iter(), now)
         };
@@ -209,12 +280,12 @@
     }
 
     /// Polls a VM. Returns `None` if there is no VM to poll, or no time left for it.
-    async fn poll_vm(&self, name: Option<Name>, candidates: &Candidates) -> Option<Outcome> {
+    async fn poll_vm(&self, name: Option<Name>) -> Option<Outcome> {
         let (name, vm) = (name?, &self.vm);
         let requested_at = vm.now();
         let within = match self.is_starting() {
             true => FIRST_POLL_TIMEOUT,
-            false => self.poll_timeout(candidates)?,
+            false => self.poll_timeout()?,
         };
         let cursor = self.cursors.get(&name).copied().unwrap_or_default();
         let is_first = vm.first_in_group_since.get().is_some();
@@ -260,7 +331,7 @@
     /// Applies an update that was requested at `requested_at`, and makes this VM follow the sender.
     ///
     /// An update is rejected if this VM itself read it from the store, too many VMs have relayed
-    /// it, its era is older than the newest, or it can't be decoded. While the sender reports the
+    /// it, this VM reads the store and does not rank behind the VM that read the update, its era is older than the newest, or it can't be decoded. While the sender reports the
     /// store as lost, its update is used only if this VM does not read the store itself; a VM that
     /// has just started waits until the loss is confirmed.
     ///
@@ -271,7 +342,10 @@
         let vm = self.vm.clone();
         let Origin { reader, hops } = &update.origin;
         let is_lost = update.store == Reachability::Down;
-        if !may_accept_update(reader, *hops, &vm.settings.vm) || (is_lost && vm.is_reader()) {
+        if !may_accept_update(reader, *hops, &vm.settings.vm)
+            || (is_lost && vm.is_reader())
+            || !may_stop_reading_for(&vm, reader)
+        {
             self.source_history.on_declined(from, vm.now());
             return Gain::None;
         }
@@ -338,7 +412,6 @@
         }
         self.update_rank(candidates);
         let now = vm.now();
-        let bound = vm.schedules.contact_bound();
         let group_position = self.own_place(candidates);
         let without = FollowerState {
             group_position,
@@ -347,15 +420,10 @@
             is_store_unavailable: self.is_store_reported_down(candidates),
             has_snapshot: self.servers_as_of.is_some(),
             is_starting: now.since(self.started) < startup_wait(group_position),
-            is_overdue: poll_timeout(self.servers_as_of, bound, now).is_none(),
+            is_overdue: self.is_overdue(candidates),
         };
         if decide::should_read_store(&without) {
-            let ranked_before = self.source_history.count_ranked_before(
-                &candidates.own,
-                candidates.group.iter(),
-                now,
-            );
-            become_reader(vm, &without, ranked_before);
+            become_reader(vm, &without, self.ranked_before(candidates));
             self.servers_as_of = None;
             return true;
         }
@@ -366,6 +434,14 @@
     }
 }
 
+/// Returns true unless this VM reads the store without failures and keeps doing so, although `reader`
+/// reads it too. The rank of a VM that is not known yet is no reason to keep reading.
+fn may_stop_reading_for(vm: &Vm, reader: &Name) -> bool {
+    let reads = vm.is_reader() && vm.store_state(vm.now()) != Reachability::Down;
+    let rank = vm.peers.borrow().rank(reader);
+    !reads || rank.is_none_or(|rank| may_stop_reading(&vm.rank(), &rank))
+}
+
 /// Returns the time that a state reflects if a request sent at `requested_at` was answered with a
 /// state of the age `age`. The result is never later than the true time, however long the response
 /// took.
--- a/src/forward/peer.rs
+++ b/src/forward/peer.rs
@@ -218,6 +218,11 @@
         self.known.get(name).map(|peer| peer.info.address)
     }
 
+    /// Returns the rank of another VM.
+    pub fn rank(&self, name: &Name) -> Option<Rank> {
+        self.known.get(name).map(|peer| Rank::new(peer.info.cpu_quota, name.clone()))
+    }
+
     /// Returns the data centre of another VM.
     pub fn data_centre(&self, name: &Name) -> Option<&DataCentre> {
         self.known.get(name).map(|peer| &peer.info.data_centre)
--- a/src/forward/proof.rs
+++ b/src/forward/proof.rs
@@ -5,13 +5,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::backoff::Backoff;
+use super::backoff::{Backoff, with_jitter};
 use super::kind::Kind;
 use super::membership;
 use super::role::Role;
 use super::store_watch::apply_listing;
 use super::vm::Vm;
-use crate::decide::reader::FAST_POLL_INTERVAL;
+use crate::decide::reader::{FAST_POLL_INTERVAL, first_vm_grace, max_probe_delay};
 use crate::platform::client::{Client, Consistency, StoreError};
 use crate::platform::object::CONFIG;
 use crate::unit::Span;
@@ -20,20 +20,9 @@
 /// is made; the list is a proof as well.
 const STARTUP_LIST_GRACE: Span = Span::millis(300);
 
-/// Longest delay after a failed proof, short so that recovery of the store is noticed soon.
+/// Longest delay after a failed proof in a full mesh, short so that recovery of the store is noticed
+/// soon. With more VMs it may be longer, since the VMs that probe the store inform the others.
 const MAX_BACKOFF: Span = Span::millis(300);
-/// Longest delay after a failed proof if there are too many VMs for a full mesh. It may be longer
-/// than [`MAX_BACKOFF`], since the VMs that probe the store inform the others.
-const MAX_BACKOFF_LARGE_FLEET: Span = Span::millis(600);
-
-/// Longest delay while three VMs that rank before this one probe the store. This VM still probes
-/// it, since the store may reject just those three.
-const MAX_BACKOFF_LOW_RANK: Span = Span::millis(2400);
-
-/// When the store recovers, a VM that is not the first of its group polls the first for this long
-/// instead of proving the recovery itself, as otherwise several VMs would do the same read at once.
-/// The VM's followers learn of the recovery later by this time.
-const FIRST_VM_GRACE: Span = Span::millis(400);
 
 /// Interval at which a VM that leaves proofs to others checks its role again.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -46,15 +35,19 @@
     let mut backoff = Backoff::default();
     loop {
         if is_left_to_others(&vm) {
-            tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
+            let mut role = vm.role.subscribe();
+            let reads = role.wait_for(|role| *role == Role::Reads);
+            let _ = tokio::time::timeout(ROLE_CHECK_INTERVAL, reads).await;
             continue;
         }
-        if vm.store_lost.get() {
-            if let Err(error) = probe_store(&vm, &mut store).await {
+        if vm.store_lost.get() || vm.store_untested.get() {
+            let probed = probe_store(&vm, &mut store).await;
+            vm.store_untested.set(false);
+            if let Err(error) = probed {
                 record_failure(&vm, &error, &mut backoff).await;
                 continue;
             }
-            if first_vm_took_over(&vm).await {
+            if vm.store_lost.get() && first_vm_took_over(&vm).await {
                 continue;
             }
         } else if !wait_for_due(&vm).await {
@@ -63,7 +56,6 @@
         let sent = vm.now();
         let result = store.list(CONFIG, Consistency::Strong).await;
         vm.count_store_call("prove", &result);
-        vm.store_untested.set(false);
         match result {
             Ok(listing) => {
                 vm.on_store_response();
@@ -82,14 +74,15 @@
     found
 }
 
-/// Polls the first VM of the group for [`FIRST_VM_GRACE`]. Returns true if the first VM has proved
-/// the configuration meanwhile, so that this VM follows it; false at once if this VM is the first.
+/// Polls the VMs that rank before this one for the time of [`first_vm_grace`]. Returns true if one of
+/// them has proved the configuration meanwhile, so that this VM follows it; false at once if none
+/// ranks before this one.
 async fn first_vm_took_over(vm: &Vm) -> bool {
-    if vm.first_in_group_since.get().is_some() {
+    if vm.ranked_before.get() == 0 {
         return false;
     }
     let mut role = vm.role.subscribe();
-    let until = vm.now() + FIRST_VM_GRACE;
+    let until = vm.now() + first_vm_grace(max_delay_after_failure(vm, 0));
     while vm.now() < until {
         vm.reader_search.notify_one();
         let follows = role.wait_for(|role| *role != Role::Reads);
@@ -104,15 +97,25 @@
 async fn record_failure(vm: &Vm, error: &StoreError, backoff: &mut Backoff) {
     vm.on_proof_failure(&error.to_string());
     vm.proof_received.notify_waiters();
-    tokio::time::sleep(backoff.next_delay(max_backoff(vm)).duration()).await;
+    tokio::time::sleep(delay_after_failure(vm, backoff).duration()).await;
+}
+
+/// Returns the delay after a failed proof, by the number of VMs and the rank of this one. Beyond a
+/// full mesh only the VM of highest rank begins with short delays.
+fn delay_after_failure(vm: &Vm, backoff: &mut Backoff) -> Span {
+    let ranked_before = vm.ranked_before.get();
+    let longest = max_delay_after_failure(vm, ranked_before);
+    match vm.peers.borrow().is_full_mesh() || ranked_before == 0 {
+        true => backoff.next_delay(longest),
+        false => with_jitter(longest),
+    }
 }
 
-/// Returns the longest delay after a failed proof, by the number of VMs and the rank of this one.
-fn max_backoff(vm: &Vm) -> Span {
+/// Returns the longest delay after a failed proof of a VM with this number of VMs of higher rank.
+fn max_delay_after_failure(vm: &Vm, ranked_before: usize) -> Span {
     match vm.peers.borrow().is_full_mesh() {
         true => MAX_BACKOFF,
-        false if vm.probes_rarely.get() => MAX_BACKOFF_LOW_RANK,
-        false => MAX_BACKOFF_LARGE_FLEET,
+        false => max_probe_delay(ranked_before),
     }
 }
 
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -114,8 +114,9 @@
     /// True if this VM became a reader because others report the store as lost, and has not tried
     /// the store itself yet.
     pub store_untested: Cell<bool>,
-    /// True if enough other VMs probe a lost store, so that this VM probes it rarely.
-    pub probes_rarely: Cell<bool>,
+    /// Number of VMs that probe a lost store before this one, which probes it the more rarely the
+    /// more there are.
+    pub ranked_before: Cell<usize>,
     /// Wakes the follower task, which then polls for a VM to follow at once; used when a lost store
     /// responds again.
     pub reader_search: Notify,
@@ -226,7 +227,7 @@
             upstream_store_lost: Cell::new(false),
             store_suspect: Cell::new(false),
             store_untested: Cell::new(false),
-            probes_rarely: Cell::new(false),
+            ranked_before: Cell::new(0),
             reader_search: Notify::new(),
             peers_listed: Notify::new(),
             first_in_group_since: Cell::new(None),
--- a/tests/reading.rs
+++ b/tests/reading.rs
@@ -5,8 +5,9 @@
 use std::collections::BTreeMap;
 
 use kitepulley::decide::reader::{
-    FollowerState, GroupPosition, Rank, STARTUP_SILENCE, STARTUP_WAIT, SourceHistory,
-    may_accept_update, should_read_store, startup_wait,
+    FollowerState, GroupPosition, POLL_INTERVAL, Rank, STARTUP_SILENCE, STARTUP_WAIT,
+    SourceHistory, is_detour, max_probe_delay, may_accept_update, may_stop_reading, poll_pause,
+    poll_timeout, read_store_age, should_read_store, startup_wait,
 };
 use kitepulley::forward::rollout_trial::Source;
 use kitepulley::forward::rollout_trial::{RolloutTrial, Sample, Verdict};
@@ -156,31 +157,150 @@
     assert_eq!(readers(300, silent), 2);
 }
 
+/// Returns a state for each combination of positions, sources and reports.
+fn follower_states() -> Vec<FollowerState> {
+    let positions = [GroupPosition::First, GroupPosition::Next, GroupPosition::Behind];
+    let mut states = Vec::new();
+    for group_position in positions {
+        for bits in 0..64_u8 {
+            let is_set = |bit: u8| bits & 1 << bit != 0;
+            states.push(FollowerState {
+                group_position,
+                has_other_groups: is_set(0),
+                has_source: is_set(1),
+                is_store_unavailable: is_set(2),
+                has_snapshot: is_set(3),
+                is_starting: is_set(4),
+                is_overdue: is_set(5),
+            });
+        }
+    }
+    states
+}
+
+/// Guards against VMs that the store serves and that go on with old state for as long as others
+/// report the store as lost.
 #[test]
-fn what_is_too_old_is_read_unless_the_store_is_lost() {
-    let behind = FollowerState {
+fn what_is_too_old_is_read_whatever_others_report() {
+    for state in follower_states() {
+        if state.is_overdue {
+            assert!(should_read_store(&state), "its data is too old: {state:?}");
+        }
+        if !state.has_snapshot && !state.is_starting {
+            assert!(should_read_store(&state), "no update came: {state:?}");
+        }
+    }
+    let young = FollowerState {
         group_position: GroupPosition::Behind,
         has_other_groups: true,
-        has_source: true,
+        has_source: false,
         is_store_unavailable: false,
-        has_snapshot: true,
-        is_starting: false,
-        is_overdue: true,
-    };
-    assert!(should_read_store(&behind), "draining servers must not get work beyond the bound");
-    assert!(
-        !should_read_store(&FollowerState { is_store_unavailable: true, ..behind }),
-        "the VMs that try the store report the result"
-    );
-    let young = FollowerState {
         has_snapshot: false,
         is_starting: true,
         is_overdue: false,
-        has_source: false,
-        ..behind
     };
     assert!(!should_read_store(&young), "its first update may still come");
-    assert!(should_read_store(&FollowerState { is_starting: false, ..young }), "no update came");
+    assert!(
+        !should_read_store(&FollowerState {
+            is_store_unavailable: true,
+            has_snapshot: true,
+            ..young
+        }),
+        "the VMs that try the store report the result"
+    );
+}
+
+/// Returns the age of its data at which a VM reads the store itself if each of its sources answers
+/// at the end of the time for a poll, and reports the store as lost.
+fn age_at_first_read(group: &[Rank], own: &Rank, bound: Span) -> Span {
+    let known = Moment(0) + Span::secs(100);
+    let (mut history, mut now) = (SourceHistory::default(), known);
+    let others: Vec<Rank> = group.iter().filter(|other| *other != own).cloned().collect();
+    loop {
+        let source = history.next_source(own, others.iter(), now).cloned();
+        if let (Some(source), Some(time)) = (source, poll_timeout(Some(known), bound, now)) {
+            now = now + time;
+            history.on_store_unavailable(&source, now);
+        }
+        let is_lost = history.is_store_reported_unavailable(own, others.iter(), now);
+        let ranked_before = history.count_ranked_before(own, others.iter(), now).responsive();
+        let read_age = read_store_age(bound, is_lost.then_some(ranked_before));
+        let state = FollowerState {
+            group_position: history.group_position(own, others.iter(), now),
+            has_other_groups: true,
+            has_source: history.next_source(own, others.iter(), now).is_some(),
+            is_store_unavailable: is_lost,
+            has_snapshot: true,
+            is_starting: false,
+            is_overdue: now.since(known) >= read_age,
+        };
+        if should_read_store(&state) {
+            return now.since(known);
+        }
+        now = now + poll_pause(POLL_INTERVAL, Some(known), read_age, now);
+        assert!(now.since(known) < bound, "{} waits for others for {bound}", own.vm);
+    }
+}
+
+/// Guards against VMs that the store serves and that act on old state, since VMs that it turns away
+/// report it as lost to them.
+#[test]
+fn a_vm_whose_sources_report_the_store_as_lost_reads_it_within_its_bound() {
+    for seconds in 2..=5 {
+        let bound = Span::secs(seconds);
+        for vms in [14, 84, 295] {
+            for group in fleet(vms) {
+                for own in &group[1..] {
+                    let age = age_at_first_read(&group, own, bound);
+                    assert!(age <= bound.mul_f64(0.8), "{}: {age} of {bound}", own.vm);
+                }
+            }
+        }
+    }
+}
+
+/// Guards against VMs that poll only those of highest rank, although these report the store as lost
+/// and others reach it.
+#[test]
+fn a_vm_polls_others_than_those_that_report_the_store_as_lost() {
+    let group = &fleet(60)[0];
+    let own = &group[6];
+    let mut history = SourceHistory::default();
+    let now = Moment(0) + Span::secs(1);
+    group[..3].iter().for_each(|rank| history.on_store_unavailable(&rank.vm, now));
+    assert_eq!(history.next_source(own, group.iter(), now), Some(&group[3].vm));
+    let others = || group.iter().filter(|other| *other != own);
+    assert_eq!(history.first_with_store(others(), now), Some(&group[3]));
+    // They are polled again, to learn when the store is back.
+    let later = now + Span::secs(2);
+    assert_eq!(history.next_source(own, group.iter(), later), Some(&group[0].vm));
+}
+
+/// Guards against two readers that stop reading for each other, and against two VMs that follow each
+/// other, so that no VM has current data.
+#[test]
+fn no_two_vms_wait_for_each_other() {
+    let ranks: Vec<Rank> = (0..12).map(rank).collect();
+    for one in &ranks {
+        for other in ranks.iter().filter(|other| *other != one) {
+            assert!(may_stop_reading(one, other) != may_stop_reading(other, one));
+        }
+    }
+    let (reader, another) = (&ranks[0].vm, &ranks[1].vm);
+    // A VM has the updates of a reader by one hop, and its follower by two.
+    assert!(is_detour(reader, 2, reader, 1), "it offers what it got from this VM");
+    assert!(is_detour(reader, 1, reader, 1));
+    assert!(!is_detour(reader, 0, reader, 1), "the reader itself");
+    assert!(!is_detour(another, 2, reader, 1), "another reader");
+}
+
+/// Guards against a group whose probes of a lost store grow with its size.
+#[test]
+fn vms_of_lower_rank_probe_a_lost_store_more_rarely() {
+    let probes_per_second = |vms: usize| -> f64 {
+        (0..vms).map(|before| 1.0 / max_probe_delay(before).as_secs()).sum()
+    };
+    assert!(probes_per_second(1000) < 2.0 * probes_per_second(50));
 }
 
 #[test]
@@ -274,6 +394,10 @@
         assert!(figure("away 8 s, calls") <= 3.0 * 8.0 * figure("calm, calls/s"), "{row}");
         assert!(figure("return 10 s, calls") <= 3.0 * 10.0 * figure("calm, calls/s"), "{row}");
         assert!(figure("fall, VMs that read") <= 3.0, "{row}");
+        assert!(
+            figure("oldest at VMs served ms") <= 4000.0 * 0.8,
+            "the store turns away three VMs of each data centre: {row}"
+        );
         assert!(figure("ready after p99 ms") <= 1000.0, "{row}");
     }
 }
