Limit what responses cost a VM, over all of them together

Servers in trouble may send bytes without end, in a head or a body. On informational heads, the digits of a chunk's size, its extension and trailers took a whole core until the deadline, and a VM with 110 MB took 116 and 157 MB beside two servers that answered one request in twenty without end (100 callers, debug build).

Cause: the limit of 8 MB applied to each answer alone, what carries no part of a body had none, a body without a length was read 64 bytes at a time, and an event without end was searched again with each read.

Now a response is given up after 64 KB, and as many bytes as its body, that carry no part of the body, or 16 informational heads. All bodies share a quarter of the VM's memory, of which each may take as much as is left for the others, and beyond 64 KB each a rate by the processor quota.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -30,6 +30,7 @@
 pub mod pressure;
 pub mod priority;
 pub mod reader;
+pub mod reading;
 pub mod replica;
 pub mod retry;
 pub mod rollout;
--- a/src/engine/client.rs
+++ b/src/engine/client.rs
@@ -17,6 +17,7 @@
 use crate::decide::retry::Failure;
 use crate::forward::connection;
 use crate::forward::pool::{self, Pool};
+use crate::forward::read_budget::Budget;
 use crate::unit::Span;
 use crate::vm::Clock;
 
@@ -45,6 +46,7 @@
     client: Client,
     services: Rc<RefCell<HashMap<SocketAddr, Pool>>>,
     clock: Clock,
+    budget: Budget,
 }
 
 /// Error of an attempt for which the engine returned no stream.
@@ -81,7 +83,8 @@
     pub fn new() -> EngineClient {
         let connector = Connector::new().timeout(CONNECT_TIMEOUT).limit(0);
         let client = Client::builder().connector(connector).disable_timeout().finish();
-        EngineClient { client, services: Rc::default(), clock: Clock::default() }
+        let (services, clock, budget) = (Rc::default(), Clock::default(), Budget::default());
+        EngineClient { client, services, clock, budget }
     }
 
     /// Sends a request to a service and reads the whole response, of at most `max_bytes`.
@@ -104,8 +107,8 @@
             let mut pools = self.services.borrow_mut();
             pools.entry(to).or_default().checkout(repeatable, self.clock.now())
         };
-        let mut connection =
-            pool::reuse_or_open(idle, to, SERVICE_CONNECT_TIMEOUT).await.map_err(failure)?;
+        let connection = pool::reuse_or_open(idle, to, SERVICE_CONNECT_TIMEOUT).await;
+        let mut connection = connection.map_err(failure)?.with_budget(&self.budget);
         let head = connection.send(head, body).await.map_err(failure)?;
         let body = connection.read_body(max_bytes).await.map_err(failure)?;
         let mut pools = self.services.borrow_mut();
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -406,7 +406,7 @@
     response: Response,
 ) -> Outcome {
     let vm = &job.vm;
-    let events = EventBuffer::default();
+    let events = EventBuffer::new(connection.budget());
     let started_at = vm.now();
     let mut stream =
         Stream { connection, events, first_batch: None, ended: false, started_at, open };
--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -20,6 +20,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio_util::codec::{Decoder, Encoder};
 
+use crate::forward::read_budget::{self, Budget};
 use crate::peer::stream::is_reset;
 use crate::peer::tunnel::Tunnel;
 use crate::unit::{Span, Vm};
@@ -38,6 +39,13 @@
 /// Buffer space in bytes reserved for each read.
 const READ_SIZE: usize = 16 * 1024;
 
+/// Bytes of a response that may carry no part of its body: heads, the framing of chunks, trailers.
+/// Besides, they may be as many as those of the body.
+const MAX_FRAMING: usize = 64 * 1024;
+
+/// Maximum number of informational heads before a response.
+const MAX_INFORMATIONAL: u32 = 16;
+
 /// Why an exchange brought no complete response.
 #[derive(Debug)]
 pub enum Fault {
@@ -80,6 +88,11 @@
     /// Set if the connection may be reused after the response.
     keep_alive: bool,
     method: Method,
+    /// Bytes that arrived since the request was sent.
+    received: usize,
+    /// Bytes of bodies among them that were decoded.
+    decoded: usize,
+    budget: Budget,
 }
 
 impl Connection {
@@ -124,9 +137,22 @@
             is_reset: false,
             keep_alive: true,
             method: Method::GET,
+            received: 0,
+            decoded: 0,
+            budget: Budget::default(),
         }
     }
 
+    /// Returns the connection with the budget that its responses share with others.
+    pub fn with_budget(self, budget: &Budget) -> Connection {
+        Connection { budget: budget.clone(), ..self }
+    }
+
+    /// Returns the budget that the responses share with others.
+    pub fn budget(&self) -> &Budget {
+        &self.budget
+    }
+
     /// Returns the VM that relays the connection; `None` if it is direct.
     pub fn helper(&self) -> Option<&Vm> {
         match &self.io {
@@ -165,6 +191,7 @@
         };
         self.request_sent = written.count == bytes.len();
         self.is_reset = written.fault.as_ref().is_some_and(is_reset);
+        (self.received, self.decoded) = (self.read.len(), 0);
         self.read_head().await
     }
 
@@ -189,11 +216,12 @@
         Ok(bytes)
     }
 
-    /// Reads the head of the next response, skipping informational ones.
+    /// Reads the head of the next response, skipping a few informational ones.
     ///
     /// # Errors
     /// `Broken` if no valid head arrives; what was sent before may have run.
     pub async fn read_head(&mut self) -> Result<ResponseHead, Fault> {
+        let mut informational = 0;
         loop {
             let codec = self.codec.as_mut();
             let codec = codec
@@ -202,7 +230,12 @@
             match decoded
                 .map_err(|e| Fault::Broken(format!("the response is not valid HTTP: {e}")))?
             {
-                Some(head) if head.status.is_informational() => continue,
+                Some(head) if head.status.is_informational() => {
+                    informational += 1;
+                    if informational > MAX_INFORMATIONAL {
+                        return Err(Fault::Broken("too many informational heads".to_owned()));
+                    }
+                }
                 Some(head) => {
                     self.set_framing(&head);
                     return Ok(head);
@@ -245,7 +278,10 @@
                 Body::Framed(codec) => {
                     let decoded = codec.decode(&mut self.read);
                     match decoded.map_err(|e| Fault::Broken(format!("the body's framing: {e}")))? {
-                        Some(Some(bytes)) => return Ok(Some(bytes)),
+                        Some(Some(bytes)) => {
+                            self.decoded += bytes.len();
+                            return Ok(Some(bytes));
+                        }
                         Some(None) => {
                             self.finish_body();
                             return Ok(None);
@@ -254,11 +290,11 @@
                     }
                 }
                 Body::UntilClose(_) if !self.read.is_empty() => {
+                    self.decoded += self.read.len();
                     return Ok(Some(self.read.split().freeze()));
                 }
                 Body::UntilClose(_) => {
-                    let got = self.io.read_buf(&mut self.read).await;
-                    if got.map_err(|e| Fault::Broken(e.to_string()))? == 0 {
+                    if self.read_more().await? == 0 {
                         if self.is_reset {
                             return Err(Fault::Broken("the connection was reset".to_owned()));
                         }
@@ -282,16 +318,20 @@
     /// Reads the complete body of at most `max_size` bytes.
     ///
     /// # Errors
-    /// `Broken` if the body is truncated or too long.
+    /// `Broken` if the body is truncated or too long, or all bodies that are being read take too
+    /// much memory.
     pub async fn read_body(&mut self, max_size: usize) -> Result<Bytes, Fault> {
-        let mut body = BytesMut::new();
+        let mut body = read_budget::Body::new(&self.budget);
         while let Some(bytes) = self.read_chunk().await? {
             if body.len() + bytes.len() > max_size {
                 return Err(Fault::Broken(format!(
                     "the response body is longer than {max_size} bytes"
                 )));
             }
-            body.extend_from_slice(&bytes);
+            if !body.push(&bytes) {
+                let reason = "the response bodies that are being read take too much memory";
+                return Err(Fault::Broken(reason.to_owned()));
+            }
         }
         Ok(body.freeze())
     }
@@ -318,12 +358,30 @@
 
     /// Reads more bytes into the buffer; `at_end` is the error if the connection has ended.
     async fn fill(&mut self, at_end: &str) -> Result<(), Fault> {
+        if self.read_more().await? == 0 {
+            return Err(Fault::Broken(at_end.to_owned()));
+        }
+        // Bytes of a head are kept in the buffer until it is complete.
+        let undecoded_body = if self.codec.is_some() { 0 } else { self.read.len() };
+        let framing = self.received.saturating_sub(self.decoded + undecoded_body);
+        if framing > MAX_FRAMING + self.decoded {
+            return Err(Fault::Broken("too many bytes that are no part of a body".to_owned()));
+        }
+        Ok(())
+    }
+
+    /// Reads more bytes into the buffer, and waits if the responses read too many bytes a second.
+    /// Returns their number, which is 0 at the end of the connection.
+    async fn read_more(&mut self) -> Result<usize, Fault> {
         self.read.reserve(READ_SIZE);
         let got = self.io.read_buf(&mut self.read).await;
-        match got.map_err(|e| Fault::Broken(e.to_string()))? {
-            0 => Err(Fault::Broken(at_end.to_owned())),
-            _ => Ok(()),
+        let got = got.map_err(|e| Fault::Broken(e.to_string()))?;
+        let pause = self.budget.record_read(self.received, got);
+        self.received += got;
+        if pause > Span::default() {
+            tokio::time::sleep(pause.duration()).await;
         }
+        Ok(got)
     }
 }
 
@@ -371,7 +429,11 @@
             },
             got = reader.read_buf(read) => match got {
                 Ok(0) => break,
-                Ok(_) => if has_head(read) { break },
+                Ok(_) if has_head(read) => break,
+                Ok(_) if read.len() > MAX_FRAMING => {
+                    return Err(Fault::Broken("the head is too long".to_owned()));
+                }
+                Ok(_) => {}
                 Err(fault) => return Err(Fault::Broken(fault.to_string())),
             },
         }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -59,6 +59,7 @@
 pub mod positions;
 pub mod proof;
 pub mod rate_limit;
+pub mod read_budget;
 mod relay;
 pub mod replica;
 pub mod restore;
--- a/src/forward/path.rs
+++ b/src/forward/path.rs
@@ -32,14 +32,14 @@
         vm.fleet.borrow_mut().on_path_failure(replica, vm.now());
     }
     if vm.fleet.borrow().is_path_lost(replica) && tunnel::has_helper(vm, &replica.service) {
-        return tunnel::open(vm, replica).await;
+        return open_tunnel(vm, replica).await;
     }
     let source = vm.settings.source;
     let direct = Connection::open_from(source, replica.address, CONNECT_TIMEOUT).await;
     match direct {
         Ok(connection) => {
             vm.fleet.borrow_mut().on_path_contact(replica);
-            Ok(connection)
+            Ok(connection.with_budget(&vm.read_budget))
         }
         Err(fault) => {
             vm.fleet.borrow_mut().on_path_failure(replica, vm.now());
@@ -47,11 +47,15 @@
             if !is_own_fault || !tunnel::find_helper(vm, &replica.service).await {
                 return Err(fault);
             }
-            tunnel::open(vm, replica).await
+            open_tunnel(vm, replica).await
         }
     }
 }
 
+async fn open_tunnel(vm: &Vm, replica: &Replica) -> Result<Connection, Fault> {
+    Ok(tunnel::open(vm, replica).await?.with_budget(&vm.read_budget))
+}
+
 /// Checks if the process of a server accepts connections, through another VM if the server can't be
 /// reached directly. Calls `on_accepted` as soon as it accepts one.
 pub async fn check_process(vm: &Vm, replica: &Replica, on_accepted: impl Fn()) -> ProcessState {
--- a/src/forward/settings.rs
+++ b/src/forward/settings.rs
@@ -5,7 +5,7 @@
 
 use crate::decide::freshness::Schedules;
 use crate::decide::{freshness, lease, usage};
-use crate::unit::{DataCentre, Millicores, Region, Span, Vm};
+use crate::unit::{DataCentre, Millicores, Region, Size, Span, Vm};
 
 /// Safety margin on the age of a proof that the configuration is the newest, for differences
 /// between clock rates.
@@ -26,6 +26,8 @@
     pub source: Option<IpAddr>,
     /// CPU quota, in thousandths of a core; larger VMs do more of the work for others.
     pub cpu_quota: Millicores,
+    /// Memory of the VM; `None` if it is not known.
+    pub memory: Option<Size>,
     /// Listen address for callers.
     pub callers: SocketAddr,
     /// Listen address for the readiness checks of the balancer.
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -16,6 +16,7 @@
 use super::pinned_sessions::PinnedSessions;
 use super::places::{Event as PlaceEvent, PlaceQueue};
 use super::positions::Positions;
+use super::read_budget::Budget;
 use super::replica::Rollout;
 use super::restore::Restore;
 use super::role::{Decline, Role};
@@ -127,6 +128,8 @@
     pub first_in_group_since: Cell<Option<Moment>>,
     /// Updates that this VM serves to its followers.
     pub feed: RefCell<Feed>,
+    /// What the responses of servers and of the store may cost this VM together.
+    pub read_budget: Budget,
     /// Why the last VM that polled this one got no update; `None` if it got one.
     pub last_decline: Cell<Option<Decline>>,
     /// When this process noticed that it had been stalled or suspended.
@@ -196,6 +199,7 @@
             let vm = settings.vm.clone();
             RefCell::new(Usage::new(duties.usage, vm, clock.now(), clock.date()))
         });
+        let read_budget = Budget::new(settings.memory, settings.cpu_quota, clock);
         let viewpoint = Viewpoint {
             data_centre: settings.data_centre.clone(),
             point: hash::stable(&[settings.vm.as_str()]),
@@ -232,6 +236,7 @@
             peers_listed: Notify::new(),
             first_in_group_since: Cell::new(None),
             feed: RefCell::new(Feed::new(rand::random())),
+            read_budget,
             last_decline: Cell::new(None),
             stalled_at: Cell::new(None),
             stall_gate: Gate::default(),
@@ -272,7 +277,7 @@
 
     /// Returns a client of the store with its own connection.
     pub fn store_client(&self) -> Client {
-        Client::new(self.settings.store, self.era.clone())
+        Client::new(self.settings.store, self.era.clone()).with_budget(&self.read_budget)
     }
 
     /// Appends a log line; it is written with the next flush.
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -445,9 +445,9 @@
     let Ok(rest) = receive.read_to_end(MAX_MESSAGE_SIZE.0 as usize).await else { return };
     let (sender, reply) = tokio::sync::oneshot::channel();
     let _ = inbox.send(Incoming::Call([vec![first], rest].concat(), sender));
-    if let Ok(bytes) = reply.await {
-        if send.write_all(&bytes).await.is_ok() {
-            send.finish();
-        }
+    if let Ok(bytes) = reply.await
+        && send.write_all(&bytes).await.is_ok()
+    {
+        send.finish();
     }
 }
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -16,6 +16,7 @@
 use crate::forward::connection::{Connection, Fault};
 use crate::forward::era::Tracker;
 use crate::forward::pool;
+use crate::forward::read_budget::Budget;
 use crate::unit::{Era, Position, Span};
 
 /// Timeout for opening a connection to the store. The store is some milliseconds away, and a short
@@ -166,13 +167,19 @@
     address: SocketAddr,
     eras: Rc<Tracker>,
     connection: Option<Connection>,
+    budget: Budget,
 }
 
 impl Client {
     /// Creates a client of the store at `address`, which connects at the first request. The era of
     /// each response is passed to `eras`.
     pub fn new(address: SocketAddr, eras: Rc<Tracker>) -> Client {
-        Client { address, eras, connection: None }
+        Client { address, eras, connection: None, budget: Budget::default() }
+    }
+
+    /// Returns the client with the budget that its responses share with others.
+    pub fn with_budget(self, budget: &Budget) -> Client {
+        Client { budget: budget.clone(), ..self }
     }
 
     /// Drops the connection, so that the next request opens a new one.
@@ -399,7 +406,7 @@
             |what: String| StoreError::NoAnswer(format!("the request is malformed: {what}"));
         let idle = self.connection.take().and_then(Connection::into_idle);
         let connection = pool::reuse_or_open(idle, self.address, CONNECT_TIMEOUT);
-        let mut connection = connection.await.map_err(no_answer)?;
+        let mut connection = connection.await.map_err(no_answer)?.with_budget(&self.budget);
         let head = request::head(method, self.address, path).map_err(malformed)?;
         let head = connection.send(head, &body).await.map_err(no_answer)?;
         let era = head.headers.get(ERA_HEADER).map(|value| value.to_str().unwrap_or_default());
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -12,7 +12,7 @@
 use crate::decide::{lease, usage};
 use crate::error::Error;
 use crate::forward::{Bounds, Duties, Settings};
-use crate::unit::{DataCentre, Millicores, Region, Span};
+use crate::unit::{DataCentre, Millicores, Region, Size, Span};
 
 /// Environment variable with the path of the settings file.
 pub const PATH_VARIABLE: &str = "KITEPULLEY_CONFIG";
@@ -44,6 +44,9 @@
 /// Processor quota of a VM whose file sets none, as a share of each core.
 const DEFAULT_QUOTA: f64 = 1.0;
 
+/// Bytes of a megabyte.
+const BYTES_PER_MB: f64 = 1_000_000.0;
+
 /// Upper limit of the bounds, so that a mistake in the file cannot overflow a time.
 const MAX_BOUND_MS: f64 = 86_400_000.0;
 
@@ -80,6 +83,7 @@
 struct Limits {
     /// Processor quota, as a share of each core.
     cpu_quota: Option<f64>,
+    memory_mb: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -135,6 +139,7 @@
         ip,
         source: None,
         cpu_quota: parse_quota(path, file.limits.cpu_quota)?,
+        memory: parse_memory(path, file.limits.memory_mb)?,
         callers: parse_address(path, "listen.frontend", listen.frontend)?,
         readiness: parse_address(path, "listen.readiness", listen.readiness)?,
         store: parse_address(path, "platform.address", store.address)?,
@@ -203,6 +208,16 @@
     Ok(Millicores::from_cores(cores))
 }
 
+fn parse_memory(path: &str, megabytes: Option<f64>) -> Result<Option<Size>, Error> {
+    let Some(megabytes) = megabytes else { return Ok(None) };
+    if !megabytes.is_finite() || megabytes <= 0.0 {
+        let reason =
+            format!("`{megabytes}` is not a size in megabytes; write a number such as 110");
+        return Err(Error::SettingsField(path.to_owned(), "limits.memory_mb".to_owned(), reason));
+    }
+    Ok(Some(Size((megabytes * BYTES_PER_MB) as u64)))
+}
+
 fn required(path: &str, field: &str, value: Option<String>) -> Result<String, Error> {
     let missing =
         || Error::SettingsField(path.to_owned(), field.to_owned(), "it is missing".to_owned());
--- a/src/unit/quantity.rs
+++ b/src/unit/quantity.rs
@@ -128,6 +128,11 @@
     /// Millicores per core.
     const PER_CORE: f64 = 1_000.0;
 
+    /// Returns the number of cores.
+    pub fn as_cores(self) -> f64 {
+        f64::from(self.0) / Self::PER_CORE
+    }
+
     /// Rounds a number of cores to millicores. A negative number counts as 0.
     pub fn from_cores(cores: f64) -> Millicores {
         Millicores((cores.max(0.0) * Millicores::PER_CORE).round() as u32)
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -557,6 +557,7 @@
         ip: "127.0.0.1".parse().unwrap(),
         source: None,
         cpu_quota: Millicores(250),
+        memory: None,
         callers: address,
         readiness: address,
         links: None,
