Don't take a version that was rolled back for an old one

Cause: the old versions of an order were all but the ordered one.

Now a trial remembers versions that were ordered before and not promoted: they get no requests, and their answers count for neither side, until a version is promoted. They serve if nothing else has servers, as one may have been promoted without this VM's knowledge.

Tests: a_version_that_was_rolled_back_gets_no_requests_during_the_next_rollout (a real VM; fails before) and answers_of_a_version_that_was_rolled_back_say_nothing_about_the_next_one.

--- a/src/forward/apply.rs
+++ b/src/forward/apply.rs
@@ -399,6 +399,7 @@
     let trial = trials.entry(rollout.service.clone()).or_default();
     trial.track_version(&rollout.version, vm.now());
     if rollout.phase == Some(Phase::Completed) {
+        trial.on_promoted();
         vm.fleet.borrow_mut().set_default_version(&rollout.service, &rollout.version);
     }
     rollouts.insert(rollout.service.clone(), rollout);
--- a/src/forward/rollout_trial.rs
+++ b/src/forward/rollout_trial.rs
@@ -2,7 +2,7 @@
 //! new version of a service while the rollout runs, and compares them to find a new version that is
 //! worse.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
 
@@ -163,6 +163,11 @@
     upstream_verdict: Option<Verdict>,
     /// Counts of this VM as they were last sent to the other VMs.
     sent: TotalsByRoute,
+    /// True once the new version was promoted.
+    is_promoted: bool,
+    /// Versions that were ordered before this one and not promoted. Their servers may still run, and
+    /// say nothing about the old version.
+    rejected: BTreeSet<Version>,
 }
 
 /// Judgement on a new version from the counts of its answers.
@@ -198,21 +203,39 @@
 
 impl RolloutTrial {
     /// Sets the version that is rolled out, seen at the moment `now`. Counts restart if the version
-    /// differs from the last one.
+    /// differs from the last one, which is rejected unless it was promoted.
     pub fn track_version(&mut self, version: &Version, now: Moment) {
         if self.version.as_ref() != Some(version) {
+            let mut rejected = std::mem::take(&mut self.rejected);
+            rejected.extend(self.version.take().filter(|_| !self.is_promoted));
+            rejected.remove(version);
             *self = RolloutTrial {
                 version: Some(version.clone()),
                 started_at: now,
                 medians: std::mem::take(&mut self.medians),
+                rejected,
                 ..RolloutTrial::default()
             };
         }
     }
 
+    /// Records that the new version was promoted: it is the only one that serves.
+    pub fn on_promoted(&mut self) {
+        self.is_promoted = true;
+        self.rejected.clear();
+    }
+
+    /// Returns the versions that were ordered before the present one and not promoted.
+    pub fn rejected_versions(&self) -> impl Iterator<Item = &Version> {
+        self.rejected.iter()
+    }
+
     /// Counts an answer in the totals of its route, or an awaited answer at the moment when it
     /// became slow. An answer is counted once at each level.
     pub fn record(&mut self, sample: &Sample) {
+        if self.rejected.contains(sample.version) {
+            return;
+        }
         let is_new = self.version.as_ref() == Some(sample.version);
         let level = self.slow_levels(sample, is_new);
         if self.version.is_none() {
--- a/src/forward/selection/mod.rs
+++ b/src/forward/selection/mod.rs
@@ -278,7 +278,8 @@
         // While a rollout runs, requests for the new version go to the old one if the new version
         // has no server for them. The old version's requests never go to the new one instead.
         (None, Versions::Only(version)) if running => {
-            select_among(vm, criteria, &Versions::Except(version), Reason::NoServerOfVersion, now)
+            let old = version::old_versions(vm, criteria.service, &version);
+            select_among(vm, criteria, &old, Reason::NoServerOfVersion, now)
         }
         // Without a rollout, the service's default version is preferred but not required.
         (None, Versions::Only(_)) if !vm.rollouts.borrow().contains_key(criteria.service) => {
--- a/src/forward/selection/version.rs
+++ b/src/forward/selection/version.rs
@@ -5,6 +5,7 @@
 use crate::forward::call::Call;
 use crate::forward::pinned_sessions::{self, Draw};
 use crate::forward::replica::Phase;
+use crate::forward::rollout_trial::RolloutTrial;
 use crate::forward::server::Server;
 use crate::forward::vm::Vm;
 use crate::unit::{Moment, Server as Id, Service, Version, hash};
@@ -14,8 +15,8 @@
 pub enum Versions {
     /// Only this version.
     Only(Version),
-    /// All versions but this one.
-    Except(Version),
+    /// All versions but these.
+    Except(Vec<Version>),
     /// Any version.
     Any,
 }
@@ -25,7 +26,7 @@
     pub fn contains(&self, version: &Version) -> bool {
         match self {
             Versions::Only(only) => version == only,
-            Versions::Except(not) => version != not,
+            Versions::Except(not) => !not.contains(version),
             Versions::Any => true,
         }
     }
@@ -71,6 +72,23 @@
     }
 }
 
+/// Returns the versions that serve besides a new one: neither it nor versions that were ordered
+/// before it and not promoted, whose servers may still run. Versions of the last kind serve if no
+/// other has servers: one may have been promoted without this VM's knowledge.
+pub fn old_versions(vm: &Vm, service: &Service, new: &Version) -> Versions {
+    let trials = vm.rollout_trials.borrow();
+    let rejected = trials.get(service).into_iter().flat_map(RolloutTrial::rejected_versions);
+    let excluded: Vec<Version> = rejected.chain([new]).cloned().collect();
+    let has_rejected = excluded.len() > 1;
+    let old = Versions::Except(excluded);
+    let fleet = vm.fleet.borrow();
+    let mut servers = fleet.of_service(service);
+    if has_rejected && !servers.any(|server| old.contains(&server.replica.version)) {
+        return Versions::Except(vec![new.clone()]);
+    }
+    old
+}
+
 /// Returns the versions of a service that a request may be sent to now, and the reason.
 pub fn eligible_versions(
     vm: &Vm,
@@ -84,7 +102,7 @@
         // Without a default version, any version may serve.
         return (usual.map_or(Versions::Any, Versions::Only), Reason::Settled);
     };
-    let old = Versions::Except(rollout.version.clone());
+    let old = old_versions(vm, service, &rollout.version);
     let new = Versions::Only(rollout.version.clone());
     match rollout.phase {
         None | Some(Phase::RolledBack) => (old, Reason::Settled),
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -588,7 +588,11 @@
 }
 
 fn order(site: &Site, seconds: f64) {
-    let order = json!({"service": "api", "target_version": "v2", "duration_s": seconds});
+    order_version(site, "v2", seconds);
+}
+
+fn order_version(site: &Site, version: &str, seconds: f64) {
+    let order = json!({"service": "api", "target_version": version, "duration_s": seconds});
     site.store.write_spec("rollouts", "api", order);
 }
 
@@ -610,6 +614,33 @@
     assert!(vm.lines().iter().any(|line| line["event"] == "roll-out moved"));
 }
 
+/// Guards against a version that was rolled back and serves again as an old one while the next
+/// version is rolled out.
+#[test]
+fn a_version_that_was_rolled_back_gets_no_requests_during_the_next_rollout() {
+    let mut site = site();
+    let old = site.replica("r1", "v1");
+    let vm = site.start_ready();
+    let bad = site.replica("r2", "v2");
+    bad.set_default_action(Action::Whole(500, "bad".to_owned()));
+    order(&site, 60.0);
+    load_until(&vm, "bad", || site.store.status("rollouts", "api")["state"] == "rolled_back");
+    let met = bad.requests().len();
+    let _new = site.replica("r3", "v3");
+    order_version(&site, "v3", 60.0);
+    eventually("the next rollout runs", || {
+        site.store.status("rollouts", "api")["target_version"] == "v3"
+    });
+    let before = old.requests().len();
+    for number in 0..40 {
+        let more = format!("Session: next{number}\r\n");
+        let answer = ask(vm.callers, &head("GET /safe/x", &format!("next{number}"), &more), b"");
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(bad.requests().len(), met, "{}", vm.log_end());
+    assert!(old.requests().len() > before);
+}
+
 #[test]
 fn a_good_version_takes_over_before_its_time_is_up() {
     let mut site = site();
--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -226,6 +226,39 @@
     }
 }
 
+/// Guards against a bad version that is promoted, since it is compared with the one that was rolled
+/// back before it.
+#[test]
+fn answers_of_a_version_that_was_rolled_back_say_nothing_about_the_next_one() {
+    let versions: [Version; 3] = ["v1", "v2", "v3"].map(|name| name.parse().unwrap());
+    let [old, rolled_back, new] = &versions;
+    let sample = |version, failed| Sample {
+        route: "r",
+        version,
+        failed,
+        response_time: Some(Span::millis(20)),
+        reported_slow_levels: 0,
+        expected_time: None,
+        latency_goal: Span::millis(100),
+    };
+    let mut trial = RolloutTrial::default();
+    trial.track_version(rolled_back, Moment(0));
+    trial.track_version(new, Moment(1));
+    for number in 0..60 {
+        trial.record(&sample(old, false));
+        trial.record(&sample(rolled_back, true));
+        trial.record(&sample(new, number % 3 == 0));
+    }
+    assert!(trial.is_bad(), "{}", trial.describe_counts());
+    assert_eq!(trial.rejected_versions().collect::<Vec<_>>(), [rolled_back]);
+    // A version that was promoted is the old one of the next rollout.
+    let mut trial = RolloutTrial::default();
+    trial.track_version(rolled_back, Moment(0));
+    trial.on_promoted();
+    trial.track_version(new, Moment(1));
+    assert_eq!(trial.rejected_versions().count(), 0);
+}
+
 /// A VM that follows one with more answers leaves the promotion to that VM.
 #[test]
 fn only_a_vm_that_knows_most_answers_promotes() {
