Close the connection of a stream that breaks off before it goes on elsewhere

Cause: the connection belonged to the stream, which was replaced only after the first event of the next attempt. Now it is closed when the stream breaks off.

--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -50,8 +50,8 @@
 
 /// A stream of server-sent events whose first complete event, or whose end, has arrived.
 pub struct Stream {
-    /// The connection that the remaining events come from.
-    pub connection: Connection,
+    /// The connection that the remaining events come from; `None` once the stream broke off.
+    pub connection: Option<Connection>,
     /// Bytes of the stream that have arrived and are not relayed yet.
     pub events: EventBuffer,
     /// The first complete events; `None` once they are relayed.
@@ -72,7 +72,10 @@
     /// maximum event size.
     pub async fn read(&mut self) -> Result<(), Fault> {
         let broken = |reason: &str| Err(Fault::Broken(reason.to_owned()));
-        match self.connection.read_chunk().await? {
+        let Some(connection) = &mut self.connection else {
+            return broken("the stream broke off before");
+        };
+        match connection.read_chunk().await? {
             Some(bytes) if self.events.push(&bytes) => Ok(()),
             Some(_) => broken("an event without an end"),
             None if self.events.has_partial_event() => broken("the stream ended within an event"),
@@ -407,6 +410,7 @@
 ) -> Outcome {
     let vm = &job.vm;
     let events = EventBuffer::new(connection.budget());
+    let connection = Some(connection);
     let started_at = vm.now();
     let mut stream =
         Stream { connection, events, first_batch: None, ended: false, started_at, open };
--- a/src/forward/relay.rs
+++ b/src/forward/relay.rs
@@ -146,10 +146,13 @@
     }
 
     /// Resumes the stream at another server after the last complete event, if the route, the retry
-    /// budget and the deadline allow it. Before that, records the broken attempt and reports it to
-    /// [`crash`].
+    /// budget and the deadline allow it. Before that, closes the connection of the broken attempt,
+    /// records it and reports it to [`crash`].
     async fn resume(&mut self, reason: String) -> Result<(), String> {
         let vm = self.job.vm.clone();
+        // A server stops the request when its connection closes. It must not work on it beside the
+        // next one.
+        self.current.stream.connection = None;
         let broken = &self.current.replica;
         self.job.record.add_attempt_end(AttemptOutcome::Broken, &reason, vm.now());
         {
@@ -213,6 +216,8 @@
     /// Returns the connection of a complete stream to the pool.
     fn release_connection(self) {
         let Relay { job, current, .. } = self;
-        attempt::release_connection(&job, &current.replica, current.stream.connection, None);
+        if let Some(connection) = current.stream.connection {
+            attempt::release_connection(&job, &current.replica, connection, None);
+        }
     }
 }
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -4,7 +4,8 @@
 mod site;
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
 use kitepulley::standin::platform::Switches;
@@ -165,7 +166,7 @@
     let mut site = site();
     let good = site.replica("r2", "v1");
     // An address without a listener.
-    let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     site.list("r1", "v1", "ready", nobody);
     let vm = site.start_ready();
     for number in 0..5 {
@@ -242,6 +243,59 @@
     assert!(seen.len() <= 3, "{}", seen.len());
 }
 
+/// Starts a server that answers one request with `text` after a delay, and reports when the caller
+/// closes the connection.
+fn scripted_server(text: &'static str, after: Duration) -> (SocketAddr, mpsc::Receiver<Instant>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (closed, times) = mpsc::channel();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, closed) = (stream.unwrap(), closed.clone());
+            std::thread::spawn(move || {
+                let mut bytes = [0; 4096];
+                if !matches!(stream.read(&mut bytes), Ok(got) if got > 0) {
+                    return;
+                }
+                std::thread::sleep(after);
+                let head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: s1\r\nX-Response-Signature: sig\r\n\
+                            Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+                let _ = stream.write_all(format!("{head}{text}").as_bytes());
+                while matches!(stream.read(&mut bytes), Ok(got) if got > 0) {}
+                let _ = closed.send(Instant::now());
+            });
+        }
+    });
+    (address, times)
+}
+
+/// Guards against two servers that work on one stream, as the connection to the first one stays open
+/// after bytes that are no answer until the second one has sent its first event.
+#[test]
+fn a_stream_that_goes_on_elsewhere_is_closed_at_the_server_before() {
+    const FIRST_EVENT: Duration = Duration::from_millis(600);
+    let fields = json!({"stream_resume": true, "latency_goal_ms": 2000});
+    let mut site = Site::new().route("stream", STREAM, fields);
+    let event = "17\r\nid: 1\ndata: piece one\n\n\r\n";
+    let garbled: &str = Box::leak(format!("{event}no size\r\n").into_boxed_str());
+    let rest = "17\r\nid: 2\ndata: piece two\n\n\r\n0\r\n\r\n";
+    let (first, closed) = scripted_server(garbled, Duration::ZERO);
+    let (second, _closed) = scripted_server(rest, FIRST_EVENT);
+    site.publish();
+    site.list("r1", "v1", "ready", first);
+    // The server in the own data centre is tried before this one.
+    site.list_with("r2", second, json!({"zone": "there"}));
+    let vm = site.start();
+    eventually("the VM is ready", || vm.is_ready());
+    let begun = Instant::now();
+    let answer = ask(vm.callers, &head("POST /stream/x", "s1", ""), b"prompt");
+    let both = ["piece one", "piece two"].iter().all(|piece| answer.text().contains(piece));
+    assert!(answer.whole && both, "{}\n{:?}", answer.text(), vm.lines().last());
+    let closed_at = closed.recv_timeout(Duration::from_secs(5)).expect("it is closed");
+    let open = closed_at.duration_since(begun);
+    assert!(open < FIRST_EVENT / 2, "it was open for {open:?}\n{}", vm.log_end());
+}
+
 /// A stream breaks off and is resumed at a server that accepts it but sends nothing. It must move
 /// on to a third server while time is left.
 #[test]
