Pause between polls whatever the age of the data

A VM whose source is current, but whose own state had the age at which it would try a store that is reported as lost, polled again without a pause; seen while reading the change once more.

--- a/src/decide/reader.rs
+++ b/src/decide/reader.rs
@@ -149,9 +149,23 @@
 }
 
 /// Returns the pause before the next poll: `pause`, or less if the VM reads the store itself
-/// earlier, which it does once its server data, read at `known`, has the age `read_age`.
-pub fn poll_pause(pause: Span, known: Option<Moment>, read_age: Span, now: Moment) -> Span {
-    known.map_or(pause, |known| pause.min((known + read_age).since(now)))
+/// earlier, which it does once its server data, read at `known`, has the age `read_age`. A VM that
+/// has older data and doesn't read, since its source is current, polls again soon, and at the age
+/// `latest` at the latest.
+pub fn poll_pause(
+    pause: Span,
+    known: Option<Moment>,
+    read_age: Span,
+    latest: Span,
+    now: Moment,
+) -> Span {
+    let Some(known) = known else { return pause };
+    let until = |age: Span| Some((known + age).since(now)).filter(|left| *left > Span::default());
+    match (until(read_age), until(latest)) {
+        (Some(left), _) => pause.min(left),
+        (None, Some(left)) => pause.min(FAST_POLL_INTERVAL).min(left),
+        (None, None) => pause.min(FAST_POLL_INTERVAL),
+    }
 }
 
 /// Returns the timeout of the next poll, or none if the VM should read the store instead. `known`
--- a/src/experiment/reading/simulation.rs
+++ b/src/experiment/reading/simulation.rs
@@ -279,7 +279,8 @@
         self.schedule(now + pause, Event::ReadStore(at, incarnation));
     }
 
-    /// Returns true if a VM lets those that rank before it read a store that answers again. The VM reads the store later unless it follows another one by then.
+    /// Returns true if a VM lets those that rank before it read a store that answers again. The VM
+    /// reads the store later unless it follows another one by then.
     fn yields_to_first(&mut self, at: usize) -> bool {
         let is_first = self.ranked_before(at) == 0;
         let now = self.now;
@@ -422,7 +423,8 @@
         let pause = if is_settled { POLL_INTERVAL } else { FAST_POLL_INTERVAL };
         let node = &self.nodes[at];
         let known = node.synced_at.filter(|_| node.role != Role::Reader);
-        let pause = poll_pause(pause, known, self.read_store_age(at), self.now + waited);
+        let latest = self.schedules.max_followed_age();
+        let pause = poll_pause(pause, known, self.read_store_age(at), latest, self.now + waited);
         let incarnation = self.nodes[at].incarnation;
         self.schedule(self.now + waited + pause, Event::Poll(at, incarnation));
     }
--- a/src/forward/follower.rs
+++ b/src/forward/follower.rs
@@ -190,7 +190,8 @@
     /// itself.
     fn pause_before_poll(&self, pause: Span) -> Span {
         let read_age = self.read_store_age(&self.candidates());
-        poll_pause(pause, self.servers_as_of, read_age, self.vm.now())
+        let latest = self.vm.schedules.max_followed_age();
+        poll_pause(pause, self.servers_as_of, read_age, latest, self.vm.now())
     }
 
     /// Returns the timeout of the next poll, or `None` if the state of the servers is too old to
@@ -331,9 +332,10 @@
     /// Applies an update that was requested at `requested_at`, and makes this VM follow the sender.
     ///
     /// An update is rejected if this VM itself read it from the store, too many VMs have relayed
-    /// it, this VM reads the store and does not rank behind the VM that read the update, its era is older than the newest, or it can't be decoded. While the sender reports the
-    /// store as lost, its update is used only if this VM does not read the store itself; a VM that
-    /// has just started waits until the loss is confirmed.
+    /// it, its era is older than the newest, it can't be decoded, or this VM reads the store and
+    /// ranks before the VM that read the update. While the sender reports the store as lost, its
+    /// update is used only if this VM does not read the store itself; a VM that has just started
+    /// waits until the loss is confirmed.
     ///
     /// Returns `None` if the update was rejected, `Stale` if it comes from a sender that reports
     /// the store as lost, whether it was applied or put off until the loss is confirmed, and
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -287,12 +287,12 @@
     site.list_with("r2", second, json!({"zone": "there"}));
     let vm = site.start();
     eventually("the VM is ready", || vm.is_ready());
-    let begun = Instant::now();
+    let started = Instant::now();
     let answer = ask(vm.callers, &head("POST /stream/x", "s1", ""), b"prompt");
     let both = ["piece one", "piece two"].iter().all(|piece| answer.text().contains(piece));
     assert!(answer.whole && both, "{}\n{:?}", answer.text(), vm.lines().last());
     let closed_at = closed.recv_timeout(Duration::from_secs(5)).expect("it is closed");
-    let open = closed_at.duration_since(begun);
+    let open = closed_at.duration_since(started);
     assert!(open < FIRST_EVENT / 2, "it was open for {open:?}\n{}", vm.log_end());
 }
 
--- a/tests/reading.rs
+++ b/tests/reading.rs
@@ -5,9 +5,9 @@
 use std::collections::BTreeMap;
 
 use kitepulley::decide::reader::{
-    FollowerState, GroupPosition, POLL_INTERVAL, Rank, STARTUP_SILENCE, STARTUP_WAIT,
-    SourceHistory, is_detour, max_probe_delay, may_accept_update, may_stop_reading, poll_pause,
-    poll_timeout, read_store_age, should_read_store, startup_wait,
+    FAST_POLL_INTERVAL, FollowerState, GroupPosition, POLL_INTERVAL, Rank, STARTUP_SILENCE,
+    STARTUP_WAIT, SourceHistory, is_detour, max_probe_delay, may_accept_update, may_stop_reading,
+    poll_pause, poll_timeout, read_store_age, should_read_store, startup_wait,
 };
 use kitepulley::forward::rollout_trial::Source;
 use kitepulley::forward::rollout_trial::{RolloutTrial, Sample, Verdict};
@@ -237,7 +237,8 @@
         if should_read_store(&state) {
             return now.since(known);
         }
-        now = now + poll_pause(POLL_INTERVAL, Some(known), read_age, now);
+        let latest = read_store_age(bound, None);
+        now = now + poll_pause(POLL_INTERVAL, Some(known), read_age, latest, now);
         assert!(now.since(known) < bound, "{} waits for others for {bound}", own.vm);
     }
 }
@@ -294,6 +295,23 @@
     assert!(!is_detour(another, 2, reader, 1), "another reader");
 }
 
+/// Guards against a VM that polls without a pause while its source has data that is old and still
+/// accepted.
+#[test]
+fn a_poll_follows_after_a_pause_whatever_the_age_of_the_data() {
+    let known = Moment(0) + Span::secs(100);
+    let (read_age, latest) = (Span::millis(1400), Span::millis(1600));
+    let pause = |age: u64| {
+        poll_pause(POLL_INTERVAL, Some(known), read_age, latest, known + Span::millis(age))
+    };
+    assert_eq!(pause(0), POLL_INTERVAL);
+    assert_eq!(pause(1300), Span::millis(100));
+    assert_eq!(pause(1400), FAST_POLL_INTERVAL);
+    assert_eq!(pause(1570), Span::millis(30), "it may have to read the store then");
+    assert_eq!(pause(1600), FAST_POLL_INTERVAL);
+    assert_eq!(poll_pause(POLL_INTERVAL, None, read_age, latest, known), POLL_INTERVAL);
+}
+
 /// Guards against a group whose probes of a lost store grow with its size.
 #[test]
 fn vms_of_lower_rank_probe_a_lost_store_more_rarely() {
