Encode names in the paths and queries of the platform's store

Callers saw no service after a restart of all VMs while an entry of another writer stood whose name holds `&`, `+`, `#`, `%` or a blank and ends a page: the name went into the query of the next page as it was, so that the store read another cursor and answered with a page that the VM had read before. The path of single objects had the same fault, and the id that `explain` asks for.

--- a/src/command/query.rs
+++ b/src/command/query.rs
@@ -11,7 +11,7 @@
 use crate::error::Error;
 use crate::ledger::{self, Entry};
 use crate::options::{address, optional, required};
-use crate::platform::Store;
+use crate::platform::{Store, path};
 use crate::unit::{Cost, Workspace};
 
 /// Timeout of a request to a VM.
@@ -92,7 +92,8 @@
 pub fn explain(flags: &cli::Query) -> Result<(), Error> {
     let request: String = required("request", flags.request.as_ref())?;
     let vm = address("vm", flags.vm.as_ref())?;
-    print!("{}", block_on(get_text(vm, &format!("operator/explain/{request}")))?);
+    let path = format!("operator/explain/{}", path::encode(&request));
+    print!("{}", block_on(get_text(vm, &path))?);
     Ok(())
 }
 
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 
 use super::object::{Metadata, Object};
-use super::request;
+use super::{path, request};
 use crate::decide::freshness::RESPONSE_TIMEOUT;
 use crate::forward::connection::{Connection, Fault};
 use crate::forward::era::Tracker;
@@ -27,7 +27,7 @@
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
 /// Query parameter that allows a stale read.
-const STALE_QUERY: &str = "stale_ok=1";
+const STALE_PARAMETER: (&str, &str) = ("stale_ok", "1");
 
 /// Header with the store's era, a number that rises with each restore of a backup, in each
 /// response.
@@ -43,10 +43,10 @@
 }
 
 impl Consistency {
-    fn query(self) -> Option<&'static str> {
+    fn parameter(self) -> Option<(&'static str, &'static str)> {
         match self {
             Consistency::Strong => None,
-            Consistency::Stale => Some(STALE_QUERY),
+            Consistency::Stale => Some(STALE_PARAMETER),
         }
     }
 }
@@ -199,13 +199,10 @@
         let mut whole: Option<Listing> = None;
         loop {
             let after = whole.as_ref().and_then(|list| list.items.last());
-            let since = after.map(|last| format!("since_revision={}", last.metadata.name));
-            let query: Vec<&str> =
-                since.as_deref().into_iter().chain(consistency.query()).collect();
-            let path = match query.is_empty() {
-                true => format!("/v1/objects/{kind}"),
-                false => format!("/v1/objects/{kind}?{}", query.join("&")),
-            };
+            let since = after.map(|last| ("since_revision", last.metadata.name.as_str()));
+            let parameters: Vec<(&str, &str)> =
+                since.into_iter().chain(consistency.parameter()).collect();
+            let path = path::with_query(&path::kind(kind), &parameters);
             let page = self.call(Method::GET, &path, None, RESPONSE_TIMEOUT).await?.listing()?;
             if whole.as_ref().is_some_and(|whole| whole.era != page.era) {
                 return Err(StoreError::NoAnswer(
@@ -262,7 +259,9 @@
         timeout: Span,
     ) -> Result<Events, StoreError> {
         let (from_revision, wait_ms) = (from.revision, wait.0 / 1000);
-        let path = format!("/v1/objects/{kind}?watch={from_revision}&wait_ms={wait_ms}");
+        let (from_revision, wait_ms) = (from_revision.to_string(), wait_ms.to_string());
+        let parameters = [("watch", from_revision.as_str()), ("wait_ms", wait_ms.as_str())];
+        let path = path::with_query(&path::kind(kind), &parameters);
         let events = self.call(Method::GET, &path, None, timeout).await?.events()?;
         match events.era == from.era {
             true => Ok(events),
@@ -280,8 +279,8 @@
         name: &str,
         consistency: Consistency,
     ) -> Result<Option<Object>, StoreError> {
-        let query = consistency.query().map(|query| format!("?{query}")).unwrap_or_default();
-        let path = format!("/v1/objects/{kind}/{name}{query}");
+        let parameters: Vec<(&str, &str)> = consistency.parameter().into_iter().collect();
+        let path = path::with_query(&path::object(kind, name), &parameters);
         match self.call(Method::GET, &path, None, RESPONSE_TIMEOUT).await {
             Ok(response) => Ok(Some(response.object()?)),
             Err(StoreError::Refused(status)) if status == StatusCode::NOT_FOUND.as_u16() => {
@@ -301,7 +300,7 @@
         name: &str,
         spec: Value,
     ) -> Result<Object, StoreError> {
-        let path = format!("/v1/objects/{kind}");
+        let path = path::kind(kind);
         let body = json!({"metadata": {"name": name}, "spec": spec}).to_string();
         self.call(Method::POST, &path, Some(body.into()), RESPONSE_TIMEOUT).await?.object()
     }
@@ -317,7 +316,7 @@
         position: Position,
         spec: Value,
     ) -> Result<Object, StoreError> {
-        let path = format!("/v1/objects/{kind}/{name}");
+        let path = path::object(kind, name);
         let metadata = json!({"name": name, "revision": position.revision});
         let body = json!({"metadata": metadata, "spec": spec});
         self.put_conditional(&path, position, &body).await
@@ -328,7 +327,7 @@
     /// # Errors
     /// If the store rejects the request or does not respond.
     pub async fn delete(&mut self, kind: &str, name: &str) -> Result<(), StoreError> {
-        let path = format!("/v1/objects/{kind}/{name}");
+        let path = path::object(kind, name);
         match self.call(Method::DELETE, &path, None, RESPONSE_TIMEOUT).await {
             Ok(_) => Ok(()),
             Err(StoreError::Refused(status)) if status == StatusCode::NOT_FOUND.as_u16() => Ok(()),
@@ -347,7 +346,7 @@
         position: Position,
         status: Value,
     ) -> Result<Object, StoreError> {
-        let path = format!("/v1/objects/{kind}/{name}/status");
+        let path = path::status(kind, name);
         let metadata = json!({"name": name, "revision": position.revision});
         let body = json!({"metadata": metadata, "status": status});
         self.put_conditional(&path, position, &body).await
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,6 +5,7 @@
 pub mod duty;
 pub mod header;
 pub mod object;
+pub mod path;
 mod rating;
 mod request;
 pub mod settings;
--- a/src/standin/platform/mod.rs
+++ b/src/standin/platform/mod.rs
@@ -62,6 +62,12 @@
     pub duties_down: bool,
     /// Era that responses name instead of the true one; an empty one omits the header.
     pub era: Option<String>,
+    /// Objects per page of a list; the usual number if none is given.
+    pub page_size: Option<usize>,
+    /// Kind whose list repeats its first page without end.
+    pub repeating_kind: Option<String>,
+    /// Kind whose list is refused as malformed.
+    pub refused_kind: Option<String>,
 }
 
 /// Number of calls since the start; the JSON body of `GET /calls`.
@@ -389,8 +395,15 @@
     if let Some(stop) = platform.admit_read(query.allows_stale()).await {
         return stop;
     }
+    let switches = platform.lock().switches.clone();
     match query.watch {
         Some(after) => watch(&platform, &kind, after, query.wait_ms).await,
+        None if switches.refused_kind.as_deref() == Some(kind.as_str()) => {
+            platform.refuse(HttpResponse::BadRequest())
+        }
+        None if switches.repeating_kind.as_deref() == Some(kind.as_str()) => {
+            page(&platform, &kind, "")
+        }
         None => page(&platform, &kind, query.since_revision.as_deref().unwrap_or_default()),
     }
 }
@@ -402,7 +415,8 @@
         .iter()
         .filter(|((of, name), _)| of == kind && name.as_str() > after)
         .map(|((_, name), object)| object.to_json(name));
-    let items: Vec<Value> = found.by_ref().take(PAGE_SIZE).collect();
+    let size = state.switches.page_size.unwrap_or(PAGE_SIZE);
+    let items: Vec<Value> = found.by_ref().take(size).collect();
     let has_more = found.next().is_some();
     let revision = state.clock;
     let list = json!({"items": items, "has_more": has_more, "store_revision": revision});
