Pass a service the path that its client encoded

`serve` sent on the decoded path: a call of `/seats/a%20b` was refused as 503 after its retries, since the decoded path is no address, and `%41` reached the service as `A`. The path goes on as it was written now. Whether a call may be repeated is decided by both forms, so that `/enrol%6Dents` needs a key too.

--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -127,9 +127,11 @@
         let value = request.headers().get(name).and_then(|value| value.to_str().ok());
         value.map(str::to_owned)
     };
-    let path = format!("/{}", request.match_info().get("path").unwrap_or_default());
+    let decoded = format!("/{}", request.match_info().get("path").unwrap_or_default());
+    let path = service_path(request.uri().path());
     let key = text(header::IDEMPOTENCY_KEY).filter(|key| key.len() <= MAX_KEY_BYTES);
-    let is_retryable = is_idempotent(entry, &path, request.method()) && key.is_none();
+    let may_repeat = |path| is_idempotent(entry, path, request.method());
+    let is_retryable = may_repeat(&decoded) && may_repeat(&path) && key.is_none();
     if !is_retryable && key.is_none() {
         return Err(Refusal::new(Refused::KeyMissing));
     }
@@ -155,6 +157,12 @@
     })
 }
 
+/// Returns the path at the service that a path of the VM names, as the client encoded it.
+fn service_path(path: &str) -> String {
+    let after_name = path.strip_prefix("/v1/services/").and_then(|rest| rest.split_once('/'));
+    format!("/{}", after_name.map_or("", |(_, path)| path))
+}
+
 /// Returns true unless the path has a prefix that is configured as `once` and the method changes
 /// state.
 fn is_idempotent(entry: &ServiceEntry, path: &str, method: &Method) -> bool {
--- a/tests/door.rs
+++ b/tests/door.rs
@@ -1,7 +1,8 @@
 //! Tests of the HTTP interface for clients: answers, refusals and their `ran` field, sessions, and
 //! idempotency keys.
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 use kitepulley::command::block_on;
@@ -143,6 +144,36 @@
     world.stop_standins();
 }
 
+/// Returns the answer of a service to a request with this target, as text.
+fn ask_service(at: SocketAddr, method: &str, path: &str) -> String {
+    let key = workspace_key("roasters");
+    let head = format!(
+        "{method} /v1/services/tellimus-api{path} HTTP/1.1\r\nHost: h\r\n\
+         Authorization: Bearer {key}\r\nConnection: close\r\n\r\n"
+    );
+    let mut stream = TcpStream::connect(at).expect("the VM accepts");
+    stream.write_all(head.as_bytes()).expect("it reads");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    answer
+}
+
+#[test]
+fn a_service_gets_the_path_as_the_client_encoded_it() {
+    let (world, vms) = start_world(1);
+    for path in ["/seats/a%20b", "/seats/a%2Fb", "/seats/%C3%A4%26?c=%23+%25", "/a//b/", "/a%41"] {
+        let answer = ask_service(vms[0], "GET", path);
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{path}: {answer}");
+        assert!(answer.contains(&format!("GET {path} done")), "{path}: {answer}");
+    }
+    // However it is written, this path may not run twice, so it needs a key.
+    for path in ["/enrolments", "/enrol%6Dents"] {
+        let answer = ask_service(vms[0], "POST", path);
+        assert!(answer.contains("key_missing"), "{path}: {answer}");
+    }
+    world.stop_standins();
+}
+
 #[test]
 fn a_session_keeps_its_version_through_any_vm_and_ends_with_its_withdrawal() {
     let (world, vms) = start_world(3);
