Take a list of the store for whole only if its pages reached their end

A page on which no object decodes ended a list, although the store said that there is more: what came after it was missing, and known objects counted as removed. A page that came again was asked for without end and without a pause. A kind whose list failed kept a VM from serving, whatever else it knew.

- The cursor is the name of the last object that has one, whether or not the object decodes.
A page without such a name, or that ends where an earlier one has ended, ends the list with an error, which the caller's backoff follows.
- Of a list that isn't whole, the objects that were read are applied, nothing counts as removed, and the VM serves.
It is logged as "list is not whole".
- An event without a name that decodes no longer hides those after it.

--- a/src/forward/apply.rs
+++ b/src/forward/apply.rs
@@ -53,6 +53,7 @@
         Kind::Evacuations | Kind::Vms => reconcile(vm, kind, objects, false, source),
     }
     vm.listed_kinds.borrow_mut().insert(kind);
+    vm.incomplete_kinds.borrow_mut().remove(&kind);
     None
 }
 
--- a/src/forward/feed.rs
+++ b/src/forward/feed.rs
@@ -172,11 +172,6 @@
         Feed { cursor: Cursor { epoch, sequence: 0 }, ..Feed::default() }
     }
 
-    /// Returns true if every kind was read at least once.
-    pub fn is_complete(&self) -> bool {
-        Kind::ALL.iter().all(|kind| self.freshness.contains_key(kind))
-    }
-
     /// Returns how current a kind is, or none if it was never read.
     pub fn freshness(&self, kind: Kind) -> Option<Freshness> {
         self.freshness.get(&kind).copied()
--- a/src/forward/poll.rs
+++ b/src/forward/poll.rs
@@ -136,7 +136,7 @@
 /// Returns the update for a follower at `cursor`, or the reason why this VM serves none.
 fn update(vm: &Vm, cursor: Cursor) -> Result<Update, Decline> {
     let now = vm.now();
-    if !vm.feed.borrow().is_complete() {
+    if !knows_enough(vm) {
         return Err(Decline::KnowsTooLittle);
     }
     if vm.stalled_at.get().is_some_and(|at| now.since(at) < STALL_QUARANTINE) {
@@ -157,6 +157,13 @@
     Ok(vm.feed.borrow().update_since(cursor, status, now))
 }
 
+/// Returns true if this VM has read all kinds, as far as the store lists them.
+fn knows_enough(vm: &Vm) -> bool {
+    let feed = vm.feed.borrow();
+    let incomplete = vm.incomplete_kinds.borrow();
+    Kind::ALL.iter().all(|kind| feed.freshness(*kind).is_some() || incomplete.contains(kind))
+}
+
 /// Returns the state of the store to report, or why no update is served; `current` is the result of
 /// [`check_ages`]. While the store is down no VM has anything newer, so outdated objects are served
 /// with their age. The store counts as down until all state is current again. Without that rule,
--- a/src/forward/proof.rs
+++ b/src/forward/proof.rs
@@ -9,7 +9,7 @@
 use super::kind::Kind;
 use super::membership;
 use super::role::Role;
-use super::store_watch::apply_listing;
+use super::store_watch::{apply_incomplete_list, apply_listing};
 use super::vm::Vm;
 use crate::decide::reader::{FAST_POLL_INTERVAL, first_vm_grace, max_probe_delay};
 use crate::platform::client::{Client, Consistency, StoreError};
@@ -62,6 +62,12 @@
                 backoff = Backoff::default();
                 apply_listing(&vm, Kind::Config, &listing, sent);
             }
+            Err(StoreError::IncompleteList(gap, read))
+                if apply_incomplete_list(&vm, Kind::Config, &gap, read.as_deref(), sent) =>
+            {
+                vm.on_store_response();
+                tokio::time::sleep(backoff.next_delay(MAX_BACKOFF).duration()).await;
+            }
             Err(error) => record_failure(&vm, &error, &mut backoff).await,
         }
     }
--- a/src/forward/store_watch.rs
+++ b/src/forward/store_watch.rs
@@ -11,6 +11,8 @@
 use super::vm::Vm;
 use crate::decide::freshness::RESPONSE_TIMEOUT;
 use crate::platform::client::{Client, Consistency, Events, Listing, StoreError};
+use crate::platform::listing::Gap;
+use crate::platform::object::{self, MAIN, Object};
 use crate::unit::{Moment, Position, Span};
 
 /// After this time without a response to a poll for changes of servers, the store counts as
@@ -104,6 +106,9 @@
                 from = None;
             }
             Err(error) => {
+                if let StoreError::IncompleteList(gap, read) = &error {
+                    apply_incomplete_list(&vm, kind, gap, read.as_deref(), sent);
+                }
                 vm.log(
                     "store call failed",
                     &[("kind", kind.name().into()), ("why", error.to_string().as_str().into())],
@@ -197,6 +202,38 @@
     }
 }
 
+/// Applies what was read of a list that is not whole, which was requested at `sent`: nothing counts
+/// as removed, and the VM serves with what it knows of the kind. Returns true if the configuration
+/// was read, which proves that it is the newest.
+pub fn apply_incomplete_list(
+    vm: &Vm,
+    kind: Kind,
+    gap: &Gap,
+    read: Option<&Listing>,
+    sent: Moment,
+) -> bool {
+    if vm.incomplete_kinds.borrow_mut().insert(kind) {
+        let count = read.map_or(0, |listing| listing.items.len());
+        let why = gap.to_string();
+        let fields =
+            [("kind", kind.name().into()), ("read", count.into()), ("why", why.as_str().into())];
+        vm.log("list is not whole", &fields);
+    }
+    vm.proof_received.notify_waiters();
+    let Some(listing) = read else { return false };
+    let source = Source { reader: None, as_of: listing.position() };
+    listing.items.iter().for_each(|object| apply::apply_object(vm, kind, object, &source));
+    let is_configuration = |object: &&Object| kind == Kind::Config && object.metadata.name == MAIN;
+    let Some(main) = listing.items.iter().find(is_configuration) else { return false };
+    match object::decode_config(main) {
+        Ok(table) if listing.position().era == vm.era.newest() => {
+            apply::record_proof(vm, sent, table.revision);
+            true
+        }
+        _ => false,
+    }
+}
+
 /// Applies the changes that a watch or a poll returned, which was sent at `sent`.
 fn apply_events(vm: &Vm, kind: Kind, events: &Events, sent: Moment) {
     if kind == Kind::Servers {
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -144,6 +144,8 @@
     pub store_recoveries: tokio::sync::watch::Sender<u64>,
     /// Kinds of objects that have been listed completely since the start.
     pub listed_kinds: RefCell<HashSet<Kind>>,
+    /// Kinds of objects whose last list was not whole, although the store answered.
+    pub incomplete_kinds: RefCell<HashSet<Kind>>,
     /// What this VM knows of its links to the backend servers, by service.
     pub connectivity: RefCell<HashMap<Service, Connectivity>>,
     /// True while this VM reaches no backend server, directly or through another VM.
@@ -244,6 +246,7 @@
             proof_received: Notify::new(),
             store_recoveries: tokio::sync::watch::Sender::new(0),
             listed_kinds: RefCell::default(),
+            incomplete_kinds: RefCell::default(),
             connectivity: RefCell::default(),
             links_lost: tokio::sync::watch::Sender::new(false),
             links_in_doubt: Notify::new(),
@@ -452,9 +455,16 @@
         self.listed_kinds.borrow().contains(&kind)
     }
 
-    /// Returns true if routes, backend servers, rollouts and evacuations are known.
+    /// Returns true if all objects of a kind have been listed, or as many as the store lists.
+    pub fn has_tried_to_list(&self, kind: Kind) -> bool {
+        self.has_listed(kind) || self.incomplete_kinds.borrow().contains(&kind)
+    }
+
+    /// Returns true if routes, backend servers, rollouts and evacuations are known, or as much of
+    /// the last three as the store lists.
     pub fn has_required_state(&self) -> bool {
-        self.table.borrow().is_some() && REQUIRED_KINDS.iter().all(|kind| self.has_listed(*kind))
+        let has_tried = |kind: &Kind| self.has_tried_to_list(*kind);
+        self.table.borrow().is_some() && REQUIRED_KINDS.iter().all(has_tried)
     }
 
     /// Returns true if the balancer may send new connections.
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -1,5 +1,6 @@
 //! Client of the platform's object store.
 
+use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -10,7 +11,8 @@
 use serde_json::value::RawValue;
 use serde_json::{Value, json};
 
-use super::object::{Metadata, Object};
+use super::listing::{Gap, Page, Pages, decode_object};
+use super::object::Object;
 use super::{path, request};
 use crate::decide::freshness::RESPONSE_TIMEOUT;
 use crate::forward::connection::{Connection, Fault};
@@ -19,6 +21,8 @@
 use crate::forward::read_budget::Budget;
 use crate::unit::{Era, Position, Span};
 
+pub use super::listing::Listing;
+
 /// Timeout for opening a connection to the store. The store is some milliseconds away, and a short
 /// timeout notices sooner that a broken network path works again.
 const CONNECT_TIMEOUT: Span = Span::millis(400);
@@ -60,6 +64,9 @@
     Conflict(Option<Box<Object>>),
     /// The store rejected the request with this HTTP status and changed nothing.
     Refused(u16),
+    /// The store answers, but this gap keeps the list of a kind from being whole. Holds the objects
+    /// before the gap, if a page was read.
+    IncompleteList(Gap, Option<Box<Listing>>),
     /// The response is from an older era of the store than the newest, or from a newer one that is
     /// not confirmed yet.
     StaleEra,
@@ -73,6 +80,7 @@
             StoreError::HistoryGone => f.write_str("the store no longer has the requested changes"),
             StoreError::Conflict(_) => f.write_str("the object was changed by another writer"),
             StoreError::Refused(status) => write!(f, "the store responded with status {status}"),
+            StoreError::IncompleteList(gap, _) => write!(f, "the list is not whole: {gap}"),
             StoreError::StaleEra => {
                 f.write_str("the response is not from the newest era of the store")
             }
@@ -81,28 +89,6 @@
     }
 }
 
-/// All objects of a kind at one revision of the store.
-#[derive(Debug, Deserialize)]
-pub struct Listing {
-    /// Objects, in the store's order.
-    #[serde(deserialize_with = "each_object")]
-    pub items: Vec<Object>,
-    /// Set if there are more after the last.
-    #[serde(default)]
-    pub has_more: bool,
-    store_revision: u64,
-    #[serde(skip)]
-    era: Era,
-}
-
-impl Listing {
-    /// Returns the position of the store that the list reflects. Changes after it are read by a
-    /// watch.
-    pub fn position(&self) -> Position {
-        Position::new(self.era, self.store_revision)
-    }
-}
-
 /// Change of an object.
 #[derive(Debug, Deserialize)]
 pub struct Event {
@@ -117,8 +103,9 @@
 /// Result of a watch.
 #[derive(Debug, Deserialize)]
 pub struct Events {
-    /// Changes in order; empty if none happened during the wait.
-    #[serde(default)]
+    /// Changes in order; empty if none happened during the wait. Those of objects without a name
+    /// that decodes are left out.
+    #[serde(default, deserialize_with = "each_event")]
     pub events: Vec<Event>,
     store_revision: u64,
     #[serde(skip)]
@@ -140,11 +127,15 @@
 }
 
 impl Response {
-    fn listing(&self) -> Result<Listing, StoreError> {
-        let mut listing: Listing = decode(&self.body)?;
-        listing.era = self.era;
-        listing.items.iter_mut().for_each(|object| object.metadata.position.era = self.era);
-        Ok(listing)
+    /// Decodes a page of a list.
+    ///
+    /// # Errors
+    /// With the decoder's message.
+    fn page(&self) -> Result<Page, String> {
+        let text = String::from_utf8_lossy(&self.body);
+        let is_lossy = matches!(text, Cow::Owned(_));
+        let page: Page = serde_json::from_str(&text).map_err(|fault| fault.to_string())?;
+        Ok(page.in_era(self.era, is_lossy))
     }
 
     fn events(&self) -> Result<Events, StoreError> {
@@ -190,33 +181,38 @@
     /// Lists all objects of a kind, page by page.
     ///
     /// # Errors
-    /// If the store rejects the request or does not respond.
+    /// `IncompleteList` if the store answers but the list has no end or cannot be read; otherwise
+    /// if the store rejects the request or does not respond.
     pub async fn list(
         &mut self,
         kind: &str,
         consistency: Consistency,
     ) -> Result<Listing, StoreError> {
-        let mut whole: Option<Listing> = None;
+        let mut pages = Pages::default();
         loop {
-            let after = whole.as_ref().and_then(|list| list.items.last());
-            let since = after.map(|last| ("since_revision", last.metadata.name.as_str()));
+            let since = pages.cursor().map(|cursor| ("since_revision", cursor));
             let parameters: Vec<(&str, &str)> =
                 since.into_iter().chain(consistency.parameter()).collect();
             let path = path::with_query(&path::kind(kind), &parameters);
-            let page = self.call(Method::GET, &path, None, RESPONSE_TIMEOUT).await?.listing()?;
-            if whole.as_ref().is_some_and(|whole| whole.era != page.era) {
-                return Err(StoreError::NoAnswer(
-                    "the store was restored between two pages of a list".to_owned(),
-                ));
-            }
-            let more = page.has_more && !page.items.is_empty();
-            match &mut whole {
-                // A watch from the first page's revision reports what changed between two pages.
-                Some(list) => list.items.extend(page.items),
-                None => whole = Some(page),
-            }
-            if !more {
-                return whole.ok_or_else(|| StoreError::NoAnswer("the list is empty".to_owned()));
+            let added = match self.call(Method::GET, &path, None, RESPONSE_TIMEOUT).await {
+                Ok(response) => {
+                    response.page().map_err(Gap::Undecodable).and_then(|page| pages.add(page))
+                }
+                Err(StoreError::Refused(status)) if is_final(status) => Err(Gap::Refused(status)),
+                Err(error) => return Err(error),
+            };
+            match added {
+                Ok(false) => {}
+                Ok(true) => {
+                    let empty = || StoreError::NoAnswer("the list has no page".to_owned());
+                    return pages.into_listing().ok_or_else(empty);
+                }
+                // What was read is of an era that has ended.
+                Err(Gap::Restored) => return Err(StoreError::NoAnswer(Gap::Restored.to_string())),
+                Err(gap) => {
+                    let read = pages.into_listing().map(Box::new);
+                    return Err(StoreError::IncompleteList(gap, read));
+                }
             }
         }
     }
@@ -430,27 +426,19 @@
         .map_err(|fault| StoreError::NoAnswer(format!("the response does not decode: {fault}")))
 }
 
-/// Object of which only the metadata decode.
-#[derive(Deserialize)]
-struct MetadataOnly {
-    metadata: Metadata,
+/// Returns true if the store would answer the same request with the same status again.
+fn is_final(status: u16) -> bool {
+    (400..500).contains(&status)
+        && ![StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS]
+            .contains(&StatusCode::from_u16(status).unwrap_or_default())
 }
 
-/// Decodes one object. If its contents do not decode, it counts as empty, so that the check of its
-/// kind finds it.
-fn decode_object(raw: &RawValue) -> Result<Object, serde_json::Error> {
-    serde_json::from_str(raw.get()).or_else(|_| {
-        let MetadataOnly { metadata } = serde_json::from_str(raw.get())?;
-        Ok(Object { metadata, spec: Value::Null, status: Value::Null })
-    })
+/// Decodes events one by one, and skips those that do not decode: others follow them.
+fn each_event<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<Event>, D::Error> {
+    let raw = Vec::<Box<RawValue>>::deserialize(from)?;
+    Ok(raw.iter().filter_map(|raw| serde_json::from_str(raw.get()).ok()).collect())
 }
 
 fn one_object<'de, D: Deserializer<'de>>(from: D) -> Result<Object, D::Error> {
     decode_object(&Box::<RawValue>::deserialize(from)?).map_err(D::Error::custom)
 }
-
-/// Decodes objects one by one. The store itself names all objects, so one without a name is skipped.
-fn each_object<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<Object>, D::Error> {
-    let raw = Vec::<Box<RawValue>>::deserialize(from)?;
-    Ok(raw.iter().filter_map(|raw| decode_object(raw).ok()).collect())
-}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod duty;
 pub mod header;
+pub mod listing;
 pub mod object;
 pub mod path;
 mod rating;
--- a/tests/names.rs
+++ b/tests/names.rs
@@ -1,14 +1,17 @@
-//! Names of objects that hold any character.
+//! Names of objects that hold any character, and lists that don't end as they should.
 
 mod site;
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use kitepulley::forward::era::Tracker;
 use kitepulley::forward::kind::VMS;
-use kitepulley::platform::client::{Client, Consistency};
+use kitepulley::platform::client::{Client, Consistency, Listing, StoreError};
 use kitepulley::standin::platform::Switches;
 use serde_json::json;
 use site::{Site, are_ready, ask, head};
@@ -137,3 +140,114 @@
         }
     }
 }
+
+#[test]
+fn a_kind_whose_list_does_not_end_neither_floods_the_store_nor_blocks_the_others() {
+    for kind in ["servers", "evacuations", "rollouts", VMS] {
+        for repeats in [true, false] {
+            let mut site = Site::new().route("safe", "idempotent", json!({}));
+            let _servers = [site.replica("a1", "v1"), site.replica("z1", "v1")];
+            if kind != "servers" {
+                ["x&1", "x&2", "x&3"].iter().for_each(|name| {
+                    _ = site.store.write_spec(kind, name, json!({}));
+                });
+            }
+            // The first page of the servers has one that can be used.
+            let kind = Some(kind.to_owned());
+            let (repeating_kind, refused_kind) = match repeats {
+                true => (kind, None),
+                false if kind.as_deref() == Some("servers") => continue,
+                false => (None, kind),
+            };
+            let fault = Switches {
+                page_size: Some(1),
+                repeating_kind,
+                refused_kind,
+                ..Switches::default()
+            };
+            site.store.set_switches(fault.clone());
+            site.publish();
+            let vms = [site.start(), site.start()];
+            are_ready(&vms);
+            let before = site.store.calls();
+            std::thread::sleep(Duration::from_secs(3));
+            for vm in &vms {
+                assert_eq!(served(vm, 5), 5, "{fault:?}: {}", vm.log_end());
+            }
+            let (calls, stale) = {
+                let calls = site.store.calls();
+                (calls.reads - before.reads, calls.stale - before.stale)
+            };
+            // Polls for changes of servers are some 30 of them.
+            assert!(calls + stale < 120, "{fault:?}: {calls} calls, {stale} stale ones");
+        }
+    }
+}
+
+/// A store that serves these pages, one per connection, whatever the requests are.
+struct CannedStore {
+    address: SocketAddr,
+    /// Number of pages served.
+    served: Arc<AtomicU32>,
+}
+
+fn canned_store(pages: Vec<String>) -> CannedStore {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let served = Arc::new(AtomicU32::new(0));
+    let count = served.clone();
+    std::thread::spawn(move || {
+        for page in pages {
+            let Ok((mut stream, _)) = listener.accept() else { return };
+            count.fetch_add(1, Ordering::SeqCst);
+            let mut head = [0; 4096];
+            let _ = stream.read(&mut head);
+            let length = page.len();
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n{page}"
+            );
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    CannedStore { address, served }
+}
+
+fn list_servers(store: &CannedStore) -> Result<Listing, StoreError> {
+    run_local(async { client(store.address).list("servers", Consistency::Strong).await })
+}
+
+fn page(items: &[&str], has_more: bool) -> String {
+    let items = items.join(",");
+    format!(r#"{{"items":[{items}],"has_more":{has_more},"store_revision":7}}"#)
+}
+
+const OBJECT: &str = r#"{"metadata":{"name":"z1","revision":2},"spec":{}}"#;
+
+#[test]
+fn a_page_without_an_object_that_decodes_does_not_end_a_list() {
+    let odd = r#"{"metadata":{"name":"m1","revision":"many"}}"#;
+    let store = canned_store(vec![page(&[odd], true), page(&[OBJECT], false)]);
+    let listed = list_servers(&store).expect("a list");
+    let names: Vec<&str> = listed.items.iter().map(|one| one.metadata.name.as_str()).collect();
+    assert_eq!(names, ["z1"]);
+}
+
+#[test]
+fn a_list_that_ends_early_is_an_error() {
+    for items in [vec![], vec![r#"{"spec":{}}"#], vec![r#"{"metadata":{"name":"\ud800"}}"#]] {
+        let store = canned_store(vec![page(&[OBJECT], true), page(&items, true)]);
+        let listed = list_servers(&store);
+        assert!(listed.is_err(), "{items:?}: {listed:?}");
+    }
+}
+
+#[test]
+fn a_list_that_goes_round_is_an_error() {
+    let other = OBJECT.replace("z1", "y1");
+    let round = [page(&[OBJECT], true), page(&[&other], true)];
+    let store = canned_store(round.iter().cycle().take(50).cloned().collect());
+    let listed = list_servers(&store);
+    assert!(listed.is_err(), "{listed:?}");
+    let served = store.served.load(Ordering::SeqCst);
+    assert!(served <= 3, "the first page came again as the third of {served}");
+}
