Skip odd entries in the platform's list of VMs

One entry of another writer that doesn't decode hid the whole list from `serve`, which then never learned which VMs have to adopt a revision.

The test failed before with "missing field `vm`".

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -139,16 +139,14 @@
         Ok(keys)
     }
 
-    /// Returns the VMs that the platform lists. The list lags behind the VMs that run.
+    /// Returns the VMs that the platform lists, without entries that are invalid, which any writer
+    /// may add. The list lags behind the VMs that run.
     ///
     /// # Errors
     /// If the platform does not answer.
     pub async fn vms(&self) -> Result<Vec<VmEntry>, Error> {
         let listed = self.list_objects(VMS_KIND).await?;
-        let read = |object: Raw| {
-            serde_json::from_value(object.spec).map_err(|fault| Error::Store(fault.to_string()))
-        };
-        listed.into_iter().map(read).collect()
+        Ok(listed.into_iter().filter_map(decode_vm).collect())
     }
 
     async fn list_objects(&self, kind: &str) -> Result<Vec<Raw>, Error> {
@@ -195,6 +193,14 @@
     }
 }
 
+/// Decodes an entry of the list of VMs.
+fn decode_vm(object: Raw) -> Option<VmEntry> {
+    let name = object.metadata.name;
+    serde_json::from_value(object.spec)
+        .inspect_err(|fault| log::warn!("the entry `{name}` of a VM is ignored: {fault}"))
+        .ok()
+}
+
 /// Splits a key into the kind and the name of its object.
 fn split_key(key: &str) -> (&str, String) {
     let (kind, name) = key.split_once('/').unwrap_or((key, ""));
--- a/tests/entries.rs
+++ b/tests/entries.rs
@@ -7,6 +7,7 @@
 use kitepulley::forward::Vm;
 use kitepulley::forward::apply::{self, Source};
 use kitepulley::forward::kind::Kind;
+use kitepulley::platform::Store;
 use kitepulley::platform::client::Listing;
 use kitepulley::platform::object::{self, Object};
 use kitepulley::standin::replica::Action;
@@ -182,6 +183,25 @@
     }
 }
 
+#[test]
+fn an_odd_entry_in_the_list_of_vms_hides_no_other() {
+    let site = Site::new();
+    let entry = json!({"vm": "vm1", "data_centre": "here", "leaving": false});
+    site.store.write_spec("vms", "vm1", entry.clone());
+    for (number, spec) in [json!({}), Value::Null, json!({"vm": "a b"})].into_iter().enumerate() {
+        site.store.write_spec("vms", &format!("odd&{number}"), spec);
+    }
+    site.store.write_spec(
+        "vms",
+        "vm2",
+        json!({"vm": "vm2", "data_centre": "here", "leaving": true}),
+    );
+    let store = Store::new(site.store_server.address);
+    let listed = kitepulley::command::block_on(async { store.vms().await }).expect("a list");
+    let names: Vec<&str> = listed.iter().map(|entry| entry.vm.as_str()).collect();
+    assert_eq!(names, ["vm1", "vm2"]);
+}
+
 /// A JSON value made from these bytes: any kind of value, or a valid entry with one field replaced.
 fn value(bytes: &[u8]) -> Value {
     match bytes {
