--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -32,6 +32,9 @@
 /// Time between two log lines with the counts of calls to the store.
 const STORE_CALLS_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Time between two log lines with what a VM that has just started lacks.
+const MISSING_STATE_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Interval of the checks during a planned stop that all requests have ended.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -71,6 +74,7 @@
         spawn(listener::serve_metrics(vm.clone(), listener));
     }
     spawn(log_store_calls(vm.clone()));
+    spawn(log_missing_state(vm.clone()));
     spawn(flush_log_lines(vm.clone()));
     spawn(log_settings_changes(vm.clone()));
     stop_signal().await;
@@ -91,6 +95,25 @@
     vm.log("start", &fields);
 }
 
+/// Logs what this VM still lacks to serve, until it has it.
+async fn log_missing_state(vm: Rc<Vm>) {
+    loop {
+        tokio::time::sleep(MISSING_STATE_LOG_INTERVAL).await;
+        let missing = vm.missing_state();
+        if missing.is_empty() {
+            return;
+        }
+        let (missing, role) = (missing.join(","), format!("{:?}", *vm.role.borrow()));
+        let fields = [
+            ("missing", missing.as_str().into()),
+            ("role", role.as_str().into()),
+            ("has_links", vm.peers.borrow().links().is_some().into()),
+            ("store_lost", vm.store_lost.get().into()),
+        ];
+        vm.log("waits for its state", &fields);
+    }
+}
+
 /// Logs the total calls to the store, by call and outcome, whenever there were more.
 async fn log_store_calls(vm: Rc<Vm>) {
     let mut logged = 0;
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -467,6 +467,13 @@
         self.table.borrow().is_some() && REQUIRED_KINDS.iter().all(has_tried)
     }
 
+    /// Returns the kinds of objects that are missing for [`Vm::has_required_state`].
+    pub fn missing_state(&self) -> Vec<&'static str> {
+        let configuration = self.table.borrow().is_none().then_some(Kind::Config);
+        let others = REQUIRED_KINDS.into_iter().filter(|kind| !self.has_tried_to_list(*kind));
+        configuration.into_iter().chain(others).map(Kind::name).collect()
+    }
+
     /// Returns true if the balancer may send new connections.
     pub fn is_ready(&self, now: Moment) -> bool {
         self.has_required_state()
