Bound what a VM waits for before it reads the store

After a restart of all machines no VM served as long as the object with the key of the links was odd, or the store took no writes: a VM looked for the key and wrote its own entry first, in loops without an end, and read neither the store nor other VMs before. Service needs neither.

- Without a key 3 s after its start, although the store answers, a VM reads the store itself.
An object without a key that VMs make is replaced, on condition that it is unchanged.
- The registration is waited for 3 s and then goes on in the background.

--- a/src/forward/membership.rs
+++ b/src/forward/membership.rs
@@ -1,5 +1,6 @@
 //! Registration of the VMs in the store, and the shared key that protects the links between them.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,6 +28,13 @@
 /// Length of the key in bytes.
 const KEY_BYTES: usize = 32;
 
+/// Longest time that a VM which has just started waits for the key of the links, if the store
+/// answers, before it reads the store without knowing the other VMs.
+const KEY_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Longest time that a VM which has just started waits for its registration.
+const REGISTRATION_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Longest delay after a failed call to the store.
 const MAX_BACKOFF: Span = Span::millis(1000);
 
@@ -39,17 +47,20 @@
 const STALE_RELISTS: u32 = 4;
 
 /// Returns the shared key of the links between VMs, which the first VM creates. The key never
-/// changes, so a stale read is as good as a linearizable one. Retries until the store answers.
-pub async fn shared_key(vm: &Vm, store: &mut Client) -> String {
+/// changes, so a stale read is as good as a linearizable one. Retries until the store has a key.
+pub async fn shared_key(vm: &Rc<Vm>, store: &mut Client) -> String {
+    let key_read = Rc::new(Cell::new(false));
+    spawn(read_without_key(vm.clone(), key_read.clone()));
     let mut backoff = Backoff::default();
     loop {
         match get_or_create_key(vm, store).await {
-            Ok(Some(object)) => {
-                if let Some(key) = object.spec["key"].as_str() {
-                    return key.to_owned();
+            Ok(Some(object)) => match decode_key(&object) {
+                Some(key) => {
+                    key_read.set(true);
+                    return key;
                 }
-                vm.log("key of the links not read", &[("why", "the object has no key".into())]);
-            }
+                None => replace_invalid_key(vm, store, &object).await,
+            },
             Ok(None) => {}
             Err(error) => {
                 let why = error.to_string();
@@ -60,6 +71,43 @@
     }
 }
 
+/// Makes this VM read the store itself if it has no key of the links in time, although the store
+/// answers. It needs no links to serve.
+async fn read_without_key(vm: Rc<Vm>, key_read: Rc<Cell<bool>>) {
+    tokio::time::sleep(KEY_TIMEOUT).await;
+    while !key_read.get() && *vm.role.borrow() == Role::Joins {
+        if vm.store_has_answered.get() {
+            vm.log("reads the store without links", &[]);
+            vm.proof_requested.notify_one();
+            vm.role.send_replace(Role::Reads);
+        }
+        tokio::time::sleep(RELIST_INTERVAL).await;
+    }
+}
+
+/// Returns the key that an object of the store holds; `None` if it is not one that VMs make.
+fn decode_key(object: &Object) -> Option<String> {
+    let key = object.spec["key"].as_str()?;
+    let is_valid = key.len() == 2 * KEY_BYTES && key.bytes().all(|byte| byte.is_ascii_hexdigit());
+    is_valid.then(|| key.to_owned())
+}
+
+/// Replaces an object without a valid key, which another writer has changed, by one with a new key,
+/// unless another VM does so first.
+async fn replace_invalid_key(vm: &Vm, store: &mut Client, object: &Object) {
+    let position = object.metadata.position;
+    let revision = ("revision", position.revision.into());
+    vm.log("invalid key of the links replaced", &[revision]);
+    let spec = json!({"key": random_key()});
+    let written = store.replace(KEY_KIND, LINK_KEY, position, spec).await;
+    vm.count_store_call("key-replace", &written);
+}
+
+fn random_key() -> String {
+    let made: [u8; KEY_BYTES] = rand::random();
+    made.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
 /// Returns the object with the key, and creates it if the store has none.
 async fn get_or_create_key(vm: &Vm, store: &mut Client) -> Result<Option<Object>, StoreError> {
     let known = store.get(KEY_KIND, LINK_KEY, Consistency::Stale).await;
@@ -67,9 +115,7 @@
     if let Some(object) = known? {
         return Ok(Some(object));
     }
-    let made: [u8; KEY_BYTES] = rand::random();
-    let text: String = made.iter().map(|byte| format!("{byte:02x}")).collect();
-    let created = store.create(KEY_KIND, LINK_KEY, json!({"key": text})).await;
+    let created = store.create(KEY_KIND, LINK_KEY, json!({"key": random_key()})).await;
     vm.count_store_call("key-create", &created);
     match created {
         Err(StoreError::Conflict(object)) => Ok(object.map(|object| *object)),
@@ -95,13 +141,18 @@
 /// also learn of the VMs that start at the same time. If another VM of its group has a better rank,
 /// this VM will poll that one and learns of them by its updates, or by [`relist_until_following`].
 /// Otherwise it repeats stale lists until one has its own entry, and thus is from after the
-/// registration; if none has, a linearizable list follows, which is the newest.
+/// registration; if none has, a linearizable list follows, which is the newest. A registration that
+/// takes long goes on in the background.
 pub async fn join(vm: &Rc<Vm>, store: &mut Client, address: SocketAddr) {
     let entry = PeerInfo::of(&vm.settings, address);
     if list_and_check_own_entry(vm, store, &entry, Consistency::Stale).await {
         return;
     }
-    register(vm, store, &json!(entry)).await;
+    let registration = spawn(register_in_background(vm.clone(), json!(entry)));
+    if tokio::time::timeout(REGISTRATION_TIMEOUT, registration).await.is_err() {
+        vm.log("goes on without registration", &[]);
+        return;
+    }
     if has_better_ranked_peer(vm) {
         spawn(relist_until_following(vm.clone(), entry));
         return;
@@ -233,6 +284,11 @@
     group.iter().any(|rank| *rank < own)
 }
 
+async fn register_in_background(vm: Rc<Vm>, entry: Value) {
+    let mut store = vm.store_client();
+    register(&vm, &mut store, &entry).await;
+}
+
 /// Creates or replaces this VM's entry in the store, and retries until it is written.
 async fn register(vm: &Vm, store: &mut Client, entry: &Value) {
     let name = vm.settings.vm.as_str();
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -98,6 +98,8 @@
     pub proved_at: Cell<Option<Moment>>,
     /// True if this VM reads the store itself and its last attempt to get a proof failed.
     pub store_lost: Cell<bool>,
+    /// True if the store has answered any call since the start.
+    pub store_has_answered: Cell<bool>,
     /// When the store became reachable again, or was restored.
     pub store_recovered_at: Cell<Option<Moment>>,
     /// When this VM's state of the servers was read, to tell entries that may only have lapsed from
@@ -226,6 +228,7 @@
             poison: RefCell::default(),
             proved_at: Cell::new(None),
             store_lost: Cell::new(false),
+            store_has_answered: Cell::new(false),
             store_recovered_at: Cell::new(None),
             lapses: Cell::default(),
             role: tokio::sync::watch::Sender::new(Role::Joins),
@@ -431,6 +434,7 @@
     /// Counts a call to the store by its outcome.
     pub fn count_store_call<T>(&self, call: &str, result: &Result<T, StoreError>) {
         let outcome = if result.is_ok() { "answered" } else { "failed" };
+        self.store_has_answered.set(self.store_has_answered.get() || result.is_ok());
         self.metrics.store_calls.with_label_values(&[call, outcome]).inc();
     }
 
