--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -360,7 +360,7 @@
 }
 
 /// Returns a free address that no other test of this process gets.
-fn free_address() -> SocketAddr {
+pub fn free_address() -> SocketAddr {
     let _lock = PORT_PROBE_LOCK.lock().unwrap();
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let first = PORT_RANGE.start + port_block() * PORTS_PER_PROCESS;
