Limit what all clients of a VM may take together

Clients that sent large bodies and stopped short of their end, or didn't read their answers, took memory that grew with their number, until the platform ended the process. Each request had a limit, and their sum had none.

`decide::clients` counts connections, heads, bodies, responses that aren't taken and what waits in sockets, over all clients, at both doors. If there is too little, those that stalled are closed, by what they hold and for how long; an ordinary request then takes the memory of one that holds more; one that runs is never closed. A body gets a 503 (`crowded`, with Retry-After and Connection: close), one announced over the limit a 413 before it is read.

`client::Stream` reads in steps and nothing beyond a request that runs, as 128 KB of pipelined requests are decoded into megabytes. A response is charged to its client before it is read from its server. `serve` uses actix-server with the same streams. Large blocks go back to the system when they are freed.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -102,6 +102,20 @@
     /// Largest request body.
     #[options(no_short, meta = "SIZE", help = "largest request body (default 1MB)")]
     pub body_limit: Option<String>,
+    /// Memory of the VM, of which clients may take a fifth.
+    #[options(
+        no_short,
+        meta = "SIZE",
+        help = "memory of the VM; clients may take a fifth of it (default 1000MB)"
+    )]
+    pub memory: Option<String>,
+    /// Connections of clients that may be open.
+    #[options(
+        no_short,
+        meta = "N",
+        help = "connections of clients (default: about half of the file descriptors)"
+    )]
+    pub client_connections: Option<String>,
     /// Share of answers that are sent to the rating service.
     #[options(no_short, meta = "SHARE", help = "share of answers to rate (default 5%)")]
     pub rated_share: Option<String>,
@@ -141,6 +155,13 @@
         help = "keep answers of a small model from this confidence on, however idle servers are (default 60)"
     )]
     pub keep_confidence: Option<String>,
+    /// Connections of clients that may be open.
+    #[options(
+        no_short,
+        meta = "N",
+        help = "connections of clients (default: about half of the file descriptors)"
+    )]
+    pub client_connections: Option<String>,
 }
 
 /// Flags of `standin`.
--- a/src/command/serve.rs
+++ b/src/command/serve.rs
@@ -5,11 +5,12 @@
 use super::block_on;
 use crate::error::Error;
 use crate::history::Sink;
-use crate::{cli, options, vm};
+use crate::{cli, client, options, vm};
 
 /// Runs a VM. SIGTERM or SIGINT starts a graceful shutdown; a second signal ends it at once.
 pub fn run(flags: &cli::Serve) -> Result<(), Error> {
     let settings = options::serve(flags)?;
+    client::return_large_blocks();
     block_on(async move {
         let handle = vm::start(settings, Sink::default())?;
         wait_for_signal().await;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 pub mod canary;
 pub mod cascade;
+pub mod clients;
 pub mod cold_start;
 pub mod connectivity;
 pub mod escalate;
--- a/src/demo/cluster.rs
+++ b/src/demo/cluster.rs
@@ -9,6 +9,7 @@
     self, Cascade, Declarations, Intent, ModelEntry, Objective, PlanSource, ServerEntry,
     ServerKind, ServiceEntry, VersionEntry, WorkspaceEntry, digest,
 };
+use crate::decide::clients::Limits;
 use crate::decide::rollout::Policy;
 use crate::error::Error;
 use crate::history::Sink;
@@ -132,6 +133,7 @@
         workers: 1,
         stop_within: Span::secs(20),
         body_limit: Size(1_000_000),
+        clients: Limits::new(Size(1_000_000_000), None),
         rated_share: 0.5,
         rollout: Policy { min_doubling_time: Span::secs(2), ..Policy::default() },
         fleet_key: name("the-demo's-fleet-key"),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -12,13 +12,49 @@
 mod stream;
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use actix_http::ConnectionType;
+use actix_web::HttpRequest;
+use actix_web::body::{BoxBody, MessageBody};
+use actix_web::dev::{ServiceRequest, ServiceResponse};
+use actix_web::middleware::Next;
 use actix_web::web::{self, ServiceConfig};
 
+use crate::client::{Account, body};
 use crate::vm::Vm;
 
 pub use stream::channel_body;
 
+/// Longest time that a response waits for memory until its client's connection takes it.
+const MAX_RESPONSE_WAIT: Duration = Duration::from_secs(2);
+
+/// Accounts for a request until its response has ended.
+///
+/// # Errors
+/// As the service that handles the request.
+pub async fn account_for(
+    request: ServiceRequest,
+    next: Next<impl MessageBody + 'static>,
+) -> Result<ServiceResponse<BoxBody>, actix_web::Error> {
+    let account = account_of(request.request());
+    let open = account.begin_request();
+    body::earlier_responses(&account).await;
+    let has_body = body::has_body(request.headers());
+    let mut response = next.call(request).await?;
+    if has_body && account.is_body_unread() {
+        account.close_input();
+        response.response_mut().head_mut().set_connection_type(ConnectionType::Close);
+    }
+    body::reserve_response(&account, response.response().body().size(), MAX_RESPONSE_WAIT).await;
+    Ok(response.map_body(|_, content| BoxBody::new(body::Response::new(content.boxed(), open))))
+}
+
+/// Returns the account of the connection of a request.
+fn account_of(request: &HttpRequest) -> Arc<Account> {
+    request.conn_data::<Arc<Account>>().expect("each connection has one").clone()
+}
+
 /// Registers all HTTP routes of a VM.
 pub fn routes(vm: &Arc<Vm>, app: &mut ServiceConfig) {
     let limit = vm.settings.body_limit.0 as usize;
--- a/src/entry/models.rs
+++ b/src/entry/models.rs
@@ -5,7 +5,6 @@
 
 use actix_web::web::{Bytes, Data, Payload};
 use actix_web::{HttpRequest, HttpResponse};
-use futures_util::StreamExt;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
@@ -15,6 +14,7 @@
 use super::refusal::{Kind as Refused, Refusal};
 use super::session::{self, Session};
 use super::stream::in_flight_body;
+use crate::client::body;
 use crate::config::{Allowed, Snapshot, WorkspaceEntry, digest};
 use crate::decide::poison::Fingerprint;
 use crate::engine::client::EngineClient;
@@ -103,18 +103,19 @@
 }
 
 /// Reads a request body of at most the configured size.
-pub async fn read_body(vm: &Data<Vm>, mut payload: Payload) -> Result<Bytes, Refusal> {
+pub async fn read_body(
+    vm: &Data<Vm>,
+    request: &HttpRequest,
+    payload: Payload,
+) -> Result<Bytes, Refusal> {
     let limit = vm.settings.body_limit.0 as usize;
-    let mut received = Vec::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk =
-            chunk.map_err(|error| Refusal::with_detail(Refused::Malformed, error.to_string()))?;
-        if received.len() + chunk.len() > limit {
-            return Err(Refusal::new(Refused::TooLarge));
-        }
-        received.extend_from_slice(&chunk);
-    }
-    Ok(received.into())
+    let account = super::account_of(request);
+    let read = body::read(payload, request.headers(), &account, limit).await;
+    read.map_err(|error| match error {
+        body::Error::TooLarge => Refusal::new(Refused::TooLarge),
+        body::Error::Broken(reason) => Refusal::with_detail(Refused::Malformed, reason),
+        body::Error::NoRoom => Refusal::new(Refused::Crowded),
+    })
 }
 
 /// `POST /v1/chat/completions`: answers as one JSON object or as server-sent events.
@@ -127,7 +128,7 @@
     let id = vm.next_request_id();
     let in_flight = InFlightGuard::new(&vm);
     let prepared = async {
-        let bytes = read_body(&vm, payload).await?;
+        let bytes = read_body(&vm, &request, payload).await?;
         let caller = admit(&vm, &request)?;
         prepare_job(&vm, &request, caller, &bytes, id.clone()).await
     };
--- a/src/entry/operator.rs
+++ b/src/entry/operator.rs
@@ -60,6 +60,7 @@
             gauge.set(objective.burn_rate(window));
         }
     }
+    vm.clients.update_gauges();
     HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(vm.metrics.text())
 }
 
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -29,6 +29,8 @@
     BadSession,
     /// The version that the session is pinned to was withdrawn.
     SessionEnded,
+    /// The VM has too little memory for the request.
+    Crowded,
     /// The VM is shutting down.
     Stopping,
     /// The VM has lost contact with the other VMs and the store, or has no configuration yet.
@@ -109,6 +111,7 @@
     Withdrawn "withdrawn" 410 No None, "This version was withdrawn; name another.";
     BadSession "bad_session" 400 No None, "Begin a new session with the header `x-kitepulley-session: new`.";
     SessionEnded "session_ended" 410 No None, "The session's version was withdrawn; begin a new session with `x-kitepulley-session: new`.";
+    Crowded "crowded" 503 No Some(1), "This VM has too little memory for the request now; send it again.";
     Stopping "stopping" 503 No Some(1), "This VM is being replaced; send the request again.";
     CutOff "cut_off" 503 No Some(2), "This VM cannot reach the others; send the request again.";
     Behind "behind" 503 No Some(1), "This VM has not caught up yet; send the request again.";
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -81,7 +81,7 @@
     let id = vm.next_request_id();
     let in_flight = InFlightGuard::new(&vm);
     let outcome = async {
-        let bytes = read_body(&vm, payload).await?;
+        let bytes = read_body(&vm, &request, payload).await?;
         let caller = admit(&vm, &request)?;
         let call = prepare_call(&vm, &request, &caller, bytes, id.clone())?;
         if call.is_retryable {
@@ -274,7 +274,7 @@
 pub async fn reserve(vm: Data<Vm>, request: HttpRequest, payload: Payload) -> HttpResponse {
     let id = vm.next_request_id();
     let outcome = async {
-        read_body(&vm, payload).await?;
+        read_body(&vm, &request, payload).await?;
         let caller = admit(&vm, &request)?;
         let call = prepare_call(&vm, &request, &caller, Bytes::new(), id.clone())?;
         if call.key.is_none() {
--- a/src/forward/attempt.rs
+++ b/src/forward/attempt.rs
@@ -3,6 +3,8 @@
 
 use std::rc::Rc;
 
+use actix_http::body::BodySize;
+use actix_http::header::CONTENT_LENGTH;
 use actix_http::{ResponseHead, StatusCode};
 use bytes::Bytes;
 
@@ -13,6 +15,7 @@
 use super::replica::Replica;
 use super::sse::{Batch, EventBuffer};
 use super::{announce, connectivity, crash, path, poison, stall, usage};
+use crate::client::body;
 use crate::config::RetryPolicy;
 use crate::decide::outcome::AttemptOutcome;
 use crate::decide::poison::BrokenRequest;
@@ -256,6 +259,7 @@
     if !response.not_run {
         usage::record_run(job);
     }
+    reserve_memory(job, &head).await;
     let body = match connection.read_body(MAX_BODY_SIZE).await {
         Ok(body) => body,
         Err(fault) => return outcome_of(fault),
@@ -272,6 +276,17 @@
     Outcome { end, reason, head: Some((head, response)), body, stream: None, check: None }
 }
 
+/// Waits for memory for the body that a response head announces. Clients that don't take their
+/// responses are closed for it, so that they don't use up what all responses may take.
+async fn reserve_memory(job: &Job, head: &ResponseHead) {
+    let length = head.headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    let length = length.and_then(|length| length.trim().parse().ok());
+    if let (Some(client), Some(length)) = (&job.client, length) {
+        let longest = job.left(job.vm.now()).duration();
+        body::reserve_response(client, BodySize::Sized(length), longest).await;
+    }
+}
+
 /// Sends the request and reads response heads until one belongs to it.
 async fn send_and_read_head(
     job: &Job,
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::fmt::Write as _;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use actix_http::RequestHead;
 use bytes::Bytes;
@@ -16,6 +17,7 @@
 use super::replica::Replica;
 use super::selection::{self, Criteria, Estimate, Placement, Reason, Skipped, Wait};
 use super::vm::Vm;
+use crate::client::Account;
 use crate::config::{KeyHolder, RetryPolicy, Route};
 use crate::decide::outcome::AttemptOutcome;
 use crate::decide::poison::Fingerprint;
@@ -54,6 +56,8 @@
     pub arrived: Moment,
     /// When the shorter of the caller's and the route's timeout expires.
     pub deadline: Moment,
+    /// The caller's connection, to which the memory for the response is charged.
+    pub client: Option<Arc<Account>>,
     /// Log record, written when the request ends.
     pub record: Record,
 }
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -2,16 +2,17 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use actix_http::body::{BodyStream, BoxBody};
+use actix_http::body::{BodyStream, BoxBody, MessageBody};
 use actix_http::header::{HeaderName, HeaderValue, RETRY_AFTER};
 use actix_http::{
-    ConnectionType, HttpService, KeepAlive, Payload, Request, Response, ResponseHead, StatusCode,
+    ConnectionType, HttpService, KeepAlive, Payload, Request, RequestHead, Response, ResponseHead,
+    StatusCode,
 };
 use actix_service::{Service, ServiceFactory, fn_service};
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
@@ -20,6 +21,8 @@
 use super::job::{Job, Record};
 use super::vm::Vm;
 use super::{content, rate_limit, relay};
+use crate::client::stream::{REFUSAL_LINGER, limit_socket_buffers};
+use crate::client::{Account, Stream as Client, body};
 use crate::config::{KeyHolder, Route, Table};
 use crate::entry::refusal::{Kind, Refusal};
 use crate::error::Error;
@@ -47,6 +50,9 @@
 /// Longest time that a request waits for a proof that the configuration is the newest.
 const PROOF_TIMEOUT: Span = Span::millis(900);
 
+/// Longest time that a response waits for memory until its client's connection takes it.
+const MAX_RESPONSE_WAIT: Duration = Duration::from_secs(2);
+
 /// Time within which a readiness probe or metrics scrape must send its request.
 const PROBE_REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -71,24 +77,25 @@
 
 /// Serves callers until the process ends. New connections follow changes of the configured limits.
 pub async fn serve_callers(vm: Rc<Vm>, listener: TcpListener) {
+    limit_socket_buffers(&listener, &vm.clients);
     loop {
         let limits = vm.routes().map(|table| table.limits).unwrap_or_default();
         let handler = vm.clone();
         let service = HttpService::build()
             .keep_alive(KeepAlive::Timeout(limits.idle_timeout.duration()))
             .client_request_timeout(limits.header_timeout.duration())
+            .client_disconnect_timeout(REFUSAL_LINGER)
             .h1_allow_half_closed(false)
-            .tcp_nodelay(true)
             .graceful_shutdown_signal(shutdown_signal(&vm))
+            .on_connect_ext(|client: &Client, data| _ = data.insert(client.account()))
             .h1(fn_service(move |request: Request| {
                 let vm = handler.clone();
-                async move { Ok::<_, std::convert::Infallible>(handle_request(vm, request).await) }
-            }))
-            .tcp();
+                async move { Ok::<_, std::convert::Infallible>(serve_request(vm, request).await) }
+            }));
         // Accepts with these limits until they change; open connections keep theirs.
         let same = || vm.routes().map(|table| table.limits).unwrap_or_default() == limits;
         match service.new_service(()).await {
-            Ok(service) => accept_connections(&listener, Rc::new(service), same).await,
+            Ok(service) => accept_clients(&vm, &listener, Rc::new(service), same).await,
             Err(()) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
@@ -140,6 +147,7 @@
         let age = vm.proof_age(vm.now()).map_or(f64::INFINITY, Span::as_secs);
         vm.metrics.proof_age.set(age);
         rate_limit::update_gauges(&vm);
+        vm.clients.update_gauges();
         Response::with_body(StatusCode::OK, BoxBody::new(vm.metrics.text()))
     })
     .await;
@@ -161,6 +169,33 @@
     }
 }
 
+/// Accepts clients while `keep_accepting` returns true; it is called after each connection.
+async fn accept_clients<S>(
+    vm: &Vm,
+    listener: &TcpListener,
+    service: Rc<S>,
+    keep_accepting: impl Fn() -> bool,
+) where
+    S: Service<(Client, Option<SocketAddr>)> + 'static,
+{
+    while keep_accepting() {
+        match listener.accept().await {
+            Ok((stream, address)) => {
+                // It costs at most the delay of a small response.
+                let _ = stream.set_nodelay(true);
+                let Some(client) = Client::new(stream, &vm.clients) else { continue };
+                let connection = service.call((client, Some(address)));
+                // A broken connection affects no other; its requests log their own ends.
+                actix_web::rt::spawn(async move { drop(connection.await) });
+            }
+            Err(_) => {
+                vm.clients.close_idlest();
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
 /// Accepts connections while `keep_accepting` returns true; it is called after each connection.
 async fn accept_connections<S>(
     listener: &TcpListener,
@@ -181,14 +216,29 @@
     }
 }
 
+/// Handles one request of a caller, and accounts for it until its response has ended.
+async fn serve_request(vm: Rc<Vm>, request: Request) -> HttpResponse {
+    let account = request.conn_data::<Arc<Account>>().expect("each connection has one").clone();
+    let open = account.begin_request();
+    body::earlier_responses(&account).await;
+    let has_body = body::has_body(&request.head().headers);
+    let mut response = handle_request(vm, request, &account).await;
+    if has_body && account.is_body_unread() {
+        account.close_input();
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    body::reserve_response(&account, response.body().size(), MAX_RESPONSE_WAIT).await;
+    response.map_body(|_, content| BoxBody::new(body::Response::new(content, open)))
+}
+
 /// Handles one request of a caller.
-async fn handle_request(vm: Rc<Vm>, mut request: Request) -> HttpResponse {
+async fn handle_request(vm: Rc<Vm>, mut request: Request, account: &Arc<Account>) -> HttpResponse {
     let arrived = vm.now();
     let call = header::decode_call(request.head());
     let id = header::attempt_id_header(&call);
     let mut record = Record::new(vm.clone(), &call, arrived);
-    let payload = request.take_payload();
-    let admitted = admit(&vm, &call, payload, &mut record).await;
+    let incoming = Incoming { payload: request.take_payload(), head: request.head(), account };
+    let admitted = admit(&vm, &call, incoming, &mut record).await;
     let mut response = match admitted {
         Ok(Admitted { route, holder, body }) => {
             let deadline = arrived + call.timeout.min(route.timeout);
@@ -211,6 +261,7 @@
                         fingerprint,
                         arrived,
                         deadline,
+                        client: Some(account.clone()),
                         record,
                     };
                     forward(job).await
@@ -235,6 +286,26 @@
     response
 }
 
+/// A request whose body is still to be read.
+struct Incoming<'a> {
+    payload: Payload,
+    head: &'a RequestHead,
+    account: &'a Arc<Account>,
+}
+
+impl Incoming<'_> {
+    /// Reads the body, of at most `max_size` bytes, within a time.
+    async fn read_body(self, max_size: usize, within: Span) -> Result<Bytes, Refusal> {
+        let body = body::read(self.payload, &self.head.headers, self.account, max_size);
+        let body = tokio::time::timeout(within.duration(), body).await;
+        body.map_err(|_| Refusal::new(Kind::Malformed))?.map_err(|error| match error {
+            body::Error::TooLarge => Refusal::new(Kind::TooLarge),
+            body::Error::Broken(_) => Refusal::new(Kind::Malformed),
+            body::Error::NoRoom => Refusal::new(Kind::Crowded),
+        })
+    }
+}
+
 /// What admission establishes about a request.
 struct Admitted {
     route: Rc<Route>,
@@ -246,15 +317,12 @@
 async fn admit(
     vm: &Rc<Vm>,
     call: &Call,
-    payload: Payload,
+    incoming: Incoming<'_>,
     record: &mut Record,
 ) -> Result<Admitted, Refusal> {
     wait_until_synced(vm).await;
     let table = vm.routes().ok_or_else(|| Refusal::new(Kind::Behind))?;
-    let max_size = table.limits.max_body_bytes;
-    let body = read_body(payload, max_size);
-    let body = tokio::time::timeout(call.timeout.duration(), body).await;
-    let body = body.map_err(|_| Refusal::new(Kind::Malformed))??;
+    let body = incoming.read_body(table.limits.max_body_bytes, call.timeout).await?;
     let (table, found) = match authorize(&table, call) {
         Ok(found) => (table, Ok(found)),
         // The unknown route or key may have been added since this VM's last proof.
@@ -341,19 +409,6 @@
     false
 }
 
-/// Reads a request body of at most `max_size` bytes.
-async fn read_body(mut payload: Payload, max_size: usize) -> Result<Bytes, Refusal> {
-    let mut body = BytesMut::new();
-    while let Some(piece) = payload.next().await {
-        let piece = piece.map_err(|_| Refusal::new(Kind::Malformed))?;
-        if body.len() + piece.len() > max_size {
-            return Err(Refusal::new(Kind::TooLarge));
-        }
-        body.extend_from_slice(&piece);
-    }
-    Ok(body.freeze())
-}
-
 /// Dispatches an admitted request and builds the caller's response.
 async fn forward(job: Job) -> HttpResponse {
     let vm = job.vm.clone();
--- a/src/forward/metrics.rs
+++ b/src/forward/metrics.rs
@@ -191,6 +191,13 @@
     }
 }
 
+impl Metrics {
+    /// Registers a metric that another module keeps.
+    pub fn register(&self, metric: impl Collector + Clone + 'static) {
+        register(&self.registry, metric);
+    }
+}
+
 fn register<T: Collector + Clone + 'static>(registry: &Registry, metric: T) -> T {
     registry.register(Box::new(metric.clone())).expect("metric names are unique");
     metric
--- a/src/forward/read_budget.rs
+++ b/src/forward/read_budget.rs
@@ -8,8 +8,9 @@
 use crate::unit::{Millicores, Size, Span};
 use crate::vm::Clock;
 
-/// Memory and processor quota of a VM whose settings give none.
-const DEFAULT_MEMORY: Size = Size(128_000_000);
+/// Memory of a VM whose settings give none.
+pub const DEFAULT_MEMORY: Size = Size(128_000_000);
+/// Processor quota of a VM whose settings give none.
 const DEFAULT_CPU: Millicores = Millicores(1000);
 
 struct State {
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -139,10 +139,28 @@
 async fn flush_log_lines(vm: Rc<Vm>) {
     loop {
         tokio::time::sleep(LOG_FLUSH_INTERVAL).await;
+        log_evictions(&vm);
         vm.logger.flush();
     }
 }
 
+/// Logs the clients that were closed to make room for others.
+fn log_evictions(vm: &Vm) {
+    for eviction in vm.clients.take_evictions() {
+        let (used, open) = vm.clients.usage();
+        let client = eviction.id.to_string();
+        let fields = [
+            ("client", client.as_str().into()),
+            ("stage", eviction.stage.name().into()),
+            ("held_bytes", eviction.held.0.into()),
+            ("stalled_ms", eviction.stalled.as_millis().into()),
+            ("used_bytes", used.0.into()),
+            ("clients", open.into()),
+        ];
+        vm.log("client closed to make room", &fields);
+    }
+}
+
 /// Reads the settings file again at each SIGHUP. Addresses can't change while the process runs, so
 /// a changed store address is only logged.
 async fn log_settings_changes(vm: Rc<Vm>) {
--- a/src/forward/settings.rs
+++ b/src/forward/settings.rs
@@ -28,6 +28,10 @@
     pub cpu_quota: Millicores,
     /// Memory of the VM; `None` if it is not known.
     pub memory: Option<Size>,
+    /// Descriptors that the process may have; `None` if the file does not tell.
+    pub descriptors: Option<u64>,
+    /// Connections of clients that may be open; `None` to derive them from the descriptors.
+    pub client_connections: Option<usize>,
     /// Listen address for callers.
     pub callers: SocketAddr,
     /// Listen address for the readiness checks of the balancer.
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -16,7 +16,7 @@
 use super::pinned_sessions::PinnedSessions;
 use super::places::{Event as PlaceEvent, PlaceQueue};
 use super::positions::Positions;
-use super::read_budget::Budget;
+use super::read_budget::{Budget, DEFAULT_MEMORY};
 use super::replica::Rollout;
 use super::restore::Restore;
 use super::role::{Decline, Role};
@@ -26,8 +26,10 @@
 use super::session::Sessions;
 use super::settings::Settings;
 use super::usage::Usage;
+use crate::client::Table as Clients;
 use crate::config::Table;
 use crate::decide::budget::RetryBudget;
+use crate::decide::clients;
 use crate::decide::connectivity::Connectivity;
 use crate::decide::freshness::Schedules;
 use crate::decide::lapse::{LAPSED_ENTRY_GRACE, Lapses};
@@ -55,6 +57,14 @@
 /// Kinds that a VM must have listed, besides the configuration, before it forwards requests.
 const REQUIRED_KINDS: [Kind; 3] = [Kind::Servers, Kind::Rollouts, Kind::Evacuations];
 
+/// Returns what callers of a VM with these settings may take together.
+fn client_limits(settings: &Settings) -> clients::Limits {
+    let descriptors = settings.descriptors.or_else(crate::client::max_descriptors);
+    let limits = clients::Limits::new(settings.memory.unwrap_or(DEFAULT_MEMORY), descriptors);
+    let connections = settings.client_connections.unwrap_or(limits.connections);
+    clients::Limits { connections, ..limits }
+}
+
 /// One entry VM.
 pub struct Vm {
     /// Settings that were read at the start.
@@ -132,6 +142,8 @@
     pub feed: RefCell<Feed>,
     /// What the responses of servers and of the store may cost this VM together.
     pub read_budget: Budget,
+    /// Connections of callers, and what they hold.
+    pub clients: Clients,
     /// Why the last VM that polled this one got no update; `None` if it got one.
     pub last_decline: Cell<Option<Decline>>,
     /// When this process noticed that it had been stalled or suspended.
@@ -204,6 +216,10 @@
             RefCell::new(Usage::new(duties.usage, vm, clock.now(), clock.date()))
         });
         let read_budget = Budget::new(settings.memory, settings.cpu_quota, clock);
+        let clients = Clients::new(client_limits(&settings), clock);
+        let metrics = Metrics::new();
+        metrics.register(clients.closed());
+        metrics.register(clients.gauge());
         let viewpoint = Viewpoint {
             data_centre: settings.data_centre.clone(),
             point: hash::stable(&[settings.vm.as_str()]),
@@ -242,6 +258,7 @@
             first_in_group_since: Cell::new(None),
             feed: RefCell::new(Feed::new(rand::random())),
             read_budget,
+            clients,
             last_decline: Cell::new(None),
             stalled_at: Cell::new(None),
             stall_gate: Gate::default(),
@@ -268,7 +285,7 @@
             place_queues: RefCell::default(),
             place_events: Events::default(),
             logger: lines,
-            metrics: Metrics::new(),
+            metrics,
             unknown_headers: RefCell::default(),
             budgets: RefCell::default(),
             prefill_estimators: RefCell::default(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod chart;
 pub mod cli;
+pub mod client;
 pub mod command;
 pub mod config;
 pub mod decide;
--- a/src/options.rs
+++ b/src/options.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
+use crate::client::max_descriptors;
+use crate::decide::clients::Limits;
 use crate::decide::rollout::Policy;
 use crate::error::Error;
 use crate::platform::settings;
@@ -11,6 +13,9 @@
 use crate::vm::Settings;
 use crate::{cli, forward};
 
+/// Memory of a VM that runs `serve`, unless it is set.
+const DEFAULT_MEMORY: Size = Size(1_000_000_000);
+
 /// Prefix of the environment variables that set flags and secrets.
 const PREFIX: &str = "KITEPULLEY_";
 
@@ -132,6 +137,7 @@
         workers: with_default("workers", flags.workers.as_ref(), 2)?,
         stop_within: with_default("stop-within", flags.stop_within.as_ref(), Span::secs(30))?,
         body_limit: with_default("body-limit", flags.body_limit.as_ref(), Size(1_000_000))?,
+        clients: client_limits(flags)?,
         rated_share: rated.fraction(),
         rollout: Policy { min_doubling_time: doubling, ..policy },
         fleet_key: required_secret("FLEET_KEY")?,
@@ -142,6 +148,23 @@
     Ok(settings)
 }
 
+/// Returns what clients of `serve` may take together.
+fn client_limits(flags: &cli::Serve) -> Result<Limits, Error> {
+    let memory = with_default("memory", flags.memory.as_ref(), DEFAULT_MEMORY)?;
+    let limits = Limits::new(memory, max_descriptors());
+    let connections =
+        with_default("client-connections", flags.client_connections.as_ref(), limits.connections)?;
+    check_connections(connections)?;
+    Ok(Limits { connections, ..limits })
+}
+
+fn check_connections(connections: usize) -> Result<(), Error> {
+    match connections {
+        0 => Err(Error::flag("--client-connections", 0, "use at least 1.")),
+        _ => Ok(()),
+    }
+}
+
 fn check_conflicts(settings: &Settings) -> Result<(), Error> {
     let conflict = |what: &str| Err(Error::Usage(what.to_owned()));
     if settings.workers == 0 {
@@ -173,6 +196,9 @@
         let what = format!("--keep-confidence is {given}; give it a percentage from 0 to 100.");
         return Err(Error::Usage(what));
     }
+    settings.client_connections =
+        optional("client-connections", flags.client_connections.as_ref())?;
+    settings.client_connections.map_or(Ok(()), check_connections)?;
     settings.source = optional("source-ip", flags.source_ip.as_ref())?;
     settings.metrics = port.map(|port| SocketAddr::new(settings.ip, port));
     Ok(settings)
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -84,6 +84,8 @@
     /// Processor quota, as a share of each core.
     cpu_quota: Option<f64>,
     memory_mb: Option<f64>,
+    /// Descriptors that the process may have.
+    max_fds: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -140,6 +142,8 @@
         source: None,
         cpu_quota: parse_quota(path, file.limits.cpu_quota)?,
         memory: parse_memory(path, file.limits.memory_mb)?,
+        descriptors: file.limits.max_fds,
+        client_connections: None,
         callers: parse_address(path, "listen.frontend", listen.frontend)?,
         readiness: parse_address(path, "listen.readiness", listen.readiness)?,
         store: parse_address(path, "platform.address", store.address)?,
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -10,5 +10,5 @@
 pub mod service;
 mod text;
 
-pub use server::{Instance, launch, no_delay};
+pub use server::{Instance, launch};
 pub use text::{Completion, complete, digest};
--- a/src/standin/server.rs
+++ b/src/standin/server.rs
@@ -34,7 +34,7 @@
 }
 
 /// Sets `TCP_NODELAY`: a small frame that waits for an acknowledgement costs 40 ms.
-pub fn no_delay(connection: &dyn std::any::Any, _: &mut actix_web::dev::Extensions) {
+fn no_delay(connection: &dyn std::any::Any, _: &mut actix_web::dev::Extensions) {
     if let Some(stream) = connection.downcast_ref::<actix_web::rt::net::TcpStream>() {
         let _ = stream.set_nodelay(true);
     }
--- a/src/vm/run.rs
+++ b/src/vm/run.rs
@@ -7,13 +7,19 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use actix_web::dev::ServerHandle;
+use actix_http::HttpService;
+use actix_service::{ServiceFactoryExt, fn_service, map_config};
+use actix_web::App;
+use actix_web::dev::{AppConfig, ServerHandle};
+use actix_web::middleware::from_fn;
+use actix_web::rt::net::TcpStream;
 use actix_web::web::Data;
-use actix_web::{App, HttpServer};
 use tokio::sync::mpsc;
 
 use super::control::Control;
 use super::{Clock, Settings, Vm, bills, config_watch, duty, poison, ratings, stall};
+use crate::client::stream::{REFUSAL_LINGER, limit_socket_buffers};
+use crate::client::{Stream as Client, Table as Clients};
 use crate::engine::client::EngineClient;
 use crate::entry;
 use crate::error::Error;
@@ -34,6 +40,9 @@
 /// that a VM resumes from, since the HTTP library counts suspended time as the caller's.
 const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time between two checks for clients that were closed.
+const EVICTION_LOG_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Time between two checks, during a planned stop, if all requests have ended.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -97,6 +106,7 @@
     actix_web::rt::spawn(ratings::exchange(control.clone()));
     actix_web::rt::spawn(poison::send_reminders(control.clone()));
     actix_web::rt::spawn(stall::watch(control.clone()));
+    actix_web::rt::spawn(log_evictions(vm.clients.clone()));
     let server = serve_http(vm.clone(), listener)?;
     log::info!("{} {} listening for callers on {address}", vm.settings.vm, vm.incarnation);
     Ok(Handle { vm, address, control, server })
@@ -105,21 +115,36 @@
 /// Starts the HTTP server for callers.
 fn serve_http(vm: Arc<Vm>, listener: TcpListener) -> Result<ServerHandle, Error> {
     let address = vm.settings.listen.to_string();
+    limit_socket_buffers(&listener, &vm.clients);
     let workers = vm.settings.workers;
-    let app = move || {
+    let serve = move || {
         let engines = Data::new(EngineClient::new());
         let vm = Data::from(vm.clone());
-        App::new().app_data(vm.clone()).app_data(engines).configure(|app| entry::routes(&vm, app))
+        let clients = vm.clients.clone();
+        let app = App::new()
+            .app_data(vm.clone())
+            .app_data(engines)
+            .wrap(from_fn(entry::account_for))
+            .configure(|app| entry::routes(&vm, app));
+        let http = HttpService::build()
+            .client_request_timeout(REQUEST_HEAD_TIMEOUT)
+            .client_disconnect_timeout(REFUSAL_LINGER)
+            .on_connect_ext(|client: &Client, data| _ = data.insert(client.account()))
+            .h1(map_config(app, |()| AppConfig::default()))
+            .map_err(|_| ());
+        fn_service(move |stream: TcpStream| {
+            let client = accept(stream, &clients);
+            async move { client.ok_or(()) }
+        })
+        .and_then(http)
     };
-    let server = HttpServer::new(app)
-        .on_connect(crate::standin::no_delay)
-        .client_request_timeout(REQUEST_HEAD_TIMEOUT)
+    let server = actix_server::Server::build()
         .workers(workers)
         .backlog(LISTEN_BACKLOG)
-        .max_connections(MAX_WORKER_CONNECTIONS)
+        .max_concurrent_connections(MAX_WORKER_CONNECTIONS)
         .disable_signals()
         .shutdown_timeout(SHUTDOWN_TIMEOUT_SECS)
-        .listen(listener)
+        .listen("callers", listener, serve)
         .map_err(|error| Error::Bind(address, error.to_string()))?
         .run();
     let handle = server.handle();
@@ -127,6 +152,31 @@
     Ok(handle)
 }
 
+/// Logs the clients that were closed to make room for others, until the process ends.
+async fn log_evictions(clients: Clients) {
+    loop {
+        tokio::time::sleep(EVICTION_LOG_INTERVAL).await;
+        for eviction in clients.take_evictions() {
+            let (used, open) = clients.usage();
+            log::info!(
+                "client {} closed to make room: {}, held {}, stalled {}; {open} clients hold {used}",
+                eviction.id,
+                eviction.stage.name(),
+                eviction.held,
+                eviction.stalled
+            );
+        }
+    }
+}
+
+/// Adds a connection to the clients of the VM; `None` if there is no room for it.
+fn accept(stream: TcpStream, clients: &Clients) -> Option<(Client, Option<SocketAddr>)> {
+    let address = stream.peer_addr().ok();
+    // Without it, a small frame waits for an acknowledgement.
+    let _ = stream.set_nodelay(true);
+    Some((Client::new(stream, clients)?, address))
+}
+
 impl Handle {
     /// Stops the VM as planned: refuses new work, waits for running requests, writes bills and
     /// releases keys, and leaves the fleet.
--- a/src/vm/settings.rs
+++ b/src/vm/settings.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
+use crate::decide::clients::Limits;
 use crate::decide::rollout::Policy;
 use crate::unit::{DataCentre, ParseError, Size, Span, Vm};
 
@@ -80,6 +81,8 @@
     pub stop_within: Span,
     /// Largest accepted body of a request.
     pub body_limit: Size,
+    /// What clients may take together.
+    pub clients: Limits,
     /// Share of answers that are rated, from 0 to 1.
     pub rated_share: f64,
     /// The limits of risk and pace of rollouts.
--- a/src/vm/state.rs
+++ b/src/vm/state.rs
@@ -8,6 +8,7 @@
 
 use super::ratings::PendingSamples;
 use super::{Clock, Command, Fleet, Settings};
+use crate::client::Table as Clients;
 use crate::config::Snapshot;
 use crate::decide::admission::AdmissionController;
 use crate::decide::cascade::{RatingBudget, Rule};
@@ -43,6 +44,8 @@
     pub burn: Mutex<BurnTracker>,
     /// Metrics of this VM.
     pub metrics: Metrics,
+    /// Connections of clients, and what they hold.
+    pub clients: Clients,
     /// Event history, if one is kept.
     pub history: Sink,
     /// True once a planned stop has begun.
@@ -87,6 +90,10 @@
         history: Sink,
         commands: mpsc::UnboundedSender<Command>,
     ) -> Vm {
+        let clients = Clients::new(settings.clients, clock);
+        let metrics = Metrics::new();
+        metrics.register(clients.closed());
+        metrics.register(clients.gauge());
         Vm {
             incarnation: gossip.me().incarnation,
             settings,
@@ -96,7 +103,8 @@
             fleet: Mutex::default(),
             traces: Mutex::default(),
             burn: Mutex::default(),
-            metrics: Metrics::new(),
+            metrics,
+            clients,
             history,
             stopping: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
--- a/src/watch/metrics.rs
+++ b/src/watch/metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of a VM, served at `/metrics`.
 
+use prometheus::core::Collector;
 use prometheus::{
     Encoder, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
@@ -96,6 +97,11 @@
         }
     }
 
+    /// Registers a metric that another module keeps.
+    pub fn register(&self, metric: impl Collector + 'static) {
+        self.registry.register(Box::new(metric)).expect("a name used once");
+    }
+
     /// Returns the highest revision known to be in force on all VMs.
     pub fn accepted(&self) -> Revision {
         Revision(self.accepted.get() as u64)
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -5,6 +5,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -123,6 +124,7 @@
         .env("KITEPULLEY_MEMORY", format!("{MEMORY_MB}MB"))
         .stdout(Stdio::null())
         .stderr(Stdio::null())
+        .limit_descriptors()
         .spawn()
         .expect("the program starts");
     let head = "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\n".to_owned();
@@ -178,6 +180,7 @@
     /// Lets a crowd of clients act, which stay connected, and checks that the VM lives, stays within
     /// its memory and answers an ordinary request while they stay, and after they have gone.
     fn withstands(&self, size: usize, act: impl Fn(usize, &mut TcpStream) + Send + Sync + 'static) {
+        println!("{} MB before", self.peak() / 1_000_000);
         let crowd = Crowd::start(self.callers, size, act);
         let mut in_sockets = 0;
         while !crowd.is_settled() {
@@ -487,16 +490,36 @@
     door.answers("beside streams that nobody reads");
 }
 
+static DESCRIPTORS: libc::rlimit = libc::rlimit { rlim_cur: MAX_FDS, rlim_max: MAX_FDS };
+
 /// Limits the descriptors of a process, as the platform does.
 fn limit_descriptors(pid: u32) {
-    let limit = libc::rlimit { rlim_cur: MAX_FDS, rlim_max: MAX_FDS };
     // SAFETY: the limit is a valid struct, and no old one is asked for.
     let set = unsafe {
-        libc::prlimit(pid as i32, libc::RLIMIT_NOFILE, &raw const limit, std::ptr::null_mut())
+        libc::prlimit(pid as i32, libc::RLIMIT_NOFILE, &raw const DESCRIPTORS, std::ptr::null_mut())
     };
     assert_eq!(set, 0, "the limit is set");
 }
 
+trait LimitDescriptors {
+    /// Limits the descriptors of the process from its start: `serve` reads no other limit.
+    fn limit_descriptors(&mut self) -> &mut Self;
+}
+
+impl LimitDescriptors for Command {
+    fn limit_descriptors(&mut self) -> &mut Command {
+        let limit = || {
+            // SAFETY: the limit is a valid struct.
+            match unsafe { libc::setrlimit(libc::RLIMIT_NOFILE, &raw const DESCRIPTORS) } {
+                0 => Ok(()),
+                _ => Err(std::io::Error::last_os_error()),
+            }
+        };
+        // SAFETY: the closure makes one system call and allocates nothing.
+        unsafe { self.pre_exec(limit) }
+    }
+}
+
 fn idle_connections(door: &Door) {
     limit_descriptors(door.pid);
     let request = [by_length(&door.with_body, 7), b"{\"n\":1}".to_vec()].concat();
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -529,6 +529,7 @@
         fingerprint: Fingerprint::default(),
         arrived,
         deadline: arrived + Span::secs(3),
+        client: None,
     }
 }
 
@@ -558,6 +559,8 @@
         source: None,
         cpu_quota: Millicores(250),
         memory: None,
+        descriptors: None,
+        client_connections: None,
         callers: address,
         readiness: address,
         links: None,
