Answer each request that runs at the end of a planned stop

Callers of a stopping VM saw connections that closed without an answer: it admitted requests for half of the grace whatever their service takes, started a second attempt for slow servers, and the end of the process cut what ran.

Requests are admitted for 2.8 s, as streams were. A VM that stops leaves an attempt the time that is left, and 0.3 s before its end it answers what still runs: 503 if nothing was sent, else 504.

--- a/src/forward/dispatch.rs
+++ b/src/forward/dispatch.rs
@@ -89,8 +89,17 @@
 }
 
 /// Sends the request to one server after another until one responds or no retry is allowed. Returns
-/// a failure only once the other VMs know of the servers that crashed under the request.
+/// a failure only once the other VMs know of the servers that crashed under the request. If a planned
+/// stop is about to end, answers at once.
 pub async fn run(job: &Job) -> Reply {
+    tokio::select! {
+        reply = run_to_end(job) => reply,
+        () = job.vm.last_answers_due() => refuse_at_stop(job),
+    }
+}
+
+/// Makes the attempts of [`run`], and waits until the crashes under them are known.
+async fn run_to_end(job: &Job) -> Reply {
     let mut progress = Progress::default();
     let reply = try_servers(job, &mut progress).await;
     if reply.is_failure() {
@@ -99,6 +108,14 @@
     reply
 }
 
+/// Ends a request that still runs when a planned stop is about to end.
+fn refuse_at_stop(job: &Job) -> Reply {
+    match job.record.attempts() {
+        0 => refuse(job, Refusal::with_retry_after(Kind::Stopping, Span(0))),
+        _ => refuse(job, Refusal::new(Kind::TimedOut)),
+    }
+}
+
 /// Makes the attempts of [`run`].
 async fn try_servers(job: &Job, progress: &mut Progress) -> Reply {
     let vm = &job.vm;
--- a/src/forward/job.rs
+++ b/src/forward/job.rs
@@ -79,7 +79,8 @@
         until_prefilled: Span,
         now: Moment,
     ) -> Moment {
-        if attempts_left <= 1 {
+        // The next attempt of a VM that stops would end later than this one.
+        if attempts_left <= 1 || self.vm.is_stopping() {
             return self.deadline;
         }
         let goal = self.route.latency_goal;
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -335,7 +335,7 @@
     };
     let route = found?.0;
     record.set_route(&route.name);
-    if vm.would_outlast(route.is_streaming, vm.now()) {
+    if vm.would_outlast(vm.now()) {
         return Err(Refusal::with_retry_after(Kind::Stopping, Span(0)));
     }
     if table.requires_key && !route.is_public && !await_key_proof(vm).await {
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -26,9 +26,6 @@
 /// ready after two health checks, a second apart.
 const READINESS_NOTICE_TIME: Span = Span::millis(2500);
 
-/// Safety margin before the time at which the process would be killed.
-const KILL_MARGIN: Span = Span::millis(700);
-
 /// Time between two log lines with the counts of calls to the store.
 const STORE_CALLS_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -193,7 +190,7 @@
     vm.stopping_since.send_replace(Some(started));
     vm.log("stop started", &[("running", vm.running.get().into())]);
     tunnel::withdraw(vm);
-    let latest = started + Span(vm.settings.bounds.stop_within.0.saturating_sub(KILL_MARGIN.0));
+    let latest = vm.stop_ends_at(started);
     let earliest = started + READINESS_NOTICE_TIME;
     let mut was_idle = false;
     loop {
--- a/src/forward/vm.rs
+++ b/src/forward/vm.rs
@@ -50,9 +50,16 @@
 use crate::watch::label::LabelSet;
 use crate::watch::log::{Logger, Value};
 
-/// How long new streams are accepted after a planned stop began. The balancer takes two to three
-/// seconds to notice the stop, and a stream itself lasts some seconds.
-const STREAM_ACCEPT_TIME: Span = Span::millis(2800);
+/// How long new requests are accepted after a planned stop began, and no longer than half of it. The
+/// balancer takes two to three seconds to notice the stop, and requests take some seconds.
+const STOP_ACCEPT_TIME: Span = Span::millis(2800);
+
+/// Safety margin before the time at which the process would be killed.
+const KILL_MARGIN: Span = Span::millis(700);
+
+/// Time before the end of a planned stop at which requests that still run are answered, so that
+/// their answers are written by then.
+const LAST_ANSWER_TIME: Span = Span::millis(300);
 
 /// Kinds that a VM must have listed, besides the configuration, before it forwards requests.
 const REQUIRED_KINDS: [Kind; 3] = [Kind::Servers, Kind::Rollouts, Kind::Evacuations];
@@ -515,13 +522,28 @@
     }
 
     /// Returns true if a request that arrives now could still run at the end of a planned stop.
-    pub fn would_outlast(&self, streams: bool, now: Moment) -> bool {
+    pub fn would_outlast(&self, now: Moment) -> bool {
         let Some(stopping_since) = *self.stopping_since.borrow() else { return false };
-        let accept_time =
-            if streams { STREAM_ACCEPT_TIME } else { self.settings.bounds.stop_within.half() };
+        let accept_time = STOP_ACCEPT_TIME.min(self.settings.bounds.stop_within.half());
         now.since(stopping_since) > accept_time
     }
 
+    /// Returns the end of a planned stop that began at `stopping_since`.
+    pub fn stop_ends_at(&self, stopping_since: Moment) -> Moment {
+        stopping_since + Span(self.settings.bounds.stop_within.0.saturating_sub(KILL_MARGIN.0))
+    }
+
+    /// Waits until requests that still run must be answered, since a planned stop is about to end.
+    pub async fn last_answers_due(&self) {
+        let mut stop = self.stopping_since.subscribe();
+        let Ok(since) = stop.wait_for(Option::is_some).await.map(|since| *since) else {
+            return std::future::pending().await;
+        };
+        let ends_at = self.stop_ends_at(since.unwrap_or_default());
+        let due = Moment(ends_at.0.saturating_sub(LAST_ANSWER_TIME.0));
+        tokio::time::sleep(due.since(self.now()).duration()).await;
+    }
+
     /// Returns the estimated time that a model takes to prefill a number of tokens.
     pub fn prefill_time(&self, model: Option<&Model>, tokens: u64) -> Span {
         let prefill_estimators = self.prefill_estimators.borrow();
