Take an answer with a status above 599 for a broken one

A server in trouble that answered 600 or 999 had its answer passed on, though HTTP knows 100 to 599. Statuses such as 000 were refused by the codec already.

--- a/src/forward/connection.rs
+++ b/src/forward/connection.rs
@@ -43,6 +43,9 @@
 /// Besides, they may be as many as those of the body.
 const MAX_FRAMING: usize = 64 * 1024;
 
+/// Largest status that HTTP knows. The codec takes up to 999.
+const MAX_STATUS: u16 = 599;
+
 /// Maximum number of informational heads before a response.
 const MAX_INFORMATIONAL: u32 = 16;
 
@@ -236,6 +239,9 @@
                         return Err(Fault::Broken("too many informational heads".to_owned()));
                     }
                 }
+                Some(head) if head.status.as_u16() > MAX_STATUS => {
+                    return Err(Fault::Broken(format!("{} is no HTTP status", head.status)));
+                }
                 Some(head) => {
                     self.set_framing(&head);
                     return Ok(head);
--- a/tests/connection.rs
+++ b/tests/connection.rs
@@ -220,3 +220,22 @@
         }
     });
 }
+
+#[test]
+fn an_answer_whose_status_http_does_not_know_is_none() {
+    let texts = ["000", "001", "099", "0", "20", "2000", "-20", "2x0", "", "600", "999"];
+    for text in texts {
+        let answer = format!("HTTP/1.1 {text} X\r\nContent-Length: 3\r\n\r\nabc");
+        let answer: &'static str = answer.leak();
+        let direct = exchange(answer, End::Close);
+        assert!(matches!(direct, Err(Fault::Broken(_))), "{text}: {direct:?}");
+        let tunnelled = actix_web::rt::System::new()
+            .block_on(exchange_through_tunnel(answer.as_bytes(), false));
+        assert!(matches!(tunnelled, Err(Fault::Broken(_))), "{text}: {tunnelled:?}");
+    }
+    for text in ["200", "299", "404", "599"] {
+        let answer = format!("HTTP/1.1 {text} X\r\nContent-Length: 3\r\n\r\nabc");
+        let answer: &'static str = answer.leak();
+        assert_eq!(exchange(answer, End::Close).expect("an answer"), "abc", "{text}");
+    }
+}
