Charge frames of engines to the budget of all responses

Engines that send frames without an end took up to 1 MB for each stream that `serve` reads, without a limit over all of them.

A test of odd contents of entries of all kinds, read and forwarded, passed at once: nothing to mend there.

--- a/src/engine/client.rs
+++ b/src/engine/client.rs
@@ -17,7 +17,7 @@
 use crate::decide::retry::Failure;
 use crate::forward::connection;
 use crate::forward::pool::{self, Pool};
-use crate::forward::read_budget::Budget;
+use crate::forward::read_budget::{Budget, Lease};
 use crate::unit::Span;
 use crate::vm::Clock;
 
@@ -74,6 +74,8 @@
 pub struct Frames {
     body: Body,
     buffer: BytesMut,
+    /// Memory of the buffer.
+    lease: Lease,
     /// Requests running and waiting when the engine accepted the request, if it reported them.
     pub load: Option<(u32, u32)>,
 }
@@ -87,6 +89,11 @@
         EngineClient { client, services, clock, budget }
     }
 
+    /// Returns the client with the budget that its responses share with others.
+    pub fn with_budget(self, budget: &Budget) -> EngineClient {
+        EngineClient { budget: budget.clone(), ..self }
+    }
+
     /// Sends a request to a service and reads the whole response, of at most `max_bytes`.
     ///
     /// # Errors
@@ -136,7 +143,8 @@
                     let (running, waiting) = text.split_once('/')?;
                     Some((running.parse().ok()?, waiting.parse().ok()?))
                 });
-                Ok(Frames { body: Box::pin(response), buffer: BytesMut::new(), load })
+                let lease = self.budget.lease();
+                Ok(Frames { body: Box::pin(response), buffer: BytesMut::new(), lease, load })
             }
             StatusCode::CONFLICT => {
                 let not_run = response.json::<NotRun>().await.ok();
@@ -209,7 +217,12 @@
                 return Some(Err("a frame is too long".to_owned()));
             }
             match self.body.next().await? {
-                Ok(bytes) => self.buffer.extend_from_slice(&bytes),
+                Ok(bytes) => {
+                    if !self.lease.try_resize(self.buffer.len() + bytes.len()) {
+                        return Some(Err("there is too little memory for a frame".to_owned()));
+                    }
+                    self.buffer.extend_from_slice(&bytes);
+                }
                 Err(fault) => return Some(Err(format!("the stream broke: {fault}"))),
             }
         }
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -12,6 +12,8 @@
 use actix_http::{Method, RequestHead};
 use bytes::Bytes;
 use kitepulley::decide::reading::{Memory, Rate};
+use kitepulley::engine::client::EngineClient;
+use kitepulley::engine::wire::Generate;
 use kitepulley::forward::connection::{Connection, Fault};
 use kitepulley::forward::read_budget::Budget;
 use kitepulley::forward::sse::EventBuffer;
@@ -289,3 +291,40 @@
     assert!(peak <= MEMORY_KB, "{peak} KB");
     assert!(count(502) > 20, "servers answered without end");
 }
+
+/// Guards against engines whose frames have no end, which take memory for each stream that `serve`
+/// reads.
+#[test]
+fn frames_without_end_share_the_memory_for_responses() {
+    const STREAMS: usize = 60;
+    let chunk = format!("3e80\r\n{}\r\n", "x".repeat(16_000));
+    let (server, _) = endless_server(CHUNKED.to_owned(), chunk);
+    let work = Generate {
+        request: "r1".parse().unwrap(),
+        attempt: 0,
+        workspace: "w".parse().unwrap(),
+        target: "m@v1".parse().unwrap(),
+        prompt: String::new(),
+        max_tokens: 8,
+        offset: 0,
+        priority: 5,
+        wait: false,
+    };
+    let budget = Budget::new(Some(Size(16_000_000)), Millicores(1000), Clock::default());
+    actix_web::rt::System::new().block_on(async {
+        let client = EngineClient::new().with_budget(&budget);
+        let mut streams = Vec::new();
+        for _ in 0..STREAMS {
+            streams.push(client.generate(server, &work).await.expect("a stream"));
+        }
+        let mut most = Size(0);
+        for stream in &mut streams {
+            let frame = stream.next().await.expect("an end");
+            assert!(frame.is_err(), "{frame:?}");
+            most = most.max(budget.memory_used());
+        }
+        assert!(most > Size(1_000_000) && most <= Size(4_000_000), "{most}");
+        drop(streams);
+        assert_eq!(budget.memory_used(), Size(0));
+    });
+}
--- a/tests/entries.rs
+++ b/tests/entries.rs
@@ -202,6 +202,50 @@
     assert_eq!(names, ["vm1", "vm2"]);
 }
 
+/// Contents that no kind expects, as the store would send them.
+fn odd_contents() -> Vec<String> {
+    let deep = |open: &str, close: &str| open.repeat(200_000) + &close.repeat(200_000);
+    let mut all = vec![deep("[", "]"), deep("{\"a\":", "}").replacen("}", "1}", 1)];
+    all.extend(["1e999", "-1e999", "null", r#""\ud800""#, "[]", "\"x\""].map(str::to_owned));
+    all.push("9".repeat(5000));
+    for address in ["127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1", "[::1"] {
+        all.push(entry(json!({"address": address})).to_string());
+    }
+    let number =
+        |field: &str| format!(r#"{{"{field}":{},"address":"127.0.0.1:9"}}"#, "9".repeat(400));
+    all.extend(["capacity", "share", "duration_s", "version", "born", "sequence"].map(number));
+    all
+}
+
+#[test]
+fn odd_contents_of_any_kind_harm_no_vm_that_reads_or_forwards_them() {
+    for kind in Kind::ALL {
+        for content in odd_contents() {
+            let shown: String = content.chars().take(60).collect();
+            let (reader, follower) = (bare_vm(), bare_vm());
+            let list = format!(
+                r#"{{"items":[{},{{"metadata":{{"name":"x1","revision":2}},"spec":{content},"status":{content}}}],"store_revision":3}}"#,
+                server("r1", 1, entry(json!({}))).to_json(),
+            );
+            let listing: Listing = serde_json::from_str(&list).expect("a list");
+            assert_eq!(listing.items.len(), 2, "{shown}");
+            let source = Source { reader: None, as_of: at(3) };
+            apply::apply_list(&reader, kind, &listing.items, &source);
+            // As another VM gets it.
+            let forwarded: Vec<Object> = listing
+                .items
+                .iter()
+                .map(|object| Object::from_json(&object.to_json()).expect("it decodes again"))
+                .collect();
+            apply::apply_list(&follower, kind, &forwarded, &source);
+            if kind == Kind::Servers {
+                assert!(is_available(&reader, "r1") && is_available(&follower, "r1"), "{shown}");
+                assert!(!is_available(&reader, "x1") && !is_available(&follower, "x1"), "{shown}");
+            }
+        }
+    }
+}
+
 /// A JSON value made from these bytes: any kind of value, or a valid entry with one field replaced.
 fn value(bytes: &[u8]) -> Value {
     match bytes {
