Let a planned stop wait for answers that clients still read

A VM that stopped ended as soon as no request ran, although answers were still being written: a client that reads 0.5 MB a second got 1,490,891 of 3,000,000 bytes. The accounts of clients tell now whether a response is still to be written.

--- a/src/client/table.rs
+++ b/src/client/table.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Returns true if a response is made and not all of it was written.
+    fn is_responding(&self) -> bool {
+        self.has_output || self.is_blocked || self.response > 0
+    }
+
     fn wake(&self) {
         if let Some(waker) = &self.waker {
             waker.wake_by_ref();
@@ -130,6 +135,12 @@
         (state.clients.used(), state.clients.open())
     }
 
+    /// Returns true if a response is still to be written to a client.
+    pub fn is_responding(&self) -> bool {
+        let state = self.lock();
+        state.connections.values().any(Connection::is_responding)
+    }
+
     /// Returns the clients that were closed since the last call, as many as are kept.
     pub fn take_evictions(&self) -> Vec<Eviction> {
         std::mem::take(&mut self.lock().evictions)
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -181,7 +181,7 @@
     while keep_accepting() {
         match listener.accept().await {
             Ok((stream, address)) => {
-                // It costs at most the delay of a small response.
+                // Without it, only small responses are late.
                 let _ = stream.set_nodelay(true);
                 let Some(client) = Client::new(stream, &vm.clients) else { continue };
                 let connection = service.call((client, Some(address)));
--- a/src/forward/run.rs
+++ b/src/forward/run.rs
@@ -195,7 +195,8 @@
     let mut was_idle = false;
     loop {
         let now = vm.now();
-        let is_serving = vm.running.get() > 0 || vm.tunnels_relayed.get() > 0;
+        let is_serving =
+            vm.running.get() > 0 || vm.tunnels_relayed.get() > 0 || vm.clients.is_responding();
         let idle = now >= earliest && !is_serving;
         // A request may still arrive on an open connection, so the VM must be idle at two checks in
         // a row; nothing runs between the second one and the end of the process.
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -2,6 +2,7 @@
 
 mod site;
 
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 
 use kitepulley::standin::replica::Action;
@@ -78,7 +79,9 @@
                 requests.iter().filter(|one| one.sent < GRACE - Duration::from_millis(1500));
             for request in taken {
                 let answer = request.answer.as_ref();
-                let answer = answer.unwrap_or_else(|| panic!("answers take {time:?}: {request:?}"));
+                let answer = answer.unwrap_or_else(|| {
+                    panic!("{}, answers take {time:?}: {request:?}", request.kind)
+                });
                 assert!(answer.whole, "answers take {time:?}: {request:?}");
                 let status = answer.status;
                 assert!(matches!(status, 200 | 503 | 504), "{time:?}: {request:?}");
@@ -95,3 +98,35 @@
         }
     });
 }
+
+/// Guards against a VM that stops while a client still reads its answer.
+#[test]
+fn an_answer_that_a_client_reads_slowly_is_whole_although_its_vm_stops() {
+    const SIZE: usize = 3_000_000;
+    let mut site = Site::new().route("once", "non_idempotent", json!({"timeout_ms": 20000}));
+    site.bounds["grace_s"] = json!(GRACE.as_secs());
+    let server = site.replica("r1", "v1");
+    server.set_default_action(Action::Whole(200, "y".repeat(SIZE)));
+    let mut vm = site.start_ready();
+    let mut client = std::net::TcpStream::connect(vm.callers).expect("the VM accepts");
+    // The kernel must not take the whole answer off the VM.
+    socket2::SockRef::from(&client).set_recv_buffer_size(100_000).expect("a small buffer");
+    let head =
+        head("POST /once/x", "a1", "").replace("X-Deadline-Ms: 2500", "X-Deadline-Ms: 15000");
+    client.write_all(format!("{head}\r\n").as_bytes()).expect("it reads");
+    std::thread::sleep(Duration::from_millis(300));
+    vm.signal(libc::SIGTERM);
+    let mut bytes = Vec::new();
+    let mut piece = [0; 10_000];
+    // In some 6 s.
+    while let Ok(count) = client.read(&mut piece) {
+        if count == 0 {
+            break;
+        }
+        bytes.extend_from_slice(&piece[..count]);
+        std::thread::sleep(Duration::from_millis(18) * count as u32 / 10_000);
+    }
+    let answer = site::read(&bytes).expect("an answer");
+    assert!(answer.status == 200 && answer.whole, "{} of {SIZE} bytes", answer.body.len());
+    assert!(vm.process.wait().expect("it ended").success());
+}
