Rank the clients only if their memory is above the limit

Each request, flush and body of a client ranked and sorted all clients, also while there was room: work on the path of a request that grows with the number of clients. Who is closed, and when, stays as it was.

--- a/src/decide/clients.rs
+++ b/src/decide/clients.rs
@@ -180,6 +180,9 @@
     pub fn record_held(&mut self, id: Id, size: Size, now: Moment) -> Vec<Eviction> {
         self.set_held(id, size);
         let mut evictions = Vec::new();
+        if self.used <= self.limits.memory {
+            return evictions;
+        }
         for other in self.by_preference(size, now) {
             if self.used <= self.limits.memory {
                 break;
