--- a/src/client/body.rs
+++ b/src/client/body.rs
@@ -19,6 +19,9 @@
 /// Largest piece of a response that a connection gets at once.
 const PIECE: usize = 16 * 1024;
 
+/// Longest time that a response waits for memory until its client's connection takes it.
+pub const MAX_RESPONSE_WAIT: Duration = Duration::from_secs(2);
+
 /// Time between two attempts to get memory for a response.
 const ROOM_INTERVAL: Duration = Duration::from_millis(20);
 
--- a/src/client/table.rs
+++ b/src/client/table.rs
@@ -169,7 +169,7 @@
     pub fn close_idlest(&self) {
         let now = self.clock.now();
         let mut state = self.lock();
-        let evicted = state.clients.close_idlest(now);
+        let evicted = state.clients.evict_idlest(now);
         self.close(&mut state, evicted.into_iter().collect());
     }
 
--- a/src/decide/clients.rs
+++ b/src/decide/clients.rs
@@ -145,7 +145,7 @@
         let id = Id(self.next);
         let mut evictions = self.make_room(id, Size(0), CONNECTION_COST, now)?;
         if self.open >= self.limits.connections {
-            evictions.push(self.evict_idlest(now)?);
+            evictions.push(self.evict_idlest(now).ok_or(NoRoom)?);
         }
         self.next += 1;
         self.open += 1;
@@ -192,8 +192,8 @@
         evictions
     }
 
-    /// Adds a client again that was evicted and is told so before its connection ends. The clients
-    /// in the result must be closed.
+    /// Adds an evicted client again, which gets a refusal before its connection ends. The clients in
+    /// the result must be closed.
     pub fn readmit(&mut self, id: Id, size: Size, now: Moment) -> Vec<Eviction> {
         let client =
             Client { held: Size(0), stage: Stage::Waiting, progress_at: now, is_open: true };
@@ -204,12 +204,6 @@
         self.record_held(id, size, now)
     }
 
-    /// Closes the client that has waited for a request, or within one, for longest, since the VM
-    /// has no descriptor left.
-    pub fn close_idlest(&mut self, now: Moment) -> Option<Eviction> {
-        self.evict_idlest(now).ok()
-    }
-
     /// Records what a connection does.
     pub fn set_stage(&mut self, id: Id, stage: Stage) {
         if let Some(client) = self.clients.get_mut(&id) {
@@ -303,14 +297,15 @@
         ranked.into_iter().map(|(_, id)| id).collect()
     }
 
-    /// Evicts the client that has waited for a request, or within one, for longest.
-    fn evict_idlest(&mut self, now: Moment) -> Result<Eviction, NoRoom> {
+    /// Evicts the client that has waited for a request, or within one, for longest. It must be
+    /// closed.
+    pub fn evict_idlest(&mut self, now: Moment) -> Option<Eviction> {
         let waiting = self.clients.iter().filter(|(_, client)| {
             client.is_open && matches!(client.stage, Stage::Waiting | Stage::Sending)
         });
         let idlest = waiting.min_by_key(|(id, client)| (client.progress_at, **id));
-        let id = *idlest.ok_or(NoRoom)?.0;
-        self.evict(id, now).ok_or(NoRoom)
+        let id = *idlest?.0;
+        self.evict(id, now)
     }
 
     /// Removes a client and counts its memory as free, since it is closed at once.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -12,7 +12,6 @@
 mod stream;
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use actix_http::ConnectionType;
 use actix_web::HttpRequest;
@@ -26,9 +25,6 @@
 
 pub use stream::channel_body;
 
-/// Longest time that a response waits for memory until its client's connection takes it.
-const MAX_RESPONSE_WAIT: Duration = Duration::from_secs(2);
-
 /// Accounts for a request until its response has ended.
 ///
 /// # Errors
@@ -46,7 +42,8 @@
         account.close_input();
         response.response_mut().head_mut().set_connection_type(ConnectionType::Close);
     }
-    body::reserve_response(&account, response.response().body().size(), MAX_RESPONSE_WAIT).await;
+    let size = response.response().body().size();
+    body::reserve_response(&account, size, body::MAX_RESPONSE_WAIT).await;
     Ok(response.map_body(|_, content| BoxBody::new(body::Response::new(content.boxed(), open))))
 }
 
--- a/src/forward/listener.rs
+++ b/src/forward/listener.rs
@@ -50,9 +50,6 @@
 /// Longest time that a request waits for a proof that the configuration is the newest.
 const PROOF_TIMEOUT: Span = Span::millis(900);
 
-/// Longest time that a response waits for memory until its client's connection takes it.
-const MAX_RESPONSE_WAIT: Duration = Duration::from_secs(2);
-
 /// Time within which a readiness probe or metrics scrape must send its request.
 const PROBE_REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -227,7 +224,7 @@
         account.close_input();
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
-    body::reserve_response(&account, response.body().size(), MAX_RESPONSE_WAIT).await;
+    body::reserve_response(&account, response.body().size(), body::MAX_RESPONSE_WAIT).await;
     response.map_body(|_, content| BoxBody::new(body::Response::new(content, open)))
 }
 
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -198,7 +198,9 @@
                 Ok(response) => {
                     response.page().map_err(Gap::Undecodable).and_then(|page| pages.add(page))
                 }
-                Err(StoreError::Refused(status)) if is_final(status) => Err(Gap::Refused(status)),
+                Err(StoreError::Refused(status)) if request::is_final(status) => {
+                    Err(Gap::Refused(status))
+                }
                 Err(error) => return Err(error),
             };
             match added {
@@ -426,13 +428,6 @@
         .map_err(|fault| StoreError::NoAnswer(format!("the response does not decode: {fault}")))
 }
 
-/// Returns true if the store would answer the same request with the same status again.
-fn is_final(status: u16) -> bool {
-    (400..500).contains(&status)
-        && ![StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS]
-            .contains(&StatusCode::from_u16(status).unwrap_or_default())
-}
-
 /// Decodes events one by one, and skips those that do not decode: others follow them.
 fn each_event<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<Event>, D::Error> {
     let raw = Vec::<Box<RawValue>>::deserialize(from)?;
--- a/src/platform/duty.rs
+++ b/src/platform/duty.rs
@@ -41,10 +41,7 @@
 impl CallError {
     /// Returns true if repeating the same call cannot succeed.
     pub fn is_final(&self) -> bool {
-        const TIMEOUT: u16 = 408;
-        const TOO_MANY: u16 = 429;
-        matches!(self, CallError::Refused(status)
-            if (400..500).contains(status) && ![TIMEOUT, TOO_MANY].contains(status))
+        matches!(self, CallError::Refused(status) if request::is_final(*status))
     }
 }
 
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -5,6 +5,13 @@
 use actix_http::header::{CONTENT_TYPE, HOST, HeaderValue};
 use actix_http::{Method, RequestHead};
 
+/// Returns true if the platform would answer the same request with the same status again.
+pub fn is_final(status: u16) -> bool {
+    const TIMEOUT: u16 = 408;
+    const TOO_MANY: u16 = 429;
+    (400..500).contains(&status) && ![TIMEOUT, TOO_MANY].contains(&status)
+}
+
 /// Returns the head of a request to the service at `address`.
 ///
 /// # Errors
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -85,7 +85,7 @@
                 assert!(answer.whole, "answers take {time:?}: {request:?}");
                 let status = answer.status;
                 assert!(matches!(status, 200 | 503 | 504), "{time:?}: {request:?}");
-                // One that can still end is served; one that waits in vain is told so at once.
+                // One that can still end is served; one that cannot is refused at once.
                 if request.sent + *time < Duration::from_millis(6500)
                     && request.sent < Duration::from_millis(2500)
                 {
